--- /dev/null
+++ b/cassiashunt/src/main.rs
@@ -0,0 +1,3 @@
+//! The cassiashunt command.
+
+fn main() {}
--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission at the owning node: concurrency limit, queue and shedding.
--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,1 @@
+//! State charts read from TOML, checked and interpreted.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Workspace rate limits across the fleet: authority, grants and holders.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load, experiments and their reports.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership by heartbeat and gossip, and the rosters that seed it.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At most one run per idempotency key.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server, outlier ejection and retry allowances.
--- /dev/null
+++ b/crates/suspect/src/lib.rs
@@ -0,0 +1,1 @@
+//! Containment of requests that crash backend servers.
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' table, its edits, keys and audit trail.
--- /dev/null
+++ b/crates/timer/src/lib.rs
@@ -0,0 +1,1 @@
+//! A timer service that parts subscribe to.
--- /dev/null
+++ b/crates/types/src/label.rs
@@ -0,0 +1,160 @@
+//! Short names that are kept inline, so that keys made of them stay small and `Copy`.
+
+use std::{borrow::Borrow, fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// The longest label, in bytes.
+const LABEL_BYTES: usize = 31;
+
+/// A name of up to 31 printable ASCII bytes without space, comma or quote.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Label {
+    buf: [u8; LABEL_BYTES],
+    len: u8,
+}
+
+/// A name that cannot be a label.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidLabel {
+    /// The name as given.
+    pub name: String,
+}
+
+impl fmt::Display for InvalidLabel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:?} is no name: use 1 to {LABEL_BYTES} printable ASCII characters without space, comma or quote",
+            self.name
+        )
+    }
+}
+
+impl std::error::Error for InvalidLabel {}
+
+impl Label {
+    /// The label's text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        let bytes = &self.buf[..usize::from(self.len)];
+        std::str::from_utf8(bytes).expect("a label holds ASCII only")
+    }
+}
+
+fn is_label_byte(byte: &u8) -> bool {
+    byte.is_ascii_graphic() && !matches!(byte, b',' | b'"' | b'\'')
+}
+
+impl FromStr for Label {
+    type Err = InvalidLabel;
+
+    fn from_str(name: &str) -> Result<Self, InvalidLabel> {
+        let bytes = name.as_bytes();
+        let fits = (1..=LABEL_BYTES).contains(&bytes.len());
+        if !fits || !bytes.iter().all(is_label_byte) {
+            return Err(InvalidLabel { name: name.into() });
+        }
+        let mut buf = [0; LABEL_BYTES];
+        buf[..bytes.len()].copy_from_slice(bytes);
+        let len = u8::try_from(bytes.len()).expect("the length was checked above");
+        Ok(Self { buf, len })
+    }
+}
+
+impl TryFrom<String> for Label {
+    type Error = InvalidLabel;
+
+    fn try_from(name: String) -> Result<Self, InvalidLabel> {
+        name.parse()
+    }
+}
+
+impl From<Label> for String {
+    fn from(label: Label) -> Self {
+        label.as_str().into()
+    }
+}
+
+impl fmt::Debug for Label {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self.as_str(), f)
+    }
+}
+
+impl fmt::Display for Label {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+macro_rules! label {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Label);
+
+        impl $name {
+            /// The name's text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                self.0.as_str()
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidLabel;
+
+            fn from_str(name: &str) -> Result<Self, InvalidLabel> {
+                name.parse().map(Self)
+            }
+        }
+
+        impl From<Label> for $name {
+            fn from(label: Label) -> Self {
+                Self(label)
+            }
+        }
+
+        impl Borrow<Label> for $name {
+            fn borrow(&self) -> &Label {
+                &self.0
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&self.0, f)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+label! {
+    /// A tenant of the fleet.
+    Workspace
+}
+label! {
+    /// A kind of call, named by its service and first path segment or by the table.
+    Route
+}
+label! {
+    /// A kind of request within a route, such as a sign-off.
+    Class
+}
+label! {
+    /// A service that several backend servers offer.
+    Service
+}
+label! {
+    /// A part of a region that fails as a whole.
+    FailureDomain
+}
--- /dev/null
+++ b/crates/types/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The types that almost every module uses.
+
+pub use std::time::Duration;
+
+pub use crate::{
+    ChainId, Class, Epoch, FailureDomain, KeyId, NodeId, Reason, Refusal, RequestId, Revision,
+    Route, Service, ShardId, Time, Verdict, Workspace,
+};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Node-to-node messages, framing and connection authentication.
