--- /dev/null
+++ b/crates/admit/src/admission.rs
@@ -0,0 +1,307 @@
+//! Decides which requests start at one backend server.
+
+use std::collections::HashMap;
+
+use cassiashunt_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Algorithm, Job, Limiter, Signal,
+    estimate::{Estimates, Known},
+    meter::Meter,
+    queue::Queue,
+    signal::FULL_LOAD,
+};
+
+/// The shortest time to come back after a refusal.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Settings of the admission at one backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Options {
+    /// Requests that the server announces to run at once.
+    pub slots: u32,
+    /// How the concurrency limit follows measured latencies.
+    pub algorithm: Algorithm,
+    /// The time over which a cold server is given its full limit; zero for a warm one.
+    pub warm_up: Duration,
+    /// The longest queue, as a share of the concurrency limit.
+    pub queue_share: f64,
+    /// The shortest longest queue, in requests.
+    pub min_queue: u32,
+    /// The age at which an estimate of a service time is no longer used.
+    pub estimate_age: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            algorithm: Algorithm::default(),
+            warm_up: Duration::ZERO,
+            queue_share: 0.5,
+            min_queue: 4,
+            estimate_age: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What the node is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Hand the request to the backend server.
+    Start(RequestId),
+    /// Answer with the refusal; the request never ran and never will.
+    Refuse(RequestId, Refusal),
+}
+
+/// Admission at one backend server.
+///
+/// Every offered request gets exactly one [`Action`], at once or from a later call, unless it is
+/// cancelled by [`cancel`](Self::cancel) after its start.
+#[derive(Debug)]
+pub struct Admission {
+    opts: Options,
+    limiter: Limiter,
+    queue: Queue,
+    running: HashMap<RequestId, Route>,
+    estimates: Estimates,
+    meter: Meter,
+    is_draining: bool,
+}
+
+impl Admission {
+    /// Admission at a server that came up at `now`.
+    #[must_use]
+    pub fn new(now: Time, opts: Options) -> Self {
+        Self {
+            limiter: Limiter::new(opts.algorithm, opts.slots, now, opts.warm_up),
+            opts,
+            queue: Queue::default(),
+            running: HashMap::new(),
+            estimates: Estimates::default(),
+            meter: Meter::default(),
+            is_draining: false,
+        }
+    }
+
+    /// Takes in a request; a key that is already running or waiting is left out.
+    pub fn offer(&mut self, now: Time, job: Job) -> Vec<Action> {
+        if self.running.contains_key(&job.key) || self.queue.contains(job.key) {
+            return Vec::new();
+        }
+        if self.is_draining {
+            return vec![Action::Refuse(job.key, Refusal::not_run(Reason::Draining))];
+        }
+        self.meter.on_offer(now, job.priority);
+        let mut actions = Vec::new();
+        if self.can_finish_after_wait(now, &job) {
+            self.queue.push(job);
+        } else {
+            self.meter.on_refusal();
+            actions.push(self.refuse(&job, Reason::Deadline));
+        }
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// Takes in the end of a running request; `is_ok` is false where the server failed.
+    pub fn done(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        latency: Duration,
+        is_ok: bool,
+    ) -> Vec<Action> {
+        let in_flight = self.in_flight();
+        let mut actions = Vec::new();
+        let Some(route) = self.running.remove(&id) else {
+            return actions;
+        };
+        if is_ok {
+            let stretch = self.estimates.sample(now, route, latency);
+            self.limiter.on_sample(now, stretch, in_flight, true);
+        } else {
+            self.limiter.on_sample(now, 1.0, in_flight, false);
+        }
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// Takes a waiting request out. A running one keeps its slot until [`done`](Self::done).
+    pub fn cancel(&mut self, now: Time, id: RequestId) -> Vec<Action> {
+        let gone = self.queue.extract(|job| job.key == id);
+        let refusal = Refusal::not_run(Reason::Cancelled);
+        let mut actions: Vec<_> = gone
+            .iter()
+            .map(|job| Action::Refuse(job.key, refusal))
+            .collect();
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// Refuses waiting requests that can no longer finish in time; to be called every few
+    /// milliseconds while requests wait, and at least ten times a second.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// Takes in the number of requests that the server announces to run at once.
+    pub fn set_slots(&mut self, now: Time, slots: u32) -> Vec<Action> {
+        self.limiter.set_slots(slots);
+        let mut actions = Vec::new();
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// Refuses everything that waits and everything that is offered from now on.
+    pub fn drain(&mut self) -> Vec<Action> {
+        self.is_draining = true;
+        let refusal = Refusal::not_run(Reason::Draining);
+        let waiting = self.queue.extract(|_| true);
+        waiting
+            .iter()
+            .map(|job| Action::Refuse(job.key, refusal))
+            .collect()
+    }
+
+    /// Requests that run now.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that wait now.
+    #[must_use]
+    pub fn queued(&self) -> u32 {
+        u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The requests that may run at once now.
+    #[must_use]
+    pub fn limit(&self, now: Time) -> u32 {
+        self.limiter.limit(now)
+    }
+
+    /// The earliest deadline of the waiting requests, for the caller's timer.
+    #[must_use]
+    pub fn first_deadline(&self) -> Option<Time> {
+        self.queue.first_deadline()
+    }
+
+    /// What the rest of the fleet is to know, as of the last call.
+    #[must_use]
+    pub fn signal(&self, now: Time) -> Signal {
+        let load = self.load(now) * FULL_LOAD as f64;
+        Signal {
+            level: self.meter.level(),
+            load: load.min(255.0) as u8,
+        }
+    }
+
+    /// Refuses what is too late, starts what fits, and sheds what is over the longest queue.
+    fn settle(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.start(now, actions);
+        self.expire(now, actions);
+        self.shed(now, actions);
+        self.meter
+            .observe(now, self.load(now), self.queue.len() == 0);
+    }
+
+    fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while self.in_flight() < self.limiter.limit(now) {
+            let Some(job) = self.queue.pop() else { return };
+            if self.can_finish(now, &job) {
+                self.running.insert(job.key, job.route);
+                actions.push(Action::Start(job.key));
+            } else {
+                self.meter.on_refusal();
+                actions.push(self.refuse(&job, Reason::Deadline));
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let running = &self.running;
+        let (estimates, age) = (&self.estimates, self.opts.estimate_age);
+        let late = self.queue.extract(|job| {
+            now + least_service(estimates, running, now, job.route, age) >= job.deadline
+        });
+        for job in &late {
+            self.meter.on_refusal();
+            actions.push(self.refuse(job, Reason::Deadline));
+        }
+    }
+
+    fn shed(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while self.queue.len() > self.longest_queue(now) {
+            let Some(job) = self.queue.shed() else { return };
+            self.meter.on_refusal();
+            actions.push(self.refuse(&job, Reason::Shed));
+        }
+    }
+
+    fn longest_queue(&self, now: Time) -> usize {
+        let share = f64::from(self.limiter.limit(now)) * self.opts.queue_share;
+        (share as usize).max(self.opts.min_queue as usize)
+    }
+
+    /// Whether the request would finish in time if it started now.
+    fn can_finish(&self, now: Time, job: &Job) -> bool {
+        self.can_finish_from(now, now, job)
+    }
+
+    fn can_finish_from(&self, now: Time, start: Time, job: &Job) -> bool {
+        let age = self.opts.estimate_age;
+        let service = least_service(&self.estimates, &self.running, now, job.route, age);
+        start + service < job.deadline
+    }
+
+    /// Whether the request would finish in time behind those that go before it.
+    fn can_finish_after_wait(&self, now: Time, job: &Job) -> bool {
+        let ahead = self.queue.ahead_of(job.rank());
+        if self.in_flight() < self.limiter.limit(now) || ahead == 0 {
+            return self.can_finish(now, job);
+        }
+        self.can_finish_from(now, now + self.wait_behind(now, ahead), job)
+    }
+
+    /// The time in which `ahead` waiting requests start, at the mean service time.
+    fn wait_behind(&self, now: Time, ahead: usize) -> Duration {
+        let limit = self.limiter.limit(now).max(1);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.estimates.overall().saturating_mul(ahead) / limit
+    }
+
+    fn refuse(&self, job: &Job, reason: Reason) -> Action {
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let wait = self.estimates.overall().saturating_mul(waiting) / self.opts.slots.max(1);
+        let refusal = Refusal::not_run(reason).retry_after(wait.max(MIN_RETRY_AFTER));
+        Action::Refuse(job.key, refusal)
+    }
+
+    fn load(&self, now: Time) -> f64 {
+        let busy = self.running.len() + self.queue.len();
+        busy as f64 / f64::from(self.limiter.limit(now).max(1))
+    }
+}
+
+/// The service time that a request must have left. Where the estimate is old and no request of the
+/// route runs, none is asked for, so that one request finds out what it is now.
+fn least_service(
+    estimates: &Estimates,
+    running: &HashMap<RequestId, Route>,
+    now: Time,
+    route: Route,
+    age: Duration,
+) -> Duration {
+    match estimates.of(now, route, age) {
+        Known::Nothing => Duration::ZERO,
+        Known::Fresh(service) => service,
+        Known::Stale(service) if running.values().any(|it| *it == route) => service,
+        Known::Stale(_) => Duration::ZERO,
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,19 @@
 //! Admission at the owning node: concurrency limit, queue and shedding.
+//!
+//! [`Admission`] decides for one backend server which requests start, wait or are refused.
+//! [`ingress::Ingress`] uses the [`Signal`] of every owner to refuse requests before their chain
+//! starts. Both are pure: the time is handed in, and what is to be done comes back.
+
+mod admission;
+mod estimate;
+pub mod ingress;
+mod job;
+mod limiter;
+mod meter;
+mod queue;
+mod signal;
+
+pub use admission::{Action, Admission, Options};
+pub use job::{Job, Priority};
+pub use limiter::{Algorithm, Limiter};
+pub use signal::{Level, Signal};
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,13 @@
 //! Choice of a backend server, outlier ejection and retry allowances.
+//!
+//! [`Chooser`] picks a server of one service from what this node has seen and what the owners
+//! reported. [`retry`] bounds the retries along a whole chain. Both are pure: the time and the
+//! random numbers are handed in.
+
+mod chooser;
+mod ejection;
+pub mod retry;
+mod server;
+
+pub use chooser::{Chooser, Options, Policy};
+pub use server::{Candidate, Outcome, Presence, ServerKey};
