Add a stand-in for backend servers

Cause: the node, the promise proofs and the load experiments need backend servers that have slots, call other services, and fail on request.

tiny_http was ruled out: it can neither close the connections that it holds nor bound their number, and a server that crashes on a marked request has to do both. A small blocking HTTP/1.1 loop over httparse takes its place, and the load generator will use the same connection type.

Closing the connections before the listener let a caller that was cut off connect again: the crash test failed on "TcpStream::connect(addr).is_err()". The listener now closes first.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins for the platform and for backend servers.
+
+pub mod platform;
+pub mod server;
