--- /dev/null
+++ b/crates/control/src/claim.rs
@@ -0,0 +1,166 @@
+use std::time::Duration;
+
+use cassiashunt_types::{Epoch, FailureDomain, NodeId, RateMargin, Time};
+
+use crate::{Accept, Ask, Control, Outcome, ShardKey, msg};
+
+/// Settings of [`Claim`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimOptions {
+    /// The freshness bound of [`crate::touch::Options`].
+    pub freshness: Duration,
+    /// The longest validity of anything that a holder of the shard gives away.
+    pub validity: Duration,
+    /// How far the nodes' clocks may differ in rate.
+    pub margin: RateMargin,
+    /// Time after which an unanswered write is put again.
+    pub write_again: Duration,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        Self {
+            freshness: Duration::from_secs(2),
+            validity: Duration::from_secs(1),
+            margin: RateMargin::default(),
+            write_again: Duration::from_millis(500),
+        }
+    }
+}
+
+/// How far a claim has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The claim is being written.
+    Writing,
+    /// The claim is durable and being made known.
+    Spreading,
+    /// The predecessor may act until this point.
+    Waiting {
+        /// When the claimant may act.
+        until: Time,
+    },
+    /// The claimant may act under this epoch while it is in touch.
+    Ready(Epoch),
+    /// Another node holds the shard.
+    Lost,
+}
+
+/// The succession of a shard's holder.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    me: NodeId,
+    name: FailureDomain,
+    key: ShardKey,
+    expected: Epoch,
+    options: ClaimOptions,
+    write_at: Time,
+    accept: Option<Accept>,
+    stage: Stage,
+}
+
+impl Claim {
+    /// Begins to claim `key`, whose epoch the claimant saw as `expected`.
+    #[must_use]
+    pub fn new(
+        me: NodeId,
+        name: FailureDomain,
+        key: ShardKey,
+        expected: Epoch,
+        options: ClaimOptions,
+    ) -> Self {
+        Self {
+            me,
+            name,
+            key,
+            expected,
+            options,
+            write_at: Time::ZERO,
+            accept: None,
+            stage: Stage::Writing,
+        }
+    }
+
+    /// The shard.
+    #[must_use]
+    pub fn key(&self) -> ShardKey {
+        self.key
+    }
+
+    /// The epoch that the claimant saw; write [`crate::edit::take_over`] from it.
+    #[must_use]
+    pub fn expected(&self) -> Epoch {
+        self.expected
+    }
+
+    /// How far the claim has come.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// The platform holds this control value: after the write, or read again when the write's
+    /// answer was lost or it failed.
+    pub fn control_read(&mut self, now: Time, control: &Control) -> Vec<Ask> {
+        let epoch = control.epoch(self.key);
+        let is_mine = control
+            .shard(self.key)
+            .is_some_and(|shard| shard.primary == self.me);
+        let claimed = epoch == self.expected.next() && is_mine;
+        if epoch > self.expected && !claimed {
+            self.stage = Stage::Lost;
+        }
+        let asks = match (self.stage, &mut self.accept) {
+            (Stage::Writing, _) if claimed => self.spread(now, control),
+            (Stage::Writing, _) => self.tick(now),
+            (Stage::Spreading, Some(accept)) => accept.control_read(now, control),
+            _ => Vec::new(),
+        };
+        self.advance(now);
+        asks
+    }
+
+    /// A relay told what it has applied.
+    pub fn relay_applied(&mut self, now: Time, msg: &msg::Applied) -> Vec<Ask> {
+        let asks = match &mut self.accept {
+            Some(accept) => accept.relay_applied(msg),
+            None => Vec::new(),
+        };
+        self.advance(now);
+        asks
+    }
+
+    /// Time went by; returns what to ask.
+    pub fn tick(&mut self, now: Time) -> Vec<Ask> {
+        self.advance(now);
+        match (self.stage, &mut self.accept) {
+            (Stage::Writing, _) if now >= self.write_at => {
+                self.write_at = now + self.options.write_again;
+                vec![Ask::WriteClaim]
+            }
+            (Stage::Spreading, Some(accept)) => accept.tick(now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn spread(&mut self, now: Time, control: &Control) -> Vec<Ask> {
+        self.stage = Stage::Spreading;
+        let accept = self.accept.insert(Accept::control(self.name, control));
+        accept.tick(now)
+    }
+
+    fn advance(&mut self, now: Time) {
+        let accepted = self
+            .accept
+            .as_ref()
+            .is_some_and(|accept| accept.outcome() == Outcome::Accepted);
+        if self.stage == Stage::Spreading && accepted {
+            let wait = self.options.freshness + self.options.validity;
+            let until = now + self.options.margin.at_most(wait);
+            self.stage = Stage::Waiting { until };
+        }
+        if matches!(self.stage, Stage::Waiting { until } if now >= until) {
+            self.stage = Stage::Ready(self.expected.next());
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/elect.rs
@@ -0,0 +1,56 @@
+use cassiashunt_types::{FailureDomain, NodeId};
+
+use crate::{Control, RELAYS_PER_DOMAIN, edit::Replace};
+
+/// A live member as the election of relays sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Member {
+    /// The node.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+}
+
+/// The change of relays that is due in `domain`, one relay at a time.
+///
+/// Live relays stay as they are, so that a newcomer moves no role. A relay that is gone is replaced
+/// by the first live member that is none, in order of rendezvous hash; nothing is removed without a
+/// substitute, because a domain without relays would be vouched for by nobody.
+#[must_use]
+pub fn election(control: &Control, domain: FailureDomain, live: &[Member]) -> Option<Replace> {
+    let relays: Vec<NodeId> = control
+        .domain(domain)
+        .map(|domain| domain.nodes().collect())
+        .unwrap_or_default();
+    let into = first_candidate(domain, &relays, live)?;
+    let is_live = |node: NodeId| live.iter().any(|member| member.node == node);
+    let out = relays.iter().copied().find(|relay| !is_live(*relay));
+    if out.is_none() && relays.len() >= RELAYS_PER_DOMAIN {
+        return None;
+    }
+    Some(Replace {
+        domain,
+        out,
+        into: Some(into),
+    })
+}
+
+fn first_candidate(domain: FailureDomain, relays: &[NodeId], live: &[Member]) -> Option<NodeId> {
+    live.iter()
+        .filter(|member| member.domain == domain)
+        .map(|member| member.node)
+        .filter(|node| !relays.contains(node))
+        .max_by_key(|node| (score(domain, *node), *node))
+}
+
+/// Rendezvous score of a node within a failure domain: FNV-1a over both, then a finalizing mix.
+fn score(domain: FailureDomain, node: NodeId) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let bytes = domain.as_str().bytes().chain(node.0.to_le_bytes());
+    let hash = bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
+    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
