--- /dev/null
+++ b/crates/member/src/rumors.rs
@@ -0,0 +1,60 @@
+//! News that is still to be passed on.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cassiashunt_types::prelude::*;
+
+/// The members about which there is news, and how often each piece has been sent.
+///
+/// Only ids are kept: what is sent is the view at the time of sending.
+#[derive(Debug, Default)]
+pub(crate) struct Rumors {
+    sends: BTreeMap<NodeId, u32>,
+    order: BTreeSet<(u32, NodeId)>,
+}
+
+impl Rumors {
+    /// There is news about this member.
+    pub(crate) fn add(&mut self, id: NodeId) {
+        self.remove(id);
+        self.put(id, 0);
+    }
+
+    /// There is news unless the member's news is still under way.
+    pub(crate) fn add_if_absent(&mut self, id: NodeId) {
+        if !self.sends.contains_key(&id) {
+            self.put(id, 0);
+        }
+    }
+
+    /// The members to tell of, the least often told first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.order.iter().map(|(_, id)| *id)
+    }
+
+    /// Counts one sending, of at most `limit`.
+    pub(crate) fn sent(&mut self, id: NodeId, limit: u32) {
+        let Some(count) = self.remove(id) else {
+            return;
+        };
+        if count + 1 < limit {
+            self.put(id, count + 1);
+        }
+    }
+
+    /// Forgets the news about a member.
+    pub(crate) fn remove(&mut self, id: NodeId) -> Option<u32> {
+        let count = self.sends.remove(&id)?;
+        self.order.remove(&(count, id));
+        Some(count)
+    }
+
+    fn put(&mut self, id: NodeId, count: u32) {
+        self.sends.insert(id, count);
+        self.order.insert((count, id));
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.sends.len()
+    }
+}
--- /dev/null
+++ b/crates/member/src/view.rs
@@ -0,0 +1,405 @@
+//! The members that are known, and what claims do to them.
+
+use std::collections::BTreeMap;
+
+use cassiashunt_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Claim, Load, LoadReport, Member, Options, Phase, Reach, Record, load, msg,
+    tombstones::Tombstones,
+};
+
+/// The parts of the id space that are compared one at a time.
+pub(crate) const BUCKETS: u32 = 64;
+
+/// The bits of an id within its bucket.
+const BUCKET_SHIFT: u32 = u64::BITS - BUCKETS.ilog2();
+
+/// Why a member is no longer kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Departure {
+    /// It said that it is gone.
+    Left,
+    /// A later process has its address.
+    Replaced,
+    /// It was unreachable for so long that it is kept no more; it may come back.
+    Forgotten,
+}
+
+/// A change of the view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Change {
+    /// A member is new.
+    Joined(NodeId),
+    /// A member's record or reach changed.
+    Changed(NodeId),
+    /// A member is no longer kept.
+    Left(NodeId, Departure),
+}
+
+/// What a claim did.
+#[derive(Debug, Default)]
+pub(crate) struct Applied {
+    pub changes: Vec<Change>,
+    /// Members about which others have to be told.
+    pub news: Vec<NodeId>,
+    /// Members about which the claim's sender was behind.
+    pub stale: Vec<NodeId>,
+}
+
+impl Applied {
+    fn change(&mut self, id: NodeId, change: Change) {
+        self.changes.push(change);
+        self.news.push(id);
+    }
+}
+
+/// Every known member, this node among them, and those that are gone.
+#[derive(Debug)]
+pub(crate) struct View {
+    me: NodeId,
+    members: BTreeMap<NodeId, Member>,
+    tags: BTreeMap<u32, NodeId>,
+    tombstones: Tombstones,
+    limit: usize,
+}
+
+impl View {
+    pub(crate) fn new(opts: &Options, me: Record) -> Self {
+        let mut view = Self {
+            me: me.id,
+            members: BTreeMap::new(),
+            tags: BTreeMap::new(),
+            tombstones: Tombstones::new(opts.tombstones),
+            limit: opts.members,
+        };
+        view.insert(Member {
+            record: me,
+            incarnation: 1,
+            reach: Reach::Alive,
+            since: Time::ZERO,
+            load: None,
+        });
+        view
+    }
+
+    pub(crate) fn get(&self, id: NodeId) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
+    pub(crate) fn me(&self) -> &Member {
+        self.members.get(&self.me).expect("a node keeps itself")
+    }
+
+    pub(crate) fn me_mut(&mut self) -> &mut Member {
+        self.members.get_mut(&self.me).expect("a node keeps itself")
+    }
+
+    /// Every member but this node.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &Member> + '_ {
+        let me = self.me;
+        self.members.values().filter(move |m| m.record.id != me)
+    }
+
+    /// The number of members, this node included.
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    pub(crate) fn tombstones(&self) -> &Tombstones {
+        &self.tombstones
+    }
+
+    pub(crate) fn has_addr(&self, addr: std::net::SocketAddr) -> bool {
+        self.members.values().any(|m| m.record.addr == addr)
+    }
+
+    /// The update about this id as news; `None` for an id that is not known.
+    pub(crate) fn news_of(&self, id: NodeId) -> Option<msg::Update> {
+        if self.tombstones.contains(id) {
+            return Some(gone(id));
+        }
+        self.get(id).map(Member::to_news)
+    }
+
+    /// The members with ids from `first` to `last`.
+    pub(crate) fn range(&self, first: u64, last: u64) -> impl Iterator<Item = &Member> + '_ {
+        let last = last.max(first);
+        self.members
+            .range(NodeId(first)..=NodeId(last))
+            .map(|(_, member)| member)
+    }
+
+    /// A checksum of the answering members of one bucket; never zero.
+    pub(crate) fn checksum(&self, bucket: u32) -> u32 {
+        let (first, last) = bucket_range(bucket);
+        let sum = self
+            .range(first, last)
+            .filter(|m| m.reach != Reach::Unreachable)
+            .map(|m| mix(m.record.id.0 ^ mix(u64::from(m.incarnation))))
+            .fold(0, u64::wrapping_add);
+        let folded = (sum >> 32) ^ (sum & u64::from(u32::MAX));
+        u32::try_from(folded).expect("both halves have 32 bits") | 1
+    }
+
+    /// Takes in a claim about another node.
+    pub(crate) fn apply(&mut self, now: Time, update: &msg::Update) -> Applied {
+        let mut applied = Applied::default();
+        let id = NodeId(update.id);
+        let Some(claim) = Claim::from_number(update.claim) else {
+            return applied;
+        };
+        let record = update.record.as_ref();
+        let record = record.and_then(|record| Record::from_msg(id, record));
+        let told = Told {
+            id,
+            incarnation: update.incarnation,
+            claim,
+            record,
+        };
+        if claim == Claim::Gone {
+            self.bury(id, Departure::Left, &mut applied);
+        } else if self.tombstones.contains(id) {
+            applied.stale.push(id);
+        } else if self.members.contains_key(&id) {
+            self.merge(now, &told, &mut applied);
+        } else {
+            self.admit(now, &told, &mut applied);
+        }
+        applied
+    }
+
+    fn admit(&mut self, now: Time, told: &Told, applied: &mut Applied) {
+        let Some(record) = told.record else {
+            return;
+        };
+        let Some(reach) = told.reach() else {
+            return;
+        };
+        if reach == Reach::Unreachable || record.phase == Phase::Gone {
+            return;
+        }
+        if self.yields_address(&record, applied) && self.has_room(applied) {
+            self.insert(Member {
+                record,
+                incarnation: told.incarnation,
+                reach,
+                since: now,
+                load: None,
+            });
+            applied.change(record.id, Change::Joined(record.id));
+        }
+    }
+
+    /// Removes those whose address the record took over; `false` where one of them is later.
+    fn yields_address(&mut self, record: &Record, applied: &mut Applied) -> bool {
+        let holders: Vec<Record> = self
+            .members
+            .values()
+            .map(|m| m.record)
+            .filter(|held| held.addr == record.addr && held.id != record.id)
+            .collect();
+        if let Some(later) = holders.iter().find(|held| held.replaces(record)) {
+            applied.stale.push(later.id);
+            return false;
+        }
+        for held in holders {
+            self.bury(held.id, Departure::Replaced, applied);
+        }
+        true
+    }
+
+    fn has_room(&mut self, applied: &mut Applied) -> bool {
+        if self.members.len() < self.limit {
+            return true;
+        }
+        let unreachable = self
+            .members
+            .values()
+            .filter(|m| m.reach == Reach::Unreachable);
+        let Some(oldest) = unreachable.min_by_key(|m| m.since) else {
+            return false;
+        };
+        let id = oldest.record.id;
+        self.forget(id, applied);
+        true
+    }
+
+    fn merge(&mut self, now: Time, told: &Told, applied: &mut Applied) {
+        let (Some(reach), Some(member)) = (told.reach(), self.members.get_mut(&told.id)) else {
+            return;
+        };
+        if told.incarnation < member.incarnation {
+            applied.stale.push(told.id);
+            return;
+        }
+        if told.incarnation > member.incarnation {
+            let Some(record) = told.record else {
+                return;
+            };
+            if record.phase == Phase::Gone {
+                self.bury(told.id, Departure::Left, applied);
+                return;
+            }
+            member.record = record;
+            member.incarnation = told.incarnation;
+        } else if reach <= member.reach {
+            return;
+        }
+        member.reach = reach;
+        member.since = now;
+        applied.change(told.id, Change::Changed(told.id));
+    }
+
+    /// This node found that a member does not answer.
+    pub(crate) fn suspect(&mut self, now: Time, id: NodeId) -> Applied {
+        let mut applied = Applied::default();
+        if let Some(member) = self.members.get_mut(&id)
+            && member.reach == Reach::Alive
+        {
+            member.reach = Reach::Suspect;
+            member.since = now;
+            applied.change(id, Change::Changed(id));
+        }
+        applied
+    }
+
+    /// Moves suspects and unreachable members on whose time is over.
+    pub(crate) fn expire(&mut self, now: Time, opts: &Options) -> Applied {
+        let mut applied = Applied::default();
+        let mut forgotten = Vec::new();
+        for (id, member) in &mut self.members {
+            let held = now.since(member.since);
+            if member.reach == Reach::Suspect && held >= opts.suspect_for {
+                member.reach = Reach::Unreachable;
+                member.since = now;
+                applied.change(*id, Change::Changed(*id));
+            } else if member.reach == Reach::Unreachable && held >= opts.forget_after {
+                forgotten.push(*id);
+            }
+        }
+        for id in forgotten {
+            self.forget(id, &mut applied);
+        }
+        applied
+    }
+
+    /// Gives every suspect its whole time again, after this node itself was paused.
+    pub(crate) fn restart_suspicions(&mut self, now: Time) {
+        let suspects = self.members.values_mut();
+        for member in suspects.filter(|m| m.reach == Reach::Suspect) {
+            member.since = now;
+        }
+    }
+
+    /// Notes a member's load.
+    pub(crate) fn set_load(&mut self, id: NodeId, report: LoadReport) {
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        if member.load.is_none_or(|known| known.at < report.at) {
+            member.load = Some(report);
+        }
+    }
+
+    /// Notes a load that was passed on.
+    pub(crate) fn set_load_by_tag(&mut self, now: Time, hint: load::Hint) {
+        let Some(&id) = self.tags.get(&hint.tag) else {
+            return;
+        };
+        let at = now.before(hint.age);
+        if id != self.me {
+            self.set_load(
+                id,
+                LoadReport {
+                    load: hint.load,
+                    at,
+                },
+            );
+        }
+    }
+
+    pub(crate) fn set_own_load(&mut self, now: Time, load: Load) {
+        self.me_mut().load = Some(LoadReport { load, at: now });
+    }
+
+    /// Removes a member for good.
+    pub(crate) fn bury(&mut self, id: NodeId, why: Departure, applied: &mut Applied) {
+        if !self.tombstones.insert(id) {
+            return;
+        }
+        applied.news.push(id);
+        if self.remove(id) {
+            applied.changes.push(Change::Left(id, why));
+        }
+    }
+
+    fn forget(&mut self, id: NodeId, applied: &mut Applied) {
+        if self.remove(id) {
+            let change = Change::Left(id, Departure::Forgotten);
+            applied.changes.push(change);
+        }
+    }
+
+    fn insert(&mut self, member: Member) {
+        let id = member.record.id;
+        self.tags.insert(load::tag(id), id);
+        self.members.insert(id, member);
+    }
+
+    fn remove(&mut self, id: NodeId) -> bool {
+        if self.tags.get(&load::tag(id)) == Some(&id) {
+            self.tags.remove(&load::tag(id));
+        }
+        self.members.remove(&id).is_some()
+    }
+}
+
+/// A claim as it was read.
+struct Told {
+    id: NodeId,
+    incarnation: u32,
+    claim: Claim,
+    record: Option<Record>,
+}
+
+impl Told {
+    fn reach(&self) -> Option<Reach> {
+        match self.claim {
+            Claim::Alive => Some(Reach::Alive),
+            Claim::Suspect => Some(Reach::Suspect),
+            Claim::Unreachable => Some(Reach::Unreachable),
+            Claim::Gone => None,
+        }
+    }
+}
+
+/// The update that says that a member is gone.
+pub(crate) fn gone(id: NodeId) -> msg::Update {
+    msg::Update {
+        id: id.0,
+        claim: Claim::Gone.number(),
+        ..Default::default()
+    }
+}
+
+/// The bucket of an id.
+pub(crate) fn bucket_of(id: NodeId) -> u32 {
+    u32::try_from(id.0 >> BUCKET_SHIFT).expect("few bits are left")
+}
+
+/// The first and the last id of a bucket.
+pub(crate) fn bucket_range(bucket: u32) -> (u64, u64) {
+    let first = u64::from(bucket % BUCKETS) << BUCKET_SHIFT;
+    (first, first | ((1 << BUCKET_SHIFT) - 1))
+}
+
+/// Spreads the bits of a number (the finalizer of SplitMix64, Steele et al. 2014).
+pub(crate) fn mix(number: u64) -> u64 {
+    let z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
