--- /dev/null
+++ b/crates/table/src/commit/action.rs
@@ -0,0 +1,44 @@
+//! What the driver has to do.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiashunt_platform::swap::Expected;
+
+use super::Outcome;
+use crate::{Block, Head};
+
+/// A head to be written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Proposal {
+    /// How the platform's head must stand.
+    pub expected: Expected,
+    /// The new head.
+    pub head: Arc<Head>,
+}
+
+/// What the driver has to do next; the event in brackets tells what came of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[must_use]
+pub enum Action {
+    /// Waits, then reads the platform's head ([`Event::Read`](super::Event::Read) or
+    /// [`Event::ReadFailed`](super::Event::ReadFailed)).
+    Read {
+        /// How long to wait first.
+        wait: Duration,
+    },
+    /// Creates an audit value unless it is there ([`Event::AuditKept`](super::Event::AuditKept) or
+    /// [`Event::AuditFailed`](super::Event::AuditFailed)).
+    KeepAudit(Block),
+    /// Reads every audit record ([`Event::Audit`](super::Event::Audit) or
+    /// [`Event::AuditFailed`](super::Event::AuditFailed)).
+    ReadAudit,
+    /// Writes the head by compare-and-swap ([`Event::Swapped`](super::Event::Swapped)).
+    Swap(Proposal),
+    /// Asks for the newest head that a majority of the peers have in force or have built on
+    /// ([`Event::Majority`](super::Event::Majority)).
+    AskMajority,
+    /// Gives a durable head to the peers ([`Event::Spread`](super::Event::Spread)).
+    Spread(Arc<Head>),
+    /// Nothing more: this is the outcome.
+    Finish(Outcome),
+}
--- /dev/null
+++ b/crates/table/src/commit/driver.rs
@@ -0,0 +1,119 @@
+//! Driving a commit against the platform.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use cassiashunt_platform::{Platform, swap};
+
+use super::{Action, Commit, Event, Outcome, Proposal, Spread, Stored, Swapped};
+use crate::{AUDIT_PREFIX, Block, HEAD_KEY, Head};
+
+/// How a commit reaches the peers, and how it waits.
+pub struct Peers<'a> {
+    /// Gives a durable head to the peers and says what they made of it.
+    pub spread: &'a dyn Fn(&Arc<Head>) -> Spread,
+    /// The newest head that a majority of the peers have in force or have built on.
+    pub majority: &'a dyn Fn() -> Option<Arc<Head>>,
+    /// Waits.
+    pub wait: &'a dyn Fn(Duration),
+}
+
+impl Peers<'static> {
+    /// No peers: what the platform holds is accepted.
+    #[must_use]
+    pub fn none() -> Self {
+        Self {
+            spread: &|_| Spread::Taken,
+            majority: &|| None,
+            wait: &thread::sleep,
+        }
+    }
+}
+
+/// Runs a commit to its end, on this thread.
+pub fn run(
+    platform: &dyn Platform,
+    peers: &Peers<'_>,
+    (mut commit, mut action): (Commit, Action),
+) -> Outcome {
+    loop {
+        let event = match action {
+            Action::Read { wait } => {
+                (peers.wait)(wait);
+                read(platform)
+            }
+            Action::KeepAudit(block) => keep_audit(platform, &block),
+            Action::ReadAudit => read_audit(platform),
+            Action::Swap(proposal) => Event::Swapped(swap_head(platform, &proposal)),
+            Action::AskMajority => Event::Majority((peers.majority)()),
+            Action::Spread(head) => Event::Spread((peers.spread)(&head)),
+            Action::Finish(outcome) => return outcome,
+        };
+        action = commit.on(event);
+    }
+}
+
+fn read(platform: &dyn Platform) -> Event {
+    let entry = match platform.get(HEAD_KEY) {
+        Ok(Some(entry)) => entry,
+        Ok(None) => return Event::Read(None),
+        Err(_) => return Event::ReadFailed,
+    };
+    match Head::from_bytes(&entry.value) {
+        Ok(head) => Event::Read(Some(Stored {
+            version: entry.version,
+            head: Arc::new(head),
+        })),
+        Err(err) => Event::Unreadable {
+            detail: err.to_string(),
+        },
+    }
+}
+
+fn swap_head(platform: &dyn Platform, proposal: &Proposal) -> Swapped {
+    let outcome = platform.swap(swap::Request {
+        key: HEAD_KEY,
+        expected: proposal.expected,
+        value: &proposal.head.to_bytes(),
+        lease: None,
+    });
+    match outcome {
+        Ok(swap::Outcome::Applied { .. }) => Swapped::Applied,
+        Ok(swap::Outcome::Conflict { .. }) => Swapped::Conflict,
+        Ok(swap::Outcome::Unknown) => Swapped::Unknown,
+        Err(_) => Swapped::Failed,
+    }
+}
+
+/// Creates the value; one that is there already is the same, as its key comes from its content.
+fn keep_audit(platform: &dyn Platform, block: &Block) -> Event {
+    let outcome = platform.swap(swap::Request {
+        key: &block.key,
+        expected: swap::Expected::Absent,
+        value: &block.value,
+        lease: None,
+    });
+    let kept = match outcome {
+        Ok(swap::Outcome::Applied { .. } | swap::Outcome::Conflict { .. }) => true,
+        Ok(swap::Outcome::Unknown) => matches!(platform.get(&block.key), Ok(Some(_))),
+        Err(_) => false,
+    };
+    if kept {
+        Event::AuditKept
+    } else {
+        Event::AuditFailed
+    }
+}
+
+fn read_audit(platform: &dyn Platform) -> Event {
+    let Ok(entries) = platform.list(AUDIT_PREFIX) else {
+        return Event::AuditFailed;
+    };
+    let mut records = Vec::new();
+    for entry in entries {
+        match Block::parse(&entry.value) {
+            Ok(block) => records.extend(block),
+            Err(_) => return Event::AuditFailed,
+        }
+    }
+    Event::Audit(records)
+}
--- /dev/null
+++ b/crates/table/src/commit/machine.rs
@@ -0,0 +1,336 @@
+//! The state machine of a commit.
+
+use std::sync::Arc;
+
+use cassiashunt_platform::{MAX_VALUE_BYTES, swap::Expected};
+use cassiashunt_types::Revision;
+
+use super::{
+    Action, Event, Options, Outcome, Proposal, Refused, Spread, Stored, Swapped, lines::Lines,
+};
+use crate::{Dropped, Edit, EditId, Head, Lineage, Record, edit};
+
+/// What the machine waits for.
+#[derive(Debug, Clone)]
+enum Step {
+    /// The platform's head.
+    Reading,
+    /// The audit records, to look for the edit.
+    Searching(Option<Stored>),
+    /// The peers' word on two lines of history.
+    Asking(Option<Stored>),
+    /// An audit value, which has to be there before its records leave the head.
+    Keeping(Proposal),
+    /// A compare-and-swap.
+    Swapping(Proposal),
+    /// The peers' word on a durable head.
+    Spreading(Arc<Head>),
+    /// Nothing.
+    Finished,
+}
+
+/// An edit on its way into the platform.
+#[derive(Debug, Clone)]
+pub struct Commit {
+    options: Options,
+    edit: Option<Edit>,
+    /// The newest head known here or by the peers.
+    known: Option<Arc<Head>>,
+    /// Where a majority of the peers hold a line, that line.
+    backed: Option<Arc<Head>>,
+    /// Whether a swap of the edit may have taken effect.
+    sent: bool,
+    /// The oldest revision that the edit may have made.
+    search_from: Option<Revision>,
+    /// Whether the head to build on holds the edit already.
+    landed: bool,
+    /// Whether the last swap lost against another one.
+    contended: bool,
+    /// What to report once a head without the edit is written.
+    verdict: Option<Outcome>,
+    reads: u32,
+    step: Step,
+}
+
+impl Commit {
+    /// Starts to commit `edit`.
+    ///
+    /// `known` is the newest head known here or by the peers. Where the platform turns out to be
+    /// behind it, it is installed again along with the edit.
+    pub fn start(edit: Edit, known: Option<Arc<Head>>, options: Options) -> (Self, Action) {
+        Self::begin(Some(edit), known, options)
+    }
+
+    /// Starts to install `known` again where the platform is behind it or lacks one of its edits.
+    pub fn start_reinstall(known: Arc<Head>, options: Options) -> (Self, Action) {
+        Self::begin(None, Some(known), options)
+    }
+
+    fn begin(edit: Option<Edit>, known: Option<Arc<Head>>, options: Options) -> (Self, Action) {
+        let mut commit = Self {
+            options,
+            edit,
+            known,
+            backed: None,
+            sent: false,
+            search_from: options.repeated.then_some(Revision(0)),
+            landed: false,
+            contended: false,
+            verdict: None,
+            reads: 0,
+            step: Step::Reading,
+        };
+        let action = commit.read();
+        (commit, action)
+    }
+
+    /// Takes what came of the last action and says what to do next.
+    ///
+    /// An event that does not belong to the last action is answered by the outcome so far.
+    pub fn on(&mut self, event: Event) -> Action {
+        let step = std::mem::replace(&mut self.step, Step::Finished);
+        match (step, event) {
+            (Step::Reading, Event::Read(stored)) => self.on_read(stored),
+            (Step::Reading, Event::ReadFailed) => self.read(),
+            (Step::Reading, Event::Unreadable { detail }) => {
+                self.finish(Outcome::Refused(Refused::Unreadable { detail }))
+            }
+            (Step::Searching(stored), Event::Audit(records)) => self.on_audit(stored, &records),
+            (Step::Asking(stored), Event::Majority(Some(head))) => self.on_majority(stored, head),
+            (Step::Asking(_), Event::Majority(None)) => {
+                self.finish(Outcome::Refused(Refused::Undecided))
+            }
+            (Step::Keeping(proposal), Event::AuditKept) => self.swap(proposal),
+            (Step::Searching(_) | Step::Keeping(_), Event::AuditFailed) => self.read(),
+            (Step::Swapping(proposal), Event::Swapped(swapped)) => {
+                self.on_swapped(proposal, swapped)
+            }
+            (Step::Spreading(head), Event::Spread(spread)) => self.on_spread(&head, spread),
+            _ => self.finish(Outcome::StillUnknown),
+        }
+    }
+
+    fn read(&mut self) -> Action {
+        self.verdict = None;
+        self.landed = false;
+        if self.reads == self.options.reads {
+            return self.give_up();
+        }
+        let wait = self.options.wait(self.reads);
+        self.reads += 1;
+        self.step = Step::Reading;
+        Action::Read { wait }
+    }
+
+    fn give_up(&mut self) -> Action {
+        let refused = match self.contended {
+            true => Refused::Contended,
+            false => Refused::PlatformDown,
+        };
+        self.finish(Outcome::Refused(refused))
+    }
+
+    fn on_read(&mut self, stored: Option<Stored>) -> Action {
+        if let Some(head) = self.holder_of_edit(stored.as_ref()) {
+            return self.resume(stored, &head);
+        }
+        if self.may_be_in_audit(stored.as_ref()) {
+            self.step = Step::Searching(stored);
+            return Action::ReadAudit;
+        }
+        self.reconcile(stored)
+    }
+
+    /// The platform's head, where it holds the edit already.
+    fn holder_of_edit(&self, stored: Option<&Stored>) -> Option<Arc<Head>> {
+        let stored = stored?;
+        stored.head.find(self.edit_id()?)?;
+        Some(Arc::clone(&stored.head))
+    }
+
+    /// Goes on with an edit that the platform holds, unless the peers know of more.
+    fn resume(&mut self, stored: Option<Stored>, head: &Arc<Head>) -> Action {
+        match self.known.as_ref().map(|known| known.lineage(head)) {
+            None | Some(Lineage::Same | Lineage::Ahead) => self.spread(Arc::clone(head)),
+            Some(Lineage::Behind) => {
+                self.landed = true;
+                self.reconcile(stored)
+            }
+            Some(Lineage::Forked) => self.reconcile(stored),
+        }
+    }
+
+    fn may_be_in_audit(&self, stored: Option<&Stored>) -> bool {
+        let spilled = |from| stored.is_some_and(|stored| stored.head.may_have_spilled(from));
+        self.search_from.is_some_and(spilled)
+    }
+
+    fn on_audit(&mut self, stored: Option<Stored>, records: &[Record]) -> Action {
+        let id = self.edit_id();
+        let found = records.iter().any(|record| Some(record.edit) == id);
+        match stored {
+            Some(stored) if found => {
+                let head = Arc::clone(&stored.head);
+                self.resume(Some(stored), &head)
+            }
+            stored => self.reconcile(stored),
+        }
+    }
+
+    /// Finds the head to build on.
+    fn reconcile(&mut self, stored: Option<Stored>) -> Action {
+        let lines = Lines {
+            backed: self.backed.clone(),
+            known: self.known.clone(),
+            stored: stored.as_ref().map(|stored| Arc::clone(&stored.head)),
+        };
+        let joined = lines.join();
+        if !joined.dropped.is_empty() && self.backed.is_none() {
+            self.step = Step::Asking(stored);
+            return Action::AskMajority;
+        }
+        self.verdict = self.verdict_of(&joined.dropped);
+        let version = stored.as_ref().map(|stored| stored.version);
+        let expected = version.map_or(Expected::Absent, Expected::At);
+        let renewed = stored.is_some_and(|stored| !same(&stored.head, &joined.head))
+            || (version.is_none() && self.known.is_some());
+        self.propose(expected, &joined.head, renewed)
+    }
+
+    fn on_majority(&mut self, stored: Option<Stored>, head: Arc<Head>) -> Action {
+        self.backed = Some(head);
+        self.on_read(stored)
+    }
+
+    /// What to report where the edit itself could not be kept.
+    fn verdict_of(&self, dropped: &[Dropped]) -> Option<Outcome> {
+        let own = dropped
+            .iter()
+            .find(|dropped| Some(dropped.edit) == self.edit_id())?;
+        let undecided = Outcome::Refused(Refused::Undecided);
+        Some(own.conflict.clone().map_or(undecided, Outcome::Conflict))
+    }
+
+    /// Applies the edit to `base`, unless it holds it already, and writes the outcome.
+    ///
+    /// `renewed` says that `base` itself has to be written.
+    fn propose(&mut self, expected: Expected, base: &Head, renewed: bool) -> Action {
+        let spilled = base.spill(&self.options.spill);
+        let trimmed = spilled.as_ref().map_or(base, |(_, rest)| rest);
+        let head = match self.apply_to(trimmed) {
+            Ok(head) => head,
+            Err(outcome) if renewed => {
+                self.verdict = Some(outcome);
+                trimmed.clone()
+            }
+            Err(outcome) => return self.finish(outcome),
+        };
+        if !renewed && same(base, &head) {
+            return self.spread(Arc::new(base.clone()));
+        }
+        let bytes = head.to_bytes().len();
+        if bytes > MAX_VALUE_BYTES {
+            let err = edit::Error::HeadTooLarge { bytes };
+            return self.finish(Outcome::Refused(Refused::Edit(err)));
+        }
+        let head = Arc::new(head);
+        let proposal = Proposal { expected, head };
+        let Some((block, _)) = spilled else {
+            return self.swap(proposal);
+        };
+        self.step = Step::Keeping(proposal);
+        Action::KeepAudit(block)
+    }
+
+    fn apply_to(&self, base: &Head) -> Result<Head, Outcome> {
+        let Some(edit) = self.edit.as_ref().filter(|_| self.verdict.is_none()) else {
+            return Ok(base.clone());
+        };
+        if self.landed || base.find(edit.id).is_some() {
+            return Ok(base.clone());
+        }
+        edit::apply(base, edit).map_err(|err| match err {
+            edit::Error::Conflict(conflict) => Outcome::Conflict(conflict),
+            err => Outcome::Refused(Refused::Edit(err)),
+        })
+    }
+
+    fn swap(&mut self, proposal: Proposal) -> Action {
+        self.step = Step::Swapping(proposal.clone());
+        Action::Swap(proposal)
+    }
+
+    fn on_swapped(&mut self, proposal: Proposal, swapped: Swapped) -> Action {
+        self.contended = swapped == Swapped::Conflict;
+        match swapped {
+            Swapped::Applied => {
+                self.note_sent(&proposal.head);
+                self.spread(proposal.head)
+            }
+            Swapped::Unknown => {
+                self.note_sent(&proposal.head);
+                self.read()
+            }
+            Swapped::Conflict | Swapped::Failed => self.read(),
+        }
+    }
+
+    fn note_sent(&mut self, head: &Head) {
+        let Some(record) = self.edit_id().and_then(|id| head.find(id)) else {
+            return;
+        };
+        self.sent = true;
+        let earliest = self.search_from.unwrap_or(record.revision);
+        self.search_from = Some(earliest.min(record.revision));
+    }
+
+    fn spread(&mut self, head: Arc<Head>) -> Action {
+        self.step = Step::Spreading(Arc::clone(&head));
+        Action::Spread(head)
+    }
+
+    fn on_spread(&mut self, head: &Head, spread: Spread) -> Action {
+        match spread {
+            Spread::Taken => self.accept(head),
+            Spread::Silent => self.finish_as(Outcome::StillUnknown),
+            Spread::Refused { by } => {
+                self.known = Some(by);
+                self.backed = None;
+                self.read()
+            }
+        }
+    }
+
+    fn accept(&mut self, head: &Head) -> Action {
+        let id = self.edit_id();
+        if let Some(verdict) = self.verdict.take() {
+            let dropped = id.is_some_and(|id| head.accounts_for(id));
+            self.sent &= !dropped;
+            return self.finish(verdict);
+        }
+        let record = id.and_then(|id| head.find(id));
+        let revision = record.map_or(head.revision(), |record| record.revision);
+        self.finish_as(Outcome::Accepted { revision })
+    }
+
+    /// Ends with `outcome`, unless the edit may have taken effect by an earlier swap.
+    fn finish(&mut self, outcome: Outcome) -> Action {
+        match self.sent {
+            true => self.finish_as(Outcome::StillUnknown),
+            false => self.finish_as(outcome),
+        }
+    }
+
+    fn finish_as(&mut self, outcome: Outcome) -> Action {
+        self.step = Step::Finished;
+        Action::Finish(outcome)
+    }
+
+    fn edit_id(&self) -> Option<EditId> {
+        self.edit.as_ref().map(|edit| edit.id)
+    }
+}
+
+fn same(one: &Head, other: &Head) -> bool {
+    one.lineage(other) == Lineage::Same
+}
--- /dev/null
+++ b/crates/table/src/commit/outcome.rs
@@ -0,0 +1,71 @@
+//! What became of an edit.
+
+use std::fmt;
+
+use cassiashunt_types::Revision;
+
+use crate::edit::{Conflict, Error};
+
+/// Why an edit was refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refused {
+    /// The edit is impossible.
+    Edit(Error),
+    /// The platform could not be read or written in time.
+    PlatformDown,
+    /// Others kept changing the head.
+    Contended,
+    /// The platform went back to an older state and was edited since, and no majority of the peers
+    /// says which line holds.
+    Undecided,
+    /// The platform holds a head that this program cannot read.
+    Unreadable {
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// What became of an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[must_use]
+pub enum Outcome {
+    /// It is durable and in force at a majority of the peers.
+    Accepted {
+        /// The revision from which on it holds.
+        revision: Revision,
+    },
+    /// A cell held something else than expected; nothing was changed.
+    Conflict(Box<Conflict>),
+    /// It was not applied and will not be.
+    Refused(Refused),
+    /// It may have been applied. Committing it again, with the same identifier, does no harm.
+    StillUnknown,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Edit(err) => err.fmt(f),
+            Self::PlatformDown => f.write_str("the platform does not answer; try later"),
+            Self::Contended => f.write_str("others keep changing the table; try again"),
+            Self::Undecided => f.write_str(
+                "the platform was restored and edited since; wait until a majority of the nodes \
+                 can be reached",
+            ),
+            Self::Unreadable { detail } => f.write_str(detail),
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted { revision } => write!(f, "accepted as revision {revision}"),
+            Self::Conflict(conflict) => write!(f, "conflict: {conflict}"),
+            Self::Refused(refused) => write!(f, "refused: {refused}"),
+            Self::StillUnknown => f.write_str(
+                "unknown: the edit may have been applied; repeat it with the same identifier",
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/table/src/edit/id.rs
@@ -0,0 +1,80 @@
+//! Identifiers of edits.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// An edit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct EditId(pub u64);
+
+/// A text that is no identifier of an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidEditId {
+    /// The text as given.
+    pub text: String,
+}
+
+impl fmt::Display for InvalidEditId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is no edit: write 16 hexadecimal digits", self.text)
+    }
+}
+
+impl std::error::Error for InvalidEditId {}
+
+impl EditId {
+    /// Draws a fresh identifier from the operating system's randomness.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the operating system has no randomness to give.
+    #[must_use]
+    pub fn random() -> Self {
+        Self(getrandom::u64().expect("the operating system gives randomness once it is up"))
+    }
+
+    /// The identifier of the edit that joins two lines of history.
+    pub(crate) fn of_join(ours: Option<Self>, theirs: Option<Self>) -> Self {
+        let mut digest = Sha256::new();
+        for tag in [ours, theirs] {
+            digest.update(tag.map_or(0, |id| id.0).to_be_bytes());
+        }
+        let digest: [u8; 32] = digest.finalize().into();
+        let first = digest.first_chunk().expect("a digest has 32 bytes");
+        Self(u64::from_be_bytes(*first))
+    }
+}
+
+impl fmt::Display for EditId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for EditId {
+    type Err = InvalidEditId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidEditId> {
+        let id = u64::from_str_radix(text, 16).ok();
+        let id = id.filter(|_| text.len() == 16);
+        id.map(Self)
+            .ok_or_else(|| InvalidEditId { text: text.into() })
+    }
+}
+
+impl TryFrom<String> for EditId {
+    type Error = InvalidEditId;
+
+    fn try_from(text: String) -> Result<Self, InvalidEditId> {
+        text.parse()
+    }
+}
+
+impl From<EditId> for String {
+    fn from(id: EditId) -> Self {
+        id.to_string()
+    }
+}
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,1 +1,52 @@
 //! The operators' table, its edits, keys and audit trail.
+//!
+//! A [`Head`] is the one value that the platform keeps: the [`Table`], the keys' verifiers and
+//! the last accepted edits, under one [`Revision`](cassiashunt_types::Revision). An [`Edit`] is
+//! applied to it by [`edit::apply`], which is pure; [`commit`] makes an edit durable by
+//! compare-and-swap and tells whether it was accepted. Every node keeps an [`Applied`] and asks
+//! its [`Lookup`] on the request path.
+
+mod applied;
+mod binding;
+mod cell;
+mod column;
+mod endpoint;
+mod head;
+mod key;
+mod keys;
+mod lookup;
+mod merge;
+mod partial;
+mod pattern;
+mod rate;
+mod record;
+mod row;
+mod row_key;
+mod table;
+mod value;
+mod verifier;
+
+pub mod commit;
+pub mod csv;
+pub mod diff;
+pub mod edit;
+
+pub use applied::{Applied, Offer};
+pub use binding::Binding;
+pub use cell::{Cell, Limit, Minute, Scope};
+pub use column::{Column, InvalidValue, Kind, UnknownColumn};
+pub use edit::{Change, Edit, EditId, InvalidEditId};
+pub use endpoint::{Endpoint, InvalidEndpoint, Method};
+pub use head::{HEAD_KEY, Head, InvalidHead, Lineage, SpillLimits};
+pub use key::Key;
+pub use keys::{KeyEntry, KeyRecord, KeyState, Keys};
+pub use lookup::Lookup;
+pub use merge::{Dropped, Merged, merge};
+pub use pattern::Pattern;
+pub use rate::{InvalidRate, Rate};
+pub use record::{AUDIT_PREFIX, Block, Record, Reinstall};
+pub use row::Row;
+pub use row_key::{InvalidRowKey, RowKey};
+pub use table::Table;
+pub use value::Value;
+pub use verifier::{InvalidVerifier, Verifier};
