--- /dev/null
+++ b/crates/route/examples/embed.rs
@@ -0,0 +1,73 @@
+//! A client that chooses among three servers and retries within a chain's allowance, without the
+//! daemon. `cargo run -p cassiashunt-route --example embed`.
+
+use std::time::Instant;
+
+use cassiashunt_route::{
+    Candidate, Chooser, Options, Outcome, ServerKey,
+    retry::{Allowance, Budget, Failure, Lending, budget, may_retry},
+};
+use cassiashunt_types::prelude::*;
+use fastrand::Rng;
+
+/// Stands for a call over the network: the first server has gone.
+fn call(server: &Candidate, _retries_left: u32) -> Result<u32, Refusal> {
+    match server.owner {
+        NodeId(1) => Err(Refusal::not_run(Reason::Lost)),
+        _ => Ok(0),
+    }
+}
+
+fn main() {
+    let began = Instant::now();
+    let clock = || Time::ZERO + began.elapsed();
+    let mut rng = Rng::new();
+    let mut chooser = Chooser::new(Options::default());
+    for owner in 1..=3 {
+        chooser.add(
+            clock(),
+            Candidate {
+                owner: NodeId(owner),
+                domain: "ikeja".parse().expect("a valid label"),
+                slots: 70,
+                is_cold: false,
+            },
+        );
+    }
+    let mut budget = Budget::new(budget::Options::default());
+    for number in 0..10 {
+        let mut allowance = Allowance::new(3);
+        let mut tried: Vec<ServerKey> = Vec::new();
+        budget.on_first_try(clock());
+        while let Some(key) = chooser.choose(clock(), &tried, &mut rng) {
+            let server = *chooser.candidate(key).expect("it was just chosen");
+            let loan = allowance.lend(Lending::Half);
+            let refusal = match call(&server, loan.tokens) {
+                Ok(returned) => {
+                    allowance.settle(loan.key, returned);
+                    chooser.done(clock(), key, Outcome::Served);
+                    println!("request {number}: served by {}", server.owner);
+                    break;
+                }
+                Err(refusal) => refusal,
+            };
+            // It did not run, so nothing that was lent is in use.
+            allowance.settle(loan.key, loan.tokens);
+            chooser.done(clock(), key, Outcome::Failed);
+            println!("request {number}: {refusal} from {}", server.owner);
+            let failure = Failure {
+                refusal,
+                is_idempotent: true,
+                retries: tried.len() as u32,
+                remaining: Duration::from_secs(1),
+                usual: Duration::from_millis(20),
+                has_other_server: true,
+            };
+            tried.push(key);
+            if may_retry(clock(), &failure, &mut allowance, &mut budget, &mut rng).is_none() {
+                println!("request {number}: given up");
+                break;
+            }
+        }
+    }
+}
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -51,7 +51,7 @@
             domain: None,
             policy: Policy::default(),
             crossing_cost: 0.1,
-            report_half_life: Duration::from_millis(500),
+            report_half_life: Duration::from_secs(2),
             warm_up: Duration::from_secs(10),
             ejection: Duration::from_secs(5),
             max_ejected: 0.34,
