--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -111,7 +111,7 @@
             earn_rest: 0,
             outstanding: 0,
             advanced: now,
-            window_ends: minute_ends,
+            window_ends: next_end(minute_ends, now),
             closed: !full,
             holders: BTreeMap::new(),
             demand_milli: 0,
@@ -221,9 +221,7 @@
         if now < self.window_ends {
             return;
         }
-        while now >= self.window_ends {
-            self.window_ends = self.window_ends + MINUTE;
-        }
+        self.window_ends = next_end(self.window_ends, now);
         self.closed = false;
         self.level_micros = cap.saturating_mul(MICROS_PER_TOKEN);
     }
@@ -359,6 +357,17 @@
     }
 }
 
+/// The first end of a minute after `now`, given any one.
+fn next_end(end: Time, now: Time) -> Time {
+    let minutes = now.since(end).as_secs() / MINUTE.as_secs();
+    let passed = u32::try_from(minutes).unwrap_or(u32::MAX);
+    let next = end + MINUTE * passed;
+    match next > now {
+        true => next,
+        false => next + MINUTE,
+    }
+}
+
 /// The shortest time that may pass elsewhere while `span` passes here.
 fn shrink(span: Duration, margin: RateMargin) -> Duration {
     let surplus = margin.at_most(span) - span;
