Serve a request end to end through separate processes

A caller's request goes to any node, on to the node that owns the chosen backend server, to the server, and from there through the server's own node to a second service; whole answers come back. Operators bind routes, edit cells, give and withdraw keys by the command line; SIGTERM drains.

Still missing here: limits, freshness by relays (each node polls the platform), idempotency records, suspects.

--- /dev/null
+++ b/cassiashunt/src/cmd/mod.rs
@@ -0,0 +1,32 @@
+//! One module a command.
+
+mod audit;
+mod check;
+mod drain;
+mod edit;
+mod key;
+mod node;
+mod standin;
+mod status;
+mod table;
+
+use eyre::Result;
+
+use crate::{
+    exit::Exit,
+    flags::{Cassiashunt, CassiashuntCmd},
+};
+
+/// Runs the command that `flags` name.
+pub fn run(flags: Cassiashunt) -> Result<Exit> {
+    match flags.subcommand {
+        CassiashuntCmd::Node(flags) => node::run(flags),
+        CassiashuntCmd::Check(flags) => check::run(flags),
+        CassiashuntCmd::Table(flags) => table::run(flags),
+        CassiashuntCmd::Key(flags) => key::run(flags),
+        CassiashuntCmd::Audit(flags) => audit::run(&flags),
+        CassiashuntCmd::Status(flags) => status::run(&flags),
+        CassiashuntCmd::Drain(flags) => drain::run(&flags),
+        CassiashuntCmd::Standin(flags) => standin::run(flags),
+    }
+}
--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -129,6 +129,15 @@
         actions
     }
 
+    /// Frees the slot of a request that was started but never handed to the server; it says
+    /// nothing about the server.
+    pub fn abandon(&mut self, now: Time, id: RequestId) -> Vec<Action> {
+        self.running.remove(&id);
+        let mut actions = Vec::new();
+        self.settle(now, &mut actions);
+        actions
+    }
+
     /// Takes a waiting request out. A running one keeps its slot until [`done`](Self::done).
     pub fn cancel(&mut self, now: Time, id: RequestId) -> Vec<Action> {
         let gone = self.queue.extract(|job| job.key == id);
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,56 @@
+//! The table and keys in force at this node.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use cassiashunt_table::{Applied, Head, KeyState, Lookup, Offer};
+use cassiashunt_types::prelude::*;
+
+/// The table and keys in force; only ever moves to higher revisions.
+#[derive(Debug, Default)]
+pub(crate) struct Config {
+    applied: Mutex<Applied>,
+    lookup: RwLock<Arc<Lookup>>,
+}
+
+impl Config {
+    /// What the request path asks.
+    pub(crate) fn lookup(&self) -> Arc<Lookup> {
+        Arc::clone(&self.lookup.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// The revision in force.
+    pub(crate) fn revision(&self) -> Revision {
+        self.lookup
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .revision()
+    }
+
+    /// The head in force.
+    pub(crate) fn head(&self) -> Option<Arc<Head>> {
+        self.applied
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .head()
+            .cloned()
+    }
+
+    /// Puts a head in force unless it is older or forked.
+    pub(crate) fn offer(&self, head: Head) -> Offer {
+        let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
+        let offer = applied.offer(Arc::new(head));
+        if let Offer::Taken { revision } = offer {
+            *self.lookup.write().unwrap_or_else(PoisonError::into_inner) =
+                Arc::clone(applied.lookup());
+            log::info!(event = "table-in-force", revision = revision.0; "");
+        }
+        offer
+    }
+
+    /// Whether a key still works, by the table in force.
+    pub(crate) fn is_key_active(&self, key: KeyId) -> bool {
+        let head = self.head();
+        let record = head.and_then(|head| head.keys().get(key));
+        record.is_some_and(|record| record.state == KeyState::Active)
+    }
+}
--- /dev/null
+++ b/crates/node/src/headers.rs
@@ -0,0 +1,47 @@
+//! Names of headers, and which of them travel on.
+
+/// What is known about a refused request's work.
+pub(crate) const VERDICT: &str = "cassiashunt-verdict";
+/// Milliseconds until the deadline.
+pub(crate) const TIMEOUT: &str = "cassiashunt-timeout-ms";
+/// The chain that a request belongs to.
+pub(crate) const CHAIN: &str = "cassiashunt-chain";
+/// The workspace that a request runs for.
+pub(crate) const WORKSPACE: &str = "cassiashunt-workspace";
+/// The class of a request.
+pub(crate) const CLASS: &str = "cassiashunt-class";
+/// The name of a running request, for its own calls.
+pub(crate) const TICKET: &str = "cassiashunt-ticket";
+/// The caller's key for sending the same request again.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The prefix of headers that only nodes set.
+const INTERNAL_PREFIX: &str = "cassiashunt-";
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), or its framing.
+const HOP_BY_HOP: [&str; 11] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header concerns one connection only.
+pub(crate) fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP
+        .iter()
+        .any(|known| known.eq_ignore_ascii_case(name))
+}
+
+/// Whether only nodes set a header.
+pub(crate) fn is_internal(name: &str) -> bool {
+    let start = name.as_bytes().get(..INTERNAL_PREFIX.len());
+    start.is_some_and(|start| start.eq_ignore_ascii_case(INTERNAL_PREFIX.as_bytes()))
+}
--- /dev/null
+++ b/crates/node/src/ingress/accept.rs
@@ -0,0 +1,126 @@
+//! Accepts callers' connections, a bounded number at a time.
+
+use std::{
+    io,
+    net::{TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+};
+
+use cassiashunt_http::{Connection, Limits};
+use cassiashunt_types::prelude::*;
+
+use super::{answer, serve};
+use crate::node::Shared;
+
+/// Stack of a connection's thread, in bytes.
+const CONNECTION_STACK: usize = 512 * 1024;
+
+/// How callers' connections are accepted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Options {
+    pub connections: usize,
+    pub limits: Limits,
+}
+
+/// Accepts callers' connections.
+pub(crate) struct Acceptor {
+    opts: Options,
+    shared: Arc<Shared>,
+    open: AtomicUsize,
+    busy: AtomicUsize,
+    is_stopped: AtomicBool,
+}
+
+impl Acceptor {
+    pub(crate) fn new(opts: Options, shared: Arc<Shared>) -> Arc<Self> {
+        Arc::new(Self {
+            opts,
+            shared,
+            open: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+            is_stopped: AtomicBool::new(false),
+        })
+    }
+
+    /// Accepts until [`Acceptor::stop`].
+    pub(crate) fn run(self: &Arc<Self>, listener: &TcpListener) {
+        for stream in listener.incoming() {
+            if self.is_stopped.load(Ordering::Acquire) {
+                return;
+            }
+            let Ok(stream) = stream else { continue };
+            if let Err(err) = self.accept(stream) {
+                log::warn!(event = "caller-refused"; "{err}");
+            }
+        }
+    }
+
+    /// Takes no more connections; the listener is woken by one from here.
+    pub(crate) fn stop(&self) {
+        self.is_stopped.store(true, Ordering::Release);
+    }
+
+    /// Whether connections are to be closed at the next chance.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Acquire)
+    }
+
+    /// Connections that are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Requests that are being answered.
+    pub(crate) fn busy(&self) -> usize {
+        self.busy.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as being answered while `answer` runs.
+    pub(super) fn while_busy<T>(&self, answer: impl FnOnce() -> T) -> T {
+        self.busy.fetch_add(1, Ordering::AcqRel);
+        let answered = answer();
+        self.busy.fetch_sub(1, Ordering::AcqRel);
+        answered
+    }
+
+    fn accept(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
+        let mut connection = Connection::new(stream, self.opts.limits)?;
+        let place = Place::take(self);
+        let acceptor = Arc::clone(self);
+        let is_full = self.open() > self.opts.connections;
+        let serve = move || {
+            if is_full {
+                let refusal = Refusal::not_run(Reason::Full).retry_after(Duration::from_secs(1));
+                // A caller that has gone needs no answer.
+                let _ = connection.write(&answer::refusal(refusal), false, true);
+                connection.close();
+            } else {
+                serve::connection(&acceptor, &acceptor.shared, connection);
+            }
+            drop(place);
+        };
+        let builder = thread::Builder::new().name("caller".into());
+        builder.stack_size(CONNECTION_STACK).spawn(serve)?;
+        Ok(())
+    }
+}
+
+/// One open connection's place in the count.
+struct Place(Arc<Acceptor>);
+
+impl Place {
+    fn take(acceptor: &Arc<Acceptor>) -> Self {
+        acceptor.open.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(acceptor))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/collect.rs
@@ -0,0 +1,181 @@
+//! Collects a whole answer before any of it goes to the caller.
+//!
+//! The caller thus gets a whole answer or a clean failure, and a slow caller holds up nobody.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use bytes::BytesMut;
+use cassiashunt_ring::{PopError, Ring};
+use cassiashunt_timer::Clock;
+use cassiashunt_types::prelude::*;
+use cassiashunt_wire::{Body, End, Head};
+
+use crate::{link::Call, owner::Reply};
+
+/// How often a waiting thread looks whether the answer is still wanted.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Bytes of answers that the node holds, within a bound.
+#[derive(Debug)]
+pub(crate) struct Held {
+    bytes: AtomicUsize,
+    most: usize,
+}
+
+impl Held {
+    pub(crate) fn new(most: usize) -> Arc<Self> {
+        Arc::new(Self {
+            bytes: AtomicUsize::new(0),
+            most,
+        })
+    }
+
+    /// Bytes held now.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Acquire)
+    }
+}
+
+/// One answer's part of what is held.
+struct Part<'a> {
+    held: &'a Held,
+    bytes: usize,
+}
+
+impl Part<'_> {
+    fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        self.held.bytes.fetch_add(bytes, Ordering::AcqRel) + bytes <= self.held.most
+    }
+}
+
+impl Drop for Part<'_> {
+    fn drop(&mut self) {
+        self.held.bytes.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
+/// Where an answer comes from.
+pub(super) enum Source {
+    Link(Call),
+    Local { ring: Ring<Body>, reply: Arc<Reply> },
+}
+
+impl Source {
+    fn next(&self, patience: Duration) -> Result<Body, PopError> {
+        match self {
+            Self::Link(call) => call.next(patience),
+            Self::Local { ring, .. } => ring.pop_within(patience),
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Self::Link(call) = self {
+            call.finish();
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Whole {
+    pub head: Head,
+    pub body: BytesMut,
+    pub end: End,
+}
+
+/// Why there is none.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Failure {
+    pub refusal: Refusal,
+    /// Retries that came back; `None` where they are lost.
+    pub unused_retries: Option<u32>,
+    /// The owner's signal, where it sent one.
+    pub signal: Option<u32>,
+}
+
+impl Failure {
+    pub(super) const fn lost(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            unused_retries: None,
+            signal: None,
+        }
+    }
+}
+
+/// When to stop waiting.
+pub(super) struct Patience<'a> {
+    pub clock: Clock,
+    pub deadline: Time,
+    /// Whether nobody wants the answer any more.
+    pub is_unwanted: &'a dyn Fn() -> bool,
+    pub held: &'a Held,
+    /// The largest body, in bytes.
+    pub most: usize,
+}
+
+/// Collects the answer that comes out of `source`.
+pub(super) fn whole(source: &mut Source, patience: &Patience<'_>) -> Result<Whole, Failure> {
+    let mut head = None;
+    let mut body = BytesMut::new();
+    let mut part = Part {
+        held: patience.held,
+        bytes: 0,
+    };
+    loop {
+        match next(source, patience)? {
+            Body::Head(first) => head = Some(first),
+            Body::Chunk(chunk) => {
+                let fits = body.len() + chunk.data.len() <= patience.most;
+                if !fits || !part.grow(chunk.data.len()) {
+                    return Err(Failure::lost(Refusal::may_have_run(Reason::Full)));
+                }
+                body.extend_from_slice(&chunk.data);
+            }
+            Body::End(end) => {
+                source.finish();
+                return assemble(head, body, end);
+            }
+            Body::Refused(refused) => {
+                source.finish();
+                return Err(Failure {
+                    refusal: Refusal::from(&refused),
+                    unused_retries: Some(refused.unused_retries),
+                    signal: refused.signal,
+                });
+            }
+            Body::Begin(_) | Body::Cancel(_) => {}
+        }
+    }
+}
+
+/// An answer is whole only when its parts add up.
+fn assemble(head: Option<Head>, body: BytesMut, end: End) -> Result<Whole, Failure> {
+    match head {
+        Some(head) if body.len() as u64 == end.body_len => Ok(Whole { head, body, end }),
+        _ => Err(Failure::lost(Refusal::may_have_run(Reason::Lost))),
+    }
+}
+
+fn next(source: &Source, patience: &Patience<'_>) -> Result<Body, Failure> {
+    loop {
+        let left = patience.deadline.since(patience.clock.now());
+        if left.is_zero() {
+            return Err(Failure::lost(Refusal::may_have_run(Reason::Deadline)));
+        }
+        match source.next(left.min(LOOK)) {
+            Ok(body) => return Ok(body),
+            Err(PopError::Closed) => {
+                return Err(Failure::lost(Refusal::may_have_run(Reason::Lost)));
+            }
+            Err(PopError::Timeout) if (patience.is_unwanted)() => {
+                return Err(Failure::lost(Refusal::may_have_run(Reason::Cancelled)));
+            }
+            Err(PopError::Timeout) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/link/stream.rs
@@ -0,0 +1,136 @@
+//! Framed reading and writing on a socket.
+
+use std::{
+    io::{self, Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
+
+use bytes::BytesMut;
+use cassiashunt_ring::Ring;
+use cassiashunt_wire::{CodecError, Frame, FrameCodec};
+use prost::Message;
+
+/// Bytes read from a socket at a time.
+const READ_BYTES: usize = 64 * 1024;
+/// Bytes after which a batch of frames is written.
+const BATCH_BYTES: usize = 64 * 1024;
+
+/// A frame on its way out.
+#[derive(Debug)]
+pub(crate) struct Queued {
+    pub frame: Frame,
+    /// When it was queued.
+    pub at: Instant,
+}
+
+impl Queued {
+    pub(crate) fn now(frame: Frame) -> Self {
+        Self {
+            frame,
+            at: Instant::now(),
+        }
+    }
+}
+
+/// Reads messages off a socket.
+pub(crate) struct Reader {
+    stream: TcpStream,
+    codec: FrameCodec,
+    buf: BytesMut,
+}
+
+impl Reader {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            codec: FrameCodec::default(),
+            buf: BytesMut::with_capacity(READ_BYTES),
+        }
+    }
+
+    /// The next message; `None` at the end of the stream.
+    pub(crate) fn next<M: Message + Default>(&mut self) -> io::Result<Option<M>> {
+        loop {
+            if let Some(message) = self.codec.decode(&mut self.buf).map_err(invalid)? {
+                return Ok(Some(message));
+            }
+            let filled = self.buf.len();
+            self.buf.resize(filled + READ_BYTES, 0);
+            let read = self.stream.read(&mut self.buf[filled..]);
+            self.buf
+                .truncate(filled + read.as_ref().copied().unwrap_or(0));
+            match read {
+                Ok(0) => return Ok(None),
+                Ok(_) => {}
+                Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
+                Err(err) => return Err(err),
+            }
+        }
+    }
+}
+
+/// Writes messages to a socket.
+pub(crate) struct Writer {
+    stream: TcpStream,
+    codec: FrameCodec,
+    buf: BytesMut,
+}
+
+impl Writer {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            codec: FrameCodec::default(),
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Writes one message at once.
+    pub(crate) fn send<M: Message>(&mut self, message: &M) -> io::Result<()> {
+        self.codec.encode(message, &mut self.buf).map_err(invalid)?;
+        self.flush()
+    }
+
+    /// Writes what comes out of `ring` until it is closed; `about_to_write` sees each frame
+    /// before any of its bytes leave.
+    pub(crate) fn run(
+        &mut self,
+        ring: &Ring<Queued>,
+        delay: Duration,
+        mut about_to_write: impl FnMut(&Frame),
+    ) -> io::Result<()> {
+        while let Ok(first) = ring.pop() {
+            hold(first.at, delay);
+            let mut next = Some(first);
+            while let Some(queued) = next {
+                about_to_write(&queued.frame);
+                self.codec
+                    .encode(&queued.frame, &mut self.buf)
+                    .map_err(invalid)?;
+                let go_on = delay.is_zero() && self.buf.len() < BATCH_BYTES;
+                next = if go_on { ring.try_pop() } else { None };
+            }
+            self.flush()?;
+        }
+        Ok(())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.stream.write_all(&self.buf)?;
+        self.buf.clear();
+        Ok(())
+    }
+}
+
+/// Waits until `delay` has passed since `at`.
+fn hold(at: Instant, delay: Duration) {
+    let left = delay.saturating_sub(at.elapsed());
+    if !left.is_zero() {
+        std::thread::sleep(left);
+    }
+}
+
+fn invalid(err: CodecError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, err)
+}
--- /dev/null
+++ b/crates/node/src/owner/job.rs
@@ -0,0 +1,74 @@
+//! A request as its owner holds it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cassiashunt_types::{InvalidLabel, prelude::*};
+use cassiashunt_wire::{Begin, HeaderLine};
+
+use super::Reply;
+
+/// The leave to run a request that must run at most once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Permit {
+    pub number: u64,
+    /// The permit is of no use from then on.
+    pub until: Time,
+}
+
+/// A whole request with the way back to its asker.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub chain: ChainId,
+    pub depth: u32,
+    pub workspace: Option<Workspace>,
+    pub route: Route,
+    pub class: Class,
+    pub key: KeyId,
+    pub revision: Revision,
+    pub deadline: Time,
+    pub retries: u32,
+    pub method: String,
+    pub target: String,
+    pub headers: Vec<HeaderLine>,
+    pub idempotency_key: String,
+    pub permit: Option<Permit>,
+    pub fingerprint: u64,
+    pub body: Bytes,
+    pub reply: Arc<Reply>,
+}
+
+impl Job {
+    /// Reads a request that came at `now`.
+    pub(crate) fn read(
+        now: Time,
+        begin: Begin,
+        body: Bytes,
+        reply: Arc<Reply>,
+    ) -> Result<Self, InvalidLabel> {
+        let workspace = Some(begin.workspace.as_str()).filter(|name| !name.is_empty());
+        let permit = Permit {
+            number: begin.permit,
+            until: now + Duration::from_micros(begin.permit_us),
+        };
+        Ok(Self {
+            chain: ChainId(begin.chain),
+            depth: begin.depth,
+            workspace: workspace.map(str::parse).transpose()?,
+            route: begin.route.parse()?,
+            class: begin.class.parse()?,
+            key: KeyId(begin.key),
+            revision: Revision(begin.revision),
+            deadline: now + Duration::from_micros(begin.remaining_us),
+            retries: begin.retries,
+            method: begin.method,
+            target: begin.target,
+            headers: begin.headers,
+            idempotency_key: begin.idempotency_key,
+            permit: Some(permit).filter(|permit| permit.number != 0),
+            fingerprint: begin.fingerprint,
+            body,
+            reply,
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/reply.rs
@@ -0,0 +1,110 @@
+//! Where an answer goes.
+
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cassiashunt_ring::Ring;
+use cassiashunt_types::prelude::*;
+use cassiashunt_wire::{Begin, Body, Frame, Refused};
+
+use crate::link::Queued;
+
+/// How long an answer waits for room on its way back.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+enum Out {
+    Link { ring: Ring<Queued>, request: u64 },
+    Local(Ring<Body>),
+}
+
+/// The way back to whoever asked.
+pub(crate) struct Reply {
+    id: RequestId,
+    out: Out,
+    is_cancelled: AtomicBool,
+}
+
+impl fmt::Debug for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Reply")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Nobody waits for the answer any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Gone;
+
+impl Reply {
+    /// Back over a connection.
+    pub(crate) fn link(ring: Ring<Queued>, request: u64) -> Self {
+        Self::new(Out::Link { ring, request })
+    }
+
+    /// Back to a thread of this process.
+    pub(crate) fn local(ring: Ring<Body>) -> Self {
+        Self::new(Out::Local(ring))
+    }
+
+    fn new(out: Out) -> Self {
+        let id = RequestId(NEXT.fetch_add(1, Ordering::Relaxed));
+        Self {
+            id,
+            out,
+            is_cancelled: AtomicBool::new(false),
+        }
+    }
+
+    /// The request's number within this process.
+    pub(crate) fn id(&self) -> RequestId {
+        self.id
+    }
+
+    pub(crate) fn cancel(&self) {
+        self.is_cancelled.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_cancelled(&self) -> bool {
+        self.is_cancelled.load(Ordering::Acquire)
+    }
+
+    /// Sends a part of the answer, waiting a while for room.
+    pub(crate) fn send(&self, body: Body) -> Result<(), Gone> {
+        let sent = match &self.out {
+            Out::Link { ring, request } => {
+                let queued = Queued::now(Frame::new(*request, body));
+                ring.push_within(queued, PATIENCE).is_ok()
+            }
+            Out::Local(ring) => ring.push_within(body, PATIENCE).is_ok(),
+        };
+        if sent { Ok(()) } else { Err(Gone) }
+    }
+
+    /// Refuses the request; an asking side that has gone needs no refusal.
+    pub(crate) fn refuse(&self, refusal: Refusal, signal: Option<u32>, unused_retries: u32) {
+        let refused = Refused {
+            signal,
+            unused_retries,
+            ..Refused::from(refusal)
+        };
+        let _ = self.send(Body::Refused(refused));
+    }
+}
+
+/// How requests of other nodes reach the owner.
+pub(crate) struct Submit {
+    /// Takes in a whole request.
+    pub start: Box<dyn Fn(Box<Begin>, Bytes, Arc<Reply>) + Send + Sync>,
+    /// Gives a request up.
+    pub cancel: Box<dyn Fn(&Reply) + Send + Sync>,
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -85,14 +85,8 @@
     /// The remaining validity of the run permit, in microseconds.
     #[prost(uint64, tag = "15")]
     pub permit_us: u64,
-    /// The body's length in bytes.
-    #[prost(uint64, tag = "16")]
-    pub body_len: u64,
-    /// The owning node that is meant; another run at the same address refuses.
-    #[prost(uint64, tag = "17")]
-    pub owner: u64,
     /// Fingerprint of workspace, route and body.
-    #[prost(uint64, tag = "18")]
+    #[prost(uint64, tag = "16")]
     pub fingerprint: u64,
 }
 
@@ -124,9 +118,12 @@
     /// Retries that were handed along and not used.
     #[prost(uint32, tag = "2")]
     pub unused_retries: u32,
-    /// The owner's load after the request.
-    #[prost(message, optional, tag = "3")]
-    pub load: Option<Load>,
+    /// The owner's shedding level and load after the request, packed.
+    #[prost(uint32, tag = "3")]
+    pub signal: u32,
+    /// Services that the request's own calls went to, at any depth.
+    #[prost(string, repeated, tag = "4")]
+    pub visited: Vec<String>,
 }
 
 /// Status and headers of an answer.
@@ -140,17 +137,6 @@
     pub headers: Vec<HeaderLine>,
 }
 
-/// The load that an owning node tells with its answers.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct Load {
-    /// Priorities below this are shed.
-    #[prost(uint32, tag = "1")]
-    pub threshold: u32,
-    /// Share of the concurrency limit in use, in 1/255.
-    #[prost(uint32, tag = "2")]
-    pub load: u32,
-}
-
 /// A refusal or a failure.
 #[derive(Clone, PartialEq, Message)]
 pub struct Refused {
@@ -166,9 +152,9 @@
     /// Retries that were handed along and not used.
     #[prost(uint32, tag = "4")]
     pub unused_retries: u32,
-    /// The owner's load.
-    #[prost(message, optional, tag = "5")]
-    pub load: Option<Load>,
+    /// The owner's shedding level and load, packed; `None` where there is no owner to tell it.
+    #[prost(uint32, optional, tag = "5")]
+    pub signal: Option<u32>,
 }
 
 /// The asking side has given the request up.
@@ -194,7 +180,7 @@
             may_have_run: refusal.verdict == Verdict::MayHaveRun,
             retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
             unused_retries: 0,
-            load: None,
+            signal: None,
         }
     }
 }
