--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -3,7 +3,7 @@
 //! It serves over a small HTTP loop of its own instead of `tiny_http`; [`http`] says why.
 //!
 //! Paths besides the configured ones: `GET /load` and `GET /health`, which lag and lie as set;
-//! `DELETE /cancel/<id>`; and for tests `GET /standin/stats`, `GET /standin/runs` and
+//! `DELETE /cancel/<id or ticket>`; and for tests `GET /standin/stats`, `GET /standin/runs` and
 //! `POST /standin/set`, whose JSON object is merged into the settings.
 
 use std::{
--- a/crates/standin/src/server/http.rs
+++ b/crates/standin/src/server/http.rs
@@ -7,6 +7,7 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    time::{Duration, Instant},
 };
 
 /// The most bytes of a request's or an answer's head.
@@ -121,6 +122,7 @@
 pub struct Connection {
     stream: TcpStream,
     buf: Vec<u8>,
+    deadline: Option<Instant>,
 }
 
 /// The length of a body as its head announces it.
@@ -141,9 +143,27 @@
         Ok(Self {
             stream,
             buf: Vec::new(),
+            deadline: None,
         })
     }
 
+    /// Sets the time at which reads and writes fail with [`io::ErrorKind::TimedOut`].
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
+    }
+
+    /// Whether the peer has closed an idle connection, or sent what nobody asked for.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        let peek = || {
+            self.stream.set_nonblocking(true)?;
+            let peeked = self.stream.peek(&mut [0]);
+            self.stream.set_nonblocking(false)?;
+            peeked
+        };
+        !self.buf.is_empty() || !peek().is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// The stream below.
     #[must_use]
     pub fn stream(&self) -> &TcpStream {
@@ -195,7 +215,10 @@
     ///
     /// Fails on a broken stream.
     pub fn write(&mut self, message: &[u8]) -> io::Result<()> {
-        self.stream.write_all(message)
+        if let Some(left) = self.time_left()? {
+            self.stream.set_write_timeout(Some(left))?;
+        }
+        self.stream.write_all(message).map_err(timed_out)
     }
 
     /// Writes an answer; its length is added.
@@ -226,12 +249,26 @@
         Err(io::ErrorKind::UnexpectedEof.into())
     }
 
+    fn time_left(&self) -> io::Result<Option<Duration>> {
+        let Some(deadline) = self.deadline else {
+            return Ok(None);
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        Ok(Some(left))
+    }
+
     fn fill(&mut self) -> io::Result<usize> {
+        if let Some(left) = self.time_left()? {
+            self.stream.set_read_timeout(Some(left))?;
+        }
         let filled = self.buf.len();
         self.buf.resize(filled + READ_BYTES, 0);
         let read = self.stream.read(&mut self.buf[filled..]);
         self.buf.truncate(filled + *read.as_ref().unwrap_or(&0));
-        read
+        read.map_err(timed_out)
     }
 
     fn fill_to(&mut self, bytes: usize) -> io::Result<()> {
@@ -376,6 +413,14 @@
     Ok(body_length(&answer.headers)?.unwrap_or(Length::UntilClose))
 }
 
+/// A blocking socket tells its timeout as `WouldBlock` on some systems.
+fn timed_out(err: io::Error) -> io::Error {
+    match err.kind() {
+        io::ErrorKind::WouldBlock => io::ErrorKind::TimedOut.into(),
+        _ => err,
+    }
+}
+
 fn invalid(what: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
--- a/crates/standin/src/server/state.rs
+++ b/crates/standin/src/server/state.rs
@@ -41,6 +41,7 @@
 /// A request that waits or runs.
 struct Job {
     id: String,
+    ticket: Option<String>,
     cancelled: bool,
 }
 
@@ -161,7 +162,7 @@
     }
 
     /// Takes a request in; `None` where the server sheds it.
-    pub(super) fn arrive(&self, id: &str) -> Option<JobKey> {
+    pub(super) fn arrive(&self, id: &str, ticket: Option<&str>) -> Option<JobKey> {
         let options = self.options();
         let is_drawn = options.shed_rate > 0.0 && self.draw(|rng| rng.f64() < options.shed_rate);
         let mut inner = self.inner();
@@ -178,6 +179,7 @@
         };
         let job = Job {
             id: id.into(),
+            ticket: ticket.map(str::to_owned),
             cancelled: false,
         };
         inner.jobs.insert(key.number, job);
@@ -247,10 +249,10 @@
         self.changed.notify_one();
     }
 
-    /// Cancels the requests with this id; says how many there were.
+    /// Cancels the requests with this id or ticket; says how many there were.
     pub(super) fn cancel(&self, id: &str) -> usize {
         let mut inner = self.inner();
-        let jobs = inner.jobs.values_mut().filter(|job| job.id == id);
+        let jobs = inner.jobs.values_mut().filter(|job| job.is_named(id));
         let cancelled = jobs.map(|job| job.cancelled = true).count();
         drop(inner);
         self.changed.notify_all();
@@ -284,6 +286,12 @@
     }
 }
 
+impl Job {
+    fn is_named(&self, name: &str) -> bool {
+        self.id == name || self.ticket.as_deref() == Some(name)
+    }
+}
+
 impl Inner {
     fn check(&self, key: JobKey, deadline: Instant) -> Result<(), Stop> {
         if key.life != self.life {
--- a/crates/standin/src/server/work.rs
+++ b/crates/standin/src/server/work.rs
@@ -60,7 +60,7 @@
         .map_or_else(|| fresh_id(state), str::to_owned);
     let deadline = Instant::now() + time_left(req);
     sleep_ms(options.delay_ms);
-    let Some(job) = state.arrive(&id) else {
+    let Some(job) = state.arrive(&id, req.header(TICKET_HEADER)) else {
         return Reply::Answer(not_run(503));
     };
     if let Err(stop) = state.take_slot(job, deadline) {
--- a/crates/standin/tests/server.rs
+++ b/crates/standin/tests/server.rs
@@ -247,11 +247,14 @@
         ..Default::default()
     });
     let addr = server.addr;
-    let caller = thread::spawn(move || once(addr, "GET /x HTTP/1.1\r\nStandin-Id: q1", ""));
-    eventually("it runs", || server.stats().running == 1);
-    assert_eq!(once(addr, "DELETE /cancel/q1 HTTP/1.1", "").status, 200);
-    assert_eq!(caller.join().expect("no caller panics").status, 499);
-    assert_eq!(once(addr, "DELETE /cancel/q1 HTTP/1.1", "").status, 404);
+    let head = "GET /x HTTP/1.1\r\nStandin-Id: q1\r\nCassiashunt-Ticket: t1";
+    for cancel in ["DELETE /cancel/q1 HTTP/1.1", "DELETE /cancel/t1 HTTP/1.1"] {
+        let caller = thread::spawn(move || once(addr, head, ""));
+        eventually("it runs", || server.stats().running == 1);
+        assert_eq!(once(addr, cancel, "").status, 200);
+        assert_eq!(caller.join().expect("no caller panics").status, 499);
+        assert_eq!(once(addr, cancel, "").status, 404);
+    }
     assert_eq!(server.runs()[0].outcome, Outcome::Cancelled);
 }
 
