Keep nodes in step by relays, freshness, peers and grants

The control thread now drives membership by gossip, rosters, relay election, the freshness decision, acceptance of edits by relays, claims of limit shards, and grants; configuration comes from relays over node-to-node connections instead of every node polling the platform. An edit is answered as accepted once a majority of the entry node's relays has it in force.

--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -179,9 +179,11 @@
         let server = self.folder.write(&format!("server-{number}.toml"), &server);
         let settings = format!(
             "[node]\ncallers = \"{callers}\"\npeers = \"{peers}\"\noperators = \"{operators}\"\n\
-             failure-domain = \"{domain}\"\nsecret = \"secret-of-the-test-fleet\"\n\
+             failure-domain = \"{domain}\"\n\
+             other-failure-domains = [\"ikeja\", \"apapa\", \"lekki\"]\nsecret = \"secret-of-the-test-fleet\"\n\
              operator-token = \"{TOKEN}\"\n[platform]\nurl = \"http://{}\"\n\
-             [server]\nservice = \"{}\"\naddress = \"{backend}\"\nslots = 16\n",
+             [server]\nservice = \"{}\"\naddress = \"{backend}\"\nslots = 16\n\
+             [times]\nroster-write-ms = 1000\nroster-read-ms = 1000\n",
             self.platform_addr, service.name
         );
         let settings = self.folder.write(&format!("node-{number}.toml"), &settings);
--- a/crates/admit/src/ingress.rs
+++ b/crates/admit/src/ingress.rs
@@ -141,6 +141,26 @@
             .insert(owner, report);
     }
 
+    /// Takes in a signal that was true `age` ago and came by way of others; a newer one stays.
+    pub fn on_gossip(
+        &mut self,
+        now: Time,
+        service: Service,
+        owner: NodeId,
+        signal: Signal,
+        age: Duration,
+    ) {
+        let report = Report {
+            signal,
+            received: now.before(age),
+        };
+        let owners = &mut self.services.entry(service).or_default().owners;
+        let known = owners.entry(owner).or_insert(report);
+        if known.received < report.received {
+            *known = report;
+        }
+    }
+
     /// Takes in that a chain which entered by `route` called `service`.
     pub fn on_visit(&mut self, now: Time, route: Route, service: Service) {
         if self.paths.contains_key(&route) || self.paths.len() < self.opts.max_routes {
--- a/crates/member/src/reports.rs
+++ b/crates/member/src/reports.rs
@@ -20,7 +20,7 @@
 const MARK_BYTES: usize = 5;
 
 /// The longest contents, in bytes.
-pub(crate) const BODY_BYTES: usize = 64;
+pub(crate) const BODY_BYTES: usize = 128;
 
 /// Contents that were not renewed for so long are dropped.
 const KEPT_FOR: Duration = Duration::from_secs(60);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use cassiashunt_table::{Applied, Head, KeyState, Lookup, Offer};
+use cassiashunt_table::{Applied, Head, KeyState, LineId, Lookup, Offer};
 use cassiashunt_types::prelude::*;
 
 /// The table and keys in force; only ever moves to higher revisions.
@@ -35,10 +35,21 @@
             .cloned()
     }
 
+    /// Whether the table in force goes on from a line of history, as far as its records tell.
+    pub(crate) fn accounts_for(&self, line: LineId, revision: Revision) -> bool {
+        let head = self.head();
+        head.is_some_and(|head| head.accounts_for(line) || head.may_have_spilled(revision))
+    }
+
     /// Puts a head in force unless it is older or forked.
     pub(crate) fn offer(&self, head: Head) -> Offer {
+        self.offer_shared(&Arc::new(head))
+    }
+
+    /// Puts a head in force unless it is older or forked.
+    pub(crate) fn offer_shared(&self, head: &Arc<Head>) -> Offer {
         let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
-        let offer = applied.offer(Arc::new(head));
+        let offer = applied.offer(Arc::clone(head));
         if let Offer::Taken { revision } = offer {
             *self.lookup.write().unwrap_or_else(PoisonError::into_inner) =
                 Arc::clone(applied.lookup());
--- /dev/null
+++ b/crates/node/src/duty/accept.rs
@@ -0,0 +1,52 @@
+//! Commits edits: durable in the platform, and known to the relays.
+
+use std::{
+    sync::{Arc, mpsc::sync_channel},
+    thread,
+    time::Duration,
+};
+
+use cassiashunt_table::{
+    Head, Offer,
+    commit::{self, Action, Commit, Outcome, Peers, Spread},
+};
+
+use super::event::Event;
+use crate::node::Shared;
+
+/// How long the relays may take to know a change.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Runs a commit to its end on this thread.
+pub(crate) fn run(shared: &Arc<Shared>, commit: (Commit, Action)) -> Outcome {
+    let spread = |head: &Arc<Head>| spread(shared, head);
+    let majority = || {
+        let is_newest = shared.control.check(shared.clock.now()).is_ok();
+        shared.config.head().filter(|_| is_newest)
+    };
+    let peers = Peers {
+        spread: &spread,
+        majority: &majority,
+        wait: &thread::sleep,
+    };
+    commit::run(&shared.platform, &peers, commit)
+}
+
+/// Puts a durable head in force here and waits until the relays know it.
+fn spread(shared: &Arc<Shared>, head: &Arc<Head>) -> Spread {
+    if let Offer::Forked { .. } = shared.config.offer_shared(head) {
+        return match shared.config.head() {
+            Some(by) => Spread::Refused { by },
+            None => Spread::Silent,
+        };
+    }
+    let (done, accepted) = sync_channel(1);
+    shared.control.tell(Event::Spread {
+        revision: head.revision(),
+        done,
+    });
+    match accepted.recv_timeout(PATIENCE) {
+        Ok(()) => Spread::Taken,
+        Err(_) => Spread::Silent,
+    }
+}
--- a/crates/node/src/duty/control.rs
+++ b/crates/node/src/duty/control.rs
@@ -15,13 +15,20 @@
 
 use super::event::Event;
 
+/// Where a node is found.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Place {
+    pub addr: SocketAddr,
+    pub domain: FailureDomain,
+}
+
 /// The control thread's results, for the request path to read.
 #[derive(Debug)]
 pub(crate) struct Control {
-    pub(super) seal: Seal,
-    pub(super) addr: SocketAddr,
+    seal: Seal,
+    addr: SocketAddr,
     in_touch_until: AtomicU64,
-    domains: RwLock<HashMap<NodeId, FailureDomain>>,
+    places: RwLock<HashMap<NodeId, Place>>,
     applied: RwLock<HashMap<NodeId, Revision>>,
     events: OnceLock<SyncSender<Event>>,
 }
@@ -33,7 +40,7 @@
             seal,
             addr,
             in_touch_until: AtomicU64::new(0),
-            domains: RwLock::default(),
+            places: RwLock::default(),
             applied: RwLock::default(),
             events: OnceLock::new(),
         }
@@ -50,28 +57,47 @@
 
     /// The failure domain that a node stands in.
     pub(crate) fn domain_of(&self, node: NodeId) -> Option<FailureDomain> {
-        self.domains
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&node)
-            .copied()
+        self.place_of(node).map(|place| place.domain)
+    }
+
+    /// Where a node is reached by control messages.
+    pub(crate) fn addr_of(&self, node: NodeId) -> Option<SocketAddr> {
+        self.place_of(node).map(|place| place.addr)
+    }
+
+    fn place_of(&self, node: NodeId) -> Option<Place> {
+        let places = self.places.read().unwrap_or_else(PoisonError::into_inner);
+        places.get(&node).copied()
+    }
+
+    /// Where other nodes reach this one.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(super) fn seal(&self) -> &Seal {
+        &self.seal
+    }
+
+    /// Tells the control thread something, waiting for room.
+    pub(crate) fn tell(&self, event: Event) {
+        let told = self.events.get().map(|tx| tx.send(event));
+        if !matches!(told, Some(Ok(()))) {
+            log::error!(event = "control-thread-gone"; "");
+        }
     }
 
     /// Asks every live node which revisions it has in force; the answers come in later.
     pub(crate) fn ask_applied(&self) {
-        if let Some(tx) = self.events.get()
-            && tx.try_send(Event::AskApplied).is_err()
-        {
-            log::warn!(event = "control-ring-full"; "the question is put again later");
-        }
+        self.tell(Event::AskApplied);
     }
 
     /// Live nodes that are not known to have `revision` in force.
     pub(crate) fn behind(&self, revision: Revision) -> Vec<NodeId> {
         let applied = self.applied.read().unwrap_or_else(PoisonError::into_inner);
-        let domains = self.domains.read().unwrap_or_else(PoisonError::into_inner);
+        let places = self.places.read().unwrap_or_else(PoisonError::into_inner);
         let is_behind = |node: &NodeId| applied.get(node).is_none_or(|known| *known < revision);
-        domains.keys().copied().filter(is_behind).collect()
+        places.keys().copied().filter(is_behind).collect()
     }
 
     pub(super) fn set_events(&self, tx: SyncSender<Event>) {
@@ -91,21 +117,16 @@
             .store(until.as_micros(), Ordering::Release);
     }
 
-    pub(super) fn set_domain(&self, node: NodeId, domain: FailureDomain) {
-        self.domains
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(node, domain);
+    pub(super) fn set_place(&self, node: NodeId, place: Place) {
+        let mut places = self.places.write().unwrap_or_else(PoisonError::into_inner);
+        places.insert(node, place);
     }
 
     pub(super) fn forget(&self, node: NodeId) {
-        self.domains
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&node);
-        self.applied
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&node);
+        let mut places = self.places.write().unwrap_or_else(PoisonError::into_inner);
+        places.remove(&node);
+        drop(places);
+        let mut applied = self.applied.write().unwrap_or_else(PoisonError::into_inner);
+        applied.remove(&node);
     }
 }
--- /dev/null
+++ b/crates/node/src/duty/fetch.rs
@@ -0,0 +1,104 @@
+//! Fetches newer configuration from peers, and answers theirs.
+
+use std::{sync::mpsc::SyncSender, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use cassiashunt_control::Control;
+use cassiashunt_ring::Ring;
+use cassiashunt_table::{Head, Offer};
+use cassiashunt_types::prelude::*;
+use cassiashunt_wire::{Body, Chunk, End, Fetch, ValueKind};
+
+use super::event::Event;
+use crate::{
+    link::{Peer, chunks},
+    node::Shared,
+    owner::Reply,
+};
+
+/// How long a peer may take for each piece.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// The largest value that is fetched, in bytes.
+const VALUE_BYTES: usize = 1 << 20;
+
+/// A value to fetch and the peers that have it.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    pub kind: ValueKind,
+    pub peers: Vec<Peer>,
+}
+
+/// Fetches until the ring is closed.
+pub(super) fn run(shared: &Shared, ring: &Ring<Request>, tx: &SyncSender<Event>) {
+    while let Ok(req) = ring.pop() {
+        let value = req
+            .peers
+            .iter()
+            .find_map(|peer| fetch(shared, *peer, req.kind));
+        let event = value.and_then(|value| take(shared, req.kind, &value));
+        if let Some(event) = event
+            && tx.send(event).is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn fetch(shared: &Shared, peer: Peer, kind: ValueKind) -> Option<Bytes> {
+    let mut call = shared.links.get(peer).ok()?.fetch(kind).ok()?;
+    let mut value = BytesMut::new();
+    loop {
+        match call.next(PATIENCE).ok()? {
+            Body::Chunk(Chunk { data }) if value.len() + data.len() <= VALUE_BYTES => {
+                value.extend_from_slice(&data);
+            }
+            Body::End(end) if end.body_len == value.len() as u64 => {
+                call.finish();
+                return Some(value.freeze());
+            }
+            _ => return None,
+        }
+    }
+}
+
+fn take(shared: &Shared, kind: ValueKind, value: &[u8]) -> Option<Event> {
+    match kind {
+        ValueKind::Table => {
+            let head = Head::from_bytes(value).ok()?;
+            match shared.config.offer(head) {
+                Offer::Taken { revision } => Some(Event::Table(revision)),
+                Offer::Forked { ours, theirs } => {
+                    log::error!(event = "table-forked-refused", ours = ours.0, theirs = theirs.0; "");
+                    None
+                }
+                Offer::Same | Offer::Older { .. } => None,
+            }
+        }
+        ValueKind::Control => {
+            let control: Control = serde_json::from_slice(value).ok()?;
+            Some(Event::Control(control))
+        }
+    }
+}
+
+/// Answers a peer's question for a value.
+pub(crate) fn answer(shared: &Shared, fetch: Fetch, reply: &Reply) {
+    let value = match ValueKind::try_from(fetch.kind) {
+        Ok(ValueKind::Table) => shared.config.head().map(|head| head.to_bytes()),
+        Ok(ValueKind::Control) => shared.control_bytes(),
+        Err(_) => None,
+    };
+    let Some(value) = value.map(Bytes::from) else {
+        return reply.refuse(Refusal::not_run(Reason::NotInTouch), None, 0);
+    };
+    let end = End {
+        body_len: value.len() as u64,
+        ..End::default()
+    };
+    let pieces = chunks(&value).map(Body::Chunk).chain([Body::End(end)]);
+    for piece in pieces {
+        if reply.send(piece).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/duty/shards.rs
@@ -0,0 +1,147 @@
+//! Who holds the shards, and this node's claims to them.
+
+use std::collections::BTreeMap;
+
+use cassiashunt_control::{
+    Ask, Claim, ClaimOptions, Control, ShardKey, ShardKind, Stage, edit::TakeOver, msg::Applied,
+};
+use cassiashunt_types::prelude::*;
+
+use crate::limits::LIMIT_SHARDS;
+
+/// A shard that this node may act for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Won {
+    pub key: ShardKey,
+    pub epoch: Epoch,
+}
+
+/// This node's claims.
+pub(super) struct Shards {
+    me: NodeId,
+    domain: FailureDomain,
+    options: ClaimOptions,
+    claims: BTreeMap<ShardKey, Claim>,
+}
+
+impl Shards {
+    pub(super) fn new(me: NodeId, domain: FailureDomain, freshness: Duration) -> Self {
+        let options = ClaimOptions {
+            freshness,
+            ..Default::default()
+        };
+        Self {
+            me,
+            domain,
+            options,
+            claims: BTreeMap::new(),
+        }
+    }
+
+    /// Begins to claim every shard without a live holder that falls to this node.
+    pub(super) fn look_over(&mut self, control: &Control, live: &[NodeId]) {
+        for key in keys() {
+            let holder = control.shard(key).map(|shard| shard.primary);
+            let is_held = holder.is_some_and(|holder| live.contains(&holder));
+            if is_held || self.claims.contains_key(&key) || first(key, live) != Some(self.me) {
+                continue;
+            }
+            let epoch = control.epoch(key);
+            let claim = Claim::new(self.me, self.domain, key, epoch, self.options);
+            self.claims.insert(key, claim);
+        }
+    }
+
+    pub(super) fn control_read(&mut self, now: Time, control: &Control) -> Vec<ClaimAsk> {
+        self.each(|claim| claim.control_read(now, control))
+    }
+
+    pub(super) fn relay_applied(&mut self, now: Time, applied: &Applied) -> Vec<ClaimAsk> {
+        self.each(|claim| claim.relay_applied(now, applied))
+    }
+
+    pub(super) fn tick(&mut self, now: Time) -> Vec<ClaimAsk> {
+        self.each(|claim| claim.tick(now))
+    }
+
+    /// The claims that have just been won; lost ones are dropped.
+    pub(super) fn take_won(&mut self) -> Vec<Won> {
+        let won = self
+            .claims
+            .values()
+            .filter_map(|claim| match claim.stage() {
+                Stage::Ready(epoch) => Some(Won {
+                    key: claim.key(),
+                    epoch,
+                }),
+                _ => None,
+            });
+        let won = won.collect();
+        let is_open = |claim: &Claim| !matches!(claim.stage(), Stage::Ready(_) | Stage::Lost);
+        self.claims.retain(|_, claim| is_open(claim));
+        won
+    }
+
+    fn each(&mut self, mut step: impl FnMut(&mut Claim) -> Vec<Ask>) -> Vec<ClaimAsk> {
+        let mut asks = Vec::new();
+        for claim in self.claims.values_mut() {
+            let asked = step(claim);
+            asks.extend(
+                asked
+                    .into_iter()
+                    .map(|ask| ClaimAsk::of(self.me, claim, ask)),
+            );
+        }
+        asks
+    }
+}
+
+/// What a claim asks of the control thread.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum ClaimAsk {
+    /// Write the claim.
+    Write(TakeOver),
+    /// What any change asks.
+    Plain(Ask),
+}
+
+impl ClaimAsk {
+    fn of(me: NodeId, claim: &Claim, ask: Ask) -> Self {
+        match ask {
+            Ask::WriteClaim => Self::Write(TakeOver {
+                key: claim.key(),
+                expected: claim.expected(),
+                primary: me,
+                backup: None,
+                lossy: false,
+            }),
+            ask => Self::Plain(ask),
+        }
+    }
+}
+
+fn keys() -> impl Iterator<Item = ShardKey> {
+    (0..LIMIT_SHARDS).map(|id| ShardKey {
+        kind: ShardKind::Limit,
+        id: ShardId(id),
+    })
+}
+
+/// The node that a shard falls to, by rendezvous hash.
+fn first(key: ShardKey, live: &[NodeId]) -> Option<NodeId> {
+    live.iter()
+        .copied()
+        .max_by_key(|node| (score(key, *node), *node))
+}
+
+/// A mix of shard and node (SplitMix64's finalizer).
+fn score(key: ShardKey, node: NodeId) -> u64 {
+    let kind = match key.kind {
+        ShardKind::Limit => 1,
+        ShardKind::Home => 2,
+    };
+    let mut mixed = node.0 ^ (key.id.0 << 8 | kind).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/node/src/duty/udp.rs
+++ b/crates/node/src/duty/udp.rs
@@ -1,24 +1,26 @@
 //! Receives sealed datagrams.
 
-use std::{net::UdpSocket, sync::mpsc::SyncSender};
+use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    mpsc::SyncSender,
+};
 
-use cassiashunt_wire::Seal;
 use metrics::counter;
 
-use super::event::Event;
+use super::{event::Event, net::Net};
 
 /// The largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
-/// Receives until the control thread has gone.
-pub(super) fn receive(socket: &UdpSocket, seal: &Seal, tx: &SyncSender<Event>) {
+/// Receives until `is_stopped`; the thread is woken by a datagram from here.
+pub(super) fn receive(net: &Net, is_stopped: &AtomicBool, tx: &SyncSender<Event>) {
     let mut buf = vec![0; DATAGRAM_BYTES];
-    loop {
-        let Ok((len, from)) = socket.recv_from(&mut buf) else {
+    while !is_stopped.load(Ordering::Acquire) {
+        let Ok((len, from)) = net.socket().recv_from(&mut buf) else {
             continue;
         };
         counter!("cassiashunt_control_received_bytes_total").increment(len as u64);
-        match seal.open(&buf[..len]) {
+        match net.seal().open(&buf[..len]) {
             Ok(envelope) => {
                 if tx.send(Event::Datagram { from, envelope }).is_err() {
                     return;
--- a/crates/node/src/ingress/collect.rs
+++ b/crates/node/src/ingress/collect.rs
@@ -148,7 +148,7 @@
                     signal: refused.signal,
                 });
             }
-            Body::Begin(_) | Body::Cancel(_) => {}
+            Body::Begin(_) | Body::Cancel(_) | Body::Fetch(_) => {}
         }
     }
 }
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -60,10 +60,12 @@
         priority: Priority(plan.cell.priority),
     };
     shared.shed().admit(now, req, &mut fastrand::Rng::new())?;
+    let route = plan.binding.route;
     shared.limits.take(
+        shared,
         plan.workspace,
         &plan.cell,
-        plan.binding.route,
+        route,
         plan.class,
         plan.deadline,
     )
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,22 +1,358 @@
-//! The workspaces' rates and caps at this node.
+//! The workspaces' rates and caps: this node's stock of tokens, and the shards that it is the
+//! authority of.
 
-use cassiashunt_table::Cell;
-use cassiashunt_types::prelude::*;
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Condvar, Mutex, MutexGuard, OnceLock, PoisonError},
+};
 
-/// This node's stock of tokens.
-#[derive(Debug, Default)]
-pub(crate) struct Limits {}
+use cassiashunt_control::{Control, ShardKey, ShardKind};
+use cassiashunt_limit::{
+    Attempt, Authority, Decision, Holder, Key, Limit, Start,
+    msg::{AuthorityFrame, HolderFrame},
+};
+use cassiashunt_table::{Cell, Lookup, Scope};
+use cassiashunt_types::{Label, prelude::*};
+use cassiashunt_wire::Kind;
+use prost::{Message, Oneof};
+
+use crate::{duty::Net, node::Shared};
+
+/// Shards of workspaces, each with an authority of its own.
+pub(crate) const LIMIT_SHARDS: u64 = 8;
+
+/// How long a request may wait for a grant.
+const WAIT: Duration = Duration::from_millis(60);
+/// How long a waiting request sleeps at most before it looks again.
+const LOOK: Duration = Duration::from_millis(10);
+/// Minutes end so long after an epoch began, and each minute after.
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// A message between a holder and an authority.
+#[derive(Clone, PartialEq, Message)]
+struct LimitMessage {
+    #[prost(uint64, tag = "1")]
+    shard: u64,
+    #[prost(oneof = "LimitBody", tags = "2, 3")]
+    body: Option<LimitBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum LimitBody {
+    #[prost(message, tag = "2")]
+    Holder(HolderFrame),
+    #[prost(message, tag = "3")]
+    Authority(AuthorityFrame),
+}
+
+/// This node's side of every shard.
+pub(crate) struct Limits {
+    shards: Vec<Shard>,
+    net: OnceLock<Net>,
+}
+
+struct Shard {
+    state: Mutex<State>,
+    answered: Condvar,
+}
+
+struct State {
+    holder: Holder,
+    authority: Option<Authority>,
+    keys: BTreeSet<Key>,
+    /// The revision by which the authority's limits were set.
+    revision: Revision,
+    primary: Option<NodeId>,
+    epoch: Epoch,
+}
 
 impl Limits {
-    /// Takes what one request needs.
+    pub(crate) fn new(me: NodeId) -> Self {
+        let shard = |_| {
+            let state = State {
+                holder: Holder::new(me, Default::default()),
+                authority: None,
+                keys: BTreeSet::new(),
+                revision: Revision(0),
+                primary: None,
+                epoch: Epoch(0),
+            };
+            Shard {
+                state: Mutex::new(state),
+                answered: Condvar::new(),
+            }
+        };
+        Self {
+            shards: (0..LIMIT_SHARDS).map(shard).collect(),
+            net: OnceLock::new(),
+        }
+    }
+
+    pub(crate) fn set_net(&self, net: Net) {
+        if self.net.set(net).is_err() {
+            log::error!(event = "limits-net-set-twice"; "");
+        }
+    }
+
+    /// Takes what one request needs, waiting a few milliseconds for a grant where it must.
+    ///
+    /// # Errors
+    ///
+    /// Not run, with the time after which a token is to be expected.
     pub(crate) fn take(
         &self,
-        _workspace: Option<Workspace>,
-        _cell: &Cell,
-        _route: Route,
-        _class: Class,
-        _deadline: Time,
+        shared: &Shared,
+        workspace: Option<Workspace>,
+        cell: &Cell,
+        route: Route,
+        class: Class,
+        deadline: Time,
     ) -> Result<(), Refusal> {
-        Ok(())
+        let Some(workspace) = workspace else {
+            return Ok(());
+        };
+        if cell.minute.is_some_and(|minute| minute.limit == 0) {
+            return Err(Refusal::not_run(Reason::NotAllowed));
+        }
+        let keys = keys(workspace, cell, route, class);
+        if keys.is_empty() {
+            return Ok(());
+        }
+        let id = shard_of(workspace);
+        let shard = &self.shards[id];
+        let until = deadline.min(shared.clock.now() + WAIT);
+        let mut attempt = Attempt::First;
+        let mut state = shard.lock();
+        loop {
+            let now = shared.clock.now();
+            match state.holder.try_take(now, &keys, 1, attempt) {
+                Decision::Taken => return Ok(()),
+                Decision::Refused(refusal) => return Err(refusal),
+                Decision::Wait => {}
+            }
+            self.flush(shared, id, &mut state);
+            attempt = Attempt::Again;
+            if shared.clock.now() >= until {
+                attempt = Attempt::Last;
+                continue;
+            }
+            if state.holder.try_take(shared.clock.now(), &keys, 1, attempt) == Decision::Taken {
+                return Ok(());
+            }
+            let waited = shard.answered.wait_timeout(state, LOOK);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Sends what the holders have to say.
+    pub(crate) fn poll(&self, shared: &Shared) {
+        for (id, shard) in self.shards.iter().enumerate() {
+            let mut state = shard.lock();
+            self.flush(shared, id, &mut state);
+        }
+    }
+
+    /// Puts the holders of the shards by a control value in force.
+    pub(crate) fn apply_control(&self, control: &Control) {
+        for (id, shard) in self.shards.iter().enumerate() {
+            let key = ShardKey {
+                kind: ShardKind::Limit,
+                id: ShardId(id as u64),
+            };
+            let Some(held) = control.shard(key) else {
+                continue;
+            };
+            let mut state = shard.lock();
+            state.primary = Some(held.primary);
+            state.epoch = held.epoch;
+            state.holder.follow(held.epoch);
+            if state
+                .authority
+                .as_ref()
+                .is_some_and(|authority| authority.epoch() != held.epoch)
+            {
+                state.authority = None;
+            }
+        }
+    }
+
+    /// Begins to act as a shard's authority.
+    pub(crate) fn begin_epoch(&self, shared: &Shared, id: ShardId, epoch: Epoch) {
+        let Some(shard) = usize::try_from(id.0)
+            .ok()
+            .and_then(|id| self.shards.get(id))
+        else {
+            return;
+        };
+        let mut state = shard.lock();
+        if state.epoch != epoch {
+            return;
+        }
+        log::info!(event = "limit-authority", shard = id.0, epoch = epoch.0; "");
+        let minute_ends = shared.clock.now() + MINUTE;
+        state.authority = Some(Authority::new(epoch, minute_ends, Default::default()));
+        state.keys.clear();
+    }
+
+    /// Hands every unspent token back, for a planned stop.
+    pub(crate) fn drain(&self, shared: &Shared) {
+        for (id, shard) in self.shards.iter().enumerate() {
+            let mut state = shard.lock();
+            if let Some(frame) = state.holder.drain() {
+                self.deliver(shared, id, &mut state, frame);
+            }
+        }
+    }
+
+    /// Takes in a message of another node.
+    pub(crate) fn receive(&self, shared: &Shared, from: SocketAddr, payload: &[u8]) {
+        let Ok(message) = LimitMessage::decode(payload) else {
+            return;
+        };
+        let id = usize::try_from(message.shard).unwrap_or(usize::MAX);
+        let Some(shard) = self.shards.get(id) else {
+            return;
+        };
+        let mut state = shard.lock();
+        match message.body {
+            Some(LimitBody::Holder(frame)) => {
+                if let Some(answer) = state.serve(shared, &frame) {
+                    self.send(from, id, LimitBody::Authority(answer));
+                }
+            }
+            Some(LimitBody::Authority(frame)) => {
+                state.holder.on(shared.clock.now(), &frame);
+                shard.answered.notify_all();
+            }
+            None => {}
+        }
+    }
+
+    fn flush(&self, shared: &Shared, id: usize, state: &mut State) {
+        if let Some(frame) = state.holder.poll(shared.clock.now()) {
+            self.deliver(shared, id, state, frame);
+        }
+    }
+
+    /// Brings a frame to the shard's authority, which may be this node.
+    fn deliver(&self, shared: &Shared, id: usize, state: &mut State, frame: HolderFrame) {
+        let Some(primary) = state.primary else { return };
+        if primary == shared.id {
+            if let Some(answer) = state.serve(shared, &frame) {
+                state.holder.on(shared.clock.now(), &answer);
+                self.shards[id].answered.notify_all();
+            }
+        } else if let Some(addr) = shared.control.addr_of(primary) {
+            self.send(addr, id, LimitBody::Holder(frame));
+        }
+    }
+
+    fn send(&self, to: SocketAddr, id: usize, body: LimitBody) {
+        let message = LimitMessage {
+            shard: id as u64,
+            body: Some(body),
+        };
+        if let Some(net) = self.net.get() {
+            net.send(to, None, Kind::Limit, message.encode_to_vec());
+        }
+    }
+}
+
+impl Shard {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Answers a holder as the shard's authority, while the node is in touch.
+    fn serve(&mut self, shared: &Shared, frame: &HolderFrame) -> Option<AuthorityFrame> {
+        let now = shared.clock.now();
+        self.authority.as_ref()?;
+        shared.control.check(now).ok()?;
+        let lookup = shared.config.lookup();
+        if lookup.revision() != self.revision {
+            self.revision = lookup.revision();
+            let known: Vec<Key> = self.keys.iter().copied().collect();
+            self.set_limits(now, &lookup, known);
+        }
+        let asked = frame.asks.iter().filter_map(|ask| ask.key.as_ref()?.key());
+        let fresh: Vec<Key> = asked.filter(|key| !self.keys.contains(key)).collect();
+        self.set_limits(now, &lookup, fresh);
+        self.authority.as_mut()?.on(now, frame)
     }
+
+    fn set_limits(&mut self, now: Time, lookup: &Lookup, keys: Vec<Key>) {
+        let Some(authority) = &mut self.authority else {
+            return;
+        };
+        for key in keys {
+            match limit(lookup, &key) {
+                Some(limit) => {
+                    authority.set_limit(now, key, limit, Start::Empty);
+                    self.keys.insert(key);
+                }
+                None => {
+                    authority.retain(|known| *known != key);
+                    self.keys.remove(&key);
+                }
+            }
+        }
+    }
+}
+
+/// What a request of this cell counts against.
+fn keys(workspace: Workspace, cell: &Cell, route: Route, class: Class) -> Vec<Key> {
+    let mut keys = Vec::new();
+    if cell.limit.is_some() {
+        keys.push(Key::workspace(workspace));
+    }
+    if let Some(minute) = cell.minute {
+        let Scope {
+            route: by_route,
+            class: by_class,
+        } = minute.scope;
+        let route = if by_route { route } else { any().into() };
+        let class = if by_class { class } else { any().into() };
+        keys.push(Key::cell(workspace, route, class));
+    }
+    keys
+}
+
+/// The limit that the table sets for a key.
+fn limit(lookup: &Lookup, key: &Key) -> Option<Limit> {
+    match key.cell {
+        None => {
+            let cell = lookup.resolve(key.workspace, any().into(), any().into());
+            let limit = cell.limit?;
+            let per_sec = u64::from(limit.rate.milli()) / 1_000;
+            Some(Limit::Rate {
+                per_sec,
+                burst: limit.burst.into(),
+            })
+        }
+        Some(cell) => {
+            let minute = lookup
+                .resolve(key.workspace, cell.route, cell.class)
+                .minute?;
+            Some(Limit::Minute {
+                cap: minute.limit.into(),
+            })
+        }
+    }
+}
+
+/// The name under which requests of every route or class are counted together.
+fn any() -> Label {
+    "*".parse().expect("an asterisk is a label")
+}
+
+/// The shard that a workspace's limits belong to (FNV-1a).
+fn shard_of(workspace: Workspace) -> usize {
+    let bytes = workspace.as_str().bytes();
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    usize::try_from(hash % LIMIT_SHARDS).expect("there are few shards")
 }
--- a/crates/node/src/link/dialer.rs
+++ b/crates/node/src/link/dialer.rs
@@ -14,7 +14,9 @@
 use bytes::Bytes;
 use cassiashunt_ring::{PopError, Ring};
 use cassiashunt_types::prelude::*;
-use cassiashunt_wire::{Begin, Body, Cancel, Chunk, Dialer, End, Frame, Secret, Welcome};
+use cassiashunt_wire::{
+    Begin, Body, Cancel, Chunk, Dialer, End, Fetch, Frame, Secret, ValueKind, Welcome,
+};
 
 use super::{
     pending::Pending,
@@ -161,6 +163,27 @@
         Ok(call)
     }
 
+    /// Asks for a value of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Not run where the connection is lost or has no room.
+    pub(crate) fn fetch(self: &Arc<Self>, kind: ValueKind) -> Result<Call, Refusal> {
+        let request = self.next.fetch_add(1, Ordering::Relaxed);
+        let answer = Ring::new(ANSWER_PIECES);
+        if !self.pending.add(request, answer.clone()) {
+            return Err(Refusal::not_run(Reason::NoServer));
+        }
+        let call = Call {
+            link: Arc::clone(self),
+            request,
+            answer,
+            is_done: false,
+        };
+        self.send(request, Body::Fetch(Fetch { kind: kind.into() }))?;
+        Ok(call)
+    }
+
     fn send(&self, request: u64, body: Body) -> Result<(), Refusal> {
         let queued = Queued::now(Frame::new(request, body));
         // The request has run at the earliest after its last frame: any loss here is not-run.
--- a/crates/node/src/link/listener.rs
+++ b/crates/node/src/link/listener.rs
@@ -209,6 +209,9 @@
                     (self.submit.cancel)(&reply);
                 }
             }
+            Some(Body::Fetch(fetch)) => {
+                (self.submit.fetch)(fetch, &Reply::link(out.clone(), request));
+            }
             Some(Body::Head(_) | Body::Refused(_)) | None => {}
         }
     }
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -9,7 +9,7 @@
 mod pool;
 mod stream;
 
-pub(crate) use dialer::{CHUNK_BYTES, Call, Link};
+pub(crate) use dialer::{CHUNK_BYTES, Call, Link, chunks};
 pub(crate) use listener::{Acceptor, Options as AcceptorOptions};
 pub(crate) use pool::{Links, Options, Peer};
 pub(crate) use stream::Queued;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,7 +4,7 @@
     fmt, io,
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
@@ -12,6 +12,7 @@
 };
 
 use cassiashunt_admit::{Priority, ingress::Ingress};
+use cassiashunt_control::Control;
 use cassiashunt_http::Limits as HttpLimits;
 use cassiashunt_member::Lifecycle;
 use cassiashunt_timer::{Clock, Service as Timer};
@@ -54,6 +55,9 @@
     pub platform: cassiashunt_platform::Http,
     pub control: duty::Control,
     pub metrics: Option<PrometheusHandle>,
+    pub seen: duty::Seen,
+    control_value: RwLock<Arc<Control>>,
+    is_repairing: AtomicBool,
     lifecycle: Mutex<Lifecycle>,
     shed: Mutex<Ingress>,
     is_draining: AtomicBool,
@@ -83,6 +87,35 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Puts a control value in force.
+    pub(crate) fn set_control(&self, control: &Control) {
+        let shared = Arc::new(control.clone());
+        *self
+            .control_value
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = shared;
+        self.limits.apply_control(control);
+    }
+
+    /// The control value in force, as it travels; `None` before the first.
+    pub(crate) fn control_bytes(&self) -> Option<Vec<u8>> {
+        let control = self
+            .control_value
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_set = control.revision > Revision(0);
+        is_set.then(|| serde_json::to_vec(&**control).expect("a control value is plain JSON"))
+    }
+
+    /// Whether a repair of the platform may begin; at most one runs at a time.
+    pub(crate) fn begin_repair(&self) -> bool {
+        !self.is_repairing.swap(true, Ordering::AcqRel)
+    }
+
+    pub(crate) fn end_repair(&self) {
+        self.is_repairing.store(false, Ordering::Release);
+    }
+
     /// Takes in the services that a chain called.
     pub(crate) fn on_visits(
         &self,
@@ -294,6 +327,7 @@
         let started = Instant::now();
         self.shared.is_draining.store(true, Ordering::Release);
         self.duties.drain(&self.shared);
+        self.shared.limits.drain(&self.shared);
         if let Some(owner) = self.shared.owner.get() {
             owner.drain();
         }
@@ -303,6 +337,7 @@
             thread::sleep(DRAIN_LOOK);
         }
         let cut_off = self.in_flight();
+        self.duties.stop();
         self.end();
         log::info!(event = "node-stopped", node:% = self.shared.id, cut_off = cut_off; "");
         if cut_off == 0 {
@@ -338,7 +373,7 @@
         if let Some(owner) = self.shared.owner.get() {
             owner.stop();
         }
-        self.duties.stop();
+        self.duties.end();
         self.shared.links.close();
         if let Some(timer) = self.timer.take() {
             timer.stop();
@@ -404,7 +439,10 @@
         held: Held::new(settings.bounds.held_bytes),
         stats: Stats::default(),
         suspects: Suspects::default(),
-        limits: Limits::default(),
+        limits: Limits::new(id),
+        seen: duty::Seen::default(),
+        control_value: RwLock::default(),
+        is_repairing: AtomicBool::new(false),
         platform,
         metrics,
         control: duty::Control::new(Seal::new(id, secret), peer_addr),
@@ -458,12 +496,13 @@
 
 /// How other nodes' requests reach the owner.
 fn submit(shared: &Arc<Shared>) -> Submit {
-    let (starts, cancels) = (Arc::clone(shared), Arc::clone(shared));
+    let (starts, cancels, fetches) = (Arc::clone(shared), Arc::clone(shared), Arc::clone(shared));
     Submit {
         start: Box::new(move |begin, body, reply| match starts.owner.get() {
             Some(owner) => owner.start(*begin, body, &reply),
             None => reply.refuse(Refusal::not_run(Reason::NoServer), None, begin.retries),
         }),
+        fetch: Box::new(move |fetch, reply| duty::answer_fetch(&fetches, fetch, reply)),
         cancel: Box::new(move |reply| cancels.cancel_local(reply)),
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -10,7 +10,7 @@
 use cassiashunt_platform::Platform;
 use cassiashunt_table::{
     AUDIT_PREFIX, Block, Edit, Head, Record,
-    commit::{self, Commit, Outcome, Peers},
+    commit::{Commit, Outcome},
     csv,
 };
 use cassiashunt_types::prelude::*;
@@ -18,7 +18,7 @@
 use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, StatusCode};
 
-use crate::node::Shared;
+use crate::{duty, node::Shared};
 
 /// Threads that answer operators.
 const THREADS: usize = 4;
@@ -291,12 +291,13 @@
         Ok(Err(err)) => return Reply::text(400, "text/plain", format!("no edit: {err}\n")),
         Err(err) => return Reply::text(400, "text/plain", format!("unreadable: {err}\n")),
     };
+    if shared.control.check(shared.clock.now()).is_err() {
+        let detail = "this node is not in touch with the fleet; ask another".into();
+        return Reply::json(503, &EditAnswer::Refused { detail });
+    }
     log::info!(event = "edit-asked", edit:% = edit.id, who = edit.who.as_str(); "");
-    let outcome = commit::run(
-        &shared.platform,
-        &Peers::none(),
-        Commit::start(edit, shared.config.head(), Default::default()),
-    );
+    let commit = Commit::start(edit, shared.config.head(), Default::default());
+    let outcome = duty::commit(shared, commit);
     log::info!(event = "edit-ended"; "{outcome}");
     let detail = outcome.to_string();
     match outcome {
--- a/crates/node/src/owner/reply.rs
+++ b/crates/node/src/owner/reply.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use cassiashunt_ring::Ring;
 use cassiashunt_types::prelude::*;
-use cassiashunt_wire::{Begin, Body, Frame, Refused};
+use cassiashunt_wire::{Begin, Body, Fetch, Frame, Refused};
 
 use crate::link::Queued;
 
@@ -105,6 +105,8 @@
 pub(crate) struct Submit {
     /// Takes in a whole request.
     pub start: Box<dyn Fn(Box<Begin>, Bytes, Arc<Reply>) + Send + Sync>,
+    /// Answers the question for a value of the configuration.
+    pub fetch: Box<dyn Fn(Fetch, &Reply) + Send + Sync>,
     /// Gives a request up.
     pub cancel: Box<dyn Fn(&Reply) + Send + Sync>,
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -41,6 +41,9 @@
     pub operators: SocketAddr,
     /// The failure domain that the instance stands in.
     pub failure_domain: FailureDomain,
+    /// The other failure domains of the fleet.
+    #[serde(default)]
+    pub other_failure_domains: Vec<FailureDomain>,
     /// The secret that all nodes share.
     pub secret: String,
     /// The operators' credential.
@@ -130,6 +133,10 @@
     pub drain_ms: u64,
     /// How long an idempotency record is kept.
     pub record_ms: u64,
+    /// How often the roster of a failure domain is written.
+    pub roster_write_ms: u64,
+    /// How often the rosters of the other failure domains are read.
+    pub roster_read_ms: u64,
     /// The warm-up of a cold backend server.
     pub warm_up_ms: u64,
 }
@@ -144,6 +151,8 @@
             drain_accept_ms: 2_000,
             drain_ms: 30_000,
             record_ms: 600_000,
+            roster_write_ms: 10_000,
+            roster_read_ms: 30_000,
             warm_up_ms: 0,
         }
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub request: u64,
     /// What is said about it.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<Body>,
 }
 
@@ -35,6 +35,9 @@
     /// The asking side no longer wants the answer.
     #[prost(message, tag = "7")]
     Cancel(Cancel),
+    /// The asking side wants a value of the configuration.
+    #[prost(message, tag = "8")]
+    Fetch(Fetch),
 }
 
 /// A request as its owning node needs it.
@@ -161,6 +164,24 @@
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct Cancel {}
 
+/// A value of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum ValueKind {
+    /// The table's head.
+    Table = 0,
+    /// The control value.
+    Control = 1,
+}
+
+/// The question for a value of the configuration; the answer is a body without a head.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Fetch {
+    /// Which value.
+    #[prost(enumeration = "ValueKind", tag = "1")]
+    pub kind: i32,
+}
+
 impl Frame {
     /// A frame about `request`.
     #[must_use]
