--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -4,15 +4,18 @@
 //! `H` the mean time that one root request holds slots of a service, summed over its whole chain,
 //! Little's law gives at most `slots / H` root requests a second; the scarcest service decides.
 //! Waits, delays between failure domains and connections are left out, and parallel child calls
-//! count as the longest of their means, so that the figure is an upper bound.
+//! count as the longest of their means, so that each figure is an upper bound.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cassiashunt_standin::server::{Endpoint, Order};
 use cassiashunt_types::prelude::*;
 use serde::Serialize;
 
-use crate::experiment::{Experiment, Fault};
+use crate::experiment::{Experiment, Fault, Phase, service_of};
+
+/// A share of a service's slots that counts as none left.
+const EXHAUSTED: f64 = 1e-9;
 
 /// The state of one backend server.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,16 +30,7 @@
     servers: BTreeMap<Service, Vec<ServerState>>,
 }
 
-/// The time for which one root request holds slots of one service, in milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Hold {
-    /// The part that scales with a server's slowness.
-    pub own_ms: f64,
-    /// The part that child calls take.
-    pub children_ms: f64,
-}
-
-/// The most whole requests a second, and the service that sets it.
+/// The most whole requests a second at a fixed mix, and the service that sets it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Capacity {
@@ -46,6 +40,17 @@
     pub bottleneck: Service,
 }
 
+/// What a phase's demand and condition allow.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct PhaseBound {
+    /// The capacity at the mix of the demand, at the phase's end.
+    pub capacity: Capacity,
+    /// Whole requests a second, over the phase, with protected kinds served first and the rest
+    /// evenly; see [`Experiment::goodput_bound`].
+    pub goodput: f64,
+}
+
 impl Condition {
     /// All servers up and as fast as they were set.
     #[must_use]
@@ -73,10 +78,24 @@
         }
     }
 
-    /// The least slowness among a service's servers that are up.
+    fn up(&self, service: Service) -> impl Iterator<Item = &ServerState> {
+        self.servers[&service].iter().filter(|state| state.is_up)
+    }
+
+    /// The least slowness among a service's servers that are up; infinite where none is.
     fn least_factor(&self, service: Service) -> f64 {
-        let up = self.servers[&service].iter().filter(|state| state.is_up);
-        up.map(|state| state.factor).fold(f64::INFINITY, f64::min)
+        self.up(service)
+            .map(|state| state.factor)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// The harmonic mean of the slowness of a service's servers that are up.
+    ///
+    /// `slots / (own / u + children)` is concave in the speed `u`, so that the mean speed bounds
+    /// the throughput of servers of several speeds from above.
+    fn mean_factor(&self, service: Service) -> f64 {
+        let speeds: f64 = self.up(service).map(|state| 1.0 / state.factor).sum();
+        count_f64(self.up(service).count()) / speeds
     }
 }
 
@@ -102,28 +121,55 @@
         matching.max_by_key(|endpoint| endpoint.path.len())
     }
 
-    /// The time for which one request of a kind holds slots, by service.
+    /// The seconds for which one request of a kind holds slots, by service.
     #[must_use]
-    pub fn holds(&self, kind: usize, condition: &Condition) -> BTreeMap<Service, Hold> {
+    pub fn holds(&self, kind: usize, condition: &Condition) -> BTreeMap<Service, f64> {
         let mut holds = BTreeMap::new();
-        add_holds(self, &self.requests[kind].path, condition, &mut holds);
+        self.add_holds(&self.requests[kind].path, condition, &mut holds);
         holds
     }
 
+    /// Adds the holds of a path and of all its child calls; gives the seconds that it takes.
+    fn add_holds(
+        &self,
+        path: &str,
+        condition: &Condition,
+        holds: &mut BTreeMap<Service, f64>,
+    ) -> f64 {
+        let Some(endpoint) = self.endpoint(path) else {
+            return 0.0;
+        };
+        let children = endpoint.children.iter();
+        let times = children.map(|child| self.add_holds(&child.path, condition, holds));
+        let of_children = match endpoint.order {
+            Order::Sequence => times.sum(),
+            Order::Parallel => times.fold(0.0, f64::max),
+        };
+        let service = service_of(path);
+        let own = endpoint.service_time.mean_ms / 1_000.0;
+        *holds.entry(service).or_default() += own * condition.mean_factor(service) + of_children;
+        own * condition.least_factor(service) + of_children
+    }
+
+    /// The slots of a service's servers that are up.
+    fn slots(&self, service: Service, condition: &Condition) -> f64 {
+        let options = self.services.iter().find(|options| options.name == service);
+        let slots = options.map_or(0, |options| options.slots);
+        count_f64(slots * condition.up(service).count())
+    }
+
     /// The most whole requests a second at the experiment's mix of kinds.
     #[must_use]
     pub fn capacity(&self, condition: &Condition) -> Capacity {
-        let mut mean: BTreeMap<Service, Hold> = BTreeMap::new();
+        let mut mean: BTreeMap<Service, f64> = BTreeMap::new();
         let total: f64 = self.requests.iter().map(|kind| kind.share).sum();
         for (index, kind) in self.requests.iter().enumerate() {
             for (service, hold) in self.holds(index, condition) {
-                let sum = mean.entry(service).or_default();
-                sum.own_ms += hold.own_ms * kind.share / total;
-                sum.children_ms += hold.children_ms * kind.share / total;
+                *mean.entry(service).or_default() += hold * kind.share / total;
             }
         }
         let bounds = mean.into_iter().map(|(service, hold)| Capacity {
-            per_second: self.service_capacity(service, hold, condition),
+            per_second: quotient(self.slots(service, condition), hold),
             bottleneck: service,
         });
         bounds
@@ -131,70 +177,146 @@
             .expect("an experiment has a request, and each holds a slot")
     }
 
-    fn service_capacity(&self, service: Service, hold: Hold, condition: &Condition) -> f64 {
-        let options = self.services.iter().find(|options| options.name == service);
-        let slots = options.map_or(0, |options| options.slots);
-        let slots = f64::from(u32::try_from(slots).unwrap_or(u32::MAX));
-        let up = condition.servers[&service]
-            .iter()
-            .filter(|state| state.is_up);
-        up.map(|state| slots * 1_000.0 / (hold.own_ms * state.factor + hold.children_ms))
-            .sum()
+    /// The whole requests a second of each kind that slots allow, given the demand of each.
+    ///
+    /// Protected kinds are served first. Among equals, all kinds are given the same share of their
+    /// demand until a service has no slots left; kinds that need it then stay where they are, and
+    /// the others go on (progressive filling). A policy that prefers cheap requests can serve a
+    /// greater number, at the cost of the others.
+    #[must_use]
+    pub fn goodput_bound(&self, demand: &[f64], condition: &Condition) -> Vec<f64> {
+        let mut fill = Fill::new(self, demand, condition);
+        let kinds = 0..self.requests.len();
+        let (protected, rest) = kinds.partition(|kind| self.requests[*kind].protected);
+        fill.serve(protected);
+        fill.serve(rest);
+        fill.served
     }
 
-    /// The capacity of each phase: the average over time where faults change it midway.
+    /// What each phase allows, faults of earlier phases counted.
     #[must_use]
-    pub fn phase_capacities(&self) -> Vec<Capacity> {
+    pub fn phase_bounds(&self) -> Vec<PhaseBound> {
         let mut condition = Condition::sound(self);
         let phases = self.phases.iter();
         phases
-            .map(|phase| self.phase_capacity(phase, &mut condition))
+            .map(|phase| self.phase_bound(phase, &mut condition))
             .collect()
     }
 
-    fn phase_capacity(&self, phase: &crate::experiment::Phase, now: &mut Condition) -> Capacity {
+    fn phase_bound(&self, phase: &Phase, now: &mut Condition) -> PhaseBound {
+        let demand = self.entitled_demand(phase);
+        let goodput = |now: &Condition| self.goodput_bound(&demand, now).iter().sum::<f64>();
         let mut faults: Vec<_> = phase.faults.iter().collect();
         faults.sort_by_key(|timed| timed.at_ms);
         let mut sum = 0.0;
         let mut since = 0.0;
-        let mut least = self.capacity(now);
         for timed in faults {
             let at = Duration::from_millis(timed.at_ms).as_secs_f64();
-            sum += self.capacity(now).per_second * (at - since);
+            sum += goodput(now) * (at - since);
             since = at;
             now.apply(&timed.fault);
-            let next = self.capacity(now);
-            if next.per_second < least.per_second || at == 0.0 {
-                least = next;
+        }
+        sum += goodput(now) * (phase.seconds - since);
+        PhaseBound {
+            capacity: self.capacity(now),
+            goodput: sum / phase.seconds,
+        }
+    }
+
+    /// The requests a second of each kind that stay inside the workspaces' rates.
+    fn entitled_demand(&self, phase: &Phase) -> Vec<f64> {
+        let workspaces = self.workspaces.iter();
+        let inside = workspaces.map(|w| self.offered_per_second(phase, w).min(w.rate));
+        let inside: f64 = inside.sum();
+        let total: f64 = self.requests.iter().map(|kind| kind.share).sum();
+        self.requests
+            .iter()
+            .map(|kind| inside * kind.share / total)
+            .collect()
+    }
+}
+
+/// The state of progressive filling.
+struct Fill<'a> {
+    demand: &'a [f64],
+    /// Seconds of slots that a request holds, by kind and service.
+    holds: Vec<BTreeMap<Service, f64>>,
+    /// Slots of each service.
+    slots: BTreeMap<Service, f64>,
+    /// Slots that are not taken yet.
+    left: BTreeMap<Service, f64>,
+    served: Vec<f64>,
+}
+
+impl<'a> Fill<'a> {
+    fn new(experiment: &Experiment, demand: &'a [f64], condition: &Condition) -> Self {
+        let kinds = 0..experiment.requests.len();
+        let services = experiment.services.iter().map(|service| service.name);
+        let slots: BTreeMap<_, _> = services
+            .map(|name| (name, experiment.slots(name, condition)))
+            .collect();
+        Self {
+            demand,
+            holds: kinds
+                .map(|kind| experiment.holds(kind, condition))
+                .collect(),
+            left: slots.clone(),
+            slots,
+            served: vec![0.0; demand.len()],
+        }
+    }
+
+    fn serve(&mut self, kinds: Vec<usize>) {
+        let mut open: BTreeSet<usize> = kinds.into_iter().collect();
+        let mut share_left = 1.0;
+        open.retain(|kind| !self.is_short(*kind));
+        while !open.is_empty() && share_left > EXHAUSTED {
+            let step = self.step(&open).min(share_left);
+            for kind in &open {
+                self.give(*kind, step);
             }
+            share_left -= step;
+            open.retain(|kind| !self.is_short(*kind));
         }
-        sum += self.capacity(now).per_second * (phase.seconds - since);
-        Capacity {
-            per_second: sum / phase.seconds,
-            ..least
+    }
+
+    /// The greatest share of their demand that all open kinds can still be given.
+    fn step(&self, open: &BTreeSet<usize>) -> f64 {
+        let shares = self.left.iter().map(|(service, left)| {
+            let holds = open.iter().map(|kind| {
+                let hold = self.holds[*kind].get(service).copied().unwrap_or(0.0);
+                hold * self.demand[*kind]
+            });
+            quotient(*left, holds.sum())
+        });
+        shares.fold(f64::INFINITY, f64::min)
+    }
+
+    fn give(&mut self, kind: usize, share: f64) {
+        let per_second = self.demand[kind] * share;
+        self.served[kind] += per_second;
+        for (service, hold) in &self.holds[kind] {
+            *self.left.entry(*service).or_default() -= hold * per_second;
         }
     }
+
+    /// Whether a service that this kind needs has no slots left.
+    fn is_short(&self, kind: usize) -> bool {
+        self.holds[kind]
+            .keys()
+            .any(|name| self.left[name] <= EXHAUSTED * self.slots[name].max(1.0))
+    }
+}
+
+/// A quotient of slots over holds, where nothing held means no bound.
+fn quotient(slots: f64, hold: f64) -> f64 {
+    if hold == 0.0 {
+        f64::INFINITY
+    } else {
+        (slots / hold).max(0.0)
+    }
 }
 
-/// Adds the holds of a path and of all its child calls; gives the time that the path takes.
-fn add_holds(
-    experiment: &Experiment,
-    path: &str,
-    condition: &Condition,
-    holds: &mut BTreeMap<Service, Hold>,
-) -> f64 {
-    let Some(endpoint) = experiment.endpoint(path) else {
-        return 0.0;
-    };
-    let children = endpoint.children.iter();
-    let times = children.map(|child| add_holds(experiment, &child.path, condition, holds));
-    let children_ms = match endpoint.order {
-        Order::Sequence => times.sum(),
-        Order::Parallel => times.fold(0.0, f64::max),
-    };
-    let service = crate::experiment::service_of(path);
-    let hold = holds.entry(service).or_default();
-    hold.own_ms += endpoint.service_time.mean_ms;
-    hold.children_ms += children_ms;
-    endpoint.service_time.mean_ms * condition.least_factor(service) + children_ms
+fn count_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Experiment, Outcome,
-    experiment::{RequestKind, WorkspaceOptions},
+    experiment::{RequestKind, Variant, WorkspaceOptions},
     fleet::Ingress,
 };
 
@@ -29,6 +29,7 @@
     /// Idle connections, by workspace and then by instance.
     idle: Vec<Mutex<Vec<Connection>>>,
     one_way: Duration,
+    deadlines: bool,
     /// The bytes of a whole answer, by kind, where known.
     answer_bytes: Vec<Option<usize>>,
 }
@@ -70,7 +71,11 @@
     /// # Errors
     ///
     /// Fails where an address is not a loopback address, or where a kind has no instance.
-    pub fn new(experiment: &'a Experiment, ingress: Vec<Ingress>) -> eyre::Result<Self> {
+    pub fn new(
+        experiment: &'a Experiment,
+        variant: &Variant,
+        ingress: Vec<Ingress>,
+    ) -> eyre::Result<Self> {
         for instance in &ingress {
             let is_loopback = instance.addr.ip().is_loopback();
             ensure!(is_loopback, crate::experiment::not_loopback(instance.addr));
@@ -84,6 +89,7 @@
             experiment,
             idle: (0..pools).map(|_| Mutex::default()).collect(),
             one_way: Duration::from_secs_f64(experiment.client_one_way_ms / 1_000.0),
+            deadlines: variant.deadlines,
             answer_bytes: answer_bytes(experiment),
             ingress,
         })
@@ -162,6 +168,7 @@
         let kind = &self.experiment.requests[call.kind];
         let workspace = &self.experiment.workspaces[call.workspace];
         let left = limit.saturating_duration_since(Instant::now());
+        let left = self.deadlines.then_some(left);
         connection.write(&message(call.id, kind, workspace, left))?;
         connection.read_answer()
     }
@@ -216,26 +223,30 @@
 }
 
 /// The request as it goes over the wire.
-fn message(id: &str, kind: &RequestKind, workspace: &WorkspaceOptions, left: Duration) -> Vec<u8> {
+fn message(
+    id: &str,
+    kind: &RequestKind,
+    workspace: &WorkspaceOptions,
+    left: Option<Duration>,
+) -> Vec<u8> {
     let query = kind
         .bytes
         .map_or_else(String::new, |bytes| format!("?bytes={bytes}"));
-    let mut head = format!(
-        "{} {}{query} HTTP/1.1\r\nHost: load\r\n{}: {id}\r\n{}: {}\r\n",
-        kind.method,
-        kind.path,
-        server::ID_HEADER,
-        server::TIMEOUT_HEADER,
-        left.as_millis().max(1),
-    );
+    let mut head = format!("{} {}{query} HTTP/1.1\r\n", kind.method, kind.path);
+    let mut add = |name: &str, value: &str| head += &format!("{name}: {value}\r\n");
+    add("Host", "load");
+    add(server::ID_HEADER, id);
+    if let Some(left) = left {
+        add(server::TIMEOUT_HEADER, &left.as_millis().max(1).to_string());
+    }
     if !kind.open {
-        head += &format!("Authorization: Bearer {}\r\n", workspace.key);
+        add("Authorization", &format!("Bearer {}", workspace.key));
     }
     if !kind.idempotent {
-        head += &format!("Idempotency-Key: {id}\r\n");
+        add("Idempotency-Key", id);
     }
-    head += &format!("Content-Length: {}\r\n\r\n", kind.body_bytes);
-    let mut buf = head.into_bytes();
+    add("Content-Length", &kind.body_bytes.to_string());
+    let mut buf = (head + "\r\n").into_bytes();
     buf.resize(buf.len() + kind.body_bytes, b'x');
     buf
 }
--- a/crates/load/src/experiment/variant.rs
+++ b/crates/load/src/experiment/variant.rs
@@ -96,6 +96,9 @@
     /// Further tries of a failed child call by the server that makes it.
     #[serde(default)]
     pub child_retries: u32,
+    /// Whether callers and servers say how long they wait; a server without that works on.
+    #[serde(default = "yes")]
+    pub deadlines: bool,
     /// How callers try again, in place of the experiment's own.
     #[serde(default)]
     pub retries: Option<Retries>,
@@ -103,3 +106,7 @@
     #[serde(default)]
     pub settings: toml::Table,
 }
+
+fn yes() -> bool {
+    true
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -176,6 +176,7 @@
         queue: variant.queue.unwrap_or(service.queue),
         endpoints: service.endpoints.clone(),
         child_retries: variant.child_retries,
+        child_deadlines: variant.deadlines,
         connect_ms: experiment.connect_ms,
         cold_ms: service.cold_ms,
         cold_factor: service.cold_factor,
@@ -203,7 +204,10 @@
     let for_stop = servers.clone();
     Ok(Fleet {
         ingress,
-        apply: Box::new(move |fault| servers.apply(fault).map(|_| ())),
+        apply: Box::new(move |fault| match servers.apply(fault)? {
+            true => Ok(()),
+            false => Err(eyre!("there are no nodes and no platform")),
+        }),
         stop: Box::new(move || for_stop.list.iter().for_each(|server| server.handle.stop())),
     })
 }
--- a/crates/load/src/recovery.rs
+++ b/crates/load/src/recovery.rs
@@ -7,7 +7,7 @@
 pub struct Series {
     /// The length of a window.
     pub window: Duration,
-    /// The whole answers that came in each.
+    /// The whole answers of each.
     pub whole: Vec<u64>,
 }
 
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Experiment, Outcome, Sample,
-    capacity::{Capacity, Condition},
+    capacity::{Condition, PhaseBound},
     experiment::{Phase, Role, Variant},
     recovery::{self, Series},
     share,
@@ -86,11 +86,14 @@
     pub seconds: f64,
     /// Requests a second that were offered.
     pub offered: f64,
-    /// Whole answers a second, by the intended time of their requests.
+    /// Whole answers a second that came during the phase.
     pub goodput: f64,
-    /// The computed bound on whole answers a second.
-    pub capacity: Capacity,
-    /// The share of the scarcest service's slot time that went into whole answers.
+    /// The computed bounds on whole answers a second.
+    pub bound: PhaseBound,
+    /// The share of the requests sent in the phase that were answered whole.
+    pub whole: f64,
+    /// The slot time that the whole answers of the phase took, as a share of the slots of the
+    /// service where it is the greatest; a value above 1 has its slots taken in an earlier phase.
     pub useful_share: f64,
     /// The share of protected requests that were answered whole.
     pub protected_whole: f64,
@@ -124,8 +127,12 @@
     pub phase: String,
     /// The goodput before the cause, in whole answers a second.
     pub before: f64,
-    /// The time in seconds; `None` where goodput did not come back within the phase.
-    pub seconds: Option<f64>,
+    /// The seconds until whole answers came at 95% of that; `None` where they did not within the
+    /// phase. A backlog that is worked off counts here.
+    pub answers_seconds: Option<f64>,
+    /// The seconds until whole answers were given, sooner or later, to requests sent from then on
+    /// at 95% of that; `None` where they were not within the phase.
+    pub requests_seconds: Option<f64>,
 }
 
 /// The figures of one window of time.
@@ -165,10 +172,22 @@
     #[must_use]
     pub fn new(experiment: &Experiment, variant: &Variant, samples: &[Sample]) -> Self {
         let marked = Marked::mark(experiment, samples);
-        let capacities = experiment.phase_capacities();
+        let bounds = experiment.phase_bounds();
+        let starts = experiment.phase_starts();
         let phases = experiment.phases.iter().enumerate().map(|(index, phase)| {
-            let of_phase: Vec<_> = marked.iter().filter(|m| m.sample.phase == index).collect();
-            phase_report(experiment, phase, capacities[index], &of_phase)
+            let end = starts[index] + Duration::from_secs_f64(phase.seconds);
+            let came = |sample: &&Sample| (starts[index]..end).contains(&sample.ended);
+            let whole = samples
+                .iter()
+                .filter(|sample| sample.outcome == Outcome::Whole);
+            let figures = Figures {
+                experiment,
+                phase,
+                bound: bounds[index],
+                sent: marked.iter().filter(|m| m.sample.phase == index).collect(),
+                came: whole.filter(came).collect(),
+            };
+            figures.report()
         });
         Self {
             variant: variant.name.clone(),
@@ -206,51 +225,84 @@
     }
 }
 
-fn phase_report(
-    experiment: &Experiment,
-    phase: &Phase,
-    capacity: Capacity,
-    marked: &[&Marked<'_>],
-) -> PhaseReport {
-    let whole = || marked.iter().filter(|m| m.is_whole()).map(|m| m.sample);
-    let refused = marked.iter().filter(|m| m.sample.outcome.is_refused());
-    let inside: Vec<_> = marked.iter().filter(|m| m.conforms).collect();
-    let share_inside = |is: fn(Outcome) -> bool| {
-        let count = inside.iter().filter(|m| is(m.sample.outcome)).count();
-        ratio(count, inside.len())
-    };
-    let is_protected = |m: &&&Marked<'_>| experiment.requests[m.sample.kind].protected;
-    let protected: Vec<_> = marked.iter().filter(is_protected).collect();
-    let retries: u64 = marked
-        .iter()
-        .map(|m| u64::from(m.sample.tries.saturating_sub(1)))
-        .sum();
-    let workspaces = cell::workspace_shares(experiment, phase, capacity, marked);
-    let worst = workspaces
-        .iter()
-        .map(|workspace| workspace.share)
-        .fold(f64::INFINITY, f64::min);
-    PhaseReport {
-        phase: phase.name.clone(),
-        seconds: phase.seconds,
-        offered: count_f64(marked.len()) / phase.seconds,
-        goodput: count_f64(whole().count()) / phase.seconds,
-        capacity,
-        useful_share: useful_share(experiment, phase, whole()),
-        protected_whole: ratio(
-            protected.iter().filter(|m| m.is_whole()).count(),
-            protected.len(),
-        ),
-        outcomes: outcomes(marked),
-        retries_per_request: to_f64(retries) / count_f64(marked.len().max(1)),
-        latency: Latency::of(whole().map(Sample::latency)),
-        refusal_latency: Latency::of(refused.map(|m| m.sample.latency())),
-        lateness: Latency::of(marked.iter().map(|m| m.sample.lateness())),
-        refused_inside_rate: share_inside(Outcome::is_refused),
-        limited_inside_rate: share_inside(Outcome::is_over_limit),
-        worst_share: worst,
-        workspaces,
-        cells: cell::cells(experiment, phase, marked),
+/// What the figures of one phase are worked out from.
+struct Figures<'a> {
+    experiment: &'a Experiment,
+    phase: &'a Phase,
+    bound: PhaseBound,
+    /// The requests whose intended time is in the phase.
+    sent: Vec<&'a Marked<'a>>,
+    /// The whole answers that came in the phase.
+    came: Vec<&'a Sample>,
+}
+
+impl Figures<'_> {
+    fn report(&self) -> PhaseReport {
+        let seconds = self.phase.seconds;
+        let whole = || self.sent.iter().filter(|m| m.is_whole());
+        let refused = self.sent.iter().filter(|m| m.sample.outcome.is_refused());
+        let tries = self
+            .sent
+            .iter()
+            .map(|m| u64::from(m.sample.tries.saturating_sub(1)));
+        let workspaces = cell::workspace_shares(self);
+        let shares = workspaces.iter().map(|workspace| workspace.share);
+        PhaseReport {
+            phase: self.phase.name.clone(),
+            seconds,
+            offered: count_f64(self.sent.len()) / seconds,
+            goodput: count_f64(self.came.len()) / seconds,
+            bound: self.bound,
+            whole: ratio(whole().count(), self.sent.len()),
+            useful_share: self.useful_share(),
+            protected_whole: self.protected_whole(),
+            outcomes: outcomes(&self.sent),
+            retries_per_request: to_f64(tries.sum()) / count_f64(self.sent.len().max(1)),
+            latency: Latency::of(whole().map(|m| m.sample.latency())),
+            refusal_latency: Latency::of(refused.map(|m| m.sample.latency())),
+            lateness: Latency::of(self.sent.iter().map(|m| m.sample.lateness())),
+            refused_inside_rate: self.share_inside(Outcome::is_refused),
+            limited_inside_rate: self.share_inside(Outcome::is_over_limit),
+            worst_share: shares.fold(f64::INFINITY, f64::min),
+            workspaces,
+            cells: cell::cells(self),
+        }
+    }
+
+    fn share_inside(&self, is: impl Fn(Outcome) -> bool) -> f64 {
+        let inside = || self.sent.iter().filter(|m| m.conforms);
+        ratio(
+            inside().filter(|m| is(m.sample.outcome)).count(),
+            inside().count(),
+        )
+    }
+
+    fn protected_whole(&self) -> f64 {
+        let is_protected = |m: &&&Marked<'_>| self.experiment.requests[m.sample.kind].protected;
+        let protected = || self.sent.iter().filter(is_protected);
+        ratio(
+            protected().filter(|m| m.is_whole()).count(),
+            protected().count(),
+        )
+    }
+
+    fn useful_share(&self) -> f64 {
+        let sound = Condition::sound(self.experiment);
+        let kinds = 0..self.experiment.requests.len();
+        let holds: Vec<_> = kinds
+            .map(|kind| self.experiment.holds(kind, &sound))
+            .collect();
+        let mut used: BTreeMap<Service, f64> = BTreeMap::new();
+        for sample in &self.came {
+            for (service, hold) in &holds[sample.kind] {
+                *used.entry(*service).or_default() += hold;
+            }
+        }
+        let shares = self.experiment.services.iter().map(|service| {
+            let slots = count_f64(service.servers * service.slots) * self.phase.seconds;
+            used.get(&service.name).map_or(0.0, |used| used / slots)
+        });
+        shares.fold(0.0, f64::max)
     }
 }
 
@@ -266,59 +318,41 @@
     named.collect()
 }
 
-/// The slot time that whole answers took of the service where that share is the greatest.
-fn useful_share<'a>(
-    experiment: &Experiment,
-    phase: &Phase,
-    whole: impl Iterator<Item = &'a Sample>,
-) -> f64 {
-    let sound = Condition::sound(experiment);
-    let kinds = 0..experiment.requests.len();
-    let holds: Vec<_> = kinds.map(|kind| experiment.holds(kind, &sound)).collect();
-    let mut used_ms: BTreeMap<Service, f64> = BTreeMap::new();
-    for sample in whole {
-        for (service, hold) in &holds[sample.kind] {
-            *used_ms.entry(*service).or_default() += hold.own_ms + hold.children_ms;
-        }
-    }
-    let shares = experiment.services.iter().map(|service| {
-        let slots_ms = count_f64(service.servers * service.slots) * phase.seconds * 1_000.0;
-        used_ms
-            .get(&service.name)
-            .map_or(0.0, |used| used / slots_ms)
-    });
-    shares.fold(0.0, f64::max)
-}
-
-fn series(experiment: &Experiment, samples: &[Sample]) -> Series {
-    let whole = samples
-        .iter()
-        .filter(|sample| sample.outcome == Outcome::Whole);
-    let window = Duration::from_millis(experiment.client.window_ms);
-    Series::count(
-        window,
-        experiment.length(),
-        whole.map(|sample| sample.ended),
-    )
-}
-
 /// A recovery per phase of that role, against the last baseline before it.
 fn recoveries(experiment: &Experiment, samples: &[Sample]) -> Vec<Recovery> {
-    let series = series(experiment, samples);
-    let mut before = None;
+    let whole = || {
+        samples
+            .iter()
+            .filter(|sample| sample.outcome == Outcome::Whole)
+    };
+    let window = Duration::from_millis(experiment.client.window_ms);
+    let series = |times: Vec<Duration>| Series::count(window, experiment.length(), times);
+    let answers = series(whole().map(|sample| sample.ended).collect());
+    let requests = series(whole().map(|sample| sample.intended).collect());
+    let mut baseline: Option<Baseline> = None;
     let mut recoveries = Vec::new();
     for (phase, start) in experiment.phases.iter().zip(experiment.phase_starts()) {
         let end = start + Duration::from_secs_f64(phase.seconds);
-        match (phase.role, before) {
-            (Role::Baseline, _) => before = Some((series.per_second(start, end), phase.demand)),
-            (Role::Recovery, Some((goodput, demand))) => {
-                let before = goodput * (phase.demand / demand).min(1.0);
-                let options = recovery::Options::default();
-                let time = series.recovery(start, end, before, &options);
+        match (phase.role, baseline) {
+            (Role::Baseline, _) => {
+                baseline = Some(Baseline {
+                    demand: phase.demand,
+                    answers: answers.per_second(start, end),
+                    requests: requests.per_second(start, end),
+                });
+            }
+            (Role::Recovery, Some(baseline)) => {
+                let scale = (phase.demand / baseline.demand).min(1.0);
+                let time = |series: &Series, before: f64| {
+                    let options = recovery::Options::default();
+                    let time = series.recovery(start, end, before * scale, &options);
+                    time.map(|time| time.as_secs_f64())
+                };
                 recoveries.push(Recovery {
                     phase: phase.name.clone(),
-                    before,
-                    seconds: time.map(|time| time.as_secs_f64()),
+                    before: baseline.answers * scale,
+                    answers_seconds: time(&answers, baseline.answers),
+                    requests_seconds: time(&requests, baseline.requests),
                 });
             }
             _ => {}
@@ -327,6 +361,14 @@
     recoveries
 }
 
+/// The goodput before a cause.
+#[derive(Clone, Copy)]
+struct Baseline {
+    demand: f64,
+    answers: f64,
+    requests: f64,
+}
+
 fn windows(experiment: &Experiment, samples: &[Sample]) -> Vec<Window> {
     let window = Duration::from_millis(experiment.client.window_ms);
     let index = |at: Duration| usize::try_from(at.as_nanos() / window.as_nanos()).unwrap_or(0);
--- a/crates/load/src/report/cell.rs
+++ b/crates/load/src/report/cell.rs
@@ -3,13 +3,8 @@
 use cassiashunt_types::prelude::*;
 use serde::Serialize;
 
-use super::{Latency, Marked, count_f64, ratio};
-use crate::{
-    Experiment, Outcome, Sample,
-    capacity::Capacity,
-    experiment::{Phase, WorkspaceOptions},
-    share,
-};
+use super::{Figures, Latency, count_f64, ratio};
+use crate::{Outcome, Sample, experiment::WorkspaceOptions, share};
 
 /// What one workspace got in a phase.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -52,31 +47,29 @@
     pub latency: Latency,
 }
 
-pub(super) fn workspace_shares(
-    experiment: &Experiment,
-    phase: &Phase,
-    capacity: Capacity,
-    marked: &[&Marked<'_>],
-) -> Vec<WorkspaceShare> {
-    let own = |index: usize| marked.iter().filter(move |m| m.sample.workspace == index);
-    let indexes = 0..experiment.workspaces.len();
+pub(super) fn workspace_shares(figures: &Figures<'_>) -> Vec<WorkspaceShare> {
+    let workspaces = &figures.experiment.workspaces;
+    let seconds = figures.phase.seconds;
+    let own = |index: usize| {
+        figures
+            .sent
+            .iter()
+            .filter(move |m| m.sample.workspace == index)
+    };
     let inside = |index: usize| own(index).filter(|m| m.conforms).count();
-    let demands: Vec<_> = indexes
-        .clone()
-        .map(|index| count_f64(inside(index)) / phase.seconds)
-        .collect();
-    let weights: Vec<_> = experiment
-        .workspaces
+    let demands = (0..workspaces.len()).map(|index| count_f64(inside(index)) / seconds);
+    let weights: Vec<_> = workspaces
         .iter()
         .map(|workspace| workspace.weight)
         .collect();
-    let entitled = share::fair(&demands, &weights, capacity.per_second);
-    let shares = indexes.map(|index| {
-        let goodput = count_f64(own(index).filter(|m| m.is_whole()).count()) / phase.seconds;
+    let bound = figures.bound.goodput;
+    let entitled = share::fair(&demands.collect::<Vec<_>>(), &weights, bound);
+    let shares = (0..workspaces.len()).map(|index| {
+        let goodput = count_f64(own(index).filter(|m| m.is_whole()).count()) / seconds;
         let refused = own(index).filter(|m| m.conforms && m.sample.outcome.is_refused());
         WorkspaceShare {
-            workspace: experiment.workspaces[index].name,
-            offered: count_f64(own(index).count()) / phase.seconds,
+            workspace: workspaces[index].name,
+            offered: count_f64(own(index).count()) / seconds,
             entitled: entitled[index],
             goodput,
             share: if entitled[index] > 0.0 {
@@ -90,37 +83,32 @@
     shares.collect()
 }
 
-pub(super) fn cells(experiment: &Experiment, phase: &Phase, marked: &[&Marked<'_>]) -> Vec<Cell> {
-    let workspaces = experiment.workspaces.iter().enumerate();
-    let kinds = 0..experiment.requests.len();
+pub(super) fn cells(figures: &Figures<'_>) -> Vec<Cell> {
+    let workspaces = figures.experiment.workspaces.iter().enumerate();
+    let kinds = 0..figures.experiment.requests.len();
     let pairs = workspaces.flat_map(|pair| kinds.clone().map(move |kind| (pair, kind)));
     pairs
         .map(|((index, workspace), kind)| {
-            let is_own = |m: &&&Marked<'_>| m.sample.workspace == index && m.sample.kind == kind;
-            let own: Vec<_> = marked.iter().filter(is_own).map(|m| m.sample).collect();
-            cell(experiment, phase, workspace, kind, &own)
+            let samples = figures.sent.iter().map(|m| m.sample);
+            let own = samples.filter(|s| s.workspace == index && s.kind == kind);
+            cell(figures, workspace, kind, &own.collect::<Vec<_>>())
         })
         .collect()
 }
 
-fn cell(
-    experiment: &Experiment,
-    phase: &Phase,
-    workspace: &WorkspaceOptions,
-    kind: usize,
-    own: &[&Sample],
-) -> Cell {
-    let per_second = |count: usize| count_f64(count) / phase.seconds;
+fn cell(figures: &Figures<'_>, workspace: &WorkspaceOptions, kind: usize, own: &[&Sample]) -> Cell {
+    let per_second = |count: usize| count_f64(count) / figures.phase.seconds;
     let whole = || own.iter().filter(|sample| sample.outcome == Outcome::Whole);
     let refused = own.iter().filter(|sample| sample.outcome.is_refused());
     let retries: u32 = own
         .iter()
         .map(|sample| sample.tries.saturating_sub(1))
         .sum();
+    let kind = &figures.experiment.requests[kind];
     Cell {
         workspace: workspace.name,
-        route: experiment.requests[kind].route,
-        class: experiment.requests[kind].class,
+        route: kind.route,
+        class: kind.class,
         offered: per_second(own.len()),
         goodput: per_second(whole().count()),
         refused: per_second(refused.count()),
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -165,7 +165,7 @@
     ) -> eyre::Result<(Vec<Sample>, Vec<String>)> {
         let shared = Shared {
             turn: self,
-            client: Client::new(self.experiment, ingress)?,
+            client: Client::new(self.experiment, self.variant, ingress)?,
             retries: self
                 .variant
                 .retries
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -2,7 +2,10 @@
 
 use std::fmt::Write;
 
-use crate::report::{Comparison, PhaseReport, Report, Spread};
+use crate::report::{Comparison, PhaseReport, Recovery, Spread};
+
+/// Rows of cells, the first of which are the titles.
+type Rows = Vec<Vec<String>>;
 
 /// Renders the whole comparison.
 #[must_use]
@@ -18,14 +21,29 @@
     );
     line(
         &mut out,
-        &format!("{runs} runs of each variant: median [least to greatest]"),
+        &format!("runs of each variant: {runs}; median [least to greatest]"),
     );
     for phase in &first.phases {
         render_phase(&mut out, comparison, phase);
     }
     render_recoveries(&mut out, comparison);
-    render_workspaces(&mut out, comparison);
-    render_outcomes(&mut out, comparison);
+    for phase in &first.phases {
+        title(
+            &mut out,
+            &format!(
+                "{}: goodput of each workspace, % of its entitled demand",
+                phase.phase
+            ),
+        );
+        render_rows(&mut out, &workspace_rows(comparison, phase));
+    }
+    for phase in &first.phases {
+        title(
+            &mut out,
+            &format!("{}: outcomes of requests, all runs", phase.phase),
+        );
+        render_rows(&mut out, &outcome_rows(comparison, phase));
+    }
     render_failed_faults(&mut out, comparison);
     out
 }
@@ -34,6 +52,35 @@
     writeln!(out, "{}", text.trim_end()).expect("writing to a string does not fail");
 }
 
+fn title(out: &mut String, text: &str) {
+    line(out, "");
+    line(out, text);
+}
+
+/// Writes rows with each column as wide as its widest cell; the first column is set left.
+fn render_rows(out: &mut String, rows: &Rows) {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<_> = (0..columns).map(width).collect();
+    for row in rows {
+        let cells = row
+            .iter()
+            .zip(&widths)
+            .enumerate()
+            .map(|(column, (cell, width))| {
+                if column == 0 {
+                    format!("  {cell:<width$}")
+                } else {
+                    format!("  {cell:>width$}")
+                }
+            });
+        line(out, &cells.collect::<String>());
+    }
+}
+
 /// A column of the phase tables.
 struct Column {
     title: &'static str,
@@ -85,151 +132,160 @@
     },
     Column {
         title: "p50 ms",
-        decimals: 1,
+        decimals: 2,
         figure: |phase| phase.latency.p50,
     },
     Column {
         title: "p99 ms",
-        decimals: 1,
+        decimals: 2,
         figure: |phase| phase.latency.p99,
     },
 ];
 
-/// Goodput over the lesser of the offered load and the capacity bound.
 fn bound_share(phase: &PhaseReport) -> f64 {
-    phase.goodput / phase.offered.min(phase.capacity.per_second)
+    phase.goodput / phase.bound.goodput
 }
 
 fn render_phase(out: &mut String, comparison: &Comparison, phase: &PhaseReport) {
-    line(out, "");
-    let capacity = phase.capacity;
-    line(
-        out,
-        &format!(
-            "{}: {:.0} s, offered {:.0}/s, capacity bound {:.0}/s (set by {})",
-            phase.phase, phase.seconds, phase.offered, capacity.per_second, capacity.bottleneck,
-        ),
-    );
-    let titles = COLUMNS.iter().map(|column| format!("{:>22}", column.title));
-    line(
-        out,
-        &format!("  {:<24}{}", "variant", titles.collect::<String>()),
+    let capacity = phase.bound.capacity;
+    let text = format!(
+        "{}: {:.0} s, offered {:.0}/s, goodput bound {:.0}/s, capacity at this mix {:.0}/s (set by {})",
+        phase.phase,
+        phase.seconds,
+        phase.offered,
+        phase.bound.goodput,
+        capacity.per_second,
+        capacity.bottleneck,
     );
+    title(out, &text);
+    let titles = COLUMNS.iter().map(|column| column.title.to_owned());
+    let mut rows = vec![
+        std::iter::once("variant".to_owned())
+            .chain(titles)
+            .collect(),
+    ];
     for variant in comparison.variants() {
         let cells = COLUMNS.iter().map(|column| {
             let spread = comparison.spread(variant, &phase.phase, column.figure);
-            format!("{:>22}", spread_text(spread, column.decimals))
+            spread_text(spread, column.decimals)
         });
-        line(
-            out,
-            &format!("  {variant:<24}{}", cells.collect::<String>()),
-        );
+        rows.push(std::iter::once(variant.to_owned()).chain(cells).collect());
     }
+    render_rows(out, &rows);
 }
 
 fn spread_text(spread: Option<Spread>, decimals: usize) -> String {
-    let Some(spread) = spread else {
+    let Some(Spread { median, min, max }) = spread else {
         return "-".into();
     };
-    let Spread { median, min, max } = spread;
+    let [median, min, max] = [median, min, max].map(|figure| format!("{figure:.decimals$}"));
     if min == max {
-        return format!("{median:.decimals$}");
+        return median;
     }
-    format!("{median:.decimals$} [{min:.decimals$} to {max:.decimals$}]")
+    format!("{median} [{min} to {max}]")
 }
 
 fn render_recoveries(out: &mut String, comparison: &Comparison) {
-    let names = comparison
-        .reports
-        .iter()
-        .flat_map(|report| &report.recoveries);
-    let mut phases: Vec<_> = names.map(|recovery| recovery.phase.as_str()).collect();
-    phases.dedup();
-    phases.sort_unstable();
-    phases.dedup();
-    for phase in phases {
-        line(out, "");
-        line(
+    let Some(first) = comparison.reports.first() else {
+        return;
+    };
+    for recovery in &first.recoveries {
+        let phase = &recovery.phase;
+        title(
             out,
-            &format!("time from the start of {phase} to 95% of the earlier goodput"),
+            &format!("seconds from the start of {phase} to 95% of the earlier goodput"),
         );
+        let titles = [
+            "variant",
+            "of answers that come",
+            "of requests sent from then on",
+        ];
+        let mut rows = vec![titles.map(str::to_owned).to_vec()];
         for variant in comparison.variants() {
-            let times = recovery_times(comparison, variant, phase);
-            line(out, &format!("  {variant:<24}{times}"));
+            let answers = recovery_times(comparison, variant, phase, |r| r.answers_seconds);
+            let requests = recovery_times(comparison, variant, phase, |r| r.requests_seconds);
+            rows.push(vec![variant.to_owned(), answers, requests]);
         }
+        render_rows(out, &rows);
     }
 }
 
-fn recovery_times(comparison: &Comparison, variant: &str, phase: &str) -> String {
+fn recovery_times(
+    comparison: &Comparison,
+    variant: &str,
+    phase: &str,
+    time: impl Fn(&Recovery) -> Option<f64>,
+) -> String {
     let recoveries = comparison.of(variant).flat_map(|report| &report.recoveries);
-    let times: Vec<_> = recoveries
-        .filter(|r| r.phase == phase)
-        .map(|r| r.seconds)
-        .collect();
+    let times: Vec<_> = recoveries.filter(|r| r.phase == phase).map(time).collect();
     let never = times.iter().filter(|time| time.is_none()).count();
-    let spread = Spread::of(times.iter().copied().flatten());
-    let unit = if spread.is_some() { " s" } else { "" };
-    let missing = match never {
-        0 => String::new(),
-        never => format!(", not within the phase in {never} of {} runs", times.len()),
-    };
-    format!("{}{unit}{missing}", spread_text(spread, 2))
-}
-
-fn render_workspaces(out: &mut String, comparison: &Comparison) {
-    for (report, phase) in first_runs(comparison) {
-        line(out, "");
-        line(
-            out,
-            &format!("{}, {}: workspaces, first run", report.variant, phase.phase),
-        );
-        line(
-            out,
-            "  workspace                    offered/s  entitled/s   goodput/s   share %",
-        );
-        for workspace in &phase.workspaces {
-            line(
-                out,
-                &format!(
-                    "  {:<24}{:>14.1}{:>12.1}{:>12.1}{:>10.1}",
-                    workspace.workspace,
-                    workspace.offered,
-                    workspace.entitled,
-                    workspace.goodput,
-                    100.0 * workspace.share,
-                ),
-            );
-        }
+    let spread = spread_text(Spread::of(times.iter().copied().flatten()), 2);
+    match never {
+        0 => spread,
+        never => format!(
+            "{spread}, not in the phase in {never} of {} runs",
+            times.len()
+        ),
     }
 }
 
-fn render_outcomes(out: &mut String, comparison: &Comparison) {
-    for (report, phase) in first_runs(comparison) {
-        line(out, "");
-        line(
-            out,
-            &format!("{}, {}: outcomes, first run", report.variant, phase.phase),
-        );
-        for outcome in &phase.outcomes {
-            line(
-                out,
-                &format!("  {:<36}{:>10}", outcome.outcome, outcome.count),
-            );
-        }
-        let late = phase.lateness.p99;
-        line(
-            out,
-            &format!("  {:<36}{late:>10.1}", "sent late, p99 in ms"),
-        );
+fn workspace_rows(comparison: &Comparison, phase: &PhaseReport) -> Rows {
+    let variants = comparison.variants();
+    let fixed = ["workspace", "offered/s", "entitled/s"].map(str::to_owned);
+    let names = variants.iter().map(|variant| (*variant).to_owned());
+    let mut rows = vec![fixed.into_iter().chain(names).collect()];
+    for (index, workspace) in phase.workspaces.iter().enumerate() {
+        let shares = variants.iter().map(|variant| {
+            let share = |phase: &PhaseReport| 100.0 * phase.workspaces[index].share;
+            spread_text(comparison.spread(variant, &phase.phase, share), 1)
+        });
+        let fixed = [
+            workspace.workspace.to_string(),
+            format!("{:.1}", workspace.offered),
+            format!("{:.1}", workspace.entitled),
+        ];
+        rows.push(fixed.into_iter().chain(shares).collect());
     }
+    rows
 }
 
-fn first_runs(comparison: &Comparison) -> impl Iterator<Item = (&Report, &PhaseReport)> {
-    let firsts = comparison
-        .reports
+fn outcome_rows(comparison: &Comparison, phase: &PhaseReport) -> Rows {
+    let variants = comparison.variants();
+    let of_phase = |variant| {
+        let phases = comparison.of(variant).flat_map(|report| &report.phases);
+        phases.filter(|report| report.phase == phase.phase)
+    };
+    let all = variants
         .iter()
-        .filter(|report| report.repeat == 0);
-    firsts.flat_map(|report| report.phases.iter().map(move |phase| (report, phase)))
+        .flat_map(|variant| of_phase(variant))
+        .flat_map(|p| &p.outcomes);
+    let mut names: Vec<_> = all.map(|outcome| outcome.outcome.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    let titles = variants.iter().map(|variant| (*variant).to_owned());
+    let mut rows = vec![
+        std::iter::once("outcome".to_owned())
+            .chain(titles)
+            .collect(),
+    ];
+    for name in names {
+        let counts = variants.iter().map(|variant| {
+            let outcomes = of_phase(variant).flat_map(|report| &report.outcomes);
+            let counts = outcomes.filter(|outcome| outcome.outcome == name);
+            counts.map(|outcome| outcome.count).sum::<u64>().to_string()
+        });
+        rows.push(std::iter::once(name.to_owned()).chain(counts).collect());
+    }
+    let late = variants.iter().map(|variant| {
+        let late = comparison.spread(variant, &phase.phase, |phase| phase.lateness.p99);
+        spread_text(late, 1)
+    });
+    rows.push(
+        std::iter::once("sent late, p99 ms".to_owned())
+            .chain(late)
+            .collect(),
+    );
+    rows
 }
 
 fn render_failed_faults(out: &mut String, comparison: &Comparison) {
--- a/crates/standin/src/server/options.rs
+++ b/crates/standin/src/server/options.rs
@@ -181,6 +181,8 @@
     pub child_retries: u32,
     /// The time limit of a child call, in milliseconds.
     pub child_timeout_ms: u64,
+    /// Whether a child call says how long it is waited for.
+    pub child_deadlines: bool,
     /// The cost of a new connection, in milliseconds.
     pub connect_ms: f64,
     /// The delay before each request is looked at, in milliseconds.
@@ -224,6 +226,7 @@
             peers: BTreeMap::new(),
             child_retries: 0,
             child_timeout_ms: 10_000,
+            child_deadlines: true,
             connect_ms: 0.0,
             delay_ms: 0.0,
             slow_factor: 1.0,
--- a/crates/standin/src/server/work.rs
+++ b/crates/standin/src/server/work.rs
@@ -250,8 +250,10 @@
         let mut req = ureq::http::Request::builder()
             .method(child.method.as_str())
             .uri(uri)
-            .header(ID_HEADER, id.as_str())
-            .header(TIMEOUT_HEADER, limit.as_millis().to_string());
+            .header(ID_HEADER, id.as_str());
+        if self.options.child_deadlines {
+            req = req.header(TIMEOUT_HEADER, limit.as_millis().to_string());
+        }
         if let Some(ticket) = self.req.header(TICKET_HEADER) {
             req = req.header(TICKET_HEADER, ticket);
         }
