--- a/crates/table/src/commit/action.rs
+++ b/crates/table/src/commit/action.rs
@@ -34,9 +34,8 @@
     ReadAudit,
     /// Writes the head by compare-and-swap ([`Event::Swapped`](super::Event::Swapped)).
     Swap(Proposal),
-    /// Asks for the newest head that a majority of the peers have in force or have built on
-    /// ([`Event::Majority`](super::Event::Majority)).
-    AskMajority,
+    /// Asks the peers which heads they have in force ([`Event::Held`](super::Event::Held)).
+    AskPeers,
     /// Gives a durable head to the peers ([`Event::Spread`](super::Event::Spread)).
     Spread(Arc<Head>),
     /// Nothing more: this is the outcome.
--- a/crates/table/src/commit/driver.rs
+++ b/crates/table/src/commit/driver.rs
@@ -4,15 +4,15 @@
 
 use cassiashunt_platform::{Platform, swap};
 
-use super::{Action, Commit, Event, Outcome, Proposal, Spread, Stored, Swapped};
+use super::{Action, Commit, Event, Held, Outcome, Proposal, Spread, Stored, Swapped};
 use crate::{AUDIT_PREFIX, Block, HEAD_KEY, Head};
 
 /// How a commit reaches the peers, and how it waits.
 pub struct Peers<'a> {
     /// Gives a durable head to the peers and says what they made of it.
     pub spread: &'a dyn Fn(&Arc<Head>) -> Spread,
-    /// The newest head that a majority of the peers have in force or have built on.
-    pub majority: &'a dyn Fn() -> Option<Arc<Head>>,
+    /// Asks the peers which heads they have in force.
+    pub held: &'a dyn Fn() -> Held,
     /// Waits.
     pub wait: &'a dyn Fn(Duration),
 }
@@ -23,7 +23,10 @@
     pub fn none() -> Self {
         Self {
             spread: &|_| Spread::Taken,
-            majority: &|| None,
+            held: &|| Held {
+                heads: Vec::new(),
+                blocking: 1,
+            },
             wait: &thread::sleep,
         }
     }
@@ -44,7 +47,7 @@
             Action::KeepAudit(block) => keep_audit(platform, &block),
             Action::ReadAudit => read_audit(platform),
             Action::Swap(proposal) => Event::Swapped(swap_head(platform, &proposal)),
-            Action::AskMajority => Event::Majority((peers.majority)()),
+            Action::AskPeers => Event::Held((peers.held)()),
             Action::Spread(head) => Event::Spread((peers.spread)(&head)),
             Action::Finish(outcome) => return outcome,
         };
--- a/crates/table/src/commit/event.rs
+++ b/crates/table/src/commit/event.rs
@@ -4,6 +4,7 @@
 
 use cassiashunt_platform::Version;
 
+use super::Held;
 use crate::{Head, Record};
 
 /// The head that the platform holds.
@@ -62,8 +63,8 @@
     Audit(Vec<Record>),
     /// What came of the compare-and-swap.
     Swapped(Swapped),
-    /// The head that a majority of the peers have in force or have built on, where one is known.
-    Majority(Option<Arc<Head>>),
+    /// The heads that the peers have in force.
+    Held(Held),
     /// What the peers made of the head.
     Spread(Spread),
 }
--- a/crates/table/src/commit/lines.rs
+++ b/crates/table/src/commit/lines.rs
@@ -4,45 +4,66 @@
 
 use crate::{Head, Lineage, Merged, merge};
 
-/// The heads that a commit knows of, in the order of their weight.
+/// What the peers hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// The head in force at each peer that answered and may vouch, this node's own included.
+    pub heads: Vec<Arc<Head>>,
+    /// How many peers have to refuse a head so that it cannot reach a majority.
+    pub blocking: usize,
+}
+
+impl Held {
+    /// Whether so many peers hold a line that forked from this one that nothing which only this
+    /// one holds was or will be accepted.
+    fn blocks(&self, line: &Head) -> bool {
+        let forked = |head: &&Arc<Head>| head.lineage(line) == Lineage::Forked;
+        self.heads.iter().filter(forked).count() >= self.blocking
+    }
+}
+
+/// The heads that a commit knows of.
 #[derive(Debug, Clone)]
-pub(super) struct Lines {
-    /// The line that a majority of the peers hold.
-    pub backed: Option<Arc<Head>>,
+pub(super) struct Lines<'a> {
     /// The newest head known here.
-    pub known: Option<Arc<Head>>,
+    pub known: Option<&'a Arc<Head>>,
     /// The platform's head.
-    pub stored: Option<Arc<Head>>,
+    pub stored: Option<&'a Arc<Head>>,
+    /// What the peers hold, where they were asked.
+    pub held: Option<&'a Held>,
 }
 
-impl Lines {
-    /// One head that accounts for every edit of all lines; a weightier line wins a conflict.
-    pub(super) fn join(self) -> Merged {
-        let mut lines = [self.backed, self.known, self.stored].into_iter().flatten();
-        let first = lines.next().map(Arc::unwrap_or_clone);
-        let mut joined = Merged {
-            head: first.unwrap_or_default(),
-            dropped: Vec::new(),
-        };
-        for line in lines {
-            joined = join_one(joined, &line);
+impl Lines<'_> {
+    /// One head that accounts for both lines, or nothing where the peers have to say more.
+    ///
+    /// Where the lines contradict each other, the one that the peers block gives way.
+    pub(super) fn join(&self) -> Option<Merged> {
+        match (self.known, self.stored) {
+            (None, None) => Some(whole(&Head::default())),
+            (Some(line), None) | (None, Some(line)) => Some(whole(line)),
+            (Some(known), Some(stored)) => match known.lineage(stored) {
+                Lineage::Same | Lineage::Ahead => Some(whole(stored)),
+                Lineage::Behind => Some(whole(known)),
+                Lineage::Forked => self.join_forked(known, stored),
+            },
         }
-        joined
+    }
+
+    fn join_forked(&self, known: &Head, stored: &Head) -> Option<Merged> {
+        let gives_way = |line| self.held.is_some_and(|held| held.blocks(line));
+        let (base, other) = match gives_way(known) && !gives_way(stored) {
+            true => (stored, known),
+            false => (known, stored),
+        };
+        let merged = merge(base, other);
+        (!merged.contested || gives_way(other)).then_some(merged)
     }
 }
 
-fn join_one(mut joined: Merged, line: &Head) -> Merged {
-    match joined.head.lineage(line) {
-        Lineage::Same | Lineage::Behind => joined,
-        Lineage::Ahead => {
-            joined.head = line.clone();
-            joined
-        }
-        Lineage::Forked => {
-            let merged = merge(&joined.head, line);
-            joined.head = merged.head;
-            joined.dropped.extend(merged.dropped);
-            joined
-        }
+fn whole(head: &Head) -> Merged {
+    Merged {
+        head: head.clone(),
+        dropped: Vec::new(),
+        contested: false,
     }
 }
--- a/crates/table/src/commit/machine.rs
+++ b/crates/table/src/commit/machine.rs
@@ -6,7 +6,7 @@
 use cassiashunt_types::Revision;
 
 use super::{
-    Action, Event, Options, Outcome, Proposal, Refused, Spread, Stored, Swapped, lines::Lines,
+    Action, Event, Held, Options, Outcome, Proposal, Refused, Spread, Stored, Swapped, lines::Lines,
 };
 use crate::{Dropped, Edit, EditId, Head, Lineage, Record, edit};
 
@@ -36,8 +36,8 @@
     edit: Option<Edit>,
     /// The newest head known here or by the peers.
     known: Option<Arc<Head>>,
-    /// Where a majority of the peers hold a line, that line.
-    backed: Option<Arc<Head>>,
+    /// What the peers hold, where they were asked.
+    held: Option<Held>,
     /// Whether a swap of the edit may have taken effect.
     sent: bool,
     /// The oldest revision that the edit may have made.
@@ -71,7 +71,7 @@
             options,
             edit,
             known,
-            backed: None,
+            held: None,
             sent: false,
             search_from: options.repeated.then_some(Revision(0)),
             landed: false,
@@ -96,10 +96,7 @@
                 self.finish(Outcome::Refused(Refused::Unreadable { detail }))
             }
             (Step::Searching(stored), Event::Audit(records)) => self.on_audit(stored, &records),
-            (Step::Asking(stored), Event::Majority(Some(head))) => self.on_majority(stored, head),
-            (Step::Asking(_), Event::Majority(None)) => {
-                self.finish(Outcome::Refused(Refused::Undecided))
-            }
+            (Step::Asking(stored), Event::Held(held)) => self.on_held(stored, held),
             (Step::Keeping(proposal), Event::AuditKept) => self.swap(proposal),
             (Step::Searching(_) | Step::Keeping(_), Event::AuditFailed) => self.read(),
             (Step::Swapping(proposal), Event::Swapped(swapped)) => {
@@ -113,6 +110,7 @@
     fn read(&mut self) -> Action {
         self.verdict = None;
         self.landed = false;
+        self.held = None;
         if self.reads == self.options.reads {
             return self.give_up();
         }
@@ -180,15 +178,13 @@
     /// Finds the head to build on.
     fn reconcile(&mut self, stored: Option<Stored>) -> Action {
         let lines = Lines {
-            backed: self.backed.clone(),
-            known: self.known.clone(),
-            stored: stored.as_ref().map(|stored| Arc::clone(&stored.head)),
+            known: self.known.as_ref(),
+            stored: stored.as_ref().map(|stored| &stored.head),
+            held: self.held.as_ref(),
+        };
+        let Some(joined) = lines.join() else {
+            return self.ask(stored);
         };
-        let joined = lines.join();
-        if !joined.dropped.is_empty() && self.backed.is_none() {
-            self.step = Step::Asking(stored);
-            return Action::AskMajority;
-        }
         self.verdict = self.verdict_of(&joined.dropped);
         let version = stored.as_ref().map(|stored| stored.version);
         let expected = version.map_or(Expected::Absent, Expected::At);
@@ -197,9 +193,18 @@
         self.propose(expected, &joined.head, renewed)
     }
 
-    fn on_majority(&mut self, stored: Option<Stored>, head: Arc<Head>) -> Action {
-        self.backed = Some(head);
-        self.on_read(stored)
+    /// Asks the peers which of two lines gives way; once asked, they have left it undecided.
+    fn ask(&mut self, stored: Option<Stored>) -> Action {
+        if self.held.is_some() {
+            return self.finish(Outcome::Refused(Refused::Undecided));
+        }
+        self.step = Step::Asking(stored);
+        Action::AskPeers
+    }
+
+    fn on_held(&mut self, stored: Option<Stored>, held: Held) -> Action {
+        self.held = Some(held);
+        self.reconcile(stored)
     }
 
     /// What to report where the edit itself could not be kept.
@@ -295,7 +300,6 @@
             Spread::Silent => self.finish_as(Outcome::StillUnknown),
             Spread::Refused { by } => {
                 self.known = Some(by);
-                self.backed = None;
                 self.read()
             }
         }
@@ -304,7 +308,7 @@
     fn accept(&mut self, head: &Head) -> Action {
         let id = self.edit_id();
         if let Some(verdict) = self.verdict.take() {
-            let dropped = id.is_some_and(|id| head.accounts_for(id));
+            let dropped = id.is_some_and(|id| head.settles(id));
             self.sent &= !dropped;
             return self.finish(verdict);
         }
--- a/crates/table/src/edit/apply.rs
+++ b/crates/table/src/edit/apply.rs
@@ -18,7 +18,8 @@
 /// Says which change could not be applied and why; nothing is applied then.
 pub fn apply(head: &Head, edit: &Edit) -> Result<Head, Error> {
     let revision = head.revision().next();
-    let record = Record::of(edit, revision);
+    let line = head.line_after(edit.id, revision);
+    let record = Record::of(edit, revision, line);
     let bytes = record.bytes();
     if bytes > MAX_EDIT_BYTES {
         return Err(Error::EditTooLarge { bytes });
--- a/crates/table/src/edit/id.rs
+++ b/crates/table/src/edit/id.rs
@@ -3,7 +3,11 @@
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+
+use crate::{LineId, line_id::digest};
+
+/// Keeps identifiers of joins apart from those of lines.
+const JOIN_MARK: u64 = u64::MAX;
 
 /// An edit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -37,14 +41,9 @@
     }
 
     /// The identifier of the edit that joins two lines of history.
-    pub(crate) fn of_join(ours: Option<Self>, theirs: Option<Self>) -> Self {
-        let mut digest = Sha256::new();
-        for tag in [ours, theirs] {
-            digest.update(tag.map_or(0, |id| id.0).to_be_bytes());
-        }
-        let digest: [u8; 32] = digest.finalize().into();
-        let first = digest.first_chunk().expect("a digest has 32 bytes");
-        Self(u64::from_be_bytes(*first))
+    pub(crate) fn of_join(ours: Option<LineId>, theirs: Option<LineId>) -> Self {
+        let number = |line: Option<LineId>| line.map_or(0, |line| line.0);
+        Self(digest([number(ours), number(theirs), JOIN_MARK]))
     }
 }
 
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -5,7 +5,7 @@
 use cassiashunt_types::Revision;
 use serde::{Deserialize, Serialize};
 
-use crate::{Block, EditId, Keys, Record, Table};
+use crate::{Block, EditId, Keys, LineId, Record, Table};
 
 /// The platform's key of the head.
 pub const HEAD_KEY: &str = "table/head";
@@ -123,10 +123,10 @@
         self.recent.iter()
     }
 
-    /// The last edit, which tells apart heads of the same revision.
+    /// The line of history, which tells apart heads of the same revision.
     #[must_use]
-    pub fn tag(&self) -> Option<EditId> {
-        self.recent.back().map(|record| record.edit)
+    pub fn line(&self) -> Option<LineId> {
+        self.recent.back().map(|record| record.line)
     }
 
     /// The record of an edit, where it is among the last ones.
@@ -137,8 +137,14 @@
 
     /// Whether an edit is among the last ones, or was dropped by one of them.
     #[must_use]
-    pub fn accounts_for(&self, edit: EditId) -> bool {
-        self.recent.iter().any(|record| record.accounts_for(edit))
+    pub fn settles(&self, edit: EditId) -> bool {
+        self.recent.iter().any(|record| record.settles(edit))
+    }
+
+    /// Whether the head goes on from a line or joined it, as far as its last records tell.
+    #[must_use]
+    pub fn accounts_for(&self, line: LineId) -> bool {
+        self.recent.iter().any(|record| record.accounts_for(line))
     }
 
     /// Whether edits as old as `revision` may have left the head.
@@ -153,7 +159,7 @@
     /// A head whose last edit is older than the other's audit records is taken for its ancestor.
     #[must_use]
     pub fn lineage(&self, other: &Self) -> Lineage {
-        if self.tag() == other.tag() && self.revision == other.revision {
+        if self.line() == other.line() && self.revision == other.revision {
             return Lineage::Same;
         }
         if other.builds_on(self) {
@@ -166,7 +172,7 @@
     }
 
     fn builds_on(&self, older: &Self) -> bool {
-        let accounted = older.tag().is_none_or(|tag| self.accounts_for(tag));
+        let accounted = older.line().is_none_or(|line| self.accounts_for(line));
         accounted || self.may_have_spilled(older.revision)
     }
 
@@ -192,6 +198,11 @@
         &mut self.keys
     }
 
+    /// The line that goes on from this head with an edit.
+    pub(crate) fn line_after(&self, edit: EditId, revision: Revision) -> LineId {
+        LineId::after(self.line(), edit, revision)
+    }
+
     /// Adds a record and takes on its revision.
     pub(crate) fn push(&mut self, record: Record) {
         self.revision = record.revision;
--- a/crates/table/src/merge.rs
+++ b/crates/table/src/merge.rs
@@ -1,9 +1,7 @@
 //! Joining two lines of history after the platform has gone back to an older state.
 
-use cassiashunt_types::Revision;
-
 use crate::{
-    EditId, Head, Record, Reinstall,
+    EditId, Head, LineId, Record, Reinstall,
     edit::{Conflict, Current, Error, apply_change},
 };
 
@@ -23,6 +21,9 @@
     pub head: Head,
     /// Edits of the other line that could not be kept.
     pub dropped: Vec<Dropped>,
+    /// Whether the lines contradict each other: an edit of the other one was dropped, or it had
+    /// dropped an edit that is kept.
+    pub contested: bool,
 }
 
 /// Builds on `ours` the edits of `theirs` that it does not account for, as far as they find what
@@ -33,8 +34,15 @@
 pub fn merge(ours: &Head, theirs: &Head) -> Merged {
     let mut head = ours.clone();
     let mut dropped = Vec::new();
+    let mut lines = Vec::new();
+    let mut contested = false;
     for record in theirs.recent() {
-        if ours.accounts_for(record.edit) {
+        if ours.accounts_for(record.line) {
+            continue;
+        }
+        lines.push(record.line);
+        contested |= drops_kept_edit(ours, record);
+        if head.settles(record.edit) {
             continue;
         }
         match replay(&head, record) {
@@ -42,20 +50,36 @@
             Err(err) => dropped.push(dropped_by(record.edit, err)),
         }
     }
-    let revision = Revision(head.revision().0.max(theirs.revision().0)).next();
     let ids = dropped.iter().map(|dropped| dropped.edit).collect();
-    head.push(join_record(ours, theirs, revision, ids));
-    Merged { head, dropped }
+    let record = join_record(&head, ours, theirs, ids, lines);
+    head.push(record);
+    contested |= !dropped.is_empty();
+    Merged {
+        head,
+        dropped,
+        contested,
+    }
+}
+
+fn drops_kept_edit(ours: &Head, record: &Record) -> bool {
+    let dropped = record
+        .reinstall
+        .as_ref()
+        .map(|join| join.dropped.as_slice());
+    let mut dropped = dropped.unwrap_or_default().iter();
+    dropped.any(|edit| ours.find(*edit).is_some())
 }
 
 fn replay(head: &Head, record: &Record) -> Result<Head, Error> {
     let revision = head.revision().next();
+    let line = head.line_after(record.edit, revision);
     let mut next = head.clone();
     for change in &record.changes {
         apply_change(&mut next, revision, change)?;
     }
     next.push(Record {
         revision,
+        line,
         ..record.clone()
     });
     Ok(next)
@@ -69,15 +93,28 @@
     Dropped { edit, conflict }
 }
 
-fn join_record(ours: &Head, theirs: &Head, revision: Revision, dropped: Vec<EditId>) -> Record {
+fn join_record(
+    head: &Head,
+    ours: &Head,
+    theirs: &Head,
+    dropped: Vec<EditId>,
+    lines: Vec<LineId>,
+) -> Record {
+    let revision = head.revision().max(theirs.revision()).next();
+    let edit = EditId::of_join(ours.line(), theirs.line());
     let over = theirs.revision();
     Record {
-        edit: EditId::of_join(ours.tag(), theirs.tag()),
+        edit,
         revision,
         who: "cassiashunt".into(),
         when: String::new(),
         changes: Vec::new(),
-        reinstall: Some(Reinstall { over, dropped }),
+        line: head.line_after(edit, revision),
+        reinstall: Some(Reinstall {
+            over,
+            dropped,
+            lines,
+        }),
     }
 }
 
--- a/crates/table/src/record.rs
+++ b/crates/table/src/record.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{Change, Edit, EditId};
+use crate::{Change, Edit, EditId, LineId};
 
 /// What the keys of audit values begin with.
 pub const AUDIT_PREFIX: &str = "table/audit/";
@@ -19,6 +19,8 @@
     pub over: Revision,
     /// Edits of the platform's line that were never accepted and could not be kept.
     pub dropped: Vec<EditId>,
+    /// The lines of the platform that were joined.
+    pub lines: Vec<LineId>,
 }
 
 /// One entry of the audit trail; a change says what stood before and after.
@@ -35,29 +37,38 @@
     pub when: String,
     /// The changes, in order.
     pub changes: Vec<Change>,
+    /// The line of history that ends with this record.
+    pub line: LineId,
     /// Set where this joined two lines of history.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reinstall: Option<Reinstall>,
 }
 
 impl Record {
-    pub(crate) fn of(edit: &Edit, revision: Revision) -> Self {
+    pub(crate) fn of(edit: &Edit, revision: Revision, line: LineId) -> Self {
         Self {
             edit: edit.id,
             revision,
             who: edit.who.clone(),
             when: edit.when.clone(),
             changes: edit.changes.clone(),
+            line,
             reinstall: None,
         }
     }
 
     /// Whether this applied the edit, or recorded that it was dropped.
-    pub(crate) fn accounts_for(&self, edit: EditId) -> bool {
+    pub(crate) fn settles(&self, edit: EditId) -> bool {
         let dropped = self.reinstall.as_ref().map(|join| join.dropped.as_slice());
         self.edit == edit || dropped.unwrap_or_default().contains(&edit)
     }
 
+    /// Whether this ends the line, or joined it with another.
+    pub(crate) fn accounts_for(&self, line: LineId) -> bool {
+        let joined = self.reinstall.as_ref().map(|join| join.lines.as_slice());
+        self.line == line || joined.unwrap_or_default().contains(&line)
+    }
+
     /// The size of the record in the head, in bytes.
     pub(crate) fn bytes(&self) -> usize {
         let text = serde_json::to_vec(self);
