--- /dev/null
+++ b/crates/member/examples/cost.rs
@@ -0,0 +1,252 @@
+//! Measures what the membership costs one node, and how fast it spreads, by size of the fleet.
+//!
+//! The nodes run in one process, on virtual time and a network that loses nothing. Bytes are
+//! averages over the nodes, headers included; processor time is that spent in the membership alone.
+//!
+//! ```text
+//! cargo run --release -p cassiashunt-member --example cost [-- PERIOD_MS [NODES...]]
+//! ```
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use cassiashunt_member::{
+    Event, Load, Options, Phase,
+    cost::{Cost, Fleet},
+};
+use cassiashunt_types::prelude::*;
+use common::Net;
+
+const SIZES: [u16; 7] = [5, 10, 20, 40, 100, 300, 1_000];
+
+/// Nodes that attest: three in each of five failure domains.
+const ATTESTING: usize = 15;
+const PER_DOMAIN: usize = 3;
+
+/// Attesting nodes renew this often.
+const RENEWAL: Duration = Duration::from_millis(500);
+
+/// Simulated seconds that are measured.
+const SECONDS: u32 = 10;
+
+struct Row {
+    nodes: u16,
+    sent: f64,
+    received: f64,
+    formula: f64,
+    cpu_micros: f64,
+    state_bytes: usize,
+    ages: Ages,
+    spread_ms: f64,
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let period = args.next().map_or(Ok(100), |arg| arg.parse::<u64>());
+    let period = Duration::from_millis(period.expect("the period is a number"));
+    let sizes: Vec<u16> = args
+        .map(|arg| arg.parse().expect("a size is a number"))
+        .collect();
+    let sizes = if sizes.is_empty() {
+        SIZES.to_vec()
+    } else {
+        sizes
+    };
+    let opts = Options {
+        period,
+        ..Default::default()
+    };
+    println!(
+        "{:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>9} {:>9} {:>6} {:>7}",
+        "nodes",
+        "sent",
+        "received",
+        "formula",
+        "cpu",
+        "state",
+        "mean",
+        "youngest",
+        "majority",
+        "worst",
+        "spread"
+    );
+    println!(
+        "{:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>9} {:>9} {:>6} {:>7}",
+        "", "B/s", "B/s", "B/s", "us/s", "B", "ms", "ms", "ms", "ms", "ms"
+    );
+    let rows: Vec<Row> = sizes
+        .into_iter()
+        .map(|nodes| measure(opts, nodes))
+        .collect();
+    for row in &rows {
+        print(row);
+    }
+    println!("slope per node, least squares:");
+    println!("  sent     {:.3} B/s", slope(&rows, |row| row.sent));
+    println!("  received {:.3} B/s", slope(&rows, |row| row.received));
+    println!("  cpu      {:.3} us/s", slope(&rows, |row| row.cpu_micros));
+    println!(
+        "  state    {:.1} B",
+        slope(&rows, |row| row.state_bytes as f64)
+    );
+}
+
+fn print(row: &Row) {
+    println!(
+        "{:>5} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>9} {:>6.0} {:>9.0} {:>9.0} {:>6.0} {:>7.0}",
+        row.nodes,
+        row.sent,
+        row.received,
+        row.formula,
+        row.cpu_micros,
+        row.state_bytes,
+        row.ages.mean(),
+        row.ages.youngest,
+        row.ages.majority,
+        row.ages.worst,
+        row.spread_ms
+    );
+}
+
+fn slope(rows: &[Row], value: impl Fn(&Row) -> f64) -> f64 {
+    let count = rows.len() as f64;
+    let mean_x = rows.iter().map(|r| f64::from(r.nodes)).sum::<f64>() / count;
+    let mean_y = rows.iter().map(&value).sum::<f64>() / count;
+    let distance = |row: &Row| f64::from(row.nodes) - mean_x;
+    let covariance: f64 = rows.iter().map(|r| distance(r) * (value(r) - mean_y)).sum();
+    covariance / rows.iter().map(|r| distance(r).powi(2)).sum::<f64>()
+}
+
+fn measure(opts: Options, nodes: u16) -> Row {
+    let mut net = common::settled(1, opts, nodes);
+    let attesting = ATTESTING.min(usize::from(nodes));
+    for id in net.ids() {
+        let load = Load {
+            threshold: 10,
+            load: 100,
+        };
+        net.act(id, Event::SetLoad(load));
+    }
+    run_attesting(&mut net, attesting, 120);
+    net.measures = true;
+    let before = snapshot(&net);
+    let ages = run_attesting(&mut net, attesting, 2 * SECONDS);
+    let after = snapshot(&net);
+    net.measures = false;
+    let seconds = f64::from(SECONDS);
+    let fleet = Fleet {
+        nodes: usize::from(nodes),
+        attesting,
+        changes_per_second: 0.0,
+    };
+    let first = net.ids()[0];
+    let state_bytes = net.processes[&first].members.state_bytes();
+    Row {
+        nodes,
+        sent: (after.sent - before.sent) / seconds,
+        received: (after.received - before.received) / seconds,
+        formula: Cost::of(&opts, &fleet).sent,
+        cpu_micros: (after.busy - before.busy) * 1e6 / seconds,
+        state_bytes,
+        ages,
+        spread_ms: spread(&mut net),
+    }
+}
+
+struct Snapshot {
+    sent: f64,
+    received: f64,
+    busy: f64,
+}
+
+/// Averages over the nodes.
+fn snapshot(net: &Net) -> Snapshot {
+    let count = net.processes.len() as f64;
+    let mean =
+        |value: fn(&common::Process) -> f64| net.processes.values().map(value).sum::<f64>() / count;
+    Snapshot {
+        sent: mean(|p| p.sent as f64),
+        received: mean(|p| p.received as f64),
+        busy: mean(|p| p.busy.as_secs_f64()),
+    }
+}
+
+/// Ages of attestations in milliseconds, over all nodes and samples.
+#[derive(Default)]
+struct Ages {
+    sum: f64,
+    count: f64,
+    /// The worst of each node's youngest attestation.
+    youngest: f64,
+    /// The worst age at which a node held a majority of each domain's attestations.
+    majority: f64,
+    worst: f64,
+}
+
+impl Ages {
+    fn mean(&self) -> f64 {
+        self.sum / self.count
+    }
+
+    /// Adds the ages that one node holds, by domain.
+    fn add(&mut self, domains: &[Vec<f64>]) {
+        let all = domains.iter().flatten().copied();
+        self.sum += all.clone().sum::<f64>();
+        self.count += all.clone().count() as f64;
+        self.worst = self.worst.max(all.clone().fold(0.0, f64::max));
+        self.youngest = self.youngest.max(all.fold(f64::INFINITY, f64::min));
+        for ages in domains {
+            let mut ages = ages.clone();
+            ages.sort_by(f64::total_cmp);
+            self.majority = self.majority.max(ages[ages.len() / 2]);
+        }
+    }
+}
+
+/// Runs with renewed attestations; gives their ages just before each renewal.
+fn run_attesting(net: &mut Net, attesting: usize, renewals: u32) -> Ages {
+    let mut ages = Ages::default();
+    let attesters: Vec<NodeId> = net.ids().into_iter().take(attesting).collect();
+    for _ in 0..renewals {
+        for id in &attesters {
+            let at = net.local(*id);
+            let body = id.0.to_be_bytes().to_vec();
+            net.act(*id, Event::Attest { body, at });
+        }
+        net.run(RENEWAL);
+        for id in net.ids() {
+            ages.add(&ages_at(net, id, &attesters));
+        }
+    }
+    ages
+}
+
+fn ages_at(net: &Net, id: NodeId, attesters: &[NodeId]) -> Vec<Vec<f64>> {
+    let held: Vec<_> = net.processes[&id]
+        .members
+        .attestations(net.local(id))
+        .collect();
+    let age = |node: &NodeId| {
+        let attestation = held.iter().find(|a| a.node == *node);
+        attestation.map_or(f64::INFINITY, |a| a.age.as_secs_f64() * 1e3)
+    };
+    attesters
+        .chunks(PER_DOMAIN)
+        .map(|domain| domain.iter().map(age).collect())
+        .collect()
+}
+
+/// The time until every node knows that one is draining, in milliseconds.
+fn spread(net: &mut Net) -> f64 {
+    let id = net.ids()[0];
+    let start = net.now;
+    net.act(id, Event::SetPhase(Phase::Draining));
+    let knows = |p: &common::Process| {
+        let member = p.members.get(id);
+        member.is_some_and(|m| m.record.phase == Phase::Draining)
+    };
+    while !net.processes.values().all(knows) {
+        net.run(Duration::from_millis(20));
+    }
+    net.now.since(start).as_secs_f64() * 1e3
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -9,6 +9,7 @@
 //! Everything here is pure: time, messages and randomness are handed in, actions are handed out.
 
 mod claim;
+mod contests;
 pub mod cost;
 mod lifecycle;
 mod load;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -38,6 +38,8 @@
     pub incarnation: u32,
     /// Whether it answers.
     pub reach: Reach,
+    /// When it became known here.
+    pub known: Time,
     /// Since when `reach` holds.
     pub since: Time,
     /// The newest load that was heard of.
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Attestation, Change, Claim, Departure, Load, LoadReport, Member, Options, Phase, Reach, Record,
+    contests::Contests,
     load::Hint,
     msg::{self, Ack, Body, Message, Page, Ping, Pull, Relay, Update},
     probes::{Probe, Probes},
@@ -96,6 +97,7 @@
     probes: Probes,
     rumors: Rumors,
     reports: Reports,
+    contests: Contests,
     seeds: Vec<SocketAddr>,
     recent: Vec<NodeId>,
     last_tick: Option<Time>,
@@ -120,6 +122,7 @@
             rng,
             rumors,
             reports: Reports::default(),
+            contests: Contests::default(),
             seeds: Vec::new(),
             recent: Vec::new(),
             last_tick: None,
@@ -245,6 +248,7 @@
         let last = self.last_tick.replace(now).unwrap_or(now);
         if now.since(last) >= self.opts.probe_timeout {
             self.probes.clear();
+            self.contests.clear();
             self.view.restart_suspicions(now);
         }
     }
@@ -255,6 +259,7 @@
             self.relay(now, seq, target);
         }
         for target in overdue.silent {
+            self.contests.remove(target);
             self.suspect(now, target);
         }
     }
@@ -311,7 +316,7 @@
 
     fn ping_seed(&mut self, now: Time) {
         let view = &self.view;
-        self.seeds.retain(|addr| !view.has_addr(*addr));
+        self.seeds.retain(|addr| view.at_addr(*addr).is_none());
         if let Some(&addr) = self.rng.choice(&self.seeds) {
             self.ping_addr(now, addr);
         }
@@ -319,7 +324,7 @@
 
     fn add_seeds(&mut self, now: Time, seeds: &[SocketAddr]) {
         for addr in seeds {
-            if !self.seeds.contains(addr) && !self.view.has_addr(*addr) {
+            if !self.seeds.contains(addr) && self.view.at_addr(*addr).is_none() {
                 self.seeds.push(*addr);
             }
         }
@@ -344,8 +349,11 @@
         let Some(member) = self.view.get(target) else {
             return;
         };
-        let addr = member.record.addr;
-        let seq = self.probes.open(now, Some(target));
+        self.ping_at(now, target, member.record.addr);
+    }
+
+    fn ping_at(&mut self, now: Time, target: NodeId, addr: SocketAddr) {
+        let seq = self.probes.open(now, Some(target), addr);
         let ping = self.ping_body(seq, target);
         self.send(now, addr, Body::Ping(ping));
     }
@@ -362,7 +370,7 @@
 
     fn ping_addr(&mut self, now: Time, addr: SocketAddr) {
         let ping = Ping {
-            seq: self.probes.open(now, None),
+            seq: self.probes.open(now, None, addr),
             ..Default::default()
         };
         let first = Some(self.id());
@@ -378,8 +386,10 @@
             self.answer_gone(from, &msg);
             return;
         }
+        // What a first copy tells is known to the others already.
+        let is_copy = self.copy_from.is_some() && matches!(msg.body, Some(Body::Page(_)));
         for update in &msg.updates {
-            self.apply(now, update);
+            self.apply(now, update, !is_copy);
         }
         if self.evicted {
             return;
@@ -411,14 +421,46 @@
         self.out.push(Action::Send { to: from, msg });
     }
 
-    fn apply(&mut self, now: Time, update: &Update) {
+    fn apply(&mut self, now: Time, update: &Update, is_news: bool) {
         if update.id == self.id().0 {
             self.hear_of_self(update);
             return;
         }
-        self.defend_address(update);
-        let applied = self.view.apply(now, update);
+        let mut applied = self.view.apply(now, update);
+        if applied.is_known {
+            // The sender knows as much: one node less to tell.
+            let sends = self.opts.sends(self.view.len());
+            self.rumors.sent(NodeId(update.id), sends);
+        }
+        if !is_news {
+            applied.news.clear();
+        }
+        if let Some(addr) = applied.contested {
+            self.contest(now, addr, update);
+        }
+        self.take_in(applied);
+    }
+
+    /// Asks an address that two processes claim.
+    fn contest(&mut self, now: Time, addr: SocketAddr, update: &Update) {
+        if self.contests.add(now, addr, update) {
+            self.ping_at(now, NodeId(update.id), addr);
+        }
+    }
+
+    /// Removes the processes that came before the one that answered at `addr`.
+    fn settle(&mut self, now: Time, addr: SocketAddr, holder: NodeId, asked: Time) {
+        let applied = self.view.settle(addr, holder, asked);
         self.take_in(applied);
+        let settled = self.contests.settle(addr, holder, asked);
+        for id in settled.earlier {
+            let mut applied = Applied::default();
+            self.view.bury(id, Departure::Replaced, &mut applied);
+            self.take_in(applied);
+        }
+        if let Some(update) = settled.holder {
+            self.apply(now, &update, true);
+        }
     }
 
     fn hear_of_self(&mut self, update: &Update) {
@@ -442,21 +484,6 @@
         self.out.push(Action::Refuted);
     }
 
-    /// Raises the own start number over that of an earlier process at this address.
-    ///
-    /// This process holds the address, so every other process at it is an earlier one.
-    fn defend_address(&mut self, update: &Update) {
-        let Some(record) = &update.record else {
-            return;
-        };
-        let Some(other) = Record::from_msg(NodeId(update.id), record) else {
-            return;
-        };
-        if other.replaces(self.me()) {
-            self.restate(|me| me.start = other.start.saturating_add(1));
-        }
-    }
-
     fn take_in(&mut self, applied: Applied) {
         for id in applied.news {
             self.rumors.add(id);
@@ -511,10 +538,11 @@
         }
         let is_news = !is_meant || ping.suspect.is_some();
         let bucket = self.some_bucket();
+        let stranger = self.view.get(asker).is_none();
         let ack = Ack {
             seq: ping.seq,
             about: 0,
-            stranger: self.view.get(asker).is_none(),
+            stranger,
             marks: self.reports.marks(now, self.opts.mark_slots),
             bucket,
             checksum: self.view.checksum(bucket),
@@ -527,6 +555,11 @@
                 msg.reports.push(report);
             }
         }
+        if stranger {
+            // Lets a process that took an address over learn whose place it takes.
+            msg.updates
+                .extend(self.view.at_addr(from).map(Member::to_update));
+        }
         self.out.push(Action::Send { to: from, msg });
     }
 
@@ -564,7 +597,7 @@
             self.rumors.add_if_absent(self.id());
         }
         if let Some(probe) = self.probes.close(ack.seq) {
-            self.on_answer(now, sender, ack, probe);
+            self.on_answer(now, from, sender, ack, probe);
             self.compare(now, from, ack);
         } else if let Some(errand) = self.probes.close_errand(ack.seq) {
             let answer = Ack {
@@ -578,17 +611,15 @@
         }
     }
 
-    fn on_answer(&mut self, now: Time, sender: NodeId, ack: &Ack, probe: Probe) {
-        let about = if ack.about == 0 { sender.0 } else { ack.about };
+    fn on_answer(&mut self, now: Time, from: SocketAddr, sender: NodeId, ack: &Ack, probe: Probe) {
         for node in self.reports.mark_all(now, probe.sent, &ack.marks) {
             self.out.push(Action::Attested(node));
         }
         for hint in Hint::read_all(&ack.loads) {
             self.view.set_load_by_tag(now, hint);
         }
-        if let Some(target) = probe.target.filter(|target| target.0 != about) {
-            // Another process answers at the target's address.
-            self.suspect(now, target);
+        if ack.about == 0 && from == probe.addr {
+            self.settle(now, from, sender, probe.sent);
         }
     }
 
--- a/crates/member/src/msg.rs
+++ b/crates/member/src/msg.rs
@@ -159,7 +159,7 @@
     /// The phase, as [`Phase::number`](crate::Phase::number).
     #[prost(uint32, tag = "5")]
     pub phase: u32,
-    /// Orders processes at one address.
+    /// When the process started, in milliseconds of its wall clock.
     #[prost(uint64, tag = "6")]
     pub start: u64,
 }
--- a/crates/member/src/options.rs
+++ b/crates/member/src/options.rs
@@ -21,7 +21,8 @@
     pub revive_period: Duration,
     /// An unreachable member is forgotten after so long.
     pub forget_after: Duration,
-    /// News are sent this many times the binary logarithm of the number of nodes.
+    /// News are sent this many times four more than the binary logarithm of the number of nodes;
+    /// hearing them again counts as a sending.
     pub retransmit: u32,
     /// The most bytes of news in a probe or an answer.
     pub news_bytes: usize,
@@ -53,8 +54,8 @@
             suspect_for: Duration::from_secs(4),
             revive_period: Duration::from_secs(2),
             forget_after: Duration::from_secs(7_200),
-            retransmit: 3,
-            news_bytes: 256,
+            retransmit: 1,
+            news_bytes: 200,
             page_bytes: 1_000,
             pull_period: Duration::from_secs(1),
             members: 4_096,
@@ -71,6 +72,7 @@
     /// How often a piece of news is sent by each node of a fleet of `nodes`.
     #[must_use]
     pub fn sends(&self, nodes: usize) -> u32 {
-        self.retransmit * nodes.saturating_add(1).next_power_of_two().ilog2()
+        let rounds = nodes.saturating_add(1).next_power_of_two().ilog2();
+        self.retransmit * (rounds + 4)
     }
 }
--- a/crates/member/src/probes.rs
+++ b/crates/member/src/probes.rs
@@ -11,6 +11,8 @@
 pub(crate) struct Probe {
     /// The process that was asked; `None` for whoever holds the address.
     pub target: Option<NodeId>,
+    /// Where it was asked.
+    pub addr: SocketAddr,
     /// When it was asked.
     pub sent: Time,
     /// Others were asked to probe it as well.
@@ -95,10 +97,11 @@
     }
 
     /// Opens a probe and gives its number.
-    pub(crate) fn open(&mut self, now: Time, target: Option<NodeId>) -> u32 {
+    pub(crate) fn open(&mut self, now: Time, target: Option<NodeId>, addr: SocketAddr) -> u32 {
         let seq = self.next_seq();
         let probe = Probe {
             target,
+            addr,
             sent: now,
             relayed: false,
         };
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -23,22 +23,11 @@
     pub slots: u32,
     /// The state of its life.
     pub phase: Phase,
-    /// Orders processes at one address: the later process has the larger number.
-    ///
-    /// Milliseconds of the wall clock at the process's start will do: a node that hears of an
-    /// earlier process at its own address with a number not below its own raises its number.
+    /// When the process started, in milliseconds of its wall clock; for people to read, nothing
+    /// is decided by it.
     pub start: u64,
 }
 
-impl Record {
-    /// Whether `self` took over the address of `other`.
-    #[must_use]
-    pub fn replaces(&self, other: &Self) -> bool {
-        let same_place = self.addr == other.addr && self.id != other.id;
-        same_place && (self.start, self.id) > (other.start, other.id)
-    }
-}
-
 impl From<&Record> for msg::Record {
     fn from(record: &Record) -> Self {
         Self {
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -1,6 +1,6 @@
 //! The members that are known, and what claims do to them.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use cassiashunt_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -47,6 +47,10 @@
     pub news: Vec<NodeId>,
     /// Members about which the claim's sender was behind.
     pub stale: Vec<NodeId>,
+    /// The claim says what is held already.
+    pub is_known: bool,
+    /// The claim is about a new process at this address, which another member holds.
+    pub contested: Option<SocketAddr>,
 }
 
 impl Applied {
@@ -79,6 +83,7 @@
             record: me,
             incarnation: 1,
             reach: Reach::Alive,
+            known: Time::ZERO,
             since: Time::ZERO,
             load: None,
         });
@@ -112,8 +117,9 @@
         &self.tombstones
     }
 
-    pub(crate) fn has_addr(&self, addr: std::net::SocketAddr) -> bool {
-        self.members.values().any(|m| m.record.addr == addr)
+    /// The member that holds this address.
+    pub(crate) fn at_addr(&self, addr: SocketAddr) -> Option<&Member> {
+        self.members.values().find(|m| m.record.addr == addr)
     }
 
     /// The update about this id as news; `None` for an id that is not known.
@@ -181,34 +187,51 @@
         if reach == Reach::Unreachable || record.phase == Phase::Gone {
             return;
         }
-        if self.yields_address(&record, applied) && self.has_room(applied) {
-            self.insert(Member {
-                record,
-                incarnation: told.incarnation,
-                reach,
-                since: now,
-                load: None,
-            });
-            applied.change(record.id, Change::Joined(record.id));
+        match self.at_addr(record.addr).map(|m| m.record.id) {
+            // This process holds the address, so the other is an earlier one.
+            Some(holder) if holder == self.me => self.bury(record.id, Departure::Replaced, applied),
+            Some(_) => applied.contested = Some(record.addr),
+            None => self.add(now, record, told.incarnation, reach, applied),
         }
     }
 
-    /// Removes those whose address the record took over; `false` where one of them is later.
-    fn yields_address(&mut self, record: &Record, applied: &mut Applied) -> bool {
-        let holders: Vec<Record> = self
+    fn add(
+        &mut self,
+        now: Time,
+        record: Record,
+        incarnation: u32,
+        reach: Reach,
+        applied: &mut Applied,
+    ) {
+        if !self.has_room(applied) {
+            return;
+        }
+        self.insert(Member {
+            record,
+            incarnation,
+            reach,
+            known: now,
+            since: now,
+            load: None,
+        });
+        applied.change(record.id, Change::Joined(record.id));
+    }
+
+    /// Removes the members at `addr` but `holder`, which answered there to a question sent at
+    /// `asked`, if they were known before.
+    pub(crate) fn settle(&mut self, addr: SocketAddr, holder: NodeId, asked: Time) -> Applied {
+        let mut applied = Applied::default();
+        let earlier: Vec<NodeId> = self
             .members
             .values()
-            .map(|m| m.record)
-            .filter(|held| held.addr == record.addr && held.id != record.id)
+            .filter(|m| m.record.addr == addr && m.known <= asked)
+            .map(|m| m.record.id)
+            .filter(|id| *id != holder && *id != self.me)
             .collect();
-        if let Some(later) = holders.iter().find(|held| held.replaces(record)) {
-            applied.stale.push(later.id);
-            return false;
+        for id in earlier {
+            self.bury(id, Departure::Replaced, &mut applied);
         }
-        for held in holders {
-            self.bury(held.id, Departure::Replaced, applied);
-        }
-        true
+        applied
     }
 
     fn has_room(&mut self, applied: &mut Applied) -> bool {
@@ -246,6 +269,7 @@
             member.record = record;
             member.incarnation = told.incarnation;
         } else if reach <= member.reach {
+            applied.is_known = reach == member.reach;
             return;
         }
         member.reach = reach;
@@ -328,6 +352,7 @@
     /// Removes a member for good.
     pub(crate) fn bury(&mut self, id: NodeId, why: Departure, applied: &mut Applied) {
         if !self.tombstones.insert(id) {
+            applied.is_known = true;
             return;
         }
         applied.news.push(id);
