Check what callers were told against what servers ran

Cause: an experiment under load is also a history, and the figures say nothing of runs for refused requests or of second runs.

Entitled demand follows the requests that were really sent: a Poisson fluctuation over the planned demand had cut a workspace's entitlement although nothing was short (agege-ward at 1x: offered 299.8 a second, entitled 283.2).

--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -193,19 +193,19 @@
         fill.served
     }
 
-    /// What each phase allows, faults of earlier phases counted.
+    /// What each phase allows, given the demand of each in requests a second of each kind; faults
+    /// of earlier phases count.
     #[must_use]
-    pub fn phase_bounds(&self) -> Vec<PhaseBound> {
+    pub fn phase_bounds(&self, demands: &[Vec<f64>]) -> Vec<PhaseBound> {
         let mut condition = Condition::sound(self);
-        let phases = self.phases.iter();
+        let phases = self.phases.iter().zip(demands);
         phases
-            .map(|phase| self.phase_bound(phase, &mut condition))
+            .map(|(phase, demand)| self.phase_bound(phase, demand, &mut condition))
             .collect()
     }
 
-    fn phase_bound(&self, phase: &Phase, now: &mut Condition) -> PhaseBound {
-        let demand = self.entitled_demand(phase);
-        let goodput = |now: &Condition| self.goodput_bound(&demand, now).iter().sum::<f64>();
+    fn phase_bound(&self, phase: &Phase, demand: &[f64], now: &mut Condition) -> PhaseBound {
+        let goodput = |now: &Condition| self.goodput_bound(demand, now).iter().sum::<f64>();
         let mut faults: Vec<_> = phase.faults.iter().collect();
         faults.sort_by_key(|timed| timed.at_ms);
         let mut sum = 0.0;
@@ -223,8 +223,9 @@
         }
     }
 
-    /// The requests a second of each kind that stay inside the workspaces' rates.
-    fn entitled_demand(&self, phase: &Phase) -> Vec<f64> {
+    /// The requests a second of each kind that the file plans inside the workspaces' rates.
+    #[must_use]
+    pub fn planned_demand(&self, phase: &Phase) -> Vec<f64> {
         let workspaces = self.workspaces.iter();
         let inside = workspaces.map(|w| self.offered_per_second(phase, w).min(w.rate));
         let inside: f64 = inside.sum();
--- a/crates/load/src/experiment/variant.rs
+++ b/crates/load/src/experiment/variant.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use cassiashunt_standin::server::Journal;
 use serde::{Deserialize, Serialize};
 
 /// When a caller tries again.
@@ -102,6 +103,9 @@
     /// How callers try again, in place of the experiment's own.
     #[serde(default)]
     pub retries: Option<Retries>,
+    /// Where the servers of one run leave what they ran.
+    #[serde(skip)]
+    pub journal: Journal,
     /// Settings for whoever launches the nodes.
     #[serde(default)]
     pub settings: toml::Table,
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -125,22 +125,30 @@
     }
 
     fn apply(&self, fault: &Fault) -> eyre::Result<()> {
-        let handle = &self.handle;
-        match fault {
-            Fault::Slow { factor, .. } => handle.set(|options| options.slow_factor = *factor),
-            Fault::Fail { rate, .. } => handle.set(|options| options.failure_rate = *rate),
-            Fault::LieLoad { factor, .. } => {
-                handle.set(|options| options.report.load_factor = *factor);
-            }
-            Fault::LieHealth { healthy, .. } => {
-                handle.set(|options| options.report.health = *healthy);
-            }
-            Fault::KillServer { .. } => handle.crash(),
-            Fault::RestartServer { .. } => handle.restart()?,
-            _ => {}
+        apply_to_server(&self.handle, fault)
+    }
+}
+
+/// Applies a fault of servers to one; any other fault does nothing.
+///
+/// # Errors
+///
+/// Fails where the server cannot start again.
+pub fn apply_to_server(handle: &Handle, fault: &Fault) -> eyre::Result<()> {
+    match fault {
+        Fault::Slow { factor, .. } => handle.set(|options| options.slow_factor = *factor),
+        Fault::Fail { rate, .. } => handle.set(|options| options.failure_rate = *rate),
+        Fault::LieLoad { factor, .. } => {
+            handle.set(|options| options.report.load_factor = *factor);
         }
-        Ok(())
+        Fault::LieHealth { healthy, .. } => {
+            handle.set(|options| options.report.health = *healthy);
+        }
+        Fault::KillServer { .. } => handle.crash(),
+        Fault::RestartServer { .. } => handle.restart()?,
+        _ => {}
     }
+    Ok(())
 }
 
 fn is_servers_own(fault: &Fault) -> bool {
@@ -163,7 +171,9 @@
     }
 }
 
-fn server_options(
+/// The settings of one of an experiment's servers; it is the fleet's server of this number.
+#[must_use]
+pub fn server_options(
     experiment: &Experiment,
     variant: &Variant,
     service: &ServiceOptions,
@@ -177,6 +187,7 @@
         endpoints: service.endpoints.clone(),
         child_retries: variant.child_retries,
         child_deadlines: variant.deadlines,
+        journal: variant.journal.clone(),
         connect_ms: experiment.connect_ms,
         cold_ms: service.cold_ms,
         cold_factor: service.cold_factor,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod experiment;
 pub mod fleet;
+pub mod history;
 pub mod outcome;
 pub mod plot;
 pub mod recovery;
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -60,6 +60,8 @@
 /// One request as it went. Times are since the run began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sample {
+    /// The number of its arrival in the schedule.
+    pub number: usize,
     /// The intended time of sending, which latency counts from.
     pub intended: Duration,
     /// The time at which the first try was sent, or would have been.
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -10,6 +10,7 @@
     Experiment, Outcome, Sample,
     capacity::{Condition, PhaseBound},
     experiment::{Phase, Role, Variant},
+    history::History,
     recovery::{self, Series},
     share,
 };
@@ -163,6 +164,8 @@
     pub recoveries: Vec<Recovery>,
     /// Its figures over time.
     pub windows: Vec<Window>,
+    /// What the callers were told against what the servers ran.
+    pub history: History,
     /// Faults that could not be applied, with the reason.
     pub faults_failed: Vec<String>,
 }
@@ -172,7 +175,7 @@
     #[must_use]
     pub fn new(experiment: &Experiment, variant: &Variant, samples: &[Sample]) -> Self {
         let marked = Marked::mark(experiment, samples);
-        let bounds = experiment.phase_bounds();
+        let bounds = experiment.phase_bounds(&entitled_demands(experiment, &marked));
         let starts = experiment.phase_starts();
         let phases = experiment.phases.iter().enumerate().map(|(index, phase)| {
             let end = starts[index] + Duration::from_secs_f64(phase.seconds);
@@ -195,6 +198,7 @@
             phases: phases.collect(),
             recoveries: recoveries(experiment, samples),
             windows: windows(experiment, samples),
+            history: History::default(),
             faults_failed: Vec::new(),
         }
     }
@@ -225,6 +229,15 @@
     }
 }
 
+/// The requests a second that stayed inside their workspaces' rates, by phase and kind.
+fn entitled_demands(experiment: &Experiment, marked: &[Marked<'_>]) -> Vec<Vec<f64>> {
+    let mut demands = vec![vec![0.0; experiment.requests.len()]; experiment.phases.len()];
+    for sample in marked.iter().filter(|m| m.conforms).map(|m| m.sample) {
+        demands[sample.phase][sample.kind] += 1.0 / experiment.phases[sample.phase].seconds;
+    }
+    demands
+}
+
 /// What the figures of one phase are worked out from.
 struct Figures<'a> {
     experiment: &'a Experiment,
--- a/crates/load/src/report/compare.rs
+++ b/crates/load/src/report/compare.rs
@@ -124,8 +124,10 @@
         .faults_failed
         .iter()
         .map(|fault| line("fault-failed", json!(fault)));
+    let history = std::iter::once(line("history", json!(report.history)));
     phases
         .chain(recoveries)
+        .chain(history)
         .chain(windows)
         .chain(failed)
         .collect()
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use cassiashunt_standin::server::Journal;
 use eyre::{WrapErr, eyre};
 
 use crate::{
@@ -18,6 +19,7 @@
     client::{Call, Client},
     experiment::{Retries, RetryMode, Variant},
     fleet::{self, LaunchFn},
+    history::{History, request_id},
     plot,
     report::{Comparison, Report},
     schedule::{Arrival, schedule},
@@ -142,7 +144,11 @@
 
 impl Turn<'_> {
     fn run(&self, nodes: &LaunchFn<'_>) -> eyre::Result<Report> {
-        let fleet = fleet::launch(self.experiment, self.variant, nodes)?;
+        let variant = Variant {
+            journal: Journal::default(),
+            ..self.variant.clone()
+        };
+        let fleet = fleet::launch(self.experiment, &variant, nodes)?;
         let Fleet {
             ingress,
             apply,
@@ -150,10 +156,12 @@
         } = fleet;
         let result = self.offer(ingress, apply);
         stop();
+        let records = variant.journal.take();
         let (samples, faults_failed) = result?;
         let report = Report::new(self.experiment, self.variant, &samples);
         Ok(Report {
             faults_failed,
+            history: History::check(self.experiment, self.seed, &samples, &records),
             ..report
         })
     }
@@ -241,7 +249,7 @@
         let timeout = Duration::from_millis(kind.timeout_ms);
         let intended = self.start + arrival.at;
         let give_up = intended + self.patience(timeout);
-        let id = format!("{:x}-{index:x}", self.turn.seed);
+        let id = request_id(self.turn.seed, index);
         let sent = Instant::now();
         let mut tries = 0;
         let outcome = loop {
@@ -267,6 +275,7 @@
             thread::sleep(pause);
         };
         Sample {
+            number: index,
             intended: arrival.at,
             sent: sent.saturating_duration_since(self.start),
             ended: self.start.elapsed(),
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -2,7 +2,10 @@
 
 use std::fmt::Write;
 
-use crate::report::{Comparison, PhaseReport, Recovery, Spread};
+use crate::{
+    history::History,
+    report::{Comparison, PhaseReport, Recovery, Spread},
+};
 
 /// Rows of cells, the first of which are the titles.
 type Rows = Vec<Vec<String>>;
@@ -44,6 +47,11 @@
         );
         render_rows(&mut out, &outcome_rows(comparison, phase));
     }
+    title(
+        &mut out,
+        "what callers were told against what servers ran, the worst of all runs",
+    );
+    render_rows(&mut out, &history_rows(comparison));
     render_failed_faults(&mut out, comparison);
     out
 }
@@ -288,6 +296,35 @@
     rows
 }
 
+fn history_rows(comparison: &Comparison) -> Rows {
+    let titles = [
+        "variant",
+        "wasted runs %",
+        "ran again",
+        "ran though refused",
+        "wrong workspace",
+        "most runs at one path",
+    ];
+    let mut rows = vec![titles.map(str::to_owned).to_vec()];
+    for variant in comparison.variants() {
+        let histories = || comparison.of(variant).map(|report| report.history);
+        let most =
+            |figure: fn(History) -> u64| histories().map(figure).max().unwrap_or(0).to_string();
+        let wasted = histories()
+            .map(|history| history.wasted)
+            .fold(0.0, f64::max);
+        rows.push(vec![
+            variant.to_owned(),
+            format!("{:.1}", 100.0 * wasted),
+            most(|history| history.ran_again),
+            most(|history| history.ran_though_refused),
+            most(|history| history.wrong_workspace),
+            most(|history| history.most_runs),
+        ]);
+    }
+    rows
+}
+
 fn render_failed_faults(out: &mut String, comparison: &Comparison) {
     for report in &comparison.reports {
         for fault in &report.faults_failed {
--- a/crates/load/tests/capacity.rs
+++ b/crates/load/tests/capacity.rs
@@ -4,7 +4,7 @@
 
 use cassiashunt_load::{
     Experiment,
-    capacity::Condition,
+    capacity::{Condition, PhaseBound},
     experiment::{Fault, Role},
 };
 use cassiashunt_types::prelude::*;
@@ -13,6 +13,15 @@
     (a - b).abs() < 1e-6 * b.abs().max(1.0)
 }
 
+/// The bound of each phase at the demand that the file plans.
+fn bounds(experiment: &Experiment) -> Vec<PhaseBound> {
+    let planned = experiment
+        .phases
+        .iter()
+        .map(|phase| experiment.planned_demand(phase));
+    experiment.phase_bounds(&planned.collect::<Vec<_>>())
+}
+
 fn slow(service: &str, server: Option<usize>, factor: f64) -> Fault {
     Fault::Slow {
         service: service.parse().expect("a label"),
@@ -101,14 +110,14 @@
     }
     experiment.requests.remove(1);
     experiment.phases[0].role = Role::Measure;
-    let sound = experiment.phase_bounds()[0].goodput;
+    let sound = bounds(&experiment)[0].goodput;
     assert!(close(sound, 10.0 / 0.030));
     let faults = toml::from_str::<toml::Table>(
         "faults = [{ at-ms = 500, fault = { kind = \"slow\", service = \"leaf\", factor = 2.0 } }]",
     );
     let faults = faults.expect("the text is TOML")["faults"].clone();
     experiment.phases[0].faults = faults.try_into().expect("the faults are well-formed");
-    let bounds = experiment.phase_bounds();
+    let bounds = bounds(&experiment);
     assert!(close(bounds[0].goodput, 0.25 * sound + 0.75 * sound / 2.0));
     assert!(
         close(bounds[1].goodput, sound / 2.0),
@@ -119,7 +128,7 @@
 #[test]
 fn demand_over_a_workspaces_rate_is_no_part_of_the_bound() {
     let experiment = common::experiment();
-    let bounds = experiment.phase_bounds();
+    let bounds = bounds(&experiment);
     assert!(close(bounds[0].goodput, 100.0), "75 and 25 a second");
     assert!(
         close(bounds[1].goodput, 130.0),
--- a/crates/load/tests/common/mod.rs
+++ b/crates/load/tests/common/mod.rs
@@ -83,6 +83,7 @@
 /// A sample of the first phase, workspace and kind that ended whole.
 pub fn whole(intended_ms: u64, ended_ms: u64) -> Sample {
     Sample {
+        number: 0,
         intended: Duration::from_millis(intended_ms),
         sent: Duration::from_millis(intended_ms),
         ended: Duration::from_millis(ended_ms),
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -88,6 +88,16 @@
         "{:?}",
         report.phases[0].outcomes
     );
+    let history = report.history;
+    assert!(history.runs > total(report), "child calls are runs as well");
+    assert_eq!(
+        (
+            history.ran_again,
+            history.ran_though_refused,
+            history.most_runs
+        ),
+        (0, 0, 1)
+    );
 }
 
 #[test]
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -28,7 +28,7 @@
 pub use answer::{body, digest};
 pub use control::Load;
 pub use options::{Child, Endpoint, Options, Order, Peer, Report, ServiceTime, Spread};
-pub use record::{Outcome, Record, Stats};
+pub use record::{Journal, Outcome, Record, Stats};
 pub use work::{
     CRASH_HEADER, CRASH_MARK, DIGEST_HEADER, ID_HEADER, TICKET_HEADER, TIMEOUT_HEADER,
     VERDICT_HEADER,
@@ -150,10 +150,13 @@
         self.server.restart()
     }
 
-    /// Closes every connection and stops listening for good.
+    /// Closes every connection, stops listening for good, and leaves its runs in the journal.
     pub fn stop(&self) {
-        self.server.is_stopped.store(true, Ordering::SeqCst);
+        let was_stopped = self.server.is_stopped.swap(true, Ordering::SeqCst);
         self.server.end();
+        if !was_stopped {
+            self.options().journal.leave(self.runs());
+        }
     }
 }
 
--- a/crates/standin/src/server/control.rs
+++ b/crates/standin/src/server/control.rs
@@ -125,7 +125,11 @@
     let change: Value = serde_json::from_slice(body)?;
     let mut value = serde_json::to_value(options)?;
     merge(&mut value, change);
-    serde_json::from_value(value)
+    let merged: Options = serde_json::from_value(value)?;
+    Ok(Options {
+        journal: options.journal.clone(),
+        ..merged
+    })
 }
 
 fn merge(value: &mut Value, change: Value) {
--- a/crates/standin/src/server/options.rs
+++ b/crates/standin/src/server/options.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Journal;
+
 /// How the time that a request takes is drawn.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -209,6 +211,9 @@
     pub records: usize,
     /// Whether a record holds all the request's headers and its query.
     pub capture: bool,
+    /// Where the server leaves its recorded runs when it stops for good.
+    #[serde(skip)]
+    pub journal: Journal,
     /// The seed of every random draw.
     pub seed: u64,
 }
@@ -240,6 +245,7 @@
             restart_ms: None,
             records: 100_000,
             capture: false,
+            journal: Journal::default(),
             seed: 1,
         }
     }
--- a/crates/standin/src/server/record.rs
+++ b/crates/standin/src/server/record.rs
@@ -1,6 +1,9 @@
 //! What a stand-in ran, for the checks over whole histories.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::{
+    sync::{Arc, Mutex},
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -83,6 +86,33 @@
     }
 }
 
+/// A place that several servers share, where each leaves its recorded runs when it stops for good.
+#[derive(Debug, Clone, Default)]
+pub struct Journal {
+    records: Arc<Mutex<Vec<Record>>>,
+}
+
+impl Journal {
+    /// Takes all runs that were left so far.
+    #[must_use]
+    pub fn take(&self) -> Vec<Record> {
+        std::mem::take(&mut self.records.lock().expect("no holder of this lock panics"))
+    }
+
+    pub(super) fn leave(&self, records: Vec<Record>) {
+        self.records
+            .lock()
+            .expect("no holder of this lock panics")
+            .extend(records);
+    }
+}
+
+impl PartialEq for Journal {
+    fn eq(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.records, &other.records)
+    }
+}
+
 /// Microseconds since 1970 by this machine's clock.
 pub(super) fn unix_micros() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
