Run whole fleets in one process, and experiments on them

cassiashunt load launches the platform stand-in, backend servers and a real node beside each from an experiment file, edits the table as operators do, applies faults and compares variants. Nodes take a wiring for tests: cuts between nodes, metrics.

--- a/cassiashunt/src/cmd/mod.rs
+++ b/cassiashunt/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod edit;
 mod key;
+mod load;
 mod node;
 mod standin;
 mod status;
@@ -27,6 +28,7 @@
         CassiashuntCmd::Audit(flags) => audit::run(&flags),
         CassiashuntCmd::Status(flags) => status::run(&flags),
         CassiashuntCmd::Drain(flags) => drain::run(&flags),
+        CassiashuntCmd::Load(flags) => load::run(flags),
         CassiashuntCmd::Standin(flags) => standin::run(flags),
     }
 }
--- a/cassiashunt/src/cmd/node.rs
+++ b/cassiashunt/src/cmd/node.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use cassiashunt_node::{Node, Settings, Stopped};
+use cassiashunt_node::{Node, Settings, Stopped, Wiring};
 use eyre::Result;
 use signal_hook::consts::{SIGINT, SIGTERM};
 
@@ -27,7 +27,11 @@
         signal_hook::flag::register(signal, Arc::clone(&asked))?;
     }
     let metrics = metrics_exporter_prometheus::PrometheusBuilder::new().install_recorder()?;
-    let node = Node::start(settings, Some(metrics))?;
+    let wiring = Wiring {
+        metrics: Some(metrics),
+        ..Default::default()
+    };
+    let node = Node::start(settings, wiring)?;
     while !asked.load(Ordering::Acquire) && !node.is_asked_to_drain() {
         thread::sleep(LOOK);
     }
--- a/cassiashunt/src/flags.rs
+++ b/cassiashunt/src/flags.rs
@@ -137,6 +137,20 @@
             optional --node node: SocketAddr
         }
 
+        /// Runs an experiment: load on a fleet, and a comparison of its variants.
+        cmd load {
+            /// The experiment file.
+            required experiment: PathBuf
+            /// Write the table, JSON lines and plots to this folder.
+            optional --out out: PathBuf
+            /// Run each variant so often.
+            optional --repeats repeats: u32
+            /// Run only this variant; may be given several times.
+            repeated --only only: String
+            /// Show no progress.
+            optional --quiet
+        }
+
         /// Runs a stand-in for an outside system, for tests and experiments.
         cmd standin {
             /// The platform's key-value service.
--- a/crates/node/src/duty/accept.rs
+++ b/crates/node/src/duty/accept.rs
@@ -8,10 +8,10 @@
 
 use cassiashunt_table::{
     Head, Offer,
-    commit::{self, Action, Commit, Outcome, Peers, Spread},
+    commit::{self, Action, Commit, Held, Outcome, Peers, Spread},
 };
 
-use super::event::Event;
+use super::{event::Event, fetch};
 use crate::node::Shared;
 
 /// How long the relays may take to know a change.
@@ -20,18 +20,29 @@
 /// Runs a commit to its end on this thread.
 pub(crate) fn run(shared: &Arc<Shared>, commit: (Commit, Action)) -> Outcome {
     let spread = |head: &Arc<Head>| spread(shared, head);
-    let majority = || {
-        let is_newest = shared.control.check(shared.clock.now()).is_ok();
-        shared.config.head().filter(|_| is_newest)
-    };
+    let held = || held(shared);
     let peers = Peers {
         spread: &spread,
-        majority: &majority,
+        held: &held,
         wait: &thread::sleep,
     };
     commit::run(&shared.platform, &peers, commit)
 }
 
+/// The heads that the relays of this failure domain have in force.
+fn held(shared: &Arc<Shared>) -> Held {
+    let relays = shared.control.own_relays();
+    let others = relays.iter().filter(|peer| peer.node != shared.id);
+    let fetched = others.filter_map(|peer| fetch::table(shared, *peer));
+    let mut heads: Vec<_> = fetched.map(Arc::new).collect();
+    let is_relay = relays.iter().any(|peer| peer.node == shared.id);
+    heads.extend(shared.config.head().filter(|_| is_relay));
+    Held {
+        heads,
+        blocking: relays.len().div_ceil(2).max(1),
+    }
+}
+
 /// Puts a durable head in force here and waits until the relays know it.
 fn spread(shared: &Arc<Shared>, head: &Arc<Head>) -> Spread {
     if let Offer::Forked { .. } = shared.config.offer_shared(head) {
--- a/crates/node/src/duty/control.rs
+++ b/crates/node/src/duty/control.rs
@@ -14,6 +14,7 @@
 use cassiashunt_wire::Seal;
 
 use super::event::Event;
+use crate::link::Peer;
 
 /// Where a node is found.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +31,7 @@
     in_touch_until: AtomicU64,
     places: RwLock<HashMap<NodeId, Place>>,
     applied: RwLock<HashMap<NodeId, Revision>>,
+    own_relays: RwLock<Vec<Peer>>,
     events: OnceLock<SyncSender<Event>>,
 }
 
@@ -42,6 +44,7 @@
             in_touch_until: AtomicU64::new(0),
             places: RwLock::default(),
             applied: RwLock::default(),
+            own_relays: RwLock::default(),
             events: OnceLock::new(),
         }
     }
@@ -70,6 +73,11 @@
         places.get(&node).copied()
     }
 
+    /// This node.
+    pub(crate) fn id(&self) -> NodeId {
+        self.seal.node()
+    }
+
     /// Where other nodes reach this one.
     pub(crate) fn addr(&self) -> SocketAddr {
         self.addr
@@ -106,6 +114,21 @@
         }
     }
 
+    /// The bearers of the roles of this failure domain's relays, as far as they are known.
+    pub(super) fn own_relays(&self) -> Vec<Peer> {
+        self.own_relays
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(super) fn set_own_relays(&self, relays: Vec<Peer>) {
+        *self
+            .own_relays
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = relays;
+    }
+
     pub(super) fn set_applied(&self, node: NodeId, revision: Revision) {
         let mut applied = self.applied.write().unwrap_or_else(PoisonError::into_inner);
         let known = applied.entry(node).or_default();
--- a/crates/node/src/duty/fetch.rs
+++ b/crates/node/src/duty/fetch.rs
@@ -44,6 +44,12 @@
     }
 }
 
+/// The table that a peer has in force.
+pub(super) fn table(shared: &Shared, peer: Peer) -> Option<Head> {
+    let value = fetch(shared, peer, ValueKind::Table)?;
+    Head::from_bytes(&value).ok()
+}
+
 fn fetch(shared: &Shared, peer: Peer, kind: ValueKind) -> Option<Bytes> {
     let mut call = shared.links.get(peer).ok()?.fetch(kind).ok()?;
     let mut value = BytesMut::new();
--- a/crates/node/src/duty/threads.rs
+++ b/crates/node/src/duty/threads.rs
@@ -63,7 +63,11 @@
         let (tx, rx) = sync_channel(EVENTS);
         shared.control.set_events(tx.clone());
         let addr = socket.local_addr()?;
-        let net = Arc::new(Net::new(socket, shared.control.seal().clone()));
+        let net = Arc::new(Net::new(
+            socket,
+            shared.control.seal().clone(),
+            shared.wiring.clone(),
+        ));
         shared.limits.set_net(net.try_clone()?);
         let (calls, fetches) = (Ring::new(CALLS), Ring::new(FETCHES));
         let is_stopped = Arc::new(AtomicBool::new(false));
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -321,6 +321,7 @@
     /// Looks whether relays or shards fall to this node, and whether it misses configuration.
     fn look_over(&mut self, shared: &Arc<Shared>) {
         self.fetch_newer(shared);
+        self.publish_relays(shared);
         if !shared.lifecycle().phase().takes_work() {
             return;
         }
@@ -345,6 +346,30 @@
         self.shards.look_over(self.freshness.control(), &nodes);
     }
 
+    /// Tells the operators' threads who the relays of this failure domain are.
+    fn publish_relays(&self, shared: &Shared) {
+        let domain = self
+            .freshness
+            .control()
+            .domain(shared.settings.node.failure_domain);
+        let relays = domain.into_iter().flat_map(|domain| domain.nodes());
+        let bearers = relays.map(|relay| self.freshness.bearer(relay));
+        let peers = bearers.filter_map(|node| self.peer(shared, node));
+        shared.control.set_own_relays(peers.collect());
+    }
+
+    fn peer(&self, shared: &Shared, node: NodeId) -> Option<Peer> {
+        let record = match node == shared.id {
+            true => self.membership.members.me(),
+            false => &self.membership.members.get(node)?.record,
+        };
+        Some(Peer {
+            node,
+            addr: record.addr,
+            domain: record.domain,
+        })
+    }
+
     /// Fetches what others are known to have; at the start, asks the platform.
     fn fetch_newer(&self, shared: &Shared) {
         if self.freshness.control().revision == Revision(0) {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -161,9 +161,10 @@
 
 impl Fleet {
     /// A fleet as seen from `domain`.
-    pub(crate) fn new(domain: FailureDomain) -> Self {
+    pub(crate) fn new(domain: FailureDomain, policy: cassiashunt_route::Policy) -> Self {
         let opts = cassiashunt_route::Options {
             domain: Some(domain),
+            policy,
             ..Default::default()
         };
         Self {
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -21,6 +21,7 @@
     headers,
     node::Shared,
     owner::Reply,
+    owner::nobody,
     ticket::Parent,
 };
 
@@ -57,9 +58,13 @@
     let now = shared.clock.now();
     let req = ingress::Request {
         route: plan.binding.route,
+        workspace: plan.workspace.unwrap_or_else(nobody),
+        weight: plan.cell.weight,
         priority: Priority(plan.cell.priority),
     };
-    shared.shed().admit(now, req, &mut fastrand::Rng::new())?;
+    if shared.settings.policy.ingress_shedding {
+        shared.shed().admit(now, req, &mut fastrand::Rng::new())?;
+    }
     let route = plan.binding.route;
     shared.limits.take(
         shared,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,8 @@
 mod stats;
 mod suspects;
 mod ticket;
+mod wiring;
 
-pub use node::{Node, StartError, Stopped};
+pub use node::{Addresses, Node, StartError, Stopped};
 pub use settings::Settings;
+pub use wiring::{Cut, Wiring};
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -195,6 +195,12 @@
         state.keys.clear();
     }
 
+    /// Shards whose authority is not known to act: it is not live, or has just begun to claim.
+    pub(crate) fn open(&self, control: &crate::duty::Control) -> usize {
+        let is_open = |shard: &&Shard| !shard.lock().is_served(control);
+        self.shards.iter().filter(is_open).count()
+    }
+
     /// Hands every unspent token back, for a planned stop.
     pub(crate) fn drain(&self, shared: &Shared) {
         for (id, shard) in self.shards.iter().enumerate() {
@@ -266,6 +272,15 @@
 }
 
 impl State {
+    /// Whether the authority acts, as far as this node can tell.
+    fn is_served(&self, control: &crate::duty::Control) -> bool {
+        match self.primary {
+            Some(primary) if primary == control.id() => self.authority.is_some(),
+            Some(primary) => control.addr_of(primary).is_some(),
+            None => false,
+        }
+    }
+
     /// Answers a holder as the shard's authority, while the node is in touch.
     fn serve(&mut self, shared: &Shared, frame: &HolderFrame) -> Option<AuthorityFrame> {
         let now = shared.clock.now();
--- a/crates/node/src/link/dialer.rs
+++ b/crates/node/src/link/dialer.rs
@@ -20,7 +20,7 @@
 
 use super::{
     pending::Pending,
-    stream::{Queued, Reader, Writer},
+    stream::{Path, Queued, Reader, Writer},
 };
 
 /// Pieces of one answer that may wait for their reader.
@@ -31,13 +31,13 @@
 pub(crate) const CHUNK_BYTES: usize = 64 * 1024;
 
 /// How to connect.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub(crate) struct Options {
     pub node: NodeId,
     pub secret: Secret,
     pub connect: Duration,
     pub frames: usize,
-    pub delay: Duration,
+    pub path: Path,
 }
 
 /// A connection to another node.
@@ -61,6 +61,9 @@
 impl Link {
     /// Connects, authenticates both sides and starts the threads.
     pub(crate) fn dial(addr: SocketAddr, opts: &Options) -> io::Result<Arc<Self>> {
+        if (opts.path.is_cut)() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
         let stream = TcpStream::connect_timeout(&addr, opts.connect)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(opts.connect))?;
@@ -76,16 +79,11 @@
             next: AtomicU64::new(1),
             is_lost: Arc::default(),
         });
-        link.start(reader, writer, opts.delay)?;
+        link.start(reader, writer, opts.path.clone())?;
         Ok(link)
     }
 
-    fn start(
-        self: &Arc<Self>,
-        reader: Reader,
-        mut writer: Writer,
-        delay: Duration,
-    ) -> io::Result<()> {
+    fn start(self: &Arc<Self>, reader: Reader, mut writer: Writer, path: Path) -> io::Result<()> {
         let link = Arc::clone(self);
         let read = move || {
             link.read(reader);
@@ -96,7 +94,7 @@
             .spawn(read)?;
         let link = Arc::clone(self);
         let write = move || {
-            let written = writer.run(&link.out, delay, |frame| {
+            let written = writer.run(&link.out, &path, |frame| {
                 if matches!(frame.body, Some(Body::Begin(_))) {
                     link.pending.mark_written(frame.request);
                 }
--- a/crates/node/src/link/listener.rs
+++ b/crates/node/src/link/listener.rs
@@ -17,7 +17,7 @@
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Begin, Body, Frame, Hello, Listener, Proof, Refused, Secret};
 
-use super::stream::{Queued, Reader, Writer};
+use super::stream::{Path, Queued, Reader, Writer};
 use crate::owner::{Reply, Submit};
 
 /// Requests of one connection whose bodies have not arrived whole.
@@ -31,8 +31,8 @@
     pub frames: usize,
     pub body_bytes: usize,
     pub handshake: Duration,
-    /// The delay of answers, for experiments on one machine.
-    pub delay: Arc<dyn Fn(NodeId) -> Duration + Send + Sync>,
+    /// What lies between this node and another.
+    pub path: Arc<dyn Fn(NodeId) -> Path + Send + Sync>,
 }
 
 /// Accepts connections of other nodes.
@@ -102,11 +102,11 @@
         stream.set_read_timeout(None)?;
         self.remember(&stream)?;
         let out = Ring::new(self.opts.frames);
-        let delay = (self.opts.delay)(peer);
+        let path = (self.opts.path)(peer);
         let ring = out.clone();
         let cut = stream.try_clone()?;
         let write = move || {
-            if let Err(err) = writer.run(&ring, delay, |_| ()) {
+            if let Err(err) = writer.run(&ring, &path, |_| ()) {
                 log::debug!(event = "peer-write-failed", peer:% = peer; "{err}");
             }
             ring.close();
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use dialer::{CHUNK_BYTES, Call, Link, chunks};
 pub(crate) use listener::{Acceptor, Options as AcceptorOptions};
 pub(crate) use pool::{Links, Options, Peer};
-pub(crate) use stream::Queued;
+pub(crate) use stream::{Path, Queued};
--- a/crates/node/src/link/pool.rs
+++ b/crates/node/src/link/pool.rs
@@ -11,7 +11,8 @@
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::Secret;
 
-use super::{Link, dialer};
+use super::{Link, dialer, stream::Path};
+use crate::Wiring;
 
 /// How long a failed connection is not tried again.
 const BACKOFF: Duration = Duration::from_millis(200);
@@ -25,6 +26,7 @@
     pub connect: Duration,
     pub frames: usize,
     pub cross_domain_delay: Duration,
+    pub wiring: Wiring,
 }
 
 /// Where another node is found.
@@ -118,12 +120,16 @@
         } else {
             Duration::ZERO
         };
+        let (wiring, addr) = (self.opts.wiring.clone(), peer.addr);
         let opts = dialer::Options {
             node: self.opts.node,
             secret: self.opts.secret.clone(),
             connect: self.opts.connect,
             frames: self.opts.frames,
-            delay,
+            path: Path {
+                delay,
+                is_cut: Arc::new(move || wiring.is_cut(addr)),
+            },
         };
         let link = Link::dial(peer.addr, &opts)?;
         if link.peer() == peer.node {
--- a/crates/node/src/link/stream.rs
+++ b/crates/node/src/link/stream.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -16,6 +17,9 @@
 /// Bytes after which a batch of frames is written.
 const BATCH_BYTES: usize = 64 * 1024;
 
+/// How often a cut path is looked at.
+const CUT_LOOK: Duration = Duration::from_millis(10);
+
 /// A frame on its way out.
 #[derive(Debug)]
 pub(crate) struct Queued {
@@ -97,18 +101,18 @@
     pub(crate) fn run(
         &mut self,
         ring: &Ring<Queued>,
-        delay: Duration,
+        path: &Path,
         mut about_to_write: impl FnMut(&Frame),
     ) -> io::Result<()> {
         while let Ok(first) = ring.pop() {
-            hold(first.at, delay);
+            path.hold(first.at);
             let mut next = Some(first);
             while let Some(queued) = next {
                 about_to_write(&queued.frame);
                 self.codec
                     .encode(&queued.frame, &mut self.buf)
                     .map_err(invalid)?;
-                let go_on = delay.is_zero() && self.buf.len() < BATCH_BYTES;
+                let go_on = path.delay.is_zero() && self.buf.len() < BATCH_BYTES;
                 next = if go_on { ring.try_pop() } else { None };
             }
             self.flush()?;
@@ -123,11 +127,25 @@
     }
 }
 
-/// Waits until `delay` has passed since `at`.
-fn hold(at: Instant, delay: Duration) {
-    let left = delay.saturating_sub(at.elapsed());
-    if !left.is_zero() {
-        std::thread::sleep(left);
+/// What lies between this node and the one at the other end.
+#[derive(Clone)]
+pub(crate) struct Path {
+    /// How long everything takes, for experiments on one machine.
+    pub delay: Duration,
+    /// Whether nothing passes now, for tests of cuts.
+    pub is_cut: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl Path {
+    /// Waits until what was queued at `at` may pass.
+    fn hold(&self, at: Instant) {
+        let left = self.delay.saturating_sub(at.elapsed());
+        if !left.is_zero() {
+            std::thread::sleep(left);
+        }
+        while (self.is_cut)() {
+            std::thread::sleep(CUT_LOOK);
+        }
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,7 +4,7 @@
     fmt, io,
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
@@ -18,16 +18,15 @@
 use cassiashunt_timer::{Clock, Service as Timer};
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Seal, Secret};
-use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::{
-    Settings,
+    Settings, Wiring,
     config::Config,
     duty,
     fleet::Fleet,
     ingress::{self, Held},
     limits::Limits,
-    link::{self, Links},
+    link::{self, Links, Path},
     operator,
     owner::{self, Backend, Gate, Job, Owner, Rank, Reply, Submit},
     stats::Stats,
@@ -54,7 +53,7 @@
     pub limits: Limits,
     pub platform: cassiashunt_platform::Http,
     pub control: duty::Control,
-    pub metrics: Option<PrometheusHandle>,
+    pub wiring: Wiring,
     pub seen: duty::Seen,
     control_value: RwLock<Arc<Control>>,
     is_repairing: AtomicBool,
@@ -254,15 +253,12 @@
     /// # Errors
     ///
     /// Where an address cannot be used or the operating system gives no thread.
-    pub fn start(
-        settings: Settings,
-        metrics: Option<PrometheusHandle>,
-    ) -> Result<Self, StartError> {
+    pub fn start(settings: Settings, wiring: Wiring) -> Result<Self, StartError> {
         let sockets = bind(&settings)?;
         let addr = |listener: &TcpListener| listener.local_addr();
         let peer_addr = addr(&sockets.peers)?;
         let clock = Clock::new();
-        let shared = Arc::new(share(settings, clock, peer_addr, metrics));
+        let shared = Arc::new(share(settings, clock, peer_addr, wiring));
         let timer = Timer::start(clock)?;
         let mut threads = own(&shared)?;
         let callers = ingress::Acceptor::new(caller_options(&shared.settings), Arc::clone(&shared));
@@ -406,12 +402,7 @@
     })
 }
 
-fn share(
-    settings: Settings,
-    clock: Clock,
-    peer_addr: SocketAddr,
-    metrics: Option<PrometheusHandle>,
-) -> Shared {
+fn share(settings: Settings, clock: Clock, peer_addr: SocketAddr, wiring: Wiring) -> Shared {
     let id = NodeId::random();
     let secret = Secret::new(settings.node.secret.as_bytes());
     let domain = settings.node.failure_domain;
@@ -423,6 +414,7 @@
         connect,
         frames: settings.bounds.link_frames,
         cross_domain_delay: Duration::from_micros(settings.delays.cross_domain_us),
+        wiring: wiring.clone(),
     });
     let platform = cassiashunt_platform::Http::new(cassiashunt_platform::HttpOptions {
         url: settings.platform.url.clone(),
@@ -432,7 +424,7 @@
         id,
         clock,
         config: Config::default(),
-        fleet: Fleet::new(domain),
+        fleet: Fleet::new(domain, settings.policy.choice),
         links,
         tickets: Arc::default(),
         owner: OnceLock::new(),
@@ -444,7 +436,7 @@
         control_value: RwLock::default(),
         is_repairing: AtomicBool::new(false),
         platform,
-        metrics,
+        wiring,
         control: duty::Control::new(Seal::new(id, secret), peer_addr),
         lifecycle: Mutex::new(Lifecycle::new()),
         shed: Mutex::new(Ingress::new(Default::default())),
@@ -465,6 +457,7 @@
     let opts = owner::Options {
         slots: server.slots,
         health_path: server.health.clone(),
+        algorithm: shared.settings.policy.concurrency,
         warm_up: Duration::from_millis(times.warm_up_ms),
     };
     let tickets = Arc::clone(&shared.tickets);
@@ -525,9 +518,11 @@
 fn peer_options(shared: &Arc<Shared>) -> link::AcceptorOptions {
     let settings = &shared.settings;
     let weak = Arc::downgrade(shared);
-    let delay = move |peer| {
-        weak.upgrade()
-            .map_or(Duration::ZERO, |shared| shared.delay_to(peer))
+    let path = move |peer| Path {
+        delay: weak
+            .upgrade()
+            .map_or(Duration::ZERO, |shared| shared.delay_to(peer)),
+        is_cut: is_cut_from(weak.clone(), peer),
     };
     link::AcceptorOptions {
         node: shared.id,
@@ -535,10 +530,21 @@
         frames: settings.bounds.link_frames,
         body_bytes: settings.bounds.body_bytes,
         handshake: Duration::from_millis(settings.times.connect_ms),
-        delay: Arc::new(delay),
+        path: Arc::new(path),
     }
 }
 
+/// Whether nothing passes to `peer` now.
+fn is_cut_from(shared: Weak<Shared>, peer: NodeId) -> Arc<dyn Fn() -> bool + Send + Sync> {
+    Arc::new(move || {
+        let Some(shared) = shared.upgrade() else {
+            return false;
+        };
+        let addr = shared.control.addr_of(peer);
+        addr.is_some_and(|addr| shared.wiring.is_cut(addr))
+    })
+}
+
 impl Shared {
     /// The delay that an experiment adds to what is sent to `peer`.
     fn delay_to(&self, peer: NodeId) -> Duration {
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -42,6 +42,7 @@
     revision: u64,
     in_touch: bool,
     in_flight: usize,
+    limit_shards_open: usize,
     links: usize,
     tickets: usize,
     held_bytes: usize,
@@ -239,7 +240,7 @@
 }
 
 fn metrics(shared: &Shared) -> Reply {
-    match &shared.metrics {
+    match &shared.wiring.metrics {
         Some(handle) => Reply::text(200, "text/plain; version=0.0.4", render(handle)),
         None => Reply::text(404, "text/plain", "this process keeps no metrics\n"),
     }
@@ -268,6 +269,7 @@
         revision: shared.config.revision().0,
         in_touch: shared.control.check(now).is_ok(),
         in_flight: owner.map_or(0, |owner| owner.in_flight()),
+        limit_shards_open: shared.limits.open(&shared.control),
         links: shared.links.len(),
         tickets: shared.tickets.len(),
         held_bytes: shared.held.bytes(),
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -12,5 +12,5 @@
 
 pub(crate) use backend::Backend;
 pub(crate) use job::Job;
-pub(crate) use owner::{Gate, Options, Owner, Rank};
+pub(crate) use owner::{Gate, Options, Owner, Rank, nobody};
 pub(crate) use reply::{Reply, Submit};
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,6 +24,9 @@
     /// How long things may take.
     #[serde(default)]
     pub times: Times,
+    /// Ways of deciding that can be compared with each other.
+    #[serde(default)]
+    pub policy: Policy,
     /// Delays added between failure domains, for experiments on one machine.
     #[serde(default)]
     pub delays: Delays,
@@ -158,6 +161,28 @@
     }
 }
 
+/// Ways of deciding that can be compared with each other.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Policy {
+    /// Whether requests are shed before their chain starts.
+    pub ingress_shedding: bool,
+    /// How the concurrency limit of the backend server follows its latencies.
+    pub concurrency: cassiashunt_admit::Algorithm,
+    /// How a server is picked.
+    pub choice: cassiashunt_route::Policy,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            ingress_shedding: true,
+            concurrency: Default::default(),
+            choice: Default::default(),
+        }
+    }
+}
+
 /// Delays added to what is sent to nodes of other failure domains.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,9 @@
 mod secret;
 
 pub use codec::{CodecError, FrameCodec};
-pub use frame::{Begin, Body, Cancel, Chunk, End, Fetch, Frame, Head, HeaderLine, Refused, ValueKind};
+pub use frame::{
+    Begin, Body, Cancel, Chunk, End, Fetch, Frame, Head, HeaderLine, Refused, ValueKind,
+};
 pub use handshake::{Dialer, HandshakeError, Hello, Listener, Proof, Welcome};
 pub use seal::{Envelope, Kind, Seal, SealError};
 pub use secret::Secret;
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -85,6 +85,12 @@
         Self { node, secret }
     }
 
+    /// The node whose datagrams these are.
+    #[must_use]
+    pub fn node(&self) -> NodeId {
+        self.node
+    }
+
     /// The datagram that carries `payload` to `to`; `None` is whoever listens at the address.
     #[must_use]
     pub fn seal(&self, to: Option<NodeId>, kind: Kind, payload: Vec<u8>) -> Vec<u8> {
