--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -34,7 +34,7 @@
 pub use options::Options;
 pub use phase::Phase;
 pub use record::Record;
-pub use reports::Attestation;
+pub use reports::{ATTESTATION_BYTES, Attestation};
 pub use view::{Change, Departure};
 
 /// The state chart of a node's life.
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -11,7 +11,7 @@
     load::Hint,
     msg::{self, Ack, Body, Message, Page, Ping, Pull, Relay, Update},
     probes::{Probe, Probes},
-    reports::Reports,
+    reports::{ATTESTATION_BYTES, Reports},
     rumors::Rumors,
     view::{self, Applied, View},
 };
@@ -55,7 +55,7 @@
     SetLoad(Load),
     /// The node attests something that was true at `at`.
     Attest {
-        /// Up to 64 bytes; longer contents are not sent.
+        /// Up to [`ATTESTATION_BYTES`]; longer contents are not sent.
         body: Vec<u8>,
         /// When the question was sent whose answer is attested.
         at: Time,
@@ -117,11 +117,11 @@
         rumors.add(me.id);
         Self {
             opts,
+            reports: Reports::new(me.id),
             view: View::new(&opts, me),
             probes: Probes::new(&mut rng),
             rng,
             rumors,
-            reports: Reports::default(),
             contests: Contests::default(),
             seeds: Vec::new(),
             recent: Vec::new(),
@@ -358,13 +358,14 @@
         self.send(now, addr, Body::Ping(ping));
     }
 
-    fn ping_body(&self, seq: u32, target: NodeId) -> Ping {
+    fn ping_body(&mut self, seq: u32, target: NodeId) -> Ping {
+        let want = self.reports.wants(&mut self.rng);
         let suspected = self.view.get(target).filter(|m| m.reach != Reach::Alive);
         Ping {
             seq,
             to: target.0,
             suspect: suspected.map(|m| m.incarnation),
-            want: self.reports.wants(),
+            want,
         }
     }
 
@@ -514,7 +515,8 @@
     fn store(&mut self, now: Time, report: &msg::Report) {
         let node = NodeId(report.node);
         if node != self.id() && !self.is_gone(node) {
-            self.reports.store(now, &self.opts, report);
+            let sends = self.opts.sends(self.view.len());
+            self.reports.store(now, &self.opts, report, sends);
         }
     }
 
@@ -708,9 +710,8 @@
     }
 
     fn attest(&mut self, now: Time, body: Vec<u8>, at: Time) {
-        let me = self.id();
-        if body.len() <= crate::reports::BODY_BYTES {
-            self.reports.attest(now, me, body, at);
+        if body.len() <= ATTESTATION_BYTES {
+            self.reports.attest(now, &self.opts, body, at);
         }
     }
 
--- a/crates/member/src/options.rs
+++ b/crates/member/src/options.rs
@@ -62,7 +62,7 @@
             tombstones: 4_096,
             load_slots: 2,
             mark_slots: 16,
-            report_slots: 2,
+            report_slots: 6,
             attestations: 64,
         }
     }
--- a/crates/member/src/reports.rs
+++ b/crates/member/src/reports.rs
@@ -19,14 +19,14 @@
 /// The bytes of one mark.
 const MARK_BYTES: usize = 5;
 
-/// The longest contents, in bytes.
-pub(crate) const BODY_BYTES: usize = 128;
+/// The longest contents of an attestation, in bytes.
+pub const ATTESTATION_BYTES: usize = 128;
 
 /// Contents that were not renewed for so long are dropped.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
 /// The most contents that one ping asks for.
-const WANTS: usize = 4;
+const WANTS: usize = 8;
 
 /// What a node attests, and how long ago it did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,16 +78,28 @@
 }
 
 /// Every attestation that is held.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Reports {
+    me: NodeId,
     held: BTreeMap<NodeId, Held>,
     news: Rumors,
     wanted: BTreeMap<u32, Time>,
 }
 
 impl Reports {
+    pub(crate) fn new(me: NodeId) -> Self {
+        Self {
+            me,
+            held: BTreeMap::new(),
+            news: Rumors::default(),
+            wanted: BTreeMap::new(),
+        }
+    }
+
     /// This node attests.
-    pub(crate) fn attest(&mut self, now: Time, me: NodeId, body: Vec<u8>, at: Time) {
+    pub(crate) fn attest(&mut self, now: Time, opts: &Options, body: Vec<u8>, at: Time) {
+        let me = self.me;
+        self.make_room(opts.attestations, me);
         let held = self.held.entry(me).or_default();
         let known = held.dated.take().map(|(contents, _)| contents);
         let version = known.as_ref().map_or(0, |contents| contents.version);
@@ -108,11 +120,16 @@
     }
 
     /// Takes in contents; they count once a mark dates them.
-    pub(crate) fn store(&mut self, now: Time, opts: &Options, report: &msg::Report) {
+    pub(crate) fn store(&mut self, now: Time, opts: &Options, report: &msg::Report, sends: u32) {
         let node = NodeId(report.node);
         let known = self.held.get(&node).and_then(Held::newest);
         let is_new = known.is_none_or(|contents| contents.version < report.version);
-        if !is_new || report.body.len() > BODY_BYTES {
+        let is_known = known.is_some_and(|contents| contents.version == report.version);
+        if is_known {
+            // The sender holds as much: one node less to tell.
+            self.news.sent(node, sends);
+        }
+        if !is_new || report.body.len() > ATTESTATION_BYTES {
             return;
         }
         self.make_room(opts.attestations, node);
@@ -125,10 +142,12 @@
     }
 
     fn make_room(&mut self, limit: usize, node: NodeId) {
+        let me = self.me;
         if self.held.contains_key(&node) || self.held.len() < limit {
             return;
         }
-        let oldest = self.held.iter().min_by_key(|(_, held)| held.heard);
+        let others = self.held.iter().filter(|(other, _)| **other != me);
+        let oldest = others.min_by_key(|(_, held)| held.heard);
         if let Some((&oldest, _)) = oldest {
             self.remove(oldest);
         }
@@ -190,8 +209,8 @@
     }
 
     /// Contents that were marked, but are not held.
-    pub(crate) fn wants(&self) -> Vec<u32> {
-        self.wanted.keys().copied().take(WANTS).collect()
+    pub(crate) fn wants(&self, rng: &mut fastrand::Rng) -> Vec<u32> {
+        rng.choose_multiple(self.wanted.keys().copied(), WANTS)
     }
 
     /// The contents that another node asked for.
@@ -240,7 +259,7 @@
 
     pub(crate) fn state_bytes(&self) -> usize {
         let bodies: usize = self.held.values().map(|held| 2 * size_of_val(held)).sum();
-        bodies + self.held.len() * BODY_BYTES
+        bodies + self.held.len() * ATTESTATION_BYTES
     }
 }
 
