Start no thread per call in the stand-in's own calls

Cause: the example client_cost showed a p99 of 2.3 to 4.3 ms for a ureq agent against 0.06 to 0.21 ms for the load's own client, on the same stand-in. The default resolver of ureq starts a thread for each request that has a time limit, also where the connection is kept and the host is an IP number (resolve_async in its resolver.rs).

Ruled out: the stand-in (the same for both), and the connection pool (its size was that of the callers).

Conclusion: the stand-in's child calls use the new resolver; whoever calls by ureq with a time limit on a hot path should do the same.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -22,6 +22,7 @@
 pub mod http;
 mod options;
 mod record;
+mod resolver;
 mod state;
 mod work;
 
@@ -29,6 +30,7 @@
 pub use control::Load;
 pub use options::{Child, Endpoint, Options, Order, Peer, Report, ServiceTime, Spread};
 pub use record::{Journal, Outcome, Record, Stats};
+pub use resolver::IpResolver;
 pub use work::{
     CRASH_HEADER, CRASH_MARK, DIGEST_HEADER, ID_HEADER, TICKET_HEADER, TIMEOUT_HEADER,
     VERDICT_HEADER,
@@ -36,6 +38,7 @@
 
 use http::Connection;
 use state::State;
+use ureq::unversioned::transport::DefaultConnector;
 use work::Reply;
 
 /// The stack of a connection's thread, in bytes.
@@ -94,14 +97,14 @@
 }
 
 fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
+    let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .max_idle_connections(4_096)
         .max_idle_connections_per_host(1_024)
         .max_redirects(0)
         .proxy(None)
-        .build()
-        .into()
+        .build();
+    ureq::Agent::with_parts(config, DefaultConnector::default(), IpResolver)
 }
 
 impl Handle {
