--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Algorithm, Job, Limiter, Signal,
+    Job, Signal,
     estimate::{Estimates, Known},
+    limiter::Limiter,
     meter::Meter,
     queue::Queue,
     signal::FULL_LOAD,
@@ -22,8 +23,6 @@
 pub struct Options {
     /// Requests that the server announces to run at once.
     pub slots: u32,
-    /// How the concurrency limit follows measured latencies.
-    pub algorithm: Algorithm,
     /// The time over which a cold server is given its full limit; zero for a warm one.
     pub warm_up: Duration,
     /// The longest queue, as a share of the concurrency limit.
@@ -38,7 +37,6 @@
     fn default() -> Self {
         Self {
             slots: 16,
-            algorithm: Algorithm::default(),
             warm_up: Duration::ZERO,
             queue_share: 0.5,
             min_queue: 4,
@@ -76,7 +74,7 @@
     #[must_use]
     pub fn new(now: Time, opts: Options) -> Self {
         Self {
-            limiter: Limiter::new(opts.algorithm, opts.slots, now, opts.warm_up),
+            limiter: Limiter::new(opts.slots, now, opts.warm_up),
             opts,
             queue: Queue::default(),
             running: HashMap::new(),
@@ -106,7 +104,8 @@
         actions
     }
 
-    /// Takes in the end of a running request; `is_ok` is false where the server failed.
+    /// Takes in the end of a running request; `is_ok` is false where the server did not do the
+    /// whole work, so that the latency says nothing of it.
     pub fn done(
         &mut self,
         now: Time,
@@ -114,16 +113,12 @@
         latency: Duration,
         is_ok: bool,
     ) -> Vec<Action> {
-        let in_flight = self.in_flight();
         let mut actions = Vec::new();
         let Some(route) = self.running.remove(&id) else {
             return actions;
         };
         if is_ok {
-            let stretch = self.estimates.sample(now, route, latency);
-            self.limiter.on_sample(now, stretch, in_flight, true);
-        } else {
-            self.limiter.on_sample(now, 1.0, in_flight, false);
+            self.estimates.sample(now, route, latency);
         }
         self.settle(now, &mut actions);
         actions
@@ -216,8 +211,7 @@
         self.start(now, actions);
         self.expire(now, actions);
         self.shed(now, actions);
-        self.meter
-            .observe(now, self.load(now), self.queue.len() == 0);
+        self.meter.observe(now, self.load(now));
     }
 
     fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
--- a/crates/admit/src/estimate.rs
+++ b/crates/admit/src/estimate.rs
@@ -10,8 +10,6 @@
 const MEAN_GAIN: f64 = 0.05;
 /// The time without samples after which a new one has most of the weight.
 const MEAN_SPAN: Duration = Duration::from_millis(500);
-/// The share by which the least latency rises towards the mean at each sample.
-const FLOOR_GAIN: f64 = 0.001;
 
 /// Service times of each route at one backend server.
 #[derive(Debug, Default)]
@@ -23,7 +21,6 @@
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     mean: f64,
-    floor: f64,
     sampled: Time,
 }
 
@@ -46,7 +43,6 @@
     fn first(now: Time, secs: f64) -> Self {
         Self {
             mean: secs,
-            floor: secs,
             sampled: now,
         }
     }
@@ -55,24 +51,21 @@
         let idle = now.since(self.sampled).as_secs_f64() / MEAN_SPAN.as_secs_f64();
         let gain = MEAN_GAIN.max(1.0 - (-idle).exp());
         self.mean += gain * (secs - self.mean);
-        self.floor += FLOOR_GAIN * (self.mean - self.floor);
-        self.floor = self.floor.min(secs);
         self.sampled = now;
     }
 }
 
 impl Estimates {
-    /// Takes in a latency and gives its ratio to the least one of the route.
-    pub(crate) fn sample(&mut self, now: Time, route: Route, latency: Duration) -> f64 {
+    /// Takes in the latency of a request that was served.
+    pub(crate) fn sample(&mut self, now: Time, route: Route, latency: Duration) {
         let secs = latency.as_secs_f64();
         sample_into(&mut self.overall, now, secs);
-        if !self.routes.contains_key(&route) && self.routes.len() >= MAX_ROUTES {
-            return 1.0;
+        if self.routes.contains_key(&route) || self.routes.len() < MAX_ROUTES {
+            let estimate = self.routes.entry(route);
+            estimate
+                .or_insert_with(|| Estimate::first(now, secs))
+                .sample(now, secs);
         }
-        let entry = self.routes.entry(route);
-        let estimate = entry.or_insert_with(|| Estimate::first(now, secs));
-        estimate.sample(now, secs);
-        secs / estimate.floor.max(f64::MIN_POSITIVE)
     }
 
     /// What is known of the route's service time.
--- a/crates/admit/src/ingress.rs
+++ b/crates/admit/src/ingress.rs
@@ -1,12 +1,15 @@
 //! Refuses requests at ingress, before a chain starts, by the signals of the owners on its path.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, HashMap},
+};
 
 use cassiashunt_types::prelude::*;
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::{Level, Priority, Signal};
+use crate::{Level, Priority, Signal, demand::Demand};
 
 /// Settings of the shedding at ingress.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -18,9 +21,9 @@
     pub half_life: Duration,
     /// How long a service counts as on a route's path after it was last seen there.
     pub path_age: Duration,
-    /// The share, in 256ths, at which shedding begins.
+    /// The share, in 256ths, above which shedding at the threshold begins.
     pub enter_share: u8,
-    /// The share, in 256ths, at which shedding ends.
+    /// The share, in 256ths, at which shedding at the threshold ends.
     pub leave_share: u8,
     /// The longest time without a request to a service while its signals ask for shedding.
     pub probe_interval: Duration,
@@ -52,6 +55,10 @@
     pub route: Route,
     /// The priority of its class.
     pub priority: Priority,
+    /// Whose request it is.
+    pub workspace: Workspace,
+    /// The workspace's share beside the others; zero counts as one.
+    pub weight: u32,
 }
 
 /// Shedding at one ingress node.
@@ -60,6 +67,7 @@
     opts: Options,
     services: BTreeMap<Service, Watch>,
     paths: HashMap<Route, BTreeMap<Service, Time>>,
+    demand: Demand,
 }
 
 /// What is known of one service.
@@ -89,7 +97,7 @@
         levels.get(middle).copied().unwrap_or(Level::OPEN)
     }
 
-    /// The level with hysteresis.
+    /// The level with hysteresis of its share.
     fn steady_level(&mut self, now: Time, opts: &Options) -> Level {
         let level = self.level(now, opts);
         let bound = if self.is_shedding {
@@ -97,8 +105,9 @@
         } else {
             opts.enter_share
         };
-        self.is_shedding = level.threshold > Priority(0) || level.share > bound;
-        if self.is_shedding { level } else { Level::OPEN }
+        self.is_shedding = level.share > bound;
+        let share = if self.is_shedding { level.share } else { 0 };
+        Level { share, ..level }
     }
 
     fn is_silent(&self, now: Time, opts: &Options) -> bool {
@@ -125,6 +134,7 @@
             opts,
             services: BTreeMap::new(),
             paths: HashMap::new(),
+            demand: Demand::default(),
         }
     }
 
@@ -196,15 +206,29 @@
     /// A not-run refusal with a jittered time to come back, when a service on the route's path
     /// asks for shedding of this priority.
     pub fn admit(&mut self, now: Time, req: Request, rng: &mut Rng) -> Result<(), Refusal> {
+        self.demand
+            .on_request(now, req.priority, req.workspace, req.weight);
         let services = self.services_on(req.route);
         let level = self.highest_level(now, &services);
-        if !is_shed(req.priority, level, rng) || self.is_probe(now, &services, level) {
+        if !self.is_shed(&req, level, rng) || self.is_probe(now, &services, level) {
             self.on_passed(now, &services);
             return Ok(());
         }
         Err(Refusal::not_run(Reason::Shed).retry_after(jittered(self.opts.retry_after, rng)))
     }
 
+    /// Sheds what is below the threshold, and at the threshold first from the workspaces that ask
+    /// for most by their weight.
+    fn is_shed(&mut self, req: &Request, level: Level, rng: &mut Rng) -> bool {
+        match req.priority.cmp(&level.threshold) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal => {
+                rng.f64() >= self.demand.part(req.priority, req.workspace, level.share)
+            }
+        }
+    }
+
     fn services_on(&self, route: Route) -> Vec<Service> {
         let path = self.paths.get(&route);
         path.map(|path| path.keys().copied().collect())
@@ -239,10 +263,6 @@
     }
 }
 
-fn is_shed(priority: Priority, level: Level, rng: &mut Rng) -> bool {
-    priority < level.threshold || (priority == level.threshold && rng.u8(..) < level.share)
-}
-
 /// A time between `base` and twice `base`, so that callers do not come back together.
 #[must_use]
 pub fn jittered(base: Duration, rng: &mut Rng) -> Duration {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,6 +5,7 @@
 //! starts. Both are pure: the time is handed in, and what is to be done comes back.
 
 mod admission;
+mod demand;
 mod estimate;
 pub mod ingress;
 mod job;
@@ -15,5 +16,4 @@
 
 pub use admission::{Action, Admission, Options};
 pub use job::{Job, Priority};
-pub use limiter::{Algorithm, Limiter};
 pub use signal::{Level, Signal};
--- a/crates/admit/src/meter.rs
+++ b/crates/admit/src/meter.rs
@@ -10,16 +10,15 @@
 const STEP: Duration = Duration::from_millis(100);
 /// How long a priority counts as present after its last request.
 const PRESENCE: Duration = Duration::from_secs(60);
-/// The least rise of the share in an overloaded step.
-const MIN_RISE: f64 = 0.05;
-/// The fall of the share in a step without overload.
-const FALL: f64 = 0.02;
-/// The fall of the share in a step in which the server was half idle.
-const IDLE_FALL: f64 = 0.2;
-/// The load, in parts of the concurrency limit, below which the server is half idle.
-const IDLE_LOAD: f64 = 0.5;
+/// The share of offered requests that an owner refuses itself when the level is right. It keeps
+/// the server busy.
+const TARGET_REFUSED: f64 = 0.05;
+/// The part of the distance to the target by which the share moves in a step.
+const GAIN: f64 = 0.3;
+/// The fall of the share in a step in which the server was idle; in proportion where it was partly.
+const IDLE_FALL: f64 = 0.4;
 /// The largest share; the rest keeps the owner informed.
-const MAX_SHARE: f64 = 0.98;
+const MAX_SHARE: f64 = 0.95;
 
 /// Watches one backend server's overload in steps.
 #[derive(Debug)]
@@ -27,9 +26,9 @@
     started: Time,
     offered: u32,
     refused: u32,
-    /// Whether the queue was empty at some point of this step.
-    was_empty: bool,
-    peak_load: f64,
+    /// The sum of the loads that were observed, and their number.
+    load_sum: f64,
+    observed: u32,
     threshold: Priority,
     share: f64,
     present: BTreeMap<Priority, Time>,
@@ -41,8 +40,8 @@
             started: Time::ZERO,
             offered: 0,
             refused: 0,
-            was_empty: true,
-            peak_load: 0.0,
+            load_sum: 0.0,
+            observed: 0,
             threshold: Priority(0),
             share: 0.0,
             present: BTreeMap::new(),
@@ -61,13 +60,13 @@
     }
 
     /// Takes in the state after an event, and steps the level when it is time.
-    pub(crate) fn observe(&mut self, now: Time, load: f64, is_queue_empty: bool) {
-        self.was_empty |= is_queue_empty;
-        self.peak_load = self.peak_load.max(load);
+    pub(crate) fn observe(&mut self, now: Time, load: f64) {
+        self.load_sum += load;
+        self.observed += 1;
         if now.since(self.started) >= STEP {
             self.step(now);
-            self.was_empty = is_queue_empty;
-            self.peak_load = load;
+            self.load_sum = 0.0;
+            self.observed = 0;
         }
     }
 
@@ -81,25 +80,22 @@
     fn step(&mut self, now: Time) {
         let steps = now.since(self.started).as_secs_f64() / STEP.as_secs_f64();
         self.present.retain(|_, seen| now.since(*seen) <= PRESENCE);
-        if self.refused > 0 || !self.was_empty {
-            let excess = f64::from(self.refused) / f64::from(self.offered.max(self.refused).max(1));
-            self.rise(excess);
+        let refused = f64::from(self.refused) / f64::from(self.offered.max(self.refused).max(1));
+        let idle = (1.0 - self.load_sum / f64::from(self.observed.max(1))).max(0.0);
+        if refused > TARGET_REFUSED {
+            self.rise(GAIN * (refused - TARGET_REFUSED));
         } else {
-            let fall = if self.peak_load < IDLE_LOAD {
-                IDLE_FALL
-            } else {
-                FALL
-            };
-            self.fall(fall * steps);
+            self.fall((GAIN * (TARGET_REFUSED - refused)).max(IDLE_FALL * idle) * steps);
         }
         self.started = now;
         self.offered = 0;
         self.refused = 0;
     }
 
-    fn rise(&mut self, excess: f64) {
+    /// Raises the share by a part of what is not shed yet.
+    fn rise(&mut self, part: f64) {
         self.skip_absent();
-        self.share += (excess * (1.0 - self.share)).max(MIN_RISE);
+        self.share += part * (1.0 - self.share);
         if self.share <= MAX_SHARE {
             return;
         }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -1,4 +1,6 @@
-//! The waiting requests: by rank, then by deficit round robin between workspaces.
+//! The waiting requests: by rank, then by weighted fair queueing between workspaces.
+//!
+//! Workspaces of one rank are served by start-time fair queueing (Goyal, Vin and Cheng, 1996).
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -12,6 +14,9 @@
     struct JobKey;
 }
 
+/// The advance of a start tag by one request of a workspace with weight one.
+const TAG_UNIT: u64 = 1 << 32;
+
 /// Waiting requests of one backend server.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -19,60 +24,79 @@
     levels: BTreeMap<Rank, Level>,
 }
 
-/// The waiting requests of one rank; never empty while it stands in the queue.
+/// The waiting requests of one rank.
 #[derive(Debug, Default)]
 struct Level {
-    /// Workspaces in the order of their turns.
-    flows: VecDeque<Flow>,
+    /// The start tag of the request that was taken last.
+    virtual_time: u64,
+    flows: Vec<Flow>,
 }
 
-/// The waiting requests of one workspace at one rank; never empty.
+/// The waiting requests of one workspace at one rank. It stays without requests until the virtual
+/// time has reached its next start tag, so that nobody gains by having none for a moment.
 #[derive(Debug)]
 struct Flow {
     workspace: Workspace,
     weight: u32,
-    /// Requests that it may still start in this turn.
-    deficit: u32,
+    /// The start tag of its next request.
+    start: u64,
     jobs: VecDeque<JobKey>,
 }
 
 impl Flow {
-    /// Compares the queued requests for each unit of weight.
+    /// Compares the waiting requests beyond the first for each unit of weight, so that a workspace
+    /// with a single one is the last to lose it.
     fn is_heavier(&self, other: &Self) -> bool {
-        let own = self.jobs.len() as u64 * u64::from(other.weight);
-        let others = other.jobs.len() as u64 * u64::from(self.weight);
-        own > others
+        let own = (self.jobs.len() as u64).saturating_sub(1) * u64::from(other.weight);
+        let others = (other.jobs.len() as u64).saturating_sub(1) * u64::from(self.weight);
+        own > others || other.jobs.is_empty()
     }
 }
 
 impl Level {
+    fn is_empty(&self) -> bool {
+        self.flows.iter().all(|flow| flow.jobs.is_empty())
+    }
+
+    fn len(&self) -> usize {
+        self.flows.iter().map(|flow| flow.jobs.len()).sum()
+    }
+
     fn push(&mut self, job: &Job, key: JobKey) {
-        let weight = job.weight.max(1);
-        let known = self.flows.iter_mut().find(|f| f.workspace == job.workspace);
-        if let Some(flow) = known {
-            flow.weight = weight;
-            flow.jobs.push_back(key);
-            return;
-        }
-        self.flows.push_back(Flow {
-            workspace: job.workspace,
-            weight,
-            deficit: weight,
-            jobs: VecDeque::from([key]),
+        let flow = self.flow_of(job);
+        flow.jobs.push_back(key);
+    }
+
+    fn flow_of(&mut self, job: &Job) -> &mut Flow {
+        let known = self
+            .flows
+            .iter()
+            .position(|flow| flow.workspace == job.workspace);
+        let at = known.unwrap_or_else(|| {
+            self.flows.push(Flow {
+                workspace: job.workspace,
+                weight: 1,
+                start: 0,
+                jobs: VecDeque::new(),
+            });
+            self.flows.len() - 1
         });
+        let flow = &mut self.flows[at];
+        flow.weight = job.weight.max(1);
+        flow.start = flow.start.max(self.virtual_time);
+        flow
     }
 
-    /// Takes the next request in turn.
+    /// Takes the next request: of the workspace with the least start tag.
     fn pop(&mut self) -> Option<JobKey> {
-        let flow = self.flows.front_mut()?;
+        let waiting = self.flows.iter_mut().filter(|flow| !flow.jobs.is_empty());
+        let flow = waiting.min_by_key(|flow| flow.start)?;
         let key = flow.jobs.pop_front()?;
-        flow.deficit -= 1;
-        if flow.jobs.is_empty() {
-            self.flows.pop_front();
-        } else if flow.deficit == 0 {
-            flow.deficit = flow.weight;
-            self.flows.rotate_left(1);
-        }
+        self.virtual_time = flow.start;
+        flow.start += TAG_UNIT / u64::from(flow.weight);
+        let now = self.virtual_time;
+        self.flows
+            .retain(|flow| !flow.jobs.is_empty() || flow.start > now);
         Some(key)
     }
 
@@ -84,19 +108,13 @@
                 heaviest = at;
             }
         }
-        let flow = self.flows.get_mut(heaviest)?;
-        let key = flow.jobs.pop_back()?;
-        if flow.jobs.is_empty() {
-            self.flows.remove(heaviest);
-        }
-        Some(key)
+        self.flows.get_mut(heaviest)?.jobs.pop_back()
     }
 
     fn retain(&mut self, jobs: &SlotMap<JobKey, Job>) {
         for flow in &mut self.flows {
             flow.jobs.retain(|key| jobs.contains_key(*key));
         }
-        self.flows.retain(|flow| !flow.jobs.is_empty());
     }
 }
 
@@ -118,7 +136,7 @@
     pub(crate) fn pop(&mut self) -> Option<Job> {
         let mut entry = self.levels.last_entry()?;
         let key = entry.get_mut().pop()?;
-        if entry.get().flows.is_empty() {
+        if entry.get().is_empty() {
             entry.remove();
         }
         self.jobs.remove(key)
@@ -128,7 +146,7 @@
     pub(crate) fn shed(&mut self) -> Option<Job> {
         let mut entry = self.levels.first_entry()?;
         let key = entry.get_mut().shed()?;
-        if entry.get().flows.is_empty() {
+        if entry.get().is_empty() {
             entry.remove();
         }
         self.jobs.remove(key)
@@ -148,17 +166,16 @@
             self.levels
                 .values_mut()
                 .for_each(|level| level.retain(&self.jobs));
-            self.levels.retain(|_, level| !level.flows.is_empty());
+            self.levels.retain(|_, level| !level.is_empty());
         }
         out
     }
 
     /// The waiting requests that start before a new one of `rank`.
     pub(crate) fn ahead_of(&self, rank: Rank) -> usize {
-        let levels = self.levels.range(rank..);
-        levels
-            .flat_map(|(_, level)| &level.flows)
-            .map(|flow| flow.jobs.len())
+        self.levels
+            .range(rank..)
+            .map(|(_, level)| level.len())
             .sum()
     }
 
