Prove that accepted edits stay, over explored schedules

A line known to be accepted now rules out one that lacks it.

The naive rule that the platform alone accepts stays in the test file and loses edits.

--- a/crates/table/src/applied.rs
+++ b/crates/table/src/applied.rs
@@ -4,7 +4,7 @@
 
 use cassiashunt_types::Revision;
 
-use crate::{Head, Lineage, Lookup};
+use crate::{Head, LineId, Lineage, Lookup, commit::Holding};
 
 /// What a node does with a head that it hears of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +42,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Applied {
     head: Option<Arc<Head>>,
+    accepted: Option<LineId>,
     lookup: Arc<Lookup>,
 }
 
@@ -60,12 +61,54 @@
             .map_or(Revision(0), |head| head.revision())
     }
 
+    /// The newest line that is known to have been accepted, where it is part of the head in force.
+    #[must_use]
+    pub fn accepted(&self) -> Option<LineId> {
+        self.accepted
+    }
+
+    /// Notes that a line was accepted, as a commit's outcome or a peer says.
+    ///
+    /// A line that is not part of the head in force is left out; it is heard of again.
+    pub fn note_accepted(&mut self, line: LineId) {
+        let Some(head) = &self.head else {
+            return;
+        };
+        let age = |line| {
+            head.recent()
+                .rev()
+                .position(|record| record.accounts_for(line))
+        };
+        let known = self.accepted.and_then(age);
+        let newer = age(line).is_some_and(|age| known.is_none_or(|known| age < known));
+        if newer {
+            self.accepted = Some(line);
+        }
+    }
+
+    /// What this node tells a commit that asks which heads are in force.
+    #[must_use]
+    pub fn holding(&self) -> Option<Holding> {
+        let head = self.head.clone()?;
+        let accepted = self.accepted;
+        Some(Holding { head, accepted })
+    }
+
     /// What the request path asks.
     #[must_use]
     pub fn lookup(&self) -> &Arc<Lookup> {
         &self.lookup
     }
 
+    /// Offers a head whose edit is about to be accepted, and says whether the edit is in force here.
+    ///
+    /// A node may say yes only where it has kept its head since it may last have said so: one that
+    /// was replaced has to hear from a majority first.
+    pub fn vouch(&mut self, head: &Arc<Head>) -> bool {
+        let _ = self.offer(Arc::clone(head));
+        self.head.as_ref().is_some_and(|held| held.keeps(head))
+    }
+
     /// Puts a head in force unless it is older or lacks an edit of the one in force.
     pub fn offer(&mut self, head: Arc<Head>) -> Offer {
         let Some(held) = &self.head else {
--- a/crates/table/src/commit.rs
+++ b/crates/table/src/commit.rs
@@ -25,7 +25,7 @@
 pub use action::{Action, Proposal};
 pub use driver::{Peers, run};
 pub use event::{Event, Spread, Stored, Swapped};
-pub use lines::Held;
+pub use lines::{Held, Holding};
 pub use machine::Commit;
 pub use outcome::{Outcome, Refused};
 
--- a/crates/table/src/commit/driver.rs
+++ b/crates/table/src/commit/driver.rs
@@ -24,7 +24,7 @@
         Self {
             spread: &|_| Spread::Taken,
             held: &|| Held {
-                heads: Vec::new(),
+                peers: Vec::new(),
                 blocking: 1,
             },
             wait: &thread::sleep,
--- a/crates/table/src/commit/lines.rs
+++ b/crates/table/src/commit/lines.rs
@@ -2,23 +2,49 @@
 
 use std::sync::Arc;
 
-use crate::{Head, Lineage, Merged, merge};
+use crate::{Head, LineId, Lineage, Merged, merge};
 
-/// What the peers hold.
+/// What a peer has in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// The head.
+    pub head: Arc<Head>,
+    /// The newest line in it that is known to have been accepted.
+    pub accepted: Option<LineId>,
+}
+
+impl Holding {
+    fn is_forked_from(&self, line: &Head) -> bool {
+        self.head.lineage(line) == Lineage::Forked
+    }
+
+    /// Whether an accepted edit that this holds is missing in a line that forked from it.
+    ///
+    /// As two majorities share a peer, nothing that only the line holds was or will be accepted.
+    #[must_use]
+    pub fn rules_out(&self, line: &Head) -> bool {
+        let lacking = self
+            .accepted
+            .is_some_and(|accepted| !line.accounts_for(accepted));
+        lacking && self.is_forked_from(line)
+    }
+}
+
+/// What the peers have in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Held {
-    /// The head in force at each peer that answered and may vouch, this node's own included.
-    pub heads: Vec<Arc<Head>>,
+    /// What each peer that answered and may vouch has, this node included.
+    pub peers: Vec<Holding>,
     /// How many peers have to refuse a head so that it cannot reach a majority.
     pub blocking: usize,
 }
 
 impl Held {
-    /// Whether so many peers hold a line that forked from this one that nothing which only this
-    /// one holds was or will be accepted.
+    /// Whether nothing that only this line holds was or will be accepted: so many peers hold lines
+    /// that forked from it, or one of them rules it out.
     fn blocks(&self, line: &Head) -> bool {
-        let forked = |head: &&Arc<Head>| head.lineage(line) == Lineage::Forked;
-        self.heads.iter().filter(forked).count() >= self.blocking
+        let forked = self.peers.iter().filter(|peer| peer.is_forked_from(line));
+        forked.count() >= self.blocking || self.peers.iter().any(|peer| peer.rules_out(line))
     }
 }
 
--- a/crates/table/src/commit/machine.rs
+++ b/crates/table/src/commit/machine.rs
@@ -212,8 +212,8 @@
         let own = dropped
             .iter()
             .find(|dropped| Some(dropped.edit) == self.edit_id())?;
-        let undecided = Outcome::Refused(Refused::Undecided);
-        Some(own.conflict.clone().map_or(undecided, Outcome::Conflict))
+        let refused = Outcome::Refused(Refused::Dropped);
+        Some(own.conflict.clone().map_or(refused, Outcome::Conflict))
     }
 
     /// Applies the edit to `base`, unless it holds it already, and writes the outcome.
@@ -254,6 +254,9 @@
         if self.landed || base.find(edit.id).is_some() {
             return Ok(base.clone());
         }
+        if base.has_dropped(edit.id) {
+            return Err(Outcome::Refused(Refused::Dropped));
+        }
         edit::apply(base, edit).map_err(|err| match err {
             edit::Error::Conflict(conflict) => Outcome::Conflict(conflict),
             err => Outcome::Refused(Refused::Edit(err)),
@@ -308,13 +311,14 @@
     fn accept(&mut self, head: &Head) -> Action {
         let id = self.edit_id();
         if let Some(verdict) = self.verdict.take() {
-            let dropped = id.is_some_and(|id| head.settles(id));
+            let dropped = id.is_some_and(|id| head.has_dropped(id));
             self.sent &= !dropped;
             return self.finish(verdict);
         }
         let record = id.and_then(|id| head.find(id));
         let revision = record.map_or(head.revision(), |record| record.revision);
-        self.finish_as(Outcome::Accepted { revision })
+        let line = head.line();
+        self.finish_as(Outcome::Accepted { revision, line })
     }
 
     /// Ends with `outcome`, unless the edit may have taken effect by an earlier swap.
--- a/crates/table/src/commit/outcome.rs
+++ b/crates/table/src/commit/outcome.rs
@@ -4,7 +4,10 @@
 
 use cassiashunt_types::Revision;
 
-use crate::edit::{Conflict, Error};
+use crate::{
+    LineId,
+    edit::{Conflict, Error},
+};
 
 /// Why an edit was refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,6 +16,8 @@
     Edit(Error),
     /// The platform could not be read or written in time.
     PlatformDown,
+    /// It was dropped when the platform's older state was joined with the newer one.
+    Dropped,
     /// Others kept changing the head.
     Contended,
     /// The platform went back to an older state and was edited since, and no majority of the peers
@@ -33,6 +38,9 @@
     Accepted {
         /// The revision from which on it holds.
         revision: Revision,
+        /// The line that the peers have in force, to be told to everybody
+        /// ([`Applied::note_accepted`](crate::Applied::note_accepted)).
+        line: Option<LineId>,
     },
     /// A cell held something else than expected; nothing was changed.
     Conflict(Box<Conflict>),
@@ -47,6 +55,10 @@
         match self {
             Self::Edit(err) => err.fmt(f),
             Self::PlatformDown => f.write_str("the platform does not answer; try later"),
+            Self::Dropped => f.write_str(
+                "the edit was dropped after a restoration of the platform; look again and repeat \
+                 it as a new edit",
+            ),
             Self::Contended => f.write_str("others keep changing the table; try again"),
             Self::Undecided => f.write_str(
                 "the platform was restored and edited since; wait until a majority of the nodes \
@@ -60,7 +72,7 @@
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Accepted { revision } => write!(f, "accepted as revision {revision}"),
+            Self::Accepted { revision, .. } => write!(f, "accepted as revision {revision}"),
             Self::Conflict(conflict) => write!(f, "conflict: {conflict}"),
             Self::Refused(refused) => write!(f, "refused: {refused}"),
             Self::StillUnknown => f.write_str(
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -147,6 +147,19 @@
         self.recent.iter().any(|record| record.accounts_for(line))
     }
 
+    /// Whether this is `older`, or builds on it and has dropped none of its edits.
+    #[must_use]
+    pub fn keeps(&self, older: &Self) -> bool {
+        let builds = matches!(older.lineage(self), Lineage::Same | Lineage::Ahead);
+        builds && !older.recent().any(|record| self.has_dropped(record.edit))
+    }
+
+    /// Whether the last records say that an edit was dropped.
+    #[must_use]
+    pub fn has_dropped(&self, edit: EditId) -> bool {
+        self.settles(edit) && self.find(edit).is_none()
+    }
+
     /// Whether edits as old as `revision` may have left the head.
     #[must_use]
     pub fn may_have_spilled(&self, revision: Revision) -> bool {
--- /dev/null
+++ b/crates/table/tests/p12_accepted_configuration.rs
@@ -0,0 +1,167 @@
+//! P12: an accepted configuration is in force everywhere and never reverts.
+
+#[path = "p12/history.rs"]
+mod history;
+#[path = "p12/world.rs"]
+mod world;
+
+use std::sync::Arc;
+
+use cassiashunt_table::{Change, Column, Edit, EditId, Head, RowKey, SpillLimits, Value, edit};
+use cassiashunt_types::Time;
+use history::{History, Operation, Returned, check};
+use world::{Plan, run};
+
+const SEEDS: u64 = 300;
+/// How many edits a run of one seed has accepted at least, on average.
+const ACCEPTED_PER_SEED: usize = 10;
+
+fn explore(plan: Plan) {
+    let mut accepted = 0;
+    for seed in 0..SEEDS {
+        let history = run(seed, plan);
+        check(&history).unwrap_or_else(|err| panic!("seed {seed}: {err}"));
+        let returned = |operation: &&Operation| is_accepted(operation);
+        accepted += history.operations.iter().filter(returned).count();
+    }
+    let seeds = usize::try_from(SEEDS).expect("few seeds");
+    assert!(
+        accepted > ACCEPTED_PER_SEED * seeds,
+        "only {accepted} accepted"
+    );
+}
+
+fn is_accepted(operation: &Operation) -> bool {
+    matches!(operation.returned, Some((_, Returned::Accepted)))
+}
+
+#[test]
+fn p12_accepted_edits_stay_when_editors_race_and_answers_are_lost() {
+    explore(Plan {
+        roll_backs: false,
+        replacements: false,
+        partitions: false,
+        lost_per_cent: 15,
+        ..Plan::default()
+    });
+}
+
+#[test]
+fn p12_accepted_edits_stay_when_the_platform_goes_back_and_nodes_are_replaced_and_cut_off() {
+    explore(Plan::default());
+}
+
+#[test]
+fn p12_accepted_edits_stay_while_audit_records_leave_the_head() {
+    let spill = SpillLimits {
+        most_records: 8,
+        kept_records: 3,
+        ..SpillLimits::default()
+    };
+    explore(Plan {
+        roll_backs: false,
+        spill,
+        ..Plan::default()
+    });
+}
+
+#[test]
+fn the_naive_rule_that_the_platform_alone_accepts_loses_accepted_edits() {
+    let plan = Plan {
+        accept_on_swap: true,
+        ..Plan::default()
+    };
+    let lost = |seed: &u64| check(&run(*seed, plan)).is_err_and(|err| err.contains("is lost"));
+    assert!((0..SEEDS).any(|seed| lost(&seed)));
+}
+
+/// A history of two edits of one cell, the second on top of the first.
+fn good() -> History {
+    let first = set(1, None, 10);
+    let second = set(2, Some(10), 20);
+    let one = edit::apply(&Head::default(), &first).expect("the cell is empty");
+    let two = edit::apply(&one, &second).expect("the cell holds 10");
+    let operation = |edit: &Edit, at| Operation {
+        edit: edit.id,
+        invoked: Time::from_millis(at),
+        returned: Some((Time::from_millis(at + 1), Returned::Accepted)),
+    };
+    let in_force = vec![
+        (Time::from_millis(1), Arc::new(one)),
+        (Time::from_millis(3), Arc::new(two.clone())),
+    ];
+    History {
+        operations: vec![operation(&first, 0), operation(&second, 2)],
+        in_force: vec![in_force],
+        line: two.recent().cloned().collect(),
+        last: two,
+        astray: Vec::new(),
+    }
+}
+
+fn set(id: u64, old: Option<u32>, new: u32) -> Edit {
+    let change = Change::Cell {
+        row: RowKey::DEFAULTS,
+        column: Column::PerMinute,
+        old: old.map(Value::Number),
+        new: Some(Value::Number(new)),
+    };
+    Edit {
+        id: EditId(id),
+        who: "ada".into(),
+        when: "now".into(),
+        changes: vec![change],
+    }
+}
+
+#[track_caller]
+fn assert_rejected(spoil: impl Fn(&mut History), expected: &str) {
+    let mut history = good();
+    assert_eq!(check(&history), Ok(()));
+    spoil(&mut history);
+    let err = check(&history).expect_err("the history is bad");
+    assert!(err.contains(expected), "{err}");
+}
+
+#[test]
+fn the_check_rejects_lost_repeated_and_refused_edits_that_are_there() {
+    assert_rejected(|history| drop(history.line.pop()), "is lost");
+    assert_rejected(
+        |history| history.line.push(history.line[0].clone()),
+        "stands twice",
+    );
+    let refuse = |history: &mut History| {
+        history.operations[1].returned = Some((Time::from_millis(9), Returned::NotApplied));
+    };
+    assert_rejected(refuse, "took effect though it was refused");
+}
+
+#[test]
+fn the_check_rejects_lines_that_do_not_replay_or_break_real_time() {
+    assert_rejected(|history| history.line.swap(0, 1), "expected");
+    assert_rejected(
+        |history| history.last = Head::default(),
+        "the last head holds",
+    );
+    let reorder = |history: &mut History| {
+        history.operations[0].invoked = Time::from_millis(50);
+        history.operations[0].returned = None;
+    };
+    assert_rejected(reorder, "agrees with real time");
+}
+
+#[test]
+fn the_check_rejects_processes_that_go_back_or_stay_behind() {
+    assert_rejected(|history| history.in_force[0].swap(0, 1), "after");
+    let revert = |history: &mut History| {
+        let other = set(3, None, 30);
+        let mut head = edit::apply(&Head::default(), &other).expect("the cell is empty");
+        for id in 4..6 {
+            let value = 30 + (u32::try_from(id).expect("small") - 4) * 10;
+            head = edit::apply(&head, &set(id, Some(value), value + 10)).expect("in line");
+        }
+        history.in_force[0].push((Time::from_millis(5), Arc::new(head)));
+    };
+    assert_rejected(revert, "was reverted");
+    assert_rejected(|history| history.astray.push(0), "astray");
+}
