Join a relay anew after it was away; let replaced relays go on telling

A scripted step test found that a relay which was replaced and made a relay again, and missed the value in between, went on vouching without what was accepted meanwhile. A role now ends with its entry. Replaced relays go on reporting without vouching, so that a newcomer can learn that the old majority knows.

--- a/crates/control/src/msg.rs
+++ b/crates/control/src/msg.rs
@@ -47,6 +47,9 @@
     /// Whether the relay vouched for its failure domain.
     #[prost(bool, tag = "5")]
     pub vouches: bool,
+    /// The control revision that made it a relay.
+    #[prost(uint64, tag = "6")]
+    pub since: u64,
 }
 
 /// A relay's answer to the question which revisions it has applied.
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -85,9 +85,8 @@
     me: NodeId,
     options: Options,
     control: Control,
-    control_applied_at: Time,
+    joined_after: Time,
     roles: Vec<Role>,
-    given: Vec<NodeId>,
     stopped: bool,
     known: Heads,
     known_since: Time,
@@ -101,6 +100,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Role {
     relay: NodeId,
+    since: Revision,
     vouches: bool,
 }
 
@@ -112,9 +112,8 @@
             me,
             options,
             control: Control::default(),
-            control_applied_at: Time::ZERO,
+            joined_after: Time::ZERO,
             roles: Vec::new(),
-            given: Vec::new(),
             stopped: false,
             known: Heads::default(),
             known_since: Time::ZERO,
@@ -146,7 +145,9 @@
     /// Whether the node bears any role.
     #[must_use]
     pub fn is_relay(&self) -> bool {
-        !self.roles.is_empty()
+        self.roles
+            .iter()
+            .any(|role| self.control.domain_of_relay(role.relay).is_some())
     }
 
     /// The reports to answer a question with, computed after the question came.
@@ -191,7 +192,7 @@
     }
 
     fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if self.roles.is_empty() || now < self.read_due {
+        if !self.is_relay() || now < self.read_due {
             return;
         }
         self.read_due = now + self.options.read_every;
@@ -209,28 +210,53 @@
         }
         self.raise(now, found);
         self.platform_seen = self.platform_seen.max(Some(asked));
-        self.joined_read |= asked >= self.control_applied_at;
+        self.joined_read |= asked >= self.joined_after;
     }
 
     fn apply_control(&mut self, now: Time, control: Control) {
         if control.revision <= self.control.revision {
             return;
         }
-        let was_relay = self.control.domain_of_relay(self.me).is_some();
         self.control = control;
         self.applied.control = self.control.revision;
         self.raise(now, self.applied);
+        self.check_roles();
+        self.begin_role(now);
+    }
+
+    /// A role ends with its entry, but its bearer goes on telling what it knows, without vouching,
+    /// while the control value remembers the relay.
+    fn check_roles(&mut self) {
+        let control = &self.control;
         self.roles
-            .retain(|role| self.control.domain_of_relay(role.relay).is_some());
-        let is_relay = self.control.domain_of_relay(self.me).is_some();
-        if is_relay && !was_relay && !self.stopped && !self.given.contains(&self.me) {
-            self.control_applied_at = now;
-            self.joined_read = false;
-            self.roles.push(Role {
-                relay: self.me,
-                vouches: false,
-            });
+            .retain(|role| role.since > control.revision || is_named(control, role.relay));
+        for role in &mut self.roles {
+            let same = entry(control, role.relay).is_some_and(|e| e.since == role.since);
+            role.vouches &= same || role.since > control.revision;
+        }
+    }
+
+    /// Takes up the role that the control value gives to this node, anew if it was away.
+    fn begin_role(&mut self, now: Time) {
+        let Some(entry) = entry(&self.control, self.me).filter(|_| !self.stopped) else {
+            return;
+        };
+        let is_mine = |role: &Role| role.relay == self.me;
+        if self
+            .roles
+            .iter()
+            .any(|role| is_mine(role) && role.since == entry.since)
+        {
+            return;
         }
+        self.roles.retain(|role| !is_mine(role));
+        self.joined_after = now;
+        self.joined_read = false;
+        self.roles.push(Role {
+            relay: self.me,
+            since: entry.since,
+            vouches: false,
+        });
     }
 
     fn apply_table(&mut self, now: Time, table: Revision) {
@@ -255,7 +281,7 @@
     fn take_role(&mut self, now: Time, msg: &msg::HandOver) {
         let relay = NodeId(msg.relay);
         let is_mine = NodeId(msg.to) == self.me;
-        let had = self.given.contains(&relay) || self.roles.iter().any(|r| r.relay == relay);
+        let had = self.roles.iter().any(|role| role.relay == relay);
         if !is_mine || self.stopped || had {
             return;
         }
@@ -266,6 +292,7 @@
         self.raise(now, known);
         self.roles.push(Role {
             relay,
+            since: Revision(msg.since),
             vouches: msg.vouches,
         });
     }
@@ -273,7 +300,6 @@
     fn stop(&mut self, to: Option<NodeId>, actions: &mut Vec<Action>) {
         self.stopped = true;
         for role in std::mem::take(&mut self.roles) {
-            self.given.push(role.relay);
             if let Some(to) = to {
                 actions.push(Action::HandOver(self.hand_over(role, to)));
             }
@@ -287,6 +313,7 @@
             table: self.known.table.0,
             control: self.known.control.0,
             vouches: role.vouches,
+            since: role.since.0,
         }
     }
 
@@ -299,17 +326,16 @@
 
     /// Begins to vouch once no node can go by the relay sets before this one.
     fn join(&mut self, actions: &mut Vec<Action>) {
-        let Some(at) = self.roles.iter().position(|role| !role.vouches) else {
+        let waits = |role: &Role| role.relay == self.me && !role.vouches;
+        let Some(at) = self.roles.iter().position(waits) else {
             return;
         };
-        let relay = self.roles[at].relay;
+        let relay = self.me;
         let Some(domain) = self.control.domain_of_relay(relay) else {
             return;
         };
-        let entry = domain
-            .relay(relay)
-            .expect("the domain was looked up by this relay");
-        if relay != self.me || !self.has_joined(domain, entry) {
+        let entry = domain.relay(relay).expect("the domain was looked up by it");
+        if !self.has_joined(domain, entry) {
             return;
         }
         self.roles[at].vouches = true;
@@ -346,6 +372,10 @@
     }
 }
 
+fn entry(control: &Control, node: NodeId) -> Option<RelayEntry> {
+    control.domain_of_relay(node)?.relay(node)
+}
+
 fn is_named(control: &Control, node: NodeId) -> bool {
     let past = control.domains.iter().flat_map(|domain| &domain.previous);
     control.domain_of_relay(node).is_some()
