Pull pages faster while much has changed

A thousand nodes that start at once had not agreed after 100 s at a period of 150 ms (example cost): news carry some 60 records a second, and pages came once a second.

--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -25,6 +25,9 @@
 /// Peers that are told goodbye directly.
 const FAREWELLS: usize = 4;
 
+/// A page with so many changes is followed by the next one soon.
+const BULK: usize = 3;
+
 /// Members heard of lately, of whose loads some are passed on.
 const RECENT: usize = 32;
 
@@ -102,7 +105,7 @@
     recent: Vec<NodeId>,
     last_tick: Option<Time>,
     last_revive: Time,
-    last_pull: Time,
+    next_pull: Time,
     /// The first id that the first copy of the members still lacks.
     copy_from: Option<u64>,
     evicted: bool,
@@ -127,7 +130,7 @@
             recent: Vec::new(),
             last_tick: None,
             last_revive: Time::ZERO,
-            last_pull: Time::ZERO,
+            next_pull: Time::ZERO,
             copy_from: Some(0),
             evicted: false,
             out: Vec::new(),
@@ -389,9 +392,11 @@
         }
         // What a first copy tells is known to the others already.
         let is_copy = self.copy_from.is_some() && matches!(msg.body, Some(Body::Page(_)));
+        let before = self.out.len();
         for update in &msg.updates {
             self.apply(now, update, !is_copy);
         }
+        let changes = self.out.len() - before;
         if self.evicted {
             return;
         }
@@ -404,7 +409,7 @@
             Some(Body::Ack(ack)) => self.on_ack(now, from, id, &ack),
             Some(Body::Relay(relay)) => self.on_relay(now, from, &relay),
             Some(Body::Pull(pull)) => self.on_pull(from, &pull),
-            Some(Body::Page(page)) => self.on_page(&page),
+            Some(Body::Page(page)) => self.on_page(now, &page, changes),
             None => {}
         }
     }
@@ -627,12 +632,12 @@
 
     /// Pulls a bucket in which the other node's members differ.
     fn compare(&mut self, now: Time, from: SocketAddr, ack: &Ack) {
-        let is_due = now.since(self.last_pull) >= self.opts.pull_period;
+        let is_due = now >= self.next_pull;
         if ack.checksum == 0 || !is_due || self.copy_from.is_some() {
             return;
         }
         if ack.checksum != self.view.checksum(ack.bucket) {
-            self.last_pull = now;
+            self.next_pull = now + self.opts.pull_period;
             let (first, last) = view::bucket_range(ack.bucket);
             self.send(now, from, Body::Pull(Pull { first, last }));
         }
@@ -672,11 +677,15 @@
         self.out.push(Action::Send { to: from, msg });
     }
 
-    fn on_page(&mut self, page: &Page) {
+    fn on_page(&mut self, now: Time, page: &Page, changes: usize) {
         let is_copy = page.last == u64::MAX && self.copy_from.is_some();
         if is_copy {
             self.copy_from = (page.rest != 0).then_some(page.rest);
         }
+        if changes >= BULK {
+            // Much has changed, more than news can carry.
+            self.next_pull = now + self.opts.period;
+        }
     }
 
     fn set_phase(&mut self, now: Time, phase: Phase) {
--- a/crates/member/src/options.rs
+++ b/crates/member/src/options.rs
@@ -28,7 +28,8 @@
     pub news_bytes: usize,
     /// The most bytes of members in a page.
     pub page_bytes: usize,
-    /// At most one page is asked for in each such time, once the first copy is complete.
+    /// At most one page is asked for in each such time, once the first copy is complete and unless
+    /// pages bring much that is new.
     pub pull_period: Duration,
     /// The most members that are kept, unreachable ones included.
     pub members: usize,
