Tell latency from sending beside latency from the intended time

The outcomes now also show first tries from their actual sending. Phases without protected requests show none instead of 0 %.

--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -87,6 +87,12 @@
         self.ended.saturating_sub(self.intended)
     }
 
+    /// The time from the first try's sending to the final outcome.
+    #[must_use]
+    pub fn from_sending(&self) -> Duration {
+        self.ended.saturating_sub(self.sent)
+    }
+
     /// How late the first try was sent.
     #[must_use]
     pub fn lateness(&self) -> Duration {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -96,14 +96,17 @@
     /// The slot time that the whole answers of the phase took, as a share of the slots of the
     /// service where it is the greatest; a value above 1 has its slots taken in an earlier phase.
     pub useful_share: f64,
-    /// The share of protected requests that were answered whole.
-    pub protected_whole: f64,
+    /// The share of protected requests that were answered whole; `None` where there were none.
+    pub protected_whole: Option<f64>,
     /// Every outcome and its count.
     pub outcomes: Vec<OutcomeCount>,
     /// Further tries per request.
     pub retries_per_request: f64,
     /// Latency of whole answers.
     pub latency: Latency,
+    /// Latency of whole answers that came at the first try, from its actual sending: without the
+    /// load's own lateness, and therefore blind to stalls.
+    pub latency_from_sending: Latency,
     /// Latency of refusals.
     pub refusal_latency: Latency,
     /// How late requests were sent; where it is long, the load itself was the bottleneck.
@@ -258,6 +261,7 @@
             .sent
             .iter()
             .map(|m| u64::from(m.sample.tries.saturating_sub(1)));
+        let first_try = whole().filter(|m| m.sample.tries == 1);
         let workspaces = cell::workspace_shares(self);
         let shares = workspaces.iter().map(|workspace| workspace.share);
         PhaseReport {
@@ -272,6 +276,7 @@
             outcomes: outcomes(&self.sent),
             retries_per_request: to_f64(tries.sum()) / count_f64(self.sent.len().max(1)),
             latency: Latency::of(whole().map(|m| m.sample.latency())),
+            latency_from_sending: Latency::of(first_try.map(|m| m.sample.from_sending())),
             refusal_latency: Latency::of(refused.map(|m| m.sample.latency())),
             lateness: Latency::of(self.sent.iter().map(|m| m.sample.lateness())),
             refused_inside_rate: self.share_inside(Outcome::is_refused),
@@ -290,13 +295,12 @@
         )
     }
 
-    fn protected_whole(&self) -> f64 {
+    fn protected_whole(&self) -> Option<f64> {
         let is_protected = |m: &&&Marked<'_>| self.experiment.requests[m.sample.kind].protected;
         let protected = || self.sent.iter().filter(is_protected);
-        ratio(
-            protected().filter(|m| m.is_whole()).count(),
-            protected().count(),
-        )
+        let whole = protected().filter(|m| m.is_whole()).count();
+        let count = protected().count();
+        (count > 0).then(|| ratio(whole, count))
     }
 
     fn useful_share(&self) -> f64 {
--- a/crates/load/src/report/compare.rs
+++ b/crates/load/src/report/compare.rs
@@ -81,10 +81,14 @@
         &self,
         variant: &str,
         phase: &str,
-        figure: impl Fn(&PhaseReport) -> f64,
+        figure: impl Fn(&PhaseReport) -> Option<f64>,
     ) -> Option<Spread> {
         let phases = self.of(variant).flat_map(|report| &report.phases);
-        Spread::of(phases.filter(|report| report.phase == phase).map(figure))
+        Spread::of(
+            phases
+                .filter(|report| report.phase == phase)
+                .filter_map(figure),
+        )
     }
 
     /// One JSON object a line: a run's phases, recoveries and windows, each named by `record`.
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -93,63 +93,46 @@
 struct Column {
     title: &'static str,
     decimals: usize,
-    figure: fn(&PhaseReport) -> f64,
+    figure: fn(&PhaseReport) -> Option<f64>,
+}
+
+const fn column(
+    title: &'static str,
+    decimals: usize,
+    figure: fn(&PhaseReport) -> Option<f64>,
+) -> Column {
+    Column {
+        title,
+        decimals,
+        figure,
+    }
 }
 
 /// The columns of the phase tables.
 const COLUMNS: [Column; 10] = [
-    Column {
-        title: "goodput/s",
-        decimals: 0,
-        figure: |phase| phase.goodput,
-    },
-    Column {
-        title: "of bound %",
-        decimals: 1,
-        figure: |phase| 100.0 * bound_share(phase),
-    },
-    Column {
-        title: "useful %",
-        decimals: 1,
-        figure: |phase| 100.0 * phase.useful_share,
-    },
-    Column {
-        title: "protected %",
-        decimals: 1,
-        figure: |phase| 100.0 * phase.protected_whole,
-    },
-    Column {
-        title: "worst ws %",
-        decimals: 1,
-        figure: |phase| 100.0 * phase.worst_share,
-    },
-    Column {
-        title: "refused in %",
-        decimals: 2,
-        figure: |phase| 100.0 * phase.refused_inside_rate,
-    },
-    Column {
-        title: "limited in %",
-        decimals: 2,
-        figure: |phase| 100.0 * phase.limited_inside_rate,
-    },
-    Column {
-        title: "retries/req",
-        decimals: 2,
-        figure: |phase| phase.retries_per_request,
-    },
-    Column {
-        title: "p50 ms",
-        decimals: 2,
-        figure: |phase| phase.latency.p50,
-    },
-    Column {
-        title: "p99 ms",
-        decimals: 2,
-        figure: |phase| phase.latency.p99,
-    },
+    column("goodput/s", 0, |phase| Some(phase.goodput)),
+    column("of bound %", 1, |phase| percent(bound_share(phase))),
+    column("useful %", 1, |phase| percent(phase.useful_share)),
+    column("protected %", 1, |phase| {
+        phase.protected_whole.and_then(percent)
+    }),
+    column("worst ws %", 1, |phase| percent(phase.worst_share)),
+    column("refused in %", 2, |phase| {
+        percent(phase.refused_inside_rate)
+    }),
+    column("limited in %", 2, |phase| {
+        percent(phase.limited_inside_rate)
+    }),
+    column("retries/req", 2, |phase| Some(phase.retries_per_request)),
+    column("p50 ms", 2, |phase| Some(phase.latency.p50)),
+    column("p99 ms", 2, |phase| Some(phase.latency.p99)),
 ];
 
+#[expect(clippy::unnecessary_wraps, reason = "a column's figure may be missing")]
+fn percent(share: f64) -> Option<f64> {
+    Some(100.0 * share)
+}
+
 fn bound_share(phase: &PhaseReport) -> f64 {
     phase.goodput / phase.bound.goodput
 }
@@ -244,7 +227,7 @@
     let mut rows = vec![fixed.into_iter().chain(names).collect()];
     for (index, workspace) in phase.workspaces.iter().enumerate() {
         let shares = variants.iter().map(|variant| {
-            let share = |phase: &PhaseReport| 100.0 * phase.workspaces[index].share;
+            let share = |phase: &PhaseReport| percent(phase.workspaces[index].share);
             spread_text(comparison.spread(variant, &phase.phase, share), 1)
         });
         let fixed = [
@@ -284,18 +267,32 @@
         });
         rows.push(std::iter::once(name.to_owned()).chain(counts).collect());
     }
-    let late = variants.iter().map(|variant| {
-        let late = comparison.spread(variant, &phase.phase, |phase| phase.lateness.p99);
-        spread_text(late, 1)
-    });
-    rows.push(
-        std::iter::once("sent late, p99 ms".to_owned())
-            .chain(late)
-            .collect(),
-    );
+    rows.push(phase_row(comparison, phase, "sent late, p99 ms", |p| {
+        p.lateness.p99
+    }));
+    let from_sending = |p: &PhaseReport| p.latency_from_sending.p99;
+    rows.push(phase_row(
+        comparison,
+        phase,
+        "first tries from sending, p99 ms",
+        from_sending,
+    ));
     rows
 }
 
+fn phase_row(
+    comparison: &Comparison,
+    phase: &PhaseReport,
+    name: &str,
+    figure: impl Fn(&PhaseReport) -> f64,
+) -> Vec<String> {
+    let cells = comparison.variants().into_iter().map(|variant| {
+        let spread = comparison.spread(variant, &phase.phase, |phase| Some(figure(phase)));
+        spread_text(spread, 2)
+    });
+    std::iter::once(name.to_owned()).chain(cells).collect()
+}
+
 fn history_rows(comparison: &Comparison) -> Rows {
     let titles = [
         "variant",
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -6,7 +6,7 @@
 
 use cassiashunt_load::{
     Outcome, Sample, plot,
-    report::{Comparison, Latency, Report, Spread},
+    report::{Comparison, Report, Spread},
     table,
 };
 use cassiashunt_types::prelude::*;
@@ -28,12 +28,13 @@
         ..common::whole(n * 10, 1_000)
     };
     let samples: Vec<_> = (0..100).map(late).collect();
-    let from_sending = Latency::of(samples.iter().map(|s| s.ended.saturating_sub(s.sent)));
+    let report = &comparison(&samples).reports[0].phases[0];
+    let from_sending = report.latency_from_sending;
     assert!(
         from_sending.max < 1.0,
         "counted from the sending, nobody waited"
     );
-    let report = &comparison(&samples).reports[0].phases[0];
+
     assert!(
         (report.latency.p50 - 500.0).abs() < 15.0,
         "{:?}",
