--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,9 +8,11 @@
 //!
 //! Everything here is pure: time, messages and randomness are handed in, actions are handed out.
 
+mod action;
 mod claim;
 mod contests;
 pub mod cost;
+mod event;
 mod lifecycle;
 mod load;
 mod member;
@@ -19,6 +21,7 @@
 mod options;
 mod phase;
 mod probes;
+mod recent;
 mod record;
 mod reports;
 pub mod roster;
@@ -26,11 +29,13 @@
 mod tombstones;
 mod view;
 
+pub use action::Action;
 pub use claim::Claim;
+pub use event::Event;
 pub use lifecycle::{Lifecycle, Step};
 pub use load::{Load, LoadReport};
 pub use member::{Member, Reach};
-pub use members::{Action, Event, Members};
+pub use members::Members;
 pub use options::Options;
 pub use phase::Phase;
 pub use record::Record;
--- a/crates/member/src/load.rs
+++ b/crates/member/src/load.rs
@@ -65,6 +65,15 @@
 }
 
 impl Hint {
+    /// The hint that passes a report on.
+    pub(crate) fn new(id: NodeId, report: &LoadReport, now: Time) -> Self {
+        Self {
+            tag: tag(id),
+            load: report.load,
+            age: report.age(now),
+        }
+    }
+
     /// Appends the hint unless it is too old to be worth it.
     pub(crate) fn write(&self, buf: &mut Vec<u8>) {
         let units = self.age.as_micros().div_ceil(AGE_UNIT.as_micros());
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -3,22 +3,20 @@
 use std::net::SocketAddr;
 
 use cassiashunt_types::prelude::*;
-use prost::Message as _;
 
 use crate::{
-    Attestation, Change, Claim, Departure, Load, LoadReport, Member, Options, Phase, Reach, Record,
+    Action, Attestation, Change, Claim, Departure, Event, Load, LoadReport, Member, Options, Phase,
+    Reach, Record,
     contests::Contests,
     load::Hint,
     msg::{self, Ack, Body, Message, Page, Ping, Pull, Relay, Update},
     probes::{Probe, Probes},
+    recent::Recent,
     reports::{ATTESTATION_BYTES, Reports},
     rumors::Rumors,
     view::{self, Applied, View},
 };
 
-/// The bytes that frame one update within a message.
-const UPDATE_FRAME_BYTES: usize = 3;
-
 /// The most addresses that are kept from rosters.
 const SEEDS: usize = 64;
 
@@ -28,69 +26,6 @@
 /// A page with so many changes is followed by the next one soon.
 const BULK: usize = 3;
 
-/// Members heard of lately, of whose loads some are passed on.
-const RECENT: usize = 32;
-
-/// Something that happened.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// A period of [`Options::period`] passed.
-    Tick,
-    /// A message came.
-    Receive {
-        /// The address that it came from, where an answer is sent.
-        from: SocketAddr,
-        /// The message.
-        msg: Message,
-    },
-    /// Addresses where members may be found.
-    Seeds(Vec<SocketAddr>),
-    /// The node's own [`Lifecycle`](crate::Lifecycle) entered a phase.
-    SetPhase(Phase),
-    /// The backend server beside the node announced itself, anew or with other numbers.
-    SetBackend {
-        /// Its service; `None` when it is gone.
-        service: Option<Service>,
-        /// The requests that it runs at once.
-        slots: u32,
-    },
-    /// The node's own load changed.
-    SetLoad(Load),
-    /// The node attests something that was true at `at`.
-    Attest {
-        /// Up to [`ATTESTATION_BYTES`]; longer contents are not sent.
-        body: Vec<u8>,
-        /// When the question was sent whose answer is attested.
-        at: Time,
-    },
-    /// The node no longer attests.
-    StopAttesting,
-}
-
-/// Something to do or to know.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send a message; it may be lost.
-    Send {
-        /// Where to.
-        to: SocketAddr,
-        /// The message.
-        msg: Message,
-    },
-    /// A member is new.
-    Joined(NodeId),
-    /// A member's record or reach changed.
-    Changed(NodeId),
-    /// A member is no longer kept.
-    Left(NodeId, Departure),
-    /// The contents of a node's attestation changed.
-    Attested(NodeId),
-    /// Others suspected this node, and it answered with a higher incarnation.
-    Refuted,
-    /// Others hold this node for gone; the process has to take a new id.
-    Evicted,
-}
-
 /// One node's view of the fleet and its part in keeping it.
 #[derive(Debug)]
 pub struct Members {
@@ -102,7 +37,7 @@
     reports: Reports,
     contests: Contests,
     seeds: Vec<SocketAddr>,
-    recent: Vec<NodeId>,
+    recent: Recent,
     last_tick: Option<Time>,
     last_revive: Time,
     next_pull: Time,
@@ -127,7 +62,7 @@
             rumors,
             contests: Contests::default(),
             seeds: Vec::new(),
-            recent: Vec::new(),
+            recent: Recent::default(),
             last_tick: None,
             last_revive: Time::ZERO,
             next_pull: Time::ZERO,
@@ -146,7 +81,7 @@
             Event::Tick => self.tick(now),
             Event::Receive { from, msg } => self.receive(now, from, msg),
             Event::Seeds(seeds) => self.add_seeds(now, &seeds),
-            Event::SetPhase(phase) => self.set_phase(now, phase),
+            Event::SetPhase(phase) => self.set_phase(phase),
             Event::SetBackend { service, slots } => self.restate(|record| {
                 record.service = service;
                 record.slots = slots;
@@ -243,7 +178,7 @@
         self.reports.expire(now, &self.opts);
         self.probe_next(now);
         self.revive(now);
-        self.copy(now);
+        self.copy();
     }
 
     /// Draws no conclusion from silence while this process itself was not running.
@@ -259,7 +194,7 @@
     fn expire_probes(&mut self, now: Time) {
         let overdue = self.probes.expire(now, &self.opts);
         for (seq, target) in overdue.relay {
-            self.relay(now, seq, target);
+            self.relay(seq, target);
         }
         for target in overdue.silent {
             self.contests.remove(target);
@@ -276,7 +211,7 @@
         }
     }
 
-    fn relay(&mut self, now: Time, seq: u32, target: NodeId) {
+    fn relay(&mut self, seq: u32, target: NodeId) {
         let Some(addr) = self.addr_of(target) else {
             return;
         };
@@ -286,7 +221,7 @@
                 to: target.0,
                 addr: msg::addr_to_bytes(addr),
             });
-            self.send(now, peer, body);
+            self.send(peer, body);
         }
     }
 
@@ -337,14 +272,14 @@
     }
 
     /// Asks for the next part of the first copy of the members.
-    fn copy(&mut self, now: Time) {
+    fn copy(&mut self) {
         let Some(first) = self.copy_from else {
             return;
         };
         let me = self.id();
         if let Some(peer) = self.random_peers(1, me).pop() {
             let last = u64::MAX;
-            self.send(now, peer, Body::Pull(Pull { first, last }));
+            self.send(peer, Body::Pull(Pull { first, last }));
         }
     }
 
@@ -358,7 +293,7 @@
     fn ping_at(&mut self, now: Time, target: NodeId, addr: SocketAddr) {
         let seq = self.probes.open(now, Some(target), addr);
         let ping = self.ping_body(seq, target);
-        self.send(now, addr, Body::Ping(ping));
+        self.send(addr, Body::Ping(ping));
     }
 
     fn ping_body(&mut self, seq: u32, target: NodeId) -> Ping {
@@ -378,7 +313,7 @@
             ..Default::default()
         };
         let first = Some(self.id());
-        self.send_with(now, addr, Body::Ping(ping), first);
+        self.send_with(addr, Body::Ping(ping), first);
     }
 
     fn receive(&mut self, now: Time, from: SocketAddr, msg: Message) {
@@ -530,11 +465,7 @@
             return;
         };
         self.view.set_load(id, LoadReport { load, at: now });
-        self.recent.retain(|known| *known != id);
-        if self.recent.len() >= RECENT {
-            self.recent.remove(0);
-        }
-        self.recent.push(id);
+        self.recent.add(id);
     }
 
     fn on_ping(&mut self, now: Time, from: SocketAddr, asker: NodeId, ping: &Ping) {
@@ -556,7 +487,7 @@
             loads: self.hints(now, asker),
         };
         let wanted = self.reports.answer(&ping.want);
-        let mut msg = self.message(now, Body::Ack(ack), is_news.then_some(me));
+        let mut msg = self.message(Body::Ack(ack), is_news.then_some(me));
         for report in wanted {
             if !msg.reports.contains(&report) {
                 msg.reports.push(report);
@@ -578,22 +509,15 @@
         view::bucket_of(member.record.id)
     }
 
+    /// Loads of some members heard of lately, packed.
     fn hints(&mut self, now: Time, asker: NodeId) -> Vec<u8> {
         let mut buf = Vec::new();
-        let others: Vec<NodeId> = self
+        for id in self
             .recent
-            .iter()
-            .copied()
-            .filter(|id| *id != asker)
-            .collect();
-        for id in self.rng.choose_multiple(others, self.opts.load_slots) {
+            .choose(&mut self.rng, asker, self.opts.load_slots)
+        {
             if let Some(report) = self.view.get(id).and_then(|m| m.load) {
-                let hint = Hint {
-                    tag: crate::load::tag(id),
-                    load: report.load,
-                    age: report.age(now),
-                };
-                hint.write(&mut buf);
+                Hint::new(id, &report, now).write(&mut buf);
             }
         }
         buf
@@ -613,7 +537,7 @@
                 ..Default::default()
             };
             if sender == errand.target {
-                self.send(now, errand.asker, Body::Ack(answer));
+                self.send(errand.asker, Body::Ack(answer));
             }
         }
     }
@@ -639,7 +563,7 @@
         if ack.checksum != self.view.checksum(ack.bucket) {
             self.next_pull = now + self.opts.pull_period;
             let (first, last) = view::bucket_range(ack.bucket);
-            self.send(now, from, Body::Pull(Pull { first, last }));
+            self.send(from, Body::Pull(Pull { first, last }));
         }
     }
 
@@ -650,30 +574,18 @@
         let target = NodeId(relay.to);
         let seq = self.probes.open_errand(now, from, relay.seq, target);
         let ping = self.ping_body(seq, target);
-        self.send(now, addr, Body::Ping(ping));
+        self.send(addr, Body::Ping(ping));
     }
 
     fn on_pull(&mut self, from: SocketAddr, pull: &Pull) {
-        let mut msg = Message {
+        let (updates, rest) = self.view.page(pull, self.opts.page_bytes);
+        let last = pull.last;
+        let msg = Message {
             from: self.id().0,
+            updates,
+            body: Some(Body::Page(Page { rest, last })),
             ..Default::default()
         };
-        let mut bytes = 0;
-        let mut rest = 0;
-        for member in self.view.range(pull.first, pull.last) {
-            let update = match member.reach {
-                Reach::Unreachable => member.to_news(),
-                Reach::Alive | Reach::Suspect => member.to_update(),
-            };
-            bytes += update.encoded_len() + UPDATE_FRAME_BYTES;
-            if bytes > self.opts.page_bytes {
-                rest = member.record.id.0;
-                break;
-            }
-            msg.updates.push(update);
-        }
-        let last = pull.last;
-        msg.body = Some(Body::Page(Page { rest, last }));
         self.out.push(Action::Send { to: from, msg });
     }
 
@@ -688,13 +600,12 @@
         }
     }
 
-    fn set_phase(&mut self, now: Time, phase: Phase) {
+    fn set_phase(&mut self, phase: Phase) {
         if phase == Phase::Gone {
             self.say_goodbye();
         } else if phase != self.me().phase {
             self.restate(|record| record.phase = phase);
         }
-        let _ = now;
     }
 
     fn say_goodbye(&mut self) {
@@ -739,48 +650,27 @@
         self.rng.choose_multiple(peers, count)
     }
 
-    fn send(&mut self, now: Time, to: SocketAddr, body: Body) {
-        self.send_with(now, to, body, None);
+    fn send(&mut self, to: SocketAddr, body: Body) {
+        self.send_with(to, body, None);
     }
 
-    fn send_with(&mut self, now: Time, to: SocketAddr, body: Body, first: Option<NodeId>) {
-        let msg = self.message(now, body, first);
+    fn send_with(&mut self, to: SocketAddr, body: Body, first: Option<NodeId>) {
+        let msg = self.message(body, first);
         self.out.push(Action::Send { to, msg });
     }
 
     /// A message with as much news as fits; news about `first` in any case.
-    fn message(&mut self, _now: Time, body: Body, first: Option<NodeId>) -> Message {
+    fn message(&mut self, body: Body, first: Option<NodeId>) -> Message {
         let sends = self.opts.sends(self.view.len());
         let load = self.view.me().load.map_or(0, |report| report.load.number());
         Message {
             from: self.id().0,
             load,
-            updates: self.news(first, sends),
+            updates: self.rumors.take(first, sends, self.opts.news_bytes, |id| {
+                self.view.news_of(id)
+            }),
             reports: self.reports.news(self.opts.report_slots, sends),
             body: Some(body),
         }
     }
-
-    fn news(&mut self, first: Option<NodeId>, sends: u32) -> Vec<Update> {
-        let mut updates = Vec::new();
-        let mut told = Vec::new();
-        let mut bytes = 0;
-        let queued = self.rumors.iter().filter(|id| Some(*id) != first);
-        for id in first.into_iter().chain(queued) {
-            told.push(id);
-            let Some(update) = self.view.news_of(id) else {
-                continue;
-            };
-            bytes += update.encoded_len() + UPDATE_FRAME_BYTES;
-            if bytes > self.opts.news_bytes && !updates.is_empty() {
-                told.pop();
-                break;
-            }
-            updates.push(update);
-        }
-        for id in told {
-            self.rumors.sent(id, sends);
-        }
-        updates
-    }
 }
--- a/crates/member/src/rumors.rs
+++ b/crates/member/src/rumors.rs
@@ -3,6 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cassiashunt_types::prelude::*;
+use prost::Message as _;
+
+use crate::msg::Update;
+
+/// The bytes that frame one update within a message.
+const FRAME_BYTES: usize = 3;
 
 /// The members about which there is news, and how often each piece has been sent.
 ///
@@ -32,6 +38,33 @@
         self.order.iter().map(|(_, id)| *id)
     }
 
+    /// Takes up to `limit_bytes` of news for a message, and news about `first` in any case.
+    pub(crate) fn take(
+        &mut self,
+        first: Option<NodeId>,
+        sends: u32,
+        limit_bytes: usize,
+        news_of: impl Fn(NodeId) -> Option<Update>,
+    ) -> Vec<Update> {
+        let mut updates = Vec::new();
+        let mut told = Vec::new();
+        let mut bytes = 0;
+        let queued = self.iter().filter(|id| Some(*id) != first);
+        for id in first.into_iter().chain(queued) {
+            let update = news_of(id);
+            bytes += update.as_ref().map_or(0, framed_bytes);
+            if bytes > limit_bytes && !updates.is_empty() {
+                break;
+            }
+            told.push(id);
+            updates.extend(update);
+        }
+        for id in told {
+            self.sent(id, sends);
+        }
+        updates
+    }
+
     /// Counts one sending, of at most `limit`.
     pub(crate) fn sent(&mut self, id: NodeId, limit: u32) {
         let Some(count) = self.remove(id) else {
@@ -58,3 +91,8 @@
         self.sends.len()
     }
 }
+
+/// The bytes of an update within a message.
+pub(crate) fn framed_bytes(update: &Update) -> usize {
+    update.encoded_len() + FRAME_BYTES
+}
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Claim, Load, LoadReport, Member, Options, Phase, Reach, Record, load, msg,
-    tombstones::Tombstones,
+    rumors::framed_bytes, tombstones::Tombstones,
 };
 
 /// The parts of the id space that are compared one at a time.
@@ -138,6 +138,24 @@
             .map(|(_, member)| member)
     }
 
+    /// The updates that answer a pull, up to `limit_bytes`, and the first id that did not fit, or 0.
+    pub(crate) fn page(&self, pull: &msg::Pull, limit_bytes: usize) -> (Vec<msg::Update>, u64) {
+        let mut updates = Vec::new();
+        let mut bytes = 0;
+        for member in self.range(pull.first, pull.last) {
+            let update = match member.reach {
+                Reach::Unreachable => member.to_news(),
+                Reach::Alive | Reach::Suspect => member.to_update(),
+            };
+            bytes += framed_bytes(&update);
+            if bytes > limit_bytes && !updates.is_empty() {
+                return (updates, member.record.id.0);
+            }
+            updates.push(update);
+        }
+        (updates, 0)
+    }
+
     /// A checksum of the answering members of one bucket; never zero.
     pub(crate) fn checksum(&self, bucket: u32) -> u32 {
         let (first, last) = bucket_range(bucket);
