--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -1,6 +1,7 @@
 //! Callers: kept connections per workspace, one try at a time.
 
 use std::{
+    collections::VecDeque,
     io,
     net::TcpStream,
     sync::Mutex,
@@ -22,18 +23,31 @@
 /// How many instances one try looks for that take its connection.
 const INSTANCES_PER_TRY: usize = 3;
 
+/// The error number of a process without file descriptors left (Linux).
+const EMFILE: i32 = 24;
+/// The error number of a system without file descriptors left (Linux).
+const ENFILE: i32 = 23;
+/// The error number of a system without local ports left (Linux).
+const EADDRNOTAVAIL: i32 = 99;
+
 /// The callers of an experiment.
 pub struct Client<'a> {
     experiment: &'a Experiment,
     ingress: Vec<Ingress>,
-    /// Idle connections, by workspace and then by instance.
-    idle: Vec<Mutex<Vec<Connection>>>,
+    /// Idle connections by workspace, the longest idle first.
+    idle: Vec<Mutex<VecDeque<Idle>>>,
     one_way: Duration,
     deadlines: bool,
     /// The bytes of a whole answer, by kind, where known.
     answer_bytes: Vec<Option<usize>>,
 }
 
+/// A connection that waits for its next use.
+struct Idle {
+    instance: usize,
+    connection: Connection,
+}
+
 /// One try of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Call<'a> {
@@ -84,10 +98,13 @@
             let serves = ingress.iter().any(|instance| instance.serves(kind));
             ensure!(serves, "no instance serves {}", kind.path);
         }
-        let pools = experiment.workspaces.len() * ingress.len();
         Ok(Self {
             experiment,
-            idle: (0..pools).map(|_| Mutex::default()).collect(),
+            idle: experiment
+                .workspaces
+                .iter()
+                .map(|_| Mutex::default())
+                .collect(),
             one_way: Duration::from_secs_f64(experiment.client_one_way_ms / 1_000.0),
             deadlines: variant.deadlines,
             answer_bytes: answer_bytes(experiment),
@@ -98,8 +115,9 @@
     /// Makes one try and waits for its end.
     pub fn send(&self, call: &Call<'_>, rng: &mut fastrand::Rng) -> Tried {
         thread::sleep(self.one_way);
-        let Some((instance, mut connection)) = self.connect(call, rng) else {
-            return Outcome::Unreachable.into();
+        let (instance, mut connection) = match self.connect(call, rng) {
+            Ok(connected) => connected,
+            Err(outcome) => return outcome.into(),
         };
         let answer = self.exchange(&mut connection, call);
         thread::sleep(self.one_way);
@@ -115,19 +133,27 @@
         }
     }
 
-    fn connect(&self, call: &Call<'_>, rng: &mut fastrand::Rng) -> Option<(usize, Connection)> {
+    /// A connection to an instance drawn evenly; another one where that takes none.
+    fn connect(
+        &self,
+        call: &Call<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Result<(usize, Connection), Outcome> {
         let kind = &self.experiment.requests[call.kind];
         let serving = |index: &usize| self.ingress[*index].serves(kind);
         let mut instances: Vec<_> = (0..self.ingress.len()).filter(serving).collect();
         rng.shuffle(&mut instances);
-        instances
-            .into_iter()
-            .take(INSTANCES_PER_TRY)
-            .find_map(|instance| {
-                let kept = self.reuse(call.workspace, instance);
-                let connection = kept.or_else(|| self.open(instance, call.deadline).ok())?;
-                Some((instance, connection))
-            })
+        for instance in instances.into_iter().take(INSTANCES_PER_TRY) {
+            if let Some(connection) = self.reuse(call.workspace, instance) {
+                return Ok((instance, connection));
+            }
+            match self.open(instance, call.deadline) {
+                Ok(connection) => return Ok((instance, connection)),
+                Err(err) if is_own_bound(&err) => return Err(Outcome::Unsent),
+                Err(_) => {}
+            }
+        }
+        Err(Outcome::Unreachable)
     }
 
     fn open(&self, instance: usize, deadline: Instant) -> io::Result<Connection> {
@@ -137,26 +163,32 @@
         Connection::new(stream)
     }
 
-    fn pool(&self, workspace: usize, instance: usize) -> &Mutex<Vec<Connection>> {
-        &self.idle[workspace * self.ingress.len() + instance]
-    }
-
     fn reuse(&self, workspace: usize, instance: usize) -> Option<Connection> {
         loop {
-            let mut pool = lock(self.pool(workspace, instance));
-            let connection = pool.pop()?;
-            drop(pool);
-            if !connection.is_stale() {
-                return Some(connection);
+            let mut idle = lock(&self.idle[workspace]);
+            let last = idle.iter().rposition(|idle| idle.instance == instance)?;
+            let kept = idle.remove(last)?;
+            drop(idle);
+            if !kept.connection.is_stale() {
+                return Some(kept.connection);
             }
         }
     }
 
     fn keep(&self, workspace: usize, instance: usize, connection: Connection) {
-        let mut pool = lock(self.pool(workspace, instance));
-        if pool.len() < self.experiment.client.idle_connections {
-            pool.push(connection);
-        }
+        let most = self.experiment.client.idle_connections;
+        let mut idle = lock(&self.idle[workspace]);
+        idle.push_back(Idle {
+            instance,
+            connection,
+        });
+        let closed = if idle.len() > most {
+            idle.pop_front()
+        } else {
+            None
+        };
+        drop(idle);
+        drop(closed);
     }
 
     fn exchange(&self, connection: &mut Connection, call: &Call<'_>) -> io::Result<Answer> {
@@ -268,6 +300,11 @@
         .find(|reason| reason.code() == code)
 }
 
+/// Whether this machine has no descriptor or port left for the callers.
+fn is_own_bound(err: &io::Error) -> bool {
+    matches!(err.raw_os_error(), Some(EMFILE | ENFILE | EADDRNOTAVAIL))
+}
+
 fn failed(err: &io::Error) -> Outcome {
     match err.kind() {
         io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Outcome::TimedOut,
--- a/crates/load/src/experiment/variant.rs
+++ b/crates/load/src/experiment/variant.rs
@@ -49,7 +49,7 @@
 pub struct ClientOptions {
     /// The requests that all callers have under way at once; the load's own bound.
     pub threads: usize,
-    /// The idle connections that a workspace keeps to one instance.
+    /// The idle connections that a workspace keeps, to all instances together.
     pub idle_connections: usize,
     /// The length of the windows of all figures over time, in milliseconds.
     pub window_ms: u64,
@@ -61,7 +61,7 @@
     fn default() -> Self {
         Self {
             threads: 1_024,
-            idle_connections: 32,
+            idle_connections: 128,
             window_ms: 250,
             retries: Retries::default(),
         }
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -19,7 +19,7 @@
     TimedOut,
     /// No instance took the connection.
     Unreachable,
-    /// The callers were all busy until it was too late to send it.
+    /// The load's own bounds kept it from being sent: callers, file descriptors or ports.
     Unsent,
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -190,12 +190,12 @@
                 return;
             }
             if let Ok(stream) = stream {
-                self.take(stream);
+                self.take(Arc::new(stream));
             }
         }
     }
 
-    fn take(self: &Arc<Self>, stream: TcpStream) {
+    fn take(self: &Arc<Self>, stream: Arc<TcpStream>) {
         let Some(number) = self.state.open(&stream) else {
             return;
         };
@@ -214,7 +214,7 @@
         }
     }
 
-    fn converse(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
+    fn converse(self: &Arc<Self>, stream: Arc<TcpStream>) -> io::Result<()> {
         let connect = Duration::from_secs_f64(self.state.options().connect_ms.max(0.0) / 1_000.0);
         thread::sleep(connect);
         let mut connection = Connection::new(stream)?;
--- a/crates/standin/src/server/http.rs
+++ b/crates/standin/src/server/http.rs
@@ -7,6 +7,7 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -120,7 +121,7 @@
 /// A stream with the bytes that were read ahead.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     buf: Vec<u8>,
     deadline: Option<Instant>,
 }
@@ -138,7 +139,8 @@
     /// # Errors
     ///
     /// Fails where the stream's options cannot be set.
-    pub fn new(stream: TcpStream) -> io::Result<Self> {
+    pub fn new(stream: impl Into<Arc<TcpStream>>) -> io::Result<Self> {
+        let stream = stream.into();
         stream.set_nodelay(true)?;
         Ok(Self {
             stream,
@@ -218,7 +220,7 @@
         if let Some(left) = self.time_left()? {
             self.stream.set_write_timeout(Some(left))?;
         }
-        self.stream.write_all(message).map_err(timed_out)
+        (&*self.stream).write_all(message).map_err(timed_out)
     }
 
     /// Writes an answer; its length is added.
@@ -266,7 +268,7 @@
         }
         let filled = self.buf.len();
         self.buf.resize(filled + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buf[filled..]);
+        let read = (&*self.stream).read(&mut self.buf[filled..]);
         self.buf.truncate(filled + *read.as_ref().unwrap_or(&0));
         read.map_err(timed_out)
     }
--- a/crates/standin/src/server/state.rs
+++ b/crates/standin/src/server/state.rs
@@ -32,7 +32,7 @@
     /// Grows with each crash and stop, so that work of an earlier life is known.
     life: u64,
     started: Option<Instant>,
-    streams: HashMap<u64, TcpStream>,
+    streams: HashMap<u64, Arc<TcpStream>>,
     next_stream: u64,
     jobs: HashMap<u64, Job>,
     next_job: u64,
@@ -138,11 +138,10 @@
     }
 
     /// Takes a connection in; `None` where there are too many.
-    pub(super) fn open(&self, stream: &TcpStream) -> Option<u64> {
+    pub(super) fn open(&self, stream: &Arc<TcpStream>) -> Option<u64> {
         let most = self.options().connections;
-        let clone = stream.try_clone().ok();
         let mut inner = self.inner();
-        if inner.stats.connections >= most || clone.is_none() {
+        if inner.stats.connections >= most {
             inner.stats.over_connections += 1;
             return None;
         }
@@ -150,7 +149,7 @@
         inner.stats.connections += 1;
         inner.next_stream += 1;
         let number = inner.next_stream;
-        inner.streams.extend(clone.map(|stream| (number, stream)));
+        inner.streams.insert(number, stream.clone());
         Some(number)
     }
 
