--- a/crates/admit/examples/surge.rs
+++ b/crates/admit/examples/surge.rs
@@ -696,8 +696,8 @@
     failed.as_secs_f64() / all.as_secs_f64()
 }
 
-fn measure(way: Way, scene: Scene) {
-    let mut world = world(way, scene, 1);
+fn measure(way: Way, scene: Scene, seed: u64) {
+    let mut world = world(way, scene, seed);
     world.run();
     let tally = &world.tally;
     let secs = (END - BEGIN).as_secs_f64() - 2.0;
@@ -754,11 +754,15 @@
         scene("3x, deep 3x slow", 3.0, 3.0, 1.0),
         scene("2x, slots 2x over", 2.0, 1.0, 2.0),
     ];
-    // A part of a way's name may be given, to measure just these.
+    // A part of a way's name may be given, to measure just these, and a seed.
     let wanted = std::env::args().nth(1).unwrap_or_default();
+    let seed = std::env::args()
+        .nth(2)
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(1);
     for scene in scenes {
         for way in ways.iter().filter(|way| way.name.contains(&wanted)) {
-            measure(*way, scene);
+            measure(*way, scene, seed);
         }
     }
 }
--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -1,6 +1,6 @@
 //! Decides which requests start at one backend server.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use cassiashunt_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,8 @@
     limiter: Limiter,
     queue: Queue,
     running: HashMap<RequestId, Route>,
+    /// Requests that run beside no other, waiting or running.
+    alone: HashSet<RequestId>,
     estimates: Estimates,
     meter: Meter,
     is_draining: bool,
@@ -78,6 +80,7 @@
             opts,
             queue: Queue::default(),
             running: HashMap::new(),
+            alone: HashSet::new(),
             estimates: Estimates::default(),
             meter: Meter::default(),
             is_draining: false,
@@ -104,6 +107,15 @@
         actions
     }
 
+    /// Takes in a request that is to run beside no other: when its turn comes, nothing starts
+    /// until the server is empty, and then nothing until it is done.
+    pub fn offer_alone(&mut self, now: Time, job: Job) -> Vec<Action> {
+        if !self.running.contains_key(&job.key) && !self.queue.contains(job.key) {
+            self.alone.insert(job.key);
+        }
+        self.offer(now, job)
+    }
+
     /// Takes in the end of a running request; `is_ok` is false where the server did not do the
     /// whole work, so that the latency says nothing of it.
     pub fn done(
@@ -164,6 +176,7 @@
     /// Refuses everything that waits and everything that is offered from now on.
     pub fn drain(&mut self) -> Vec<Action> {
         self.is_draining = true;
+        self.alone.retain(|id| self.running.contains_key(id));
         let refusal = Refusal::not_run(Reason::Draining);
         let waiting = self.queue.extract(|_| true);
         waiting
@@ -211,11 +224,15 @@
         self.start(now, actions);
         self.expire(now, actions);
         self.shed(now, actions);
+        self.forget_alone();
         self.meter.observe(now, self.load(now));
     }
 
     fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
         while self.in_flight() < self.limiter.limit(now) {
+            if self.must_wait() {
+                return;
+            }
             let Some(job) = self.queue.pop() else { return };
             if self.can_finish(now, &job) {
                 self.running.insert(job.key, job.route);
@@ -227,6 +244,25 @@
         }
     }
 
+    /// Whether the next request waits for an empty server: it is to run alone, or another does.
+    fn must_wait(&self) -> bool {
+        if self.alone.is_empty() {
+            return false;
+        }
+        let is_next_alone = self
+            .queue
+            .next()
+            .is_some_and(|job| self.alone.contains(&job.key));
+        let is_one_running = self.running.keys().any(|id| self.alone.contains(id));
+        !self.running.is_empty() && (is_next_alone || is_one_running)
+    }
+
+    fn forget_alone(&mut self) {
+        let (running, queue) = (&self.running, &self.queue);
+        self.alone
+            .retain(|id| running.contains_key(id) || queue.contains(*id));
+    }
+
     fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
         let running = &self.running;
         let (estimates, age) = (&self.estimates, self.opts.estimate_age);
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -87,6 +87,11 @@
         flow
     }
 
+    fn next(&self) -> Option<JobKey> {
+        let waiting = self.flows.iter().filter(|flow| !flow.jobs.is_empty());
+        waiting.min_by_key(|flow| flow.start)?.jobs.front().copied()
+    }
+
     /// Takes the next request: of the workspace with the least start tag.
     fn pop(&mut self) -> Option<JobKey> {
         let waiting = self.flows.iter_mut().filter(|flow| !flow.jobs.is_empty());
@@ -132,6 +137,12 @@
         self.levels.entry(job.rank()).or_default().push(&job, key);
     }
 
+    /// The request that is to start next.
+    pub(crate) fn next(&self) -> Option<&Job> {
+        let (_, level) = self.levels.last_key_value()?;
+        self.jobs.get(level.next()?)
+    }
+
     /// Takes the request that is to start next.
     pub(crate) fn pop(&mut self) -> Option<Job> {
         let mut entry = self.levels.last_entry()?;
--- a/crates/admit/tests/admission.rs
+++ b/crates/admit/tests/admission.rs
@@ -188,6 +188,19 @@
     assert_eq!(admission.limit(Time::ZERO + SECOND * 20), 100);
 }
 
+#[test]
+fn a_request_that_runs_alone_waits_for_an_empty_server_and_keeps_others_out() {
+    let mut admission = admission(3, 9);
+    admission.offer(Time::ZERO, job(0));
+    assert_eq!(admission.offer_alone(Time::ZERO, job(1)), []);
+    assert_eq!(admission.offer(Time::ZERO, job(2)), []);
+    let actions = admission.done(Time::ZERO, RequestId(0), SECOND / 100, true);
+    assert_eq!(started(&actions), [1]);
+    assert_eq!(admission.offer(Time::ZERO, job(3)), []);
+    let actions = admission.done(Time::ZERO, RequestId(1), SECOND / 100, true);
+    assert_eq!(started(&actions), [2, 3]);
+}
+
 #[test]
 fn draining_refuses_what_waits_and_what_comes_and_lets_the_rest_finish() {
     let mut admission = admission(1, 4);
--- /dev/null
+++ b/crates/suspect/src/fingerprint.rs
@@ -0,0 +1,39 @@
+//! What tells a request that is sent again from others.
+
+use std::fmt;
+
+use cassiashunt_types::{Route, Workspace};
+use serde::{Deserialize, Serialize};
+
+/// A hash of a request's workspace, route and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+/// The offset basis of 64-bit FNV-1a.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// The prime of 64-bit FNV-1a.
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+impl Fingerprint {
+    /// The fingerprint of a request, from a hash of its path, query and body.
+    #[must_use]
+    pub fn of(workspace: Workspace, route: Route, body_hash: u64) -> Self {
+        let mut hash = fnv1a(FNV_BASIS, workspace.as_str().as_bytes());
+        hash = fnv1a(hash, &[0]);
+        hash = fnv1a(hash, route.as_str().as_bytes());
+        Self(fnv1a(hash, &body_hash.to_be_bytes()))
+    }
+}
+
+fn fnv1a(hash: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(hash, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
