--- a/crates/table/src/commit.rs
+++ b/crates/table/src/commit.rs
@@ -41,6 +41,11 @@
     /// Whether the edit may have been committed before, so that the whole audit trail has to be
     /// searched for it.
     pub repeated: bool,
+    /// An operator's word that the platform's line holds where the peers leave it undecided.
+    ///
+    /// Edits that contradict it are dropped, even one that had been accepted by peers which have
+    /// been replaced since.
+    pub platform_wins: bool,
     /// How many audit records stay in the head.
     pub spill: SpillLimits,
 }
@@ -52,6 +57,7 @@
             first_wait: Duration::from_millis(5),
             longest_wait: Duration::from_millis(500),
             repeated: false,
+            platform_wins: false,
             spill: SpillLimits::default(),
         }
     }
--- a/crates/table/src/commit/lines.rs
+++ b/crates/table/src/commit/lines.rs
@@ -57,6 +57,8 @@
     pub stored: Option<&'a Arc<Head>>,
     /// What the peers hold, where they were asked.
     pub held: Option<&'a Held>,
+    /// Whether the platform's line holds where the peers leave it undecided.
+    pub platform_wins: bool,
 }
 
 impl Lines<'_> {
@@ -82,7 +84,11 @@
             false => (known, stored),
         };
         let merged = merge(base, other);
-        (!merged.contested || gives_way(other)).then_some(merged)
+        if !merged.contested || gives_way(other) {
+            return Some(merged);
+        }
+        let overruled = self.platform_wins && self.held.is_some();
+        overruled.then(|| merge(stored, known))
     }
 }
 
--- a/crates/table/src/commit/machine.rs
+++ b/crates/table/src/commit/machine.rs
@@ -181,6 +181,7 @@
             known: self.known.as_ref(),
             stored: stored.as_ref().map(|stored| &stored.head),
             held: self.held.as_ref(),
+            platform_wins: self.options.platform_wins,
         };
         let Some(joined) = lines.join() else {
             return self.ask(stored);
--- a/crates/table/tests/p12/world.rs
+++ b/crates/table/tests/p12/world.rs
@@ -19,6 +19,8 @@
 const MAJORITY: usize = NODES / 2 + 1;
 const TIMEOUT_MS: u64 = 120;
 const FAULTS_END: Time = Time::from_millis(12_000);
+/// When the operators of a plan that has them settle what is still undecided.
+const OPERATORS_STEP_IN: Time = Time::from_millis(16_000);
 const END: Time = Time::from_millis(24_000);
 
 /// Which faults a run brings about, and which rule of the protocol it leaves out.
@@ -30,6 +32,8 @@
     pub partitions: bool,
     pub lost_per_cent: u32,
     pub spill: SpillLimits,
+    /// Whether operators settle what the peers leave undecided.
+    pub operators: bool,
     /// The naive rule: what the platform has taken is accepted.
     pub accept_on_swap: bool,
 }
@@ -47,6 +51,7 @@
                 most_bytes: usize::MAX,
                 kept_records: 64,
             },
+            operators: false,
             accept_on_swap: false,
         }
     }
@@ -312,6 +317,7 @@
         Options {
             spill: self.plan.spill,
             reads: 8,
+            platform_wins: self.plan.operators && self.now > OPERATORS_STEP_IN,
             ..Options::default()
         }
     }
--- a/crates/table/tests/p12_accepted_configuration.rs
+++ b/crates/table/tests/p12_accepted_configuration.rs
@@ -65,6 +65,21 @@
     });
 }
 
+/// Without operators, lines stay undecided in seed 24: too few nodes that kept their heads agree.
+#[test]
+fn p12_operators_settle_what_replaced_nodes_leave_undecided() {
+    let plan = Plan {
+        lost_per_cent: 20,
+        ..Plan::default()
+    };
+    let err = check(&run(24, plan)).expect_err("nobody settles it");
+    assert!(err.contains("astray"), "{err}");
+    explore(Plan {
+        operators: true,
+        ..plan
+    });
+}
+
 #[test]
 fn the_naive_rule_that_the_platform_alone_accepts_loses_accepted_edits() {
     let plan = Plan {
