--- /dev/null
+++ b/crates/limit/examples/embed.rs
@@ -0,0 +1,38 @@
+//! Embeds an authority and a holder in one process: `cargo run -p cassiashunt-limit --example embed`.
+
+use std::time::Instant;
+
+use cassiashunt_limit::{
+    Attempt, Authority, Decision, Holder, Key, Limit, Start, authority, holder,
+};
+use cassiashunt_types::{Epoch, InvalidLabel, NodeId, Time};
+
+fn main() -> Result<(), InvalidLabel> {
+    let begun = Instant::now();
+    let now = || Time::from_micros(begun.elapsed().as_micros() as u64);
+    let key = Key::workspace("hoa-sen".parse()?);
+    let limit = Limit::Rate {
+        per_sec: 10,
+        burst: 3,
+    };
+
+    let minute_ends = Time::from_millis(60_000);
+    let mut authority = Authority::new(Epoch(1), minute_ends, authority::Options::default());
+    authority.set_limit(now(), key, limit, Start::Full);
+    let mut holder = Holder::new(NodeId(1), holder::Options::default());
+    holder.follow(Epoch(1));
+
+    for request in 1..=6 {
+        let mut decision = holder.try_take(now(), &[key], 1, Attempt::First);
+        if decision == Decision::Wait {
+            let frame = holder.poll(now());
+            let answer = frame.and_then(|frame| authority.on(now(), &frame));
+            if let Some(answer) = answer {
+                holder.on(now(), &answer);
+            }
+            decision = holder.try_take(now(), &[key], 1, Attempt::Last);
+        }
+        println!("request {request}: {decision:?}");
+    }
+    Ok(())
+}
--- a/crates/limit/src/authority.rs
+++ b/crates/limit/src/authority.rs
@@ -30,7 +30,7 @@
             validity: Duration::from_secs(1),
             margin: RateMargin::default(),
             forget_after: Duration::from_secs(3),
-            ask_after: Duration::from_millis(20),
+            ask_after: Duration::from_millis(5),
             asks_per_sec: 2_000,
         }
     }
@@ -148,5 +148,6 @@
         validity_micros: micros(gift.validity),
         retry_after_micros: micros(gift.retry_after),
         ask_after_micros: micros(gift.ask_after),
+        report_within_micros: micros(gift.report_within),
     }
 }
--- a/crates/limit/src/holder.rs
+++ b/crates/limit/src/holder.rs
@@ -11,6 +11,8 @@
 
 /// Demand, in tokens a second, below which a key is forgotten.
 const IDLE_PER_SEC: f64 = 0.01;
+/// Fewer tokens than this are not drawn ahead: one question for each request costs no more.
+const LEAST_DRAWN: u64 = 2;
 
 /// Settings of [`Holder`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,8 +23,6 @@
     pub ask_again: Duration,
     /// Time after which an unanswered question is given up: the longest validity of a grant.
     pub give_up: Duration,
-    /// Time between two reports of what was spent.
-    pub report_every: Duration,
     /// Tokens are handed back when less than this, or a quarter, is left of their validity.
     pub hand_back: Duration,
     /// When a caller may come back where no authority answers.
@@ -35,7 +35,6 @@
             ahead: Duration::from_millis(200),
             ask_again: Duration::from_millis(30),
             give_up: Duration::from_secs(1),
-            report_every: Duration::from_millis(50),
             hand_back: Duration::from_millis(250),
             retry_after: Duration::from_secs(1),
         }
@@ -83,7 +82,9 @@
     demand: Demand,
     refuse_until: Time,
     retry_at: Time,
-    report_due: Time,
+    draw_after: Time,
+    report_within: Duration,
+    report_due: Option<Time>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -155,7 +156,7 @@
         if keys.iter().any(|key| self.left(key) < tokens) {
             return self.lacking(now, keys, tokens, attempt);
         }
-        self.take(keys, tokens);
+        self.take(now, keys, tokens);
         Decision::Taken
     }
 
@@ -171,13 +172,15 @@
         let options = &self.options;
         for (key, stock) in &mut self.stocks {
             stock.drop_lapsed(now);
-            let ask = stock.ask(now, options, &mut self.last_number);
             stock.hand_back(now);
-            if ask.is_some() || now >= stock.report_due {
-                stock.report_due = now + options.report_every;
+            let ask = stock.ask(now, options, &mut self.last_number);
+            frame.asks.extend(ask.map(|ask| ask.message(*key)));
+        }
+        let is_due = |stock: &Stock| stock.report_due.is_some_and(|due| now >= due);
+        if !frame.asks.is_empty() || self.stocks.values().any(is_due) {
+            for (key, stock) in &mut self.stocks {
                 stock.report(*key, epoch, &mut frame.reports);
             }
-            frame.asks.extend(ask.map(|ask| ask.message(*key)));
         }
         self.stocks.retain(|_, stock| !stock.is_idle(now));
         let is_empty = frame.asks.is_empty() && frame.reports.is_empty();
@@ -219,13 +222,13 @@
         self.stocks.get(key).map_or(0, Stock::left)
     }
 
-    fn take(&mut self, keys: &[Key], tokens: u64) {
+    fn take(&mut self, now: Time, keys: &[Key], tokens: u64) {
         for key in keys {
             let stock = self
                 .stocks
                 .get_mut(key)
                 .expect("the caller has just seen it");
-            stock.take(tokens);
+            stock.take(now, tokens);
         }
     }
 
@@ -265,7 +268,8 @@
     }
 
     /// Takes from the oldest grants first.
-    fn take(&mut self, tokens: u64) {
+    fn take(&mut self, now: Time, tokens: u64) {
+        self.report_due.get_or_insert(now + self.report_within);
         let mut missing = tokens;
         for held in &mut self.held {
             let part = missing.min(held.left());
@@ -299,7 +303,8 @@
         let per_sec = self.demand.per_sec(now);
         let target = (per_sec * options.ahead.as_secs_f64()) as u64;
         let left = self.left();
-        let want = match left * 2 < target {
+        let may_draw = target >= LEAST_DRAWN && now >= self.draw_after;
+        let want = match may_draw && left * 4 < target {
             true => target - left,
             false => 0,
         };
@@ -339,9 +344,13 @@
                 lapses,
             });
         }
-        let is_short = grant.amount < question.need || grant.amount == 0;
-        if is_short {
-            self.refuse_until = now + Duration::from_micros(grant.ask_after_micros);
+        let ask_after = Duration::from_micros(grant.ask_after_micros);
+        self.report_within = Duration::from_micros(grant.report_within_micros);
+        if grant.amount < question.need + question.want {
+            self.draw_after = now + ask_after.max(options.ahead / 4);
+        }
+        if grant.amount < question.need {
+            self.refuse_until = now + ask_after;
             self.retry_at = now + Duration::from_micros(grant.retry_after_micros);
             self.waiting = 0;
         }
@@ -349,13 +358,15 @@
 
     fn hand_back(&mut self, now: Time) {
         for held in &mut self.held {
-            if now >= held.hand_back {
+            if now >= held.hand_back && held.left() > 0 {
                 held.returned += held.left();
+                self.report_due.get_or_insert(now);
             }
         }
     }
 
     fn report(&mut self, key: Key, epoch: Epoch, reports: &mut Vec<msg::Report>) {
+        self.report_due = None;
         let open = self.held.iter_mut().filter(|held| held.epoch == epoch);
         for held in open.filter(|held| held.spent + held.returned > held.reported) {
             held.reported = held.spent + held.returned;
--- a/crates/limit/src/msg.rs
+++ b/crates/limit/src/msg.rs
@@ -91,6 +91,9 @@
     /// Microseconds for which a holder that got too little refuses by itself.
     #[prost(uint64, tag = "6")]
     pub ask_after_micros: u64,
+    /// Microseconds within which the holder is to report what it spent.
+    #[prost(uint64, tag = "7")]
+    pub report_within_micros: u64,
 }
 
 /// An authority's frame to a holder.
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -16,6 +16,11 @@
 /// Grants shorter than this are not worth sending.
 const SHORTEST_VALIDITY: Duration = Duration::from_millis(5);
 
+/// The shortest time that a holder is given to report.
+const SOONEST_REPORT: Duration = Duration::from_millis(20);
+/// The longest time that a holder is given to report.
+const LATEST_REPORT: Duration = Duration::from_millis(200);
+
 /// What a pool of tokens starts with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Start {
@@ -43,6 +48,7 @@
     pub validity: Duration,
     pub retry_after: Duration,
     pub ask_after: Duration,
+    pub report_within: Duration,
 }
 
 /// The tokens of one key.
@@ -166,6 +172,7 @@
             validity,
             retry_after: self.retry_after(now, wish.need.saturating_sub(amount)),
             ask_after: self.ask_after(options),
+            report_within: self.report_within(),
         };
         self.give(now, wish, gift, options.margin);
         Some(gift)
@@ -273,11 +280,26 @@
 
     /// Keeps the questions of refused holders within `asks_per_sec`, however many they are.
     fn ask_after(&self, options: &Options) -> Duration {
+        let asks_per_sec = options.asks_per_sec.max(1);
+        if self.demand_milli / 1_000 < u64::from(asks_per_sec) {
+            return options.ask_after;
+        }
         let holders = u32::try_from(self.holders.len()).unwrap_or(u32::MAX);
-        let spread = Duration::from_secs(1) * holders / options.asks_per_sec.max(1);
+        let spread = Duration::from_secs(1) * holders / asks_per_sec;
         spread.clamp(options.ask_after, options.validity)
     }
 
+    /// What is spent but not reported takes room from the burst: a tenth of it at the full rate.
+    fn report_within(&self) -> Duration {
+        match self.limit {
+            Limit::Rate { per_sec, burst } => {
+                let tenth = Duration::from_millis(100 * burst / per_sec.max(1));
+                tenth.clamp(SOONEST_REPORT, LATEST_REPORT)
+            }
+            Limit::Minute { .. } => LATEST_REPORT,
+        }
+    }
+
     fn give(&mut self, now: Time, wish: Wish, gift: Gift, margin: RateMargin) {
         let state = self.holders.entry(wish.holder).or_default();
         state.answer = Some(gift);
