--- a/crates/member/examples/cost.rs
+++ b/crates/member/examples/cost.rs
@@ -40,6 +40,13 @@
     state_bytes: usize,
     ages: Ages,
     spread_ms: f64,
+    join: Join,
+}
+
+/// What a new node needs until it knows every other.
+struct Join {
+    millis: f64,
+    received: u64,
 }
 
 fn main() {
@@ -56,7 +63,7 @@
         sizes = SIZES.to_vec();
     }
     println!(
-        "{:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>9} {:>9} {:>6} {:>7}",
+        "{:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>9} {:>9} {:>6} {:>7} {:>6} {:>7}",
         "nodes",
         "sent",
         "received",
@@ -67,11 +74,13 @@
         "youngest",
         "majority",
         "worst",
-        "spread"
+        "spread",
+        "join",
+        "join"
     );
     println!(
-        "{:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>9} {:>9} {:>6} {:>7}",
-        "", "B/s", "B/s", "B/s", "us/s", "B", "ms", "ms", "ms", "ms", "ms"
+        "{:>5} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>9} {:>9} {:>6} {:>7} {:>6} {:>7}",
+        "", "B/s", "B/s", "B/s", "us/s", "B", "ms", "ms", "ms", "ms", "ms", "ms", "B"
     );
     let rows: Vec<Row> = sizes
         .into_iter()
@@ -104,7 +113,7 @@
 
 fn print(row: &Row) {
     println!(
-        "{:>5} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>9} {:>6.0} {:>9.0} {:>9.0} {:>6.0} {:>7.0}",
+        "{:>5} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>9} {:>6.0} {:>9.0} {:>9.0} {:>6.0} {:>7.0} {:>6.0} {:>7}",
         row.nodes,
         row.sent,
         row.received,
@@ -115,7 +124,9 @@
         row.ages.youngest,
         row.ages.majority,
         row.ages.worst,
-        row.spread_ms
+        row.spread_ms,
+        row.join.millis,
+        row.join.received
     );
 }
 
@@ -180,6 +191,7 @@
         state_bytes,
         ages,
         spread_ms: spread(&mut net),
+        join: join(&mut net, nodes),
     }
 }
 
@@ -280,3 +292,16 @@
     }
     net.now.since(start).as_secs_f64() * 1e3
 }
+
+fn join(net: &mut Net, nodes: u16) -> Join {
+    let start = net.now;
+    let id = net.start(common::addr(nodes + 1), &[common::addr(1), common::addr(2)]);
+    let knows_all = |net: &Net| net.processes[&id].members.live_peers() == usize::from(nodes);
+    while !knows_all(net) {
+        net.run(Duration::from_millis(20));
+    }
+    Join {
+        millis: net.now.since(start).as_secs_f64() * 1e3,
+        received: net.processes[&id].received,
+    }
+}
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -244,9 +244,7 @@
             return;
         }
         self.last_revive = now;
-        let lost = self.iter().filter(|m| m.reach == Reach::Unreachable);
-        let lost: Vec<NodeId> = lost.map(|m| m.record.id).collect();
-        if let Some(id) = self.rng.choice(lost) {
+        if let Some(id) = self.rng.choice(self.view.unreachable()) {
             self.ping(now, id);
         }
         self.ping_seed(now);
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -1,6 +1,9 @@
 //! The members that are known, and what claims do to them.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use cassiashunt_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -66,6 +69,8 @@
     me: NodeId,
     members: BTreeMap<NodeId, Member>,
     tags: BTreeMap<u32, NodeId>,
+    /// The members whose reach is not [`Reach::Alive`].
+    silent: BTreeSet<NodeId>,
     tombstones: Tombstones,
     limit: usize,
 }
@@ -76,6 +81,7 @@
             me: me.id,
             members: BTreeMap::new(),
             tags: BTreeMap::new(),
+            silent: BTreeSet::new(),
             tombstones: Tombstones::new(opts.tombstones),
             limit: opts.members,
         };
@@ -290,20 +296,27 @@
             applied.is_known = reach == member.reach;
             return;
         }
+        self.set_reach(now, told.id, reach, applied);
+    }
+
+    fn set_reach(&mut self, now: Time, id: NodeId, reach: Reach, applied: &mut Applied) {
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
         member.reach = reach;
         member.since = now;
-        applied.change(told.id, Change::Changed(told.id));
+        match reach {
+            Reach::Alive => self.silent.remove(&id),
+            Reach::Suspect | Reach::Unreachable => self.silent.insert(id),
+        };
+        applied.change(id, Change::Changed(id));
     }
 
     /// This node found that a member does not answer.
     pub(crate) fn suspect(&mut self, now: Time, id: NodeId) -> Applied {
         let mut applied = Applied::default();
-        if let Some(member) = self.members.get_mut(&id)
-            && member.reach == Reach::Alive
-        {
-            member.reach = Reach::Suspect;
-            member.since = now;
-            applied.change(id, Change::Changed(id));
+        if self.get(id).is_some_and(|m| m.reach == Reach::Alive) {
+            self.set_reach(now, id, Reach::Suspect, &mut applied);
         }
         applied
     }
@@ -311,31 +324,45 @@
     /// Moves suspects and unreachable members on whose time is over.
     pub(crate) fn expire(&mut self, now: Time, opts: &Options) -> Applied {
         let mut applied = Applied::default();
-        let mut forgotten = Vec::new();
-        for (id, member) in &mut self.members {
-            let held = now.since(member.since);
-            if member.reach == Reach::Suspect && held >= opts.suspect_for {
-                member.reach = Reach::Unreachable;
-                member.since = now;
-                applied.change(*id, Change::Changed(*id));
-            } else if member.reach == Reach::Unreachable && held >= opts.forget_after {
-                forgotten.push(*id);
+        for (id, reach, since) in self.silent() {
+            let held = now.since(since);
+            match reach {
+                Reach::Suspect if held >= opts.suspect_for => {
+                    self.set_reach(now, id, Reach::Unreachable, &mut applied);
+                }
+                Reach::Unreachable if held >= opts.forget_after => self.forget(id, &mut applied),
+                _ => {}
             }
         }
-        for id in forgotten {
-            self.forget(id, &mut applied);
-        }
         applied
     }
 
     /// Gives every suspect its whole time again, after this node itself was paused.
     pub(crate) fn restart_suspicions(&mut self, now: Time) {
-        let suspects = self.members.values_mut();
-        for member in suspects.filter(|m| m.reach == Reach::Suspect) {
-            member.since = now;
+        for (id, reach, _) in self.silent() {
+            if let Some(member) = self
+                .members
+                .get_mut(&id)
+                .filter(|_| reach == Reach::Suspect)
+            {
+                member.since = now;
+            }
         }
     }
 
+    /// The members that do not answer.
+    fn silent(&self) -> Vec<(NodeId, Reach, Time)> {
+        let members = self.silent.iter().filter_map(|id| self.get(*id));
+        members.map(|m| (m.record.id, m.reach, m.since)).collect()
+    }
+
+    /// The members that are unreachable.
+    pub(crate) fn unreachable(&self) -> Vec<NodeId> {
+        let unreachable = |m: &&Member| m.reach == Reach::Unreachable;
+        let silent = self.silent.iter().filter_map(|id| self.get(*id));
+        silent.filter(unreachable).map(|m| m.record.id).collect()
+    }
+
     /// Notes a member's load.
     pub(crate) fn set_load(&mut self, id: NodeId, report: LoadReport) {
         let Some(member) = self.members.get_mut(&id) else {
@@ -389,6 +416,9 @@
     fn insert(&mut self, member: Member) {
         let id = member.record.id;
         self.tags.insert(load::tag(id), id);
+        if member.reach != Reach::Alive {
+            self.silent.insert(id);
+        }
         self.members.insert(id, member);
     }
 
@@ -396,6 +426,7 @@
         if self.tags.get(&load::tag(id)) == Some(&id) {
             self.tags.remove(&load::tag(id));
         }
+        self.silent.remove(&id);
         self.members.remove(&id).is_some()
     }
 }
