Follow a head by its records and search only the audit values that may matter

A push of the whole head at each edit costs every node the table's size; the records since a line cost their own. The explored schedules check that following gives the same table, keys and line. A search of the audit trail lists the values around the revision instead of all.

--- a/crates/table/src/applied.rs
+++ b/crates/table/src/applied.rs
@@ -4,7 +4,7 @@
 
 use cassiashunt_types::Revision;
 
-use crate::{Head, LineId, Lineage, Lookup, commit::Holding};
+use crate::{Head, LineId, Lineage, Lookup, Record, SpillLimits, Unfollowable, commit::Holding};
 
 /// What a node does with a head that it hears of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,6 +100,24 @@
         &self.lookup
     }
 
+    /// Puts later records in force on top of the head in force, of which `limits` allow some to
+    /// stay.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the records do not go on from the head in force; the whole head has to be asked
+    /// for then.
+    pub fn offer_records(
+        &mut self,
+        records: &[Record],
+        limits: &SpillLimits,
+    ) -> Result<Offer, Unfollowable> {
+        let base = self.head.clone().unwrap_or_default();
+        let head = base.follow(records)?;
+        let head = head.spill(limits).map_or(head, |(_, rest)| rest);
+        Ok(self.offer(Arc::new(head)))
+    }
+
     /// Offers a head whose edit is about to be accepted, and says whether the edit is in force here.
     ///
     /// A node may say yes only where it has kept its head since it may last have said so: one that
--- a/crates/table/src/commit/action.rs
+++ b/crates/table/src/commit/action.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use cassiashunt_platform::swap::Expected;
+use cassiashunt_types::Revision;
 
 use super::Outcome;
 use crate::{Block, Head};
@@ -29,9 +30,15 @@
     /// Creates an audit value unless it is there ([`Event::AuditKept`](super::Event::AuditKept) or
     /// [`Event::AuditFailed`](super::Event::AuditFailed)).
     KeepAudit(Block),
-    /// Reads every audit record ([`Event::Audit`](super::Event::Audit) or
+    /// Reads the audit records of these revisions and any others
+    /// ([`Event::Audit`](super::Event::Audit) or
     /// [`Event::AuditFailed`](super::Event::AuditFailed)).
-    ReadAudit,
+    ReadAudit {
+        /// The oldest revision.
+        from: Revision,
+        /// The newest revision.
+        to: Revision,
+    },
     /// Writes the head by compare-and-swap ([`Event::Swapped`](super::Event::Swapped)).
     Swap(Proposal),
     /// Asks the peers which heads they have in force ([`Event::Held`](super::Event::Held)).
--- a/crates/table/src/commit/driver.rs
+++ b/crates/table/src/commit/driver.rs
@@ -5,7 +5,7 @@
 use cassiashunt_platform::{Platform, swap};
 
 use super::{Action, Commit, Event, Held, Outcome, Proposal, Spread, Stored, Swapped};
-use crate::{AUDIT_PREFIX, Block, HEAD_KEY, Head};
+use crate::{Block, HEAD_KEY, Head, audit_prefix};
 
 /// How a commit reaches the peers, and how it waits.
 pub struct Peers<'a> {
@@ -45,7 +45,7 @@
                 read(platform)
             }
             Action::KeepAudit(block) => keep_audit(platform, &block),
-            Action::ReadAudit => read_audit(platform),
+            Action::ReadAudit { from, to } => read_audit(platform, &audit_prefix(from, to)),
             Action::Swap(proposal) => Event::Swapped(swap_head(platform, &proposal)),
             Action::AskPeers => Event::Held((peers.held)()),
             Action::Spread(head) => Event::Spread((peers.spread)(&head)),
@@ -107,8 +107,8 @@
     }
 }
 
-fn read_audit(platform: &dyn Platform) -> Event {
-    let Ok(entries) = platform.list(AUDIT_PREFIX) else {
+fn read_audit(platform: &dyn Platform, prefix: &str) -> Event {
+    let Ok(entries) = platform.list(prefix) else {
         return Event::AuditFailed;
     };
     let mut records = Vec::new();
--- a/crates/table/src/commit/event.rs
+++ b/crates/table/src/commit/event.rs
@@ -59,7 +59,7 @@
     AuditKept,
     /// The audit value may not be there, or the audit values could not be read.
     AuditFailed,
-    /// Every audit record.
+    /// The audit records.
     Audit(Vec<Record>),
     /// What came of the compare-and-swap.
     Swapped(Swapped),
--- a/crates/table/src/commit/machine.rs
+++ b/crates/table/src/commit/machine.rs
@@ -132,9 +132,9 @@
         if let Some(head) = self.holder_of_edit(stored.as_ref()) {
             return self.resume(stored, &head);
         }
-        if self.may_be_in_audit(stored.as_ref()) {
+        if let Some(search) = self.search_audit(stored.as_ref()) {
             self.step = Step::Searching(stored);
-            return Action::ReadAudit;
+            return search;
         }
         self.reconcile(stored)
     }
@@ -158,9 +158,13 @@
         }
     }
 
-    fn may_be_in_audit(&self, stored: Option<&Stored>) -> bool {
-        let spilled = |from| stored.is_some_and(|stored| stored.head.may_have_spilled(from));
-        self.search_from.is_some_and(spilled)
+    /// The search for the edit in the audit records, where it may have left the head.
+    fn search_audit(&self, stored: Option<&Stored>) -> Option<Action> {
+        let from = self.search_from?;
+        let head = &stored?.head;
+        let to = head.revision();
+        let spilled = head.may_have_spilled(from);
+        spilled.then_some(Action::ReadAudit { from, to })
     }
 
     fn on_audit(&mut self, stored: Option<Stored>, records: &[Record]) -> Action {
--- /dev/null
+++ b/crates/table/src/follow.rs
@@ -0,0 +1,62 @@
+//! Following a head by its records, so that a change costs its own size and not the table's.
+
+use std::fmt;
+
+use crate::{Head, LineId, Record, edit::apply_change};
+
+/// Records that do not go on from a head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unfollowable {
+    /// The line of the first record that does not fit.
+    pub line: LineId,
+}
+
+impl fmt::Display for Unfollowable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "line {} does not go on from the head in force",
+            self.line
+        )
+    }
+}
+
+impl std::error::Error for Unfollowable {}
+
+impl Head {
+    /// The records that lead from `line` to this head.
+    ///
+    /// Nothing where `line` is not among the last ones; the whole head has to be sent then.
+    #[must_use]
+    pub fn records_after(&self, line: LineId) -> Option<Vec<Record>> {
+        let mut records = self.recent();
+        records.find(|record| record.line == line)?;
+        Some(records.cloned().collect())
+    }
+
+    /// This head with later records applied.
+    ///
+    /// # Errors
+    ///
+    /// Names the first record that does not go on from what is before it.
+    pub fn follow(&self, records: &[Record]) -> Result<Self, Unfollowable> {
+        let mut head = self.clone();
+        for record in records {
+            head.follow_one(record)?;
+        }
+        Ok(head)
+    }
+
+    fn follow_one(&mut self, record: &Record) -> Result<(), Unfollowable> {
+        let line = record.line;
+        if self.line_after(record.edit, record.revision) != line {
+            return Err(Unfollowable { line });
+        }
+        for change in &record.changes {
+            let applied = apply_change(self, record.revision, change);
+            applied.map_err(|_| Unfollowable { line })?;
+        }
+        self.push(record.clone());
+        Ok(())
+    }
+}
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -223,6 +223,9 @@
     }
 }
 
+/// How many records leave the head at once at most.
+const MOST_MOVED: usize = 512;
+
 /// How many audit records stay in the head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SpillLimits {
@@ -252,7 +255,7 @@
         if !too_many && !too_large {
             return 0;
         }
-        let spare = recent.len().saturating_sub(1);
+        let spare = recent.len().saturating_sub(1).min(MOST_MOVED);
         let by_count = recent.len().saturating_sub(self.kept_records.max(1));
         let mut moved = 0;
         for record in recent.iter().take(spare) {
--- a/crates/table/src/record.rs
+++ b/crates/table/src/record.rs
@@ -8,6 +8,8 @@
 
 /// What the keys of audit values begin with.
 pub const AUDIT_PREFIX: &str = "table/audit/";
+/// How many revisions a block may hold at most.
+const BLOCK_REVISIONS: u64 = 1_024;
 /// How many bytes of a block's digest stand in its key.
 const DIGEST_BYTES: usize = 8;
 
@@ -87,6 +89,19 @@
     pub value: Vec<u8>,
 }
 
+/// What the keys of all blocks begin with that may hold a revision of `from` to `to`.
+///
+/// Other blocks may begin with it as well.
+#[must_use]
+pub fn audit_prefix(from: Revision, to: Revision) -> String {
+    let first = format!("{:016x}", from.0.saturating_sub(BLOCK_REVISIONS));
+    let last = format!("{:016x}", to.0);
+    let pairs = first.chars().zip(last.chars());
+    let common = pairs.take_while(|(one, other)| one == other);
+    let digits = common.map(|(digit, _)| digit);
+    AUDIT_PREFIX.chars().chain(digits).collect()
+}
+
 impl Block {
     pub(crate) fn of(records: &[&Record]) -> Self {
         let value = serde_json::to_vec(records).expect("records of strings and numbers are JSON");
--- a/crates/table/tests/commit.rs
+++ b/crates/table/tests/commit.rs
@@ -5,6 +5,7 @@
 use cassiashunt_platform::{Memory, Platform, Version, swap};
 use cassiashunt_table::{
     AUDIT_PREFIX, Block, Change, Column, Edit, EditId, HEAD_KEY, Head, RowKey, SpillLimits, Value,
+    audit_prefix,
     commit::{self, Action, Commit, Event, Options, Outcome, Peers, Refused, Stored, Swapped},
     edit,
 };
@@ -80,9 +81,10 @@
     assert!(matches!(action, Action::Read { .. }));
     let head = Arc::new(head);
     let version = Version(9);
+    let (from, to) = (Revision(1), Revision(5));
     assert_eq!(
         lost.on(Event::Read(Some(Stored { version, head }))),
-        Action::ReadAudit
+        Action::ReadAudit { from, to }
     );
     let action = lost.on(Event::Audit(audit));
     assert!(matches!(action, Action::Spread(_)), "{action:?}");
@@ -135,6 +137,30 @@
     }
 }
 
+#[test]
+fn the_prefix_of_a_search_covers_blocks_that_began_before_it() {
+    let prefix = |from, to| audit_prefix(Revision(from), Revision(to));
+    assert_eq!(prefix(0x12_3056, 0x12_3099), "table/audit/000000000012");
+    assert_eq!(prefix(0x12_3856, 0x12_3899), "table/audit/0000000000123");
+    assert_eq!(prefix(1, 0x12_3456), "table/audit/0000000000");
+    let platform = Memory::default();
+    let mut old = None;
+    for id in 1..=200 {
+        let value = u32::try_from(id).expect("small");
+        let outcome = commit(&platform, set(id, old, value), options(4));
+        assert_eq!(revision(&outcome), Some(id));
+        old = Some(value);
+    }
+    for from in 1..=190 {
+        let prefix = audit_prefix(Revision(from), Revision(from));
+        let found = platform.list(&prefix).expect("up");
+        let mut records = found
+            .iter()
+            .flat_map(|entry| Block::parse(&entry.value).expect("a block"));
+        assert!(records.any(|record| record.revision.0 == from));
+    }
+}
+
 #[test]
 fn a_changed_cell_is_a_conflict_that_shows_its_value_and_other_cells_merge() {
     let platform = Memory::default();
--- a/crates/table/tests/p12/world.rs
+++ b/crates/table/tests/p12/world.rs
@@ -405,7 +405,9 @@
             Action::KeepAudit(block) => {
                 self.call(job, Duration::ZERO, Call::Keep(block), Event::AuditFailed)
             }
-            Action::ReadAudit => self.call(job, Duration::ZERO, Call::Audit, Event::AuditFailed),
+            Action::ReadAudit { .. } => {
+                self.call(job, Duration::ZERO, Call::Audit, Event::AuditFailed)
+            }
             Action::Swap(proposal) => {
                 self.call(
                     job,
@@ -644,6 +646,9 @@
     }
 
     fn hear(&mut self, node: usize, holding: Holding, platform: bool) {
+        if let Some(held) = self.nodes[node].applied.head() {
+            assert_followed(held, &holding.head);
+        }
         let _ = self.offer(node, holding.head, platform);
         if let Some(line) = holding.accepted {
             self.nodes[node].applied.note_accepted(line);
@@ -780,3 +785,16 @@
         self.history
     }
 }
+
+/// Where records lead from one head to a later one, following them gives the same.
+fn assert_followed(held: &Head, later: &Head) {
+    let records = held.line().and_then(|line| later.records_after(line));
+    if let Some(records) = records.filter(|records| !records.is_empty()) {
+        let followed = held
+            .follow(&records)
+            .expect("the records go on from the head");
+        assert_eq!(followed.table(), later.table());
+        assert_eq!(followed.keys(), later.keys());
+        assert_eq!(followed.line(), later.line());
+    }
+}
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -4,7 +4,7 @@
 
 use cassiashunt_table::{
     Applied, Binding, Change, Column, Edit, EditId, Head, Key, KeyState, Limit, Lookup, Minute,
-    Offer, Rate, RowKey, Scope, Table, Value, Verifier, diff, edit,
+    Offer, Rate, RowKey, Scope, SpillLimits, Table, Value, Verifier, diff, edit,
 };
 use cassiashunt_types::{Revision, Workspace};
 
@@ -222,6 +222,43 @@
     assert_eq!(applied.lookup().revision(), Revision(2));
 }
 
+#[test]
+fn a_node_that_follows_records_has_the_same_table_and_keys() {
+    let first = edited(&Head::default(), 1, vec![cell("*,*,*", "weight", "1")]).expect("valid");
+    let verifier = Key::generate().verifier();
+    let workspace = workspace("paint");
+    let give = Change::GiveKey {
+        workspace,
+        verifier,
+    };
+    let second = edited(&first, 2, vec![give]).expect("a new key");
+    let id = verifier.key_id();
+    let third = edited(&second, 3, vec![Change::WithdrawKey { id }]).expect("active");
+    let line = first.line().expect("one edit");
+    let records = third.records_after(line).expect("all recent");
+    assert_eq!(records.len(), 2);
+    let mut applied = Applied::default();
+    assert_eq!(
+        applied.offer(first.into()),
+        Offer::Taken {
+            revision: Revision(1)
+        }
+    );
+    let limits = SpillLimits::default();
+    let revision = Revision(3);
+    assert_eq!(
+        applied.offer_records(&records, &limits),
+        Ok(Offer::Taken { revision })
+    );
+    assert_eq!(applied.head().map(|head| Head::clone(head)), Some(third));
+    assert_eq!(
+        applied
+            .offer_records(&records, &limits)
+            .map_err(|err| err.line),
+        Err(records[0].line)
+    );
+}
+
 #[test]
 fn an_edit_that_would_pass_a_megabyte_is_refused() {
     let mut head = Head::default();
