--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -23,9 +23,11 @@
 /// The nodes' shared secret.
 const SECRET: &str = "secret-of-a-local-fleet";
 /// How long a fleet may take to come up.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_secs(30);
 /// How often it is looked whether it has.
 const LOOK: Duration = Duration::from_millis(20);
+/// How long the sockets of a node that has ended may take to close.
+const PORT_PATIENCE: Duration = Duration::from_secs(5);
 /// Tries to find a port that is free for TCP and UDP.
 const PORT_TRIES: usize = 100;
 
@@ -139,7 +141,7 @@
         let until = Instant::now() + PATIENCE;
         while !self.is_ready() {
             if Instant::now() >= until {
-                bail!("the fleet did not come together within {PATIENCE:?}");
+                bail!("the fleet did not come together within {PATIENCE:?}: {}", self.describe());
             }
             thread::sleep(LOOK);
         }
@@ -231,7 +233,14 @@
     /// Where the addresses cannot be used again.
     pub fn replace_node(&self, number: usize) -> Result<()> {
         let member = &self.members[number];
-        let node = Node::start(member.settings.clone(), self.wiring(&member.settings))?;
+        let until = Instant::now() + PORT_PATIENCE;
+        let node = loop {
+            match Node::start(member.settings.clone(), self.wiring(&member.settings)) {
+                Ok(node) => break node,
+                Err(err) if Instant::now() >= until => return Err(err.into()),
+                Err(_) => thread::sleep(LOOK),
+            }
+        };
         *member.node() = Some(node);
         Ok(())
     }
@@ -313,6 +322,13 @@
         numbers.into_iter().all(|number| self.sees(number, up))
     }
 
+    /// What every running node says of itself.
+    fn describe(&self) -> String {
+        let numbers = (0..self.members.len()).filter(|number| self.members[*number].is_up());
+        let texts = numbers.map(|number| self.operator(number).get("/status"));
+        texts.map(|text| format!("\n{}", text.unwrap_or_else(|err| err.to_string()))).collect()
+    }
+
     /// Whether a node is in touch, sees so many servers, and knows an authority for every shard.
     fn sees(&self, number: usize, servers: usize) -> bool {
         let Ok(text) = self.operator(number).get("/status") else {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use cassiashunt_table::{Applied, Head, KeyState, LineId, Lookup, Offer};
+use cassiashunt_table::{Applied, Head, KeyState, LineId, Lookup, Offer, commit::Holding};
 use cassiashunt_types::prelude::*;
 
 /// The table and keys in force; only ever moves to higher revisions.
@@ -41,6 +41,17 @@
         head.is_some_and(|head| head.accounts_for(line) || head.may_have_spilled(revision))
     }
 
+    /// What a commit is told that asks which head is in force here.
+    pub(crate) fn holding(&self) -> Option<Holding> {
+        self.applied.lock().unwrap_or_else(PoisonError::into_inner).holding()
+    }
+
+    /// Notes that a line of history was accepted.
+    pub(crate) fn note_accepted(&self, line: LineId) {
+        let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
+        applied.note_accepted(line);
+    }
+
     /// Puts a head in force unless it is older or forked.
     pub(crate) fn offer(&self, head: Head) -> Offer {
         self.offer_shared(&Arc::new(head))
--- a/crates/node/src/duty/accept.rs
+++ b/crates/node/src/duty/accept.rs
@@ -26,19 +26,22 @@
         held: &held,
         wait: &thread::sleep,
     };
-    commit::run(&shared.platform, &peers, commit)
+    let outcome = commit::run(&shared.platform, &peers, commit);
+    if let Outcome::Accepted { line: Some(line), .. } = &outcome {
+        shared.config.note_accepted(*line);
+    }
+    outcome
 }
 
 /// The heads that the relays of this failure domain have in force.
 fn held(shared: &Arc<Shared>) -> Held {
     let relays = shared.control.own_relays();
     let others = relays.iter().filter(|peer| peer.node != shared.id);
-    let fetched = others.filter_map(|peer| fetch::table(shared, *peer));
-    let mut heads: Vec<_> = fetched.map(Arc::new).collect();
+    let mut peers: Vec<_> = others.filter_map(|peer| fetch::holding(shared, *peer)).collect();
     let is_relay = relays.iter().any(|peer| peer.node == shared.id);
-    heads.extend(shared.config.head().filter(|_| is_relay));
+    peers.extend(shared.config.holding().filter(|_| is_relay));
     Held {
-        heads,
+        peers,
         blocking: relays.len().div_ceil(2).max(1),
     }
 }
--- a/crates/node/src/duty/fetch.rs
+++ b/crates/node/src/duty/fetch.rs
@@ -1,11 +1,14 @@
 //! Fetches newer configuration from peers, and answers theirs.
 
-use std::{sync::mpsc::SyncSender, time::Duration};
+use std::{
+    sync::{Arc, mpsc::SyncSender},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use cassiashunt_control::Control;
 use cassiashunt_ring::Ring;
-use cassiashunt_table::{Head, Offer};
+use cassiashunt_table::{Head, LineId, Offer, commit::Holding};
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Body, Chunk, End, Fetch, ValueKind};
 
@@ -45,12 +48,23 @@
 }
 
 /// The table that a peer has in force.
-pub(super) fn table(shared: &Shared, peer: Peer) -> Option<Head> {
-    let value = fetch(shared, peer, ValueKind::Table)?;
-    Head::from_bytes(&value).ok()
+pub(super) fn holding(shared: &Shared, peer: Peer) -> Option<Holding> {
+    let fetched = fetch(shared, peer, ValueKind::Table)?;
+    let head = Head::from_bytes(&fetched.value).ok()?;
+    Some(Holding {
+        head: Arc::new(head),
+        accepted: fetched.accepted,
+    })
+}
+
+/// A value as a peer has it.
+struct Fetched {
+    value: Bytes,
+    /// With the table: the newest line that is known to have been accepted.
+    accepted: Option<LineId>,
 }
 
-fn fetch(shared: &Shared, peer: Peer, kind: ValueKind) -> Option<Bytes> {
+fn fetch(shared: &Shared, peer: Peer, kind: ValueKind) -> Option<Fetched> {
     let mut call = shared.links.get(peer).ok()?.fetch(kind).ok()?;
     let mut value = BytesMut::new();
     loop {
@@ -60,18 +74,26 @@
             }
             Body::End(end) if end.body_len == value.len() as u64 => {
                 call.finish();
-                return Some(value.freeze());
+                return Some(Fetched {
+                    value: value.freeze(),
+                    accepted: end.accepted_line.map(LineId),
+                });
             }
             _ => return None,
         }
     }
 }
 
-fn take(shared: &Shared, kind: ValueKind, value: &[u8]) -> Option<Event> {
+fn take(shared: &Shared, kind: ValueKind, fetched: &Fetched) -> Option<Event> {
+    let value = &fetched.value;
     match kind {
         ValueKind::Table => {
             let head = Head::from_bytes(value).ok()?;
-            match shared.config.offer(head) {
+            let offer = shared.config.offer(head);
+            if let Some(line) = fetched.accepted {
+                shared.config.note_accepted(line);
+            }
+            match offer {
                 Offer::Taken { revision } => Some(Event::Table(revision)),
                 Offer::Forked { ours, theirs } => {
                     log::error!(event = "table-forked-refused", ours = ours.0, theirs = theirs.0; "");
@@ -97,8 +119,11 @@
     let Some(value) = value.map(Bytes::from) else {
         return reply.refuse(Refusal::not_run(Reason::NotInTouch), None, 0);
     };
+    let holding = shared.config.holding();
+    let accepted = holding.and_then(|holding| holding.accepted);
     let end = End {
         body_len: value.len() as u64,
+        accepted_line: accepted.map(|line| line.0),
         ..End::default()
     };
     let pieces = chunks(&value).map(Body::Chunk).chain([Body::End(end)]);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -457,7 +457,6 @@
     let opts = owner::Options {
         slots: server.slots,
         health_path: server.health.clone(),
-        algorithm: shared.settings.policy.concurrency,
         warm_up: Duration::from_millis(times.warm_up_ms),
     };
     let tickets = Arc::clone(&shared.tickets);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -4,7 +4,7 @@
     io::{self, Read},
     net::SocketAddr,
     sync::Arc,
-    thread,
+    thread::{self, JoinHandle},
 };
 
 use cassiashunt_platform::Platform;
@@ -27,8 +27,9 @@
 
 /// The running interface.
 pub(crate) struct Server {
-    http: Arc<tiny_http::Server>,
+    http: Option<Arc<tiny_http::Server>>,
     addr: SocketAddr,
+    threads: Vec<JoinHandle<()>>,
 }
 
 /// What a node says of itself.
@@ -80,6 +81,7 @@
             .map_err(fail)?;
         let http = Arc::new(http);
         let addr = http.server_addr().to_ip().unwrap_or(addr);
+        let mut threads = Vec::new();
         for _ in 0..THREADS {
             let (http, shared) = (Arc::clone(&http), Arc::clone(shared));
             let serve = move || {
@@ -87,21 +89,30 @@
                     answer(&shared, req);
                 }
             };
-            thread::Builder::new()
-                .name("operators".into())
-                .spawn(serve)?;
+            let builder = thread::Builder::new().name("operators".into());
+            threads.push(builder.spawn(serve)?);
         }
-        Ok(Self { http, addr })
+        Ok(Self {
+            http: Some(http),
+            addr,
+            threads,
+        })
     }
 
     pub(crate) fn addr(&self) -> SocketAddr {
         self.addr
     }
 
-    /// Ends the threads.
-    pub(crate) fn stop(&self) {
+    /// Ends the threads and closes the socket.
+    pub(crate) fn stop(&mut self) {
+        let Some(http) = self.http.take() else { return };
         for _ in 0..THREADS {
-            self.http.unblock();
+            http.unblock();
+        }
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!(event = "thread-panicked"; "");
+            }
         }
     }
 }
@@ -303,7 +314,7 @@
     log::info!(event = "edit-ended"; "{outcome}");
     let detail = outcome.to_string();
     match outcome {
-        Outcome::Accepted { revision } => Reply::json(
+        Outcome::Accepted { revision, .. } => Reply::json(
             200,
             &EditAnswer::Accepted {
                 revision: revision.0,
--- a/crates/node/src/owner/owner.rs
+++ b/crates/node/src/owner/owner.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use cassiashunt_admit::{Action, Admission, Algorithm, Job as Entry, Priority, Signal};
+use cassiashunt_admit::{Action, Admission, Job as Entry, Priority, Signal};
 use cassiashunt_ring::Ring;
 use cassiashunt_timer::Clock;
 use cassiashunt_types::prelude::*;
@@ -48,7 +48,6 @@
 pub(crate) struct Options {
     pub slots: u32,
     pub health_path: String,
-    pub algorithm: Algorithm,
     pub warm_up: Duration,
 }
 
@@ -80,7 +79,6 @@
     ) -> Arc<Self> {
         let admission = cassiashunt_admit::Options {
             slots: opts.slots,
-            algorithm: opts.algorithm,
             warm_up: opts.warm_up,
             ..Default::default()
         };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -167,8 +167,6 @@
 pub struct Policy {
     /// Whether requests are shed before their chain starts.
     pub ingress_shedding: bool,
-    /// How the concurrency limit of the backend server follows its latencies.
-    pub concurrency: cassiashunt_admit::Algorithm,
     /// How a server is picked.
     pub choice: cassiashunt_route::Policy,
 }
@@ -177,7 +175,6 @@
     fn default() -> Self {
         Self {
             ingress_shedding: true,
-            concurrency: Default::default(),
             choice: Default::default(),
         }
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -127,6 +127,9 @@
     /// Services that the request's own calls went to, at any depth.
     #[prost(string, repeated, tag = "4")]
     pub visited: Vec<String>,
+    /// With the table: the newest line of its history that is known to have been accepted.
+    #[prost(fixed64, optional, tag = "5")]
+    pub accepted_line: Option<u64>,
 }
 
 /// Status and headers of an answer.
