--- /dev/null
+++ b/crates/control/examples/freshness.rs
@@ -0,0 +1,39 @@
+//! A relay and a node that listens to it: `cargo run -p cassiashunt-control --example freshness`.
+
+use std::time::Duration;
+
+use cassiashunt_control::{Control, Heads, Relay, Touch, edit, relay, touch};
+use cassiashunt_types::{InvalidLabel, NodeId, Revision, Time};
+
+fn main() -> Result<(), InvalidLabel> {
+    let replace = edit::Replace {
+        domain: "ikeja".parse()?,
+        out: None,
+        into: Some(NodeId(1)),
+    };
+    let control = edit::replace(&Control::default(), replace).expect("the domain is empty");
+    let heads = Heads {
+        table: Revision(12),
+        control: control.revision,
+    };
+
+    let mut now = Time::from_millis(10);
+    let mut relay = Relay::new(NodeId(1), relay::Options::default());
+    relay.on(now, relay::Event::Control(control.clone()));
+    let asked = now;
+    now = now + Duration::from_millis(3);
+    relay.on(now, relay::Event::HeadsRead { asked, heads });
+
+    let mut touch = Touch::new(touch::Options::default());
+    touch.apply_control(&control);
+    touch.apply_table(heads.table);
+    let asked = now;
+    for report in relay.reports(now + Duration::from_millis(1)) {
+        touch.heard(now + Duration::from_millis(2), asked, &report);
+    }
+    for millis in [100, 1_900, 2_100] {
+        let at = now + Duration::from_millis(millis);
+        println!("{millis} ms later: {:?}", touch.check(at, heads));
+    }
+    Ok(())
+}
--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -56,6 +56,7 @@
     options: ClaimOptions,
     write_at: Time,
     accept: Option<Accept>,
+    handed_over: bool,
     stage: Stage,
 }
 
@@ -77,10 +78,29 @@
             options,
             write_at: Time::ZERO,
             accept: None,
+            handed_over: false,
             stage: Stage::Writing,
         }
     }
 
+    /// Begins to claim a shard from a holder that stopped for good under the epoch `expected` and
+    /// handed over what it knew, to this node only.
+    ///
+    /// The claim is ready once it is durable: nobody acts any more whom the wait would outlast.
+    #[must_use]
+    pub fn after_hand_over(
+        me: NodeId,
+        name: FailureDomain,
+        key: ShardKey,
+        expected: Epoch,
+        options: ClaimOptions,
+    ) -> Self {
+        Self {
+            handed_over: true,
+            ..Self::new(me, name, key, expected, options)
+        }
+    }
+
     /// The shard.
     #[must_use]
     pub fn key(&self) -> ShardKey {
@@ -111,6 +131,7 @@
             self.stage = Stage::Lost;
         }
         let asks = match (self.stage, &mut self.accept) {
+            (Stage::Writing, _) if claimed && self.handed_over => self.ready(),
             (Stage::Writing, _) if claimed => self.spread(now, control),
             (Stage::Writing, _) => self.tick(now),
             (Stage::Spreading, Some(accept)) => accept.control_read(now, control),
@@ -143,6 +164,11 @@
         }
     }
 
+    fn ready(&mut self) -> Vec<Ask> {
+        self.stage = Stage::Ready(self.expected.next());
+        Vec::new()
+    }
+
     fn spread(&mut self, now: Time, control: &Control) -> Vec<Ask> {
         self.stage = Stage::Spreading;
         let accept = self.accept.insert(Accept::control(self.name, control));
--- a/crates/control/src/touch.rs
+++ b/crates/control/src/touch.rs
@@ -139,7 +139,7 @@
             (&mut entry.vouched, vouched),
             (&mut entry.platform, report.platform_age_micros),
         ] {
-            if let Some(sighting) = age.map(sighting).filter(|sighting| sighting.as_of > floor) {
+            if let Some(sighting) = age.map(sighting).filter(|sighting| sighting.as_of >= floor) {
                 insert(list, sighting);
             }
         }
@@ -252,8 +252,8 @@
 
     fn forget_stale(&mut self, floor: Time) {
         for sightings in self.relays.values_mut() {
-            sightings.vouched.retain(|sighting| sighting.as_of > floor);
-            sightings.platform.retain(|sighting| sighting.as_of > floor);
+            sightings.vouched.retain(|sighting| sighting.as_of >= floor);
+            sightings.platform.retain(|sighting| sighting.as_of >= floor);
         }
         self.relays
             .retain(|_, seen| !(seen.vouched.is_empty() && seen.platform.is_empty()));
--- /dev/null
+++ b/crates/control/tests/relay.rs
@@ -0,0 +1,214 @@
+//! Relays: reading, vouching, handing over; their election and the edits of the control value.
+
+use cassiashunt_control::{
+    Claim, ClaimOptions, Control, Heads, Member, Relay, ShardKey, ShardKind, Stage, edit, election,
+    relay,
+};
+use cassiashunt_types::{Epoch, FailureDomain, NodeId, Revision, ShardId, Time};
+
+const SHARD: ShardKey = ShardKey {
+    kind: ShardKind::Home,
+    id: ShardId(4),
+};
+
+fn ikeja() -> FailureDomain {
+    "ikeja".parse().expect("a plain word is a name")
+}
+
+fn add(control: &Control, node: u64) -> Control {
+    let replace = edit::Replace {
+        domain: ikeja(),
+        out: None,
+        into: Some(NodeId(node)),
+    };
+    edit::replace(control, replace).expect("there is room")
+}
+
+fn millis(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn heads(table: u64, control: u64) -> Heads {
+    Heads {
+        table: Revision(table),
+        control: Revision(control),
+    }
+}
+
+/// The only relay of the only failure domain, after its first read.
+fn only_relay() -> Relay {
+    let mut relay = Relay::new(NodeId(1), relay::Options::default());
+    relay.on(
+        millis(0),
+        relay::Event::Control(add(&Control::default(), 1)),
+    );
+    let asked = millis(1);
+    let heads = heads(5, 1);
+    relay.on(millis(2), relay::Event::HeadsRead { asked, heads });
+    relay
+}
+
+#[test]
+fn the_first_relay_vouches_after_it_read_the_platform() {
+    let mut relay = Relay::new(NodeId(1), relay::Options::default());
+    relay.on(
+        millis(0),
+        relay::Event::Control(add(&Control::default(), 1)),
+    );
+    assert!(!relay.reports(millis(0))[0].vouches);
+    assert_eq!(
+        relay.on(millis(1), relay::Event::Tick),
+        [relay::Action::ReadHeads]
+    );
+    let asked = millis(1);
+    let actions = relay.on(
+        millis(2),
+        relay::Event::HeadsRead {
+            asked,
+            heads: heads(5, 1),
+        },
+    );
+    assert!(matches!(actions[..], [relay::Action::Settle { .. }]));
+    let report = relay.reports(millis(31))[0];
+    assert!(report.vouches);
+    assert_eq!(
+        (report.table, report.platform_age_micros),
+        (5, Some(30_000))
+    );
+}
+
+#[test]
+fn an_older_platform_is_reported_and_not_vouched_for() {
+    let mut relay = only_relay();
+    let event = relay::Event::HeadsRead {
+        asked: millis(1_000),
+        heads: heads(4, 1),
+    };
+    let actions = relay.on(millis(1_001), event);
+    let found = heads(4, 1);
+    let known = heads(5, 1);
+    assert_eq!(actions, [relay::Action::Reverted { found, known }]);
+    let report = relay.reports(millis(1_001))[0];
+    assert_eq!(
+        (report.table, report.platform_age_micros),
+        (5, Some(1_000_000))
+    );
+}
+
+#[test]
+fn an_answer_that_was_overtaken_by_a_report_is_no_older_platform() {
+    let mut relay = only_relay();
+    relay.on(millis(1_000), relay::Event::Table(Revision(6)));
+    let event = relay::Event::HeadsRead {
+        asked: millis(999),
+        heads: heads(5, 1),
+    };
+    assert!(relay.on(millis(1_001), event).is_empty());
+}
+
+#[test]
+fn a_role_is_handed_over_once_and_never_reported_again() {
+    let mut relay = only_relay();
+    let to = Some(NodeId(2));
+    let actions = relay.on(millis(100), relay::Event::Stop { to });
+    let [relay::Action::HandOver(msg)] = actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert!(relay.reports(millis(101)).is_empty());
+    assert!(relay.applied().is_empty());
+    let control = add(&Control::default(), 1);
+    let next = add(&control, 3);
+    relay.on(millis(102), relay::Event::Control(next));
+    assert!(relay.reports(millis(103)).is_empty());
+
+    let mut other = Relay::new(NodeId(2), relay::Options::default());
+    other.on(millis(7), relay::Event::Control(control.clone()));
+    other.on(millis(8), relay::Event::HandedOver(msg));
+    other.on(millis(9), relay::Event::HandedOver(msg));
+    let reports = other.reports(millis(9));
+    assert_eq!(reports.len(), 1);
+    assert_eq!((reports[0].relay, reports[0].bearer), (1, 2));
+    assert!(reports[0].vouches && reports[0].table == 5);
+
+    let mut third = Relay::new(NodeId(3), relay::Options::default());
+    third.on(millis(8), relay::Event::HandedOver(msg));
+    assert!(third.reports(millis(9)).is_empty());
+}
+
+#[test]
+fn election_fills_up_and_replaces_the_gone_one_at_a_time() {
+    let live = |nodes: &[u64]| -> Vec<Member> {
+        let member = |node: &u64| Member {
+            node: NodeId(*node),
+            domain: ikeja(),
+        };
+        nodes.iter().map(member).collect()
+    };
+    let mut control = Control::default();
+    let mut steps = 0;
+    while let Some(replace) = election(&control, ikeja(), &live(&[1, 2, 3, 4, 5])) {
+        control = edit::replace(&control, replace).expect("the election fits");
+        steps += 1;
+    }
+    assert_eq!((steps, control.relays().count()), (3, 3));
+    let gone = control.relays().next().expect("there are three");
+    let rest: Vec<u64> = (1..=5).filter(|node| *node != gone.0).collect();
+    let replace = election(&control, ikeja(), &live(&rest)).expect("one is gone");
+    assert_eq!(replace.out, Some(gone));
+    assert_eq!(election(&control, ikeja(), &[]), None);
+}
+
+#[test]
+fn a_control_value_survives_its_written_form() {
+    let claim = edit::TakeOver {
+        key: SHARD,
+        expected: Epoch(0),
+        primary: NodeId(u64::MAX),
+        backup: Some(NodeId(2)),
+        lossy: true,
+    };
+    let control = add(&add(&Control::default(), 1), 2);
+    let control = edit::take_over(&control, claim).expect("nobody held it");
+    let text = serde_json::to_string(&control).expect("it has a written form");
+    let read: Control = serde_json::from_str(&text).expect("it was written just now");
+    assert_eq!(read, control);
+    assert_eq!(
+        read.shard(SHARD).map(|shard| shard.lossy),
+        Some(Some(Epoch(1)))
+    );
+}
+
+#[test]
+fn of_two_claims_from_the_same_epoch_one_fails() {
+    let claim = |primary| edit::TakeOver {
+        key: SHARD,
+        expected: Epoch(0),
+        primary: NodeId(primary),
+        backup: None,
+        lossy: false,
+    };
+    let first = edit::take_over(&Control::default(), claim(1)).expect("nobody held it");
+    let second = edit::take_over(&first, claim(2));
+    assert_eq!(second, Err(edit::Error::EpochMoved { now: Epoch(1) }));
+
+    let mut loser = Claim::new(NodeId(2), ikeja(), SHARD, Epoch(0), ClaimOptions::default());
+    loser.control_read(millis(1), &first);
+    assert_eq!(loser.stage(), Stage::Lost);
+}
+
+#[test]
+fn a_claim_after_a_hand_over_is_ready_once_it_is_durable() {
+    let claim = edit::TakeOver {
+        key: SHARD,
+        expected: Epoch(0),
+        primary: NodeId(2),
+        backup: None,
+        lossy: false,
+    };
+    let written = edit::take_over(&Control::default(), claim).expect("nobody held it");
+    let options = ClaimOptions::default();
+    let mut claim = Claim::after_hand_over(NodeId(2), ikeja(), SHARD, Epoch(0), options);
+    assert_eq!(claim.stage(), Stage::Writing);
+    claim.control_read(millis(1), &written);
+    assert_eq!(claim.stage(), Stage::Ready(Epoch(1)));
+}
--- /dev/null
+++ b/crates/control/tests/touch.rs
@@ -0,0 +1,205 @@
+//! Freshness: when reports count, and for how long.
+
+use std::time::Duration;
+
+use cassiashunt_control::{Basis, Control, Domain, Heads, RelayEntry, Touch, msg, touch};
+use cassiashunt_types::{FailureDomain, NodeId, Reason, Revision, Time, Verdict};
+
+const FIRST: Heads = Heads {
+    table: Revision(7),
+    control: Revision(3),
+};
+
+fn name(domain: &str) -> FailureDomain {
+    domain.parse().expect("a plain word is a name")
+}
+
+fn control(domains: &[(&str, &[u64])]) -> Control {
+    let entry = |node: &u64| RelayEntry {
+        node: NodeId(*node),
+        since: Revision(1),
+    };
+    let domain = |(domain, relays): &(&str, &[u64])| Domain {
+        name: name(domain),
+        relays: relays.iter().map(entry).collect(),
+        previous: Vec::new(),
+    };
+    Control {
+        revision: FIRST.control,
+        domains: domains.iter().map(domain).collect(),
+        shards: Vec::new(),
+    }
+}
+
+fn touch(domains: &[(&str, &[u64])]) -> Touch {
+    let mut touch = Touch::new(touch::Options::default());
+    touch.apply_control(&control(domains));
+    touch.apply_table(FIRST.table);
+    touch
+}
+
+fn report(relay: u64, table: u64) -> msg::Report {
+    msg::Report {
+        relay,
+        bearer: relay,
+        table,
+        control: FIRST.control.0,
+        age_micros: 0,
+        platform_age_micros: None,
+        vouches: true,
+    }
+}
+
+fn with_platform(relay: u64, table: u64) -> msg::Report {
+    msg::Report {
+        platform_age_micros: Some(0),
+        ..report(relay, table)
+    }
+}
+
+fn millis(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+#[test]
+fn a_node_that_heard_nothing_is_out_of_touch() {
+    let refusal = touch(&[("ikeja", &[1])]).check(millis(0), FIRST);
+    let refusal = refusal.expect_err("nothing was heard");
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::NotInTouch, Verdict::NotRun)
+    );
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn one_relay_that_sees_the_platform_is_enough() {
+    let mut touch = touch(&[("ikeja", &[1, 2, 3]), ("apapa", &[4, 5, 6])]);
+    touch.heard(millis(100), millis(90), &with_platform(9, 7));
+    let in_touch = touch
+        .check(millis(2_089), FIRST)
+        .expect("the platform was seen");
+    assert_eq!(in_touch.basis, Basis::Platform);
+    assert_eq!(in_touch.until, millis(2_090));
+    assert!(touch.check(millis(2_090), FIRST).is_err());
+}
+
+#[test]
+fn without_the_platform_a_majority_of_every_failure_domain_is_needed() {
+    let mut touch = touch(&[("ikeja", &[1, 2, 3]), ("apapa", &[4, 5])]);
+    for relay in [1, 2, 4] {
+        touch.heard(millis(10), millis(10), &report(relay, 7));
+        assert!(
+            touch.check(millis(11), FIRST).is_err(),
+            "after relay {relay}"
+        );
+    }
+    touch.heard(millis(10), millis(10), &report(5, 7));
+    let in_touch = touch
+        .check(millis(11), FIRST)
+        .expect("both domains were heard");
+    assert_eq!(in_touch.basis, Basis::Relays);
+}
+
+#[test]
+fn a_domain_with_one_relay_is_vouched_for_by_it_alone() {
+    let mut touch = touch(&[("ikeja", &[1])]);
+    touch.heard(millis(10), millis(10), &report(1, 7));
+    assert!(touch.check(millis(11), FIRST).is_ok());
+}
+
+#[test]
+fn a_report_that_arrives_later_than_the_bound_does_not_count() {
+    let mut touch = touch(&[("ikeja", &[1])]);
+    touch.heard(millis(2_100), millis(50), &with_platform(1, 7));
+    assert!(touch.check(millis(2_100), FIRST).is_err());
+}
+
+#[test]
+fn an_age_grows_while_the_report_is_passed_on() {
+    let mut first = touch(&[("ikeja", &[1])]);
+    first.heard(millis(100), millis(0), &report(1, 7));
+    let passed_on = first.pass_on(millis(700));
+    assert_eq!(passed_on.len(), 1);
+    assert!(passed_on[0].age_micros >= 700_000);
+    let mut second = touch(&[("ikeja", &[1])]);
+    second.heard(millis(5_010), millis(5_000), &passed_on[0]);
+    let until = second.in_touch(FIRST).map(|in_touch| in_touch.until);
+    assert!(until <= Some(millis(5_000 + 2_000 - 700)), "{until:?}");
+}
+
+#[test]
+fn a_newcomer_that_does_not_vouch_counts_only_for_the_platform() {
+    let mut touch = touch(&[("ikeja", &[1])]);
+    let newcomer = msg::Report {
+        vouches: false,
+        ..report(1, 7)
+    };
+    touch.heard(millis(10), millis(10), &newcomer);
+    assert!(touch.check(millis(11), FIRST).is_err());
+}
+
+#[test]
+fn an_edit_leaves_time_to_fetch_it() {
+    let mut touch = touch(&[("ikeja", &[1])]);
+    touch.heard(millis(1_000), millis(1_000), &with_platform(1, 7));
+    touch.heard(millis(1_500), millis(1_500), &with_platform(1, 8));
+    assert_eq!(touch.newest().table, Revision(8));
+    assert!(touch.check(millis(2_999), FIRST).is_ok());
+    assert!(touch.check(millis(3_000), FIRST).is_err());
+    touch.apply_table(Revision(8));
+    let applied = Heads {
+        table: Revision(8),
+        ..FIRST
+    };
+    assert!(touch.check(millis(3_000), applied).is_ok());
+}
+
+#[test]
+fn a_platform_that_was_restored_older_does_not_keep_a_node_in_touch() {
+    let mut touch = touch(&[("ikeja", &[1, 2, 3])]);
+    touch.heard(millis(1_000), millis(1_000), &report(1, 8));
+    for at in [1_500, 2_000, 2_500, 3_000] {
+        touch.heard(millis(at), millis(at), &with_platform(2, 7));
+    }
+    assert!(touch.check(millis(2_999), FIRST).is_ok());
+    assert!(touch.check(millis(3_000), FIRST).is_err());
+}
+
+#[test]
+fn a_decision_by_an_older_snapshot_than_the_applied_one_is_judged_by_the_snapshot() {
+    let mut touch = touch(&[("ikeja", &[1])]);
+    touch.heard(millis(10), millis(10), &with_platform(1, 8));
+    touch.apply_table(Revision(8));
+    assert!(touch.check(millis(11), FIRST).is_err());
+}
+
+#[test]
+fn reports_of_many_strangers_take_bounded_room() {
+    let mut touch = touch(&[("ikeja", &[1])]);
+    for stranger in 100..10_000 {
+        touch.heard(millis(10), millis(10), &report(stranger, 7));
+    }
+    assert!(touch.pass_on(millis(10)).len() <= 128);
+}
+
+#[test]
+fn in_touch_never_outlasts_the_bound_after_the_question() {
+    arbtest::arbtest(|u| {
+        let mut touch = touch(&[("ikeja", &[1, 2, 3])]);
+        let mut last_asked = 0;
+        for _ in 0..u.int_in_range(1..=20)? {
+            let asked: u64 = u.int_in_range(0..=10_000)?;
+            let late: u64 = u.int_in_range(0..=3_000)?;
+            last_asked = last_asked.max(asked);
+            let heard = match u.arbitrary()? {
+                true => with_platform(u.int_in_range(1..=3)?, 7),
+                false => report(u.int_in_range(1..=3)?, 7),
+            };
+            touch.heard(millis(asked + late), millis(asked), &heard);
+        }
+        let bound = millis(last_asked) + Duration::from_secs(2);
+        assert!(touch.check(bound, FIRST).is_err());
+        Ok(())
+    });
+}
--- a/crates/limit/examples/embed.rs
+++ b/crates/limit/examples/limiter.rs
@@ -1,4 +1,4 @@
-//! Embeds an authority and a holder in one process: `cargo run -p cassiashunt-limit --example embed`.
+//! Embeds an authority and a holder in one process: `cargo run -p cassiashunt-limit --example limiter`.
 
 use std::time::Instant;
 
--- a/crates/limit/src/authority.rs
+++ b/crates/limit/src/authority.rs
@@ -80,7 +80,7 @@
         match self.pools.get_mut(&key) {
             Some(pool) => pool.set_limit(now, limit, &self.options),
             None => {
-                let pool = Pool::new(now, limit, start, self.minute_ends);
+                let pool = Pool::new(now, limit, start, self.minute_ends, &self.options);
                 self.pools.insert(key, pool);
             }
         }
@@ -106,6 +106,25 @@
         (!grants.is_empty()).then_some(msg::AuthorityFrame { epoch, grants })
     }
 
+    /// Ends the epoch for a planned stop: this authority never gives again, and the one node that
+    /// gets the message may go on from it.
+    ///
+    /// The successor claims the next epoch from this one. Its claim needs no wait, because nobody
+    /// acts any more and everything given is in the message; it then sets each limit with
+    /// [`msg::HandOver::start`].
+    #[must_use]
+    pub fn hand_over(mut self, now: Time) -> msg::HandOver {
+        let options = self.options;
+        let pools = self.pools.iter_mut().map(|(key, pool)| {
+            pool.advance(now, &options);
+            msg::PoolLeft::new(*key, pool.hand_over())
+        });
+        msg::HandOver {
+            epoch: self.epoch.0,
+            pools: pools.collect(),
+        }
+    }
+
     /// How a key's tokens stand; `None` for an unknown key.
     pub fn standing(&mut self, now: Time, key: &Key) -> Option<Standing> {
         let pool = self.pools.get_mut(key)?;
--- a/crates/limit/src/msg.rs
+++ b/crates/limit/src/msg.rs
@@ -1,6 +1,6 @@
 //! Messages between holders and authorities; one frame carries many keys.
 
-use crate::{Cell, Key};
+use crate::{Cell, Key, Start};
 
 /// A key on the wire.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
@@ -107,6 +107,70 @@
     pub grants: Vec<Grant>,
 }
 
+/// What an authority that stops leaves of one key.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PoolLeft {
+    /// The key.
+    #[prost(message, optional, tag = "1")]
+    pub key: Option<WireKey>,
+    /// Whole tokens that it had not given.
+    #[prost(uint64, tag = "2")]
+    pub level: u64,
+    /// Tokens that it gave and that may still be spent.
+    #[prost(uint64, tag = "3")]
+    pub outstanding: u64,
+    /// Whether it counted the running minute from its beginning.
+    #[prost(bool, tag = "4")]
+    pub counts_minute: bool,
+}
+
+/// What an authority that stops leaves to its successor.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct HandOver {
+    /// The epoch that ended; the successor claims the next one from it.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// What is left of each key.
+    #[prost(message, repeated, tag = "2")]
+    pub pools: Vec<PoolLeft>,
+}
+
+impl PoolLeft {
+    pub(crate) fn new(key: Key, start: Start) -> Self {
+        let (level, outstanding, counts_minute) = match start {
+            Start::HandedOver {
+                level,
+                outstanding,
+                counts_minute,
+            } => (level, outstanding, counts_minute),
+            Start::Empty | Start::Full => (0, 0, false),
+        };
+        Self {
+            key: Some(key.into()),
+            level,
+            outstanding,
+            counts_minute,
+        }
+    }
+}
+
+impl HandOver {
+    /// What the successor's pool of this key starts with; nothing for a key that was not there.
+    #[must_use]
+    pub fn start(&self, key: &Key) -> Start {
+        let key = WireKey::from(*key);
+        let left = self
+            .pools
+            .iter()
+            .find(|left| left.key.as_ref() == Some(&key));
+        left.map_or(Start::Empty, |left| Start::HandedOver {
+            level: left.level,
+            outstanding: left.outstanding,
+            counts_minute: left.counts_minute,
+        })
+    }
+}
+
 impl From<Key> for WireKey {
     fn from(key: Key) -> Self {
         let text = |label: Option<&str>| label.unwrap_or_default().to_owned();
--- a/crates/limit/src/pool.rs
+++ b/crates/limit/src/pool.rs
@@ -28,6 +28,15 @@
     Empty,
     /// All of it: nobody ever gave tokens of this shard.
     Full,
+    /// What a predecessor that stopped for good has left.
+    HandedOver {
+        /// Whole tokens that it had not given.
+        level: u64,
+        /// Tokens that it gave and that may still be spent.
+        outstanding: u64,
+        /// Whether it counted the running minute from its beginning.
+        counts_minute: bool,
+    },
 }
 
 /// A question as the pool sees it.
@@ -58,6 +67,8 @@
     level_micros: u64,
     earn_rest: u64,
     outstanding: u64,
+    inherited: u64,
+    inherited_lapses: Time,
     advanced: Time,
     window_ends: Time,
     closed: bool,
@@ -104,21 +115,36 @@
 
 impl Pool {
     /// A pool whose minutes end at `minute_ends` and each minute after it.
-    pub(crate) fn new(now: Time, limit: Limit, start: Start, minute_ends: Time) -> Self {
-        let full = start == Start::Full;
-        let level = match limit {
-            Limit::Rate { burst, .. } if full => burst,
-            Limit::Minute { cap } if full => cap,
-            Limit::Rate { .. } | Limit::Minute { .. } => 0,
+    pub(crate) fn new(
+        now: Time,
+        limit: Limit,
+        start: Start,
+        minute_ends: Time,
+        options: &Options,
+    ) -> Self {
+        let all = match limit {
+            Limit::Rate { burst, .. } => burst,
+            Limit::Minute { cap } => cap,
+        };
+        let (level, outstanding, closed) = match start {
+            Start::Empty => (0, 0, true),
+            Start::Full => (all, 0, false),
+            Start::HandedOver {
+                level,
+                outstanding,
+                counts_minute,
+            } => (level.min(all), outstanding, !counts_minute),
         };
         Self {
             limit,
             level_micros: level.saturating_mul(MICROS_PER_TOKEN),
             earn_rest: 0,
-            outstanding: 0,
+            outstanding,
+            inherited: outstanding,
+            inherited_lapses: now + options.margin.at_most(options.validity),
             advanced: now,
             window_ends: next_end(minute_ends, now),
-            closed: !full,
+            closed,
             holders: BTreeMap::new(),
             demand_milli: 0,
             lapses: VecDeque::new(),
@@ -150,6 +176,15 @@
         self.outstanding
     }
 
+    /// What a successor may go on with.
+    pub(crate) fn hand_over(&self) -> Start {
+        Start::HandedOver {
+            level: self.level(),
+            outstanding: self.outstanding,
+            counts_minute: !self.closed,
+        }
+    }
+
     /// Answers a question; `None` for one that is older than the last.
     pub(crate) fn ask(&mut self, now: Time, wish: Wish, options: &Options) -> Option<Gift> {
         self.advance(now, options);
@@ -322,6 +357,9 @@
     }
 
     fn lapse(&mut self, now: Time) {
+        if now >= self.inherited_lapses {
+            self.outstanding -= std::mem::take(&mut self.inherited);
+        }
         while let Some(lapse) = self.lapses.front().copied().filter(|lapse| lapse.at <= now) {
             self.lapses.pop_front();
             self.drop_grant(lapse);
--- a/crates/limit/tests/p06_rate_and_burst.rs
+++ b/crates/limit/tests/p06_rate_and_burst.rs
@@ -207,6 +207,24 @@
     }
 }
 
+#[test]
+fn p06_a_planned_stop_of_the_authority_neither_exceeds_the_rate_nor_stops_admission() {
+    for seed in 0..20 {
+        let faults = (1..8).map(|n| fault(2 * n, FaultKind::HandOver)).collect();
+        let demand = 80;
+        let history = check(Plan {
+            faults,
+            seed,
+            demand,
+            ..Plan::default()
+        });
+        let wrong = history.refused_inside_the_rate(100, 60);
+        let total = history.requests.len();
+        println!("seed {seed}: {wrong} of {total} refused inside the rate");
+        assert!(wrong * 50 <= total, "seed {seed}: {wrong} of {total}");
+    }
+}
+
 #[test]
 fn p06_refusals_inside_the_rate_are_few_under_skewed_demand() {
     for seed in 0..20 {
--- a/crates/limit/tests/support/mod.rs
+++ b/crates/limit/tests/support/mod.rs
@@ -88,6 +88,8 @@
     Kill(usize),
     /// Another authority claims the shard, whatever became of the present one.
     Succeed,
+    /// The present authority stops as planned and hands over to the next.
+    HandOver,
     /// The platform answers nobody; the relays still do.
     Outage(Duration),
     /// The table is edited.
@@ -101,6 +103,7 @@
     LastTry(usize, usize),
     ToAuthority(usize, usize, msg::HolderFrame),
     ToHolder(usize, usize, msg::AuthorityFrame),
+    HandedOver(usize, msg::HandOver),
     Announce(usize),
     Follow(usize, usize, Epoch),
     ReadRegister(usize),
@@ -250,6 +253,7 @@
             Event::LastTry(holder, request) => self.retry(holder, request, Attempt::Last),
             Event::ToAuthority(from, to, frame) => self.at_authority(from, to, &frame),
             Event::ToHolder(_, to, frame) => self.at_holder(to, &frame),
+            Event::HandedOver(candidate, msg) => self.handed_over(candidate, &msg),
             Event::Announce(candidate) => self.announce(candidate),
             Event::Follow(from, to, epoch) => self.follow(from, to, epoch),
             Event::ReadRegister(candidate) => self.read_register(candidate),
@@ -262,7 +266,9 @@
             Event::Poll(holder) | Event::LastTry(holder, _) => Some(*holder),
             Event::ToHolder(_, to, _) | Event::Follow(_, to, _) => Some(*to),
             Event::ToAuthority(_, to, _) => Some(self.node(*to)),
-            Event::Announce(c) | Event::ReadRegister(c) => Some(self.node(*c)),
+            Event::Announce(c) | Event::ReadRegister(c) | Event::HandedOver(c, _) => {
+                Some(self.node(*c))
+            }
             Event::Request(_) | Event::Fault(_) => None,
         }
     }
@@ -394,15 +400,20 @@
     }
 
     fn announce(&mut self, candidate: usize) {
+        self.tell_holders(candidate);
+        self.push(self.now + POLL * 10, Event::Announce(candidate));
+    }
+
+    fn tell_holders(&mut self, candidate: usize) {
         let node = self.node(candidate);
         let local = self.local(node);
-        if self.may_act(candidate, local) {
-            let epoch = self.authorities[candidate].epoch;
-            for holder in 0..self.plan.holders {
-                self.send(node, holder, Event::Follow(candidate, holder, epoch));
-            }
+        if !self.may_act(candidate, local) {
+            return;
+        }
+        let epoch = self.authorities[candidate].epoch;
+        for holder in 0..self.plan.holders {
+            self.send(node, holder, Event::Follow(candidate, holder, epoch));
         }
-        self.push(self.now + POLL * 10, Event::Announce(candidate));
     }
 
     fn follow(&mut self, candidate: usize, holder: usize, epoch: Epoch) {
@@ -450,6 +461,7 @@
                 self.dead.insert(node);
             }
             FaultKind::Succeed => self.succeed(),
+            FaultKind::HandOver => self.hand_over(),
             FaultKind::Outage(span) => self.outage_until = self.now + micros(span),
             FaultKind::Edit(limit) => self.edit(limit),
         }
@@ -464,6 +476,42 @@
         }
     }
 
+    fn hand_over(&mut self) {
+        let candidate = self.register.1;
+        let node = self.node(candidate);
+        let is_up = !self.dead.contains(&node) && self.now >= self.paused_until[node];
+        let local = self.local(node);
+        let state = &mut self.authorities[candidate];
+        let Some(authority) = state.authority.take().filter(|_| is_up) else {
+            return;
+        };
+        state.epoch = Epoch(0);
+        let next = (candidate + 1) % 3;
+        let msg = authority.hand_over(local);
+        self.send(node, self.node(next), Event::HandedOver(next, msg));
+    }
+
+    fn handed_over(&mut self, candidate: usize, msg: &msg::HandOver) {
+        let node = self.node(candidate);
+        let can_write = self.now >= self.isolated[node] && self.now >= self.outage_until;
+        if self.register.0 != Epoch(msg.epoch) || !can_write {
+            return;
+        }
+        self.claim(candidate);
+        let local = self.local(node);
+        let epoch = self.register.0;
+        let minute_ends = self.plan.minute_ends;
+        let mut authority = Authority::new(epoch, minute_ends, authority::Options::default());
+        authority.set_limit(local, self.key, self.limit, msg.start(&self.key));
+        self.authorities[candidate] = AuthorityNode {
+            epoch,
+            authority: Some(authority),
+            ready_at: local,
+            read: Some((local, epoch)),
+        };
+        self.tell_holders(candidate);
+    }
+
     fn edit(&mut self, limit: Limit) {
         self.limit = limit;
         let at = Time::from_micros(self.now);
@@ -550,7 +598,7 @@
     let any = rng.usize(0..holders + 3);
     let authority = holders + rng.usize(0..3);
     let holder = rng.usize(0..holders);
-    let kind = match rng.u32(0..9) {
+    let kind = match rng.u32(0..11) {
         0 => FaultKind::Pause(any, lasting),
         1 => FaultKind::Pause(authority, lasting),
         2 => FaultKind::Cut(holder, authority, lasting),
@@ -558,7 +606,8 @@
         4 => FaultKind::Isolate(authority, lasting),
         5 => FaultKind::Isolate(holder, lasting),
         6 => FaultKind::Blind(authority, lasting),
-        7 => FaultKind::Outage(lasting),
+        7 | 8 => FaultKind::HandOver,
+        9 => FaultKind::Outage(lasting),
         _ => FaultKind::Kill(any),
     };
     Fault { at, kind }
