Prove that a request which kills servers is contained

A new coordinator near its clock's origin gave permits at once, since the time before it saturates; the comparison is strict now.

--- a/crates/suspect/src/permits.rs
+++ b/crates/suspect/src/permits.rs
@@ -95,7 +95,7 @@
             .views
             .iter()
             .skip(1)
-            .take_while(|view| view.began <= horizon)
+            .take_while(|view| view.began < horizon)
             .count();
         self.views.drain(..outdated);
     }
@@ -165,6 +165,12 @@
         }
     }
 
+    /// Whether a permit for the fingerprint is out.
+    #[must_use]
+    pub fn has_given(&self, fingerprint: Fingerprint) -> bool {
+        self.given.contains_key(&fingerprint)
+    }
+
     /// Counts a permit that lapsed without a word as a strike: its holder may have died with its
     /// server. To be called about once a second.
     pub fn tick(&mut self, now: Time, suspects: &mut Suspects) {
@@ -187,7 +193,7 @@
     /// still hold.
     fn decides_alone(&self, now: Time, fingerprint: Fingerprint) -> bool {
         let horizon = now.before(self.takeover());
-        let ended_after = |at: usize| self.views.get(at + 1).is_none_or(|it| it.began > horizon);
+        let ended_after = |at: usize| self.views.get(at + 1).is_none_or(|it| it.began >= horizon);
         let recent = (0..self.views.len()).filter(|at| ended_after(*at));
         recent
             .map(|at| &self.views[at].live)
--- /dev/null
+++ b/crates/suspect/tests/suspects.rs
@@ -0,0 +1,176 @@
+//! Strikes, their news and what they mean.
+
+use arbtest::arbtest;
+use cassiashunt_suspect::{
+    Death, Decision, Fingerprint, Suspects, message::News, suspects::Options,
+};
+use cassiashunt_types::prelude::*;
+use prost::Message;
+
+const CRASHER: Fingerprint = Fingerprint(1);
+const BESIDE: Fingerprint = Fingerprint(2);
+
+fn death(number: u32) -> Death {
+    Death {
+        owner: NodeId(9),
+        number,
+    }
+}
+
+fn at(secs: u64) -> Time {
+    Time::from_millis(secs * 1_000)
+}
+
+fn suspects() -> Suspects {
+    Suspects::new(Options::default())
+}
+
+#[test]
+fn a_request_in_flight_at_a_death_runs_alone_until_it_finishes() {
+    let mut suspects = suspects();
+    assert_eq!(suspects.check(at(0), BESIDE), Decision::Run);
+    suspects.on_server_died(at(1), death(1), &[CRASHER, BESIDE]);
+    assert_eq!(suspects.check(at(1), BESIDE), Decision::RunAlone);
+    suspects.on_finished(BESIDE, at(0));
+    assert_eq!(
+        suspects.check(at(1), BESIDE),
+        Decision::RunAlone,
+        "it ran before the death"
+    );
+    suspects.on_finished(BESIDE, at(2));
+    assert_eq!(suspects.check(at(2), BESIDE), Decision::Run);
+}
+
+#[test]
+fn a_request_that_kills_servers_alone_is_refused_for_a_time() {
+    let mut suspects = suspects();
+    suspects.on_server_died(at(1), death(1), &[CRASHER]);
+    suspects.on_finished(CRASHER, at(2));
+    assert_eq!(
+        suspects.check(at(2), CRASHER),
+        Decision::RunAlone,
+        "it was alone"
+    );
+    suspects.on_server_died(at(3), death(2), &[CRASHER]);
+    let Decision::Refuse(refusal) = suspects.check(at(4), CRASHER) else {
+        panic!("two servers are enough");
+    };
+    assert_eq!(
+        (refusal.verdict, refusal.reason),
+        (Verdict::NotRun, Reason::Suspect)
+    );
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(599)));
+    assert_eq!(suspects.check(at(604), CRASHER), Decision::Run);
+}
+
+#[test]
+fn requests_that_only_were_beside_are_never_refused() {
+    let mut suspects = suspects();
+    for number in 1..=50 {
+        suspects.on_server_died(at(1), death(number), &[CRASHER, BESIDE]);
+    }
+    assert_eq!(suspects.check(at(1), BESIDE), Decision::RunAlone);
+}
+
+#[test]
+fn a_lost_node_and_its_servers_death_do_not_make_a_request_run_alone_twice() {
+    let mut suspects = suspects();
+    suspects.on_node_lost(at(1), NodeId(9), &[CRASHER]);
+    suspects.on_node_lost(at(1), NodeId(9), &[CRASHER]);
+    assert_eq!(suspects.check(at(1), CRASHER), Decision::RunAlone);
+}
+
+#[test]
+fn news_survive_the_wire_and_count_once() {
+    let mut from = suspects();
+    from.on_server_died(at(5), death(1), &[CRASHER]);
+    from.on_server_died(at(5), death(2), &[CRASHER]);
+    let news = from.news(at(6)).encode_to_vec();
+    let news = News::decode(news.as_slice()).expect("it was just encoded");
+    let mut to = suspects();
+    to.merge(at(100), &news);
+    to.merge(at(100), &news);
+    assert!(matches!(to.check(at(100), CRASHER), Decision::Refuse(_)));
+    assert_eq!(
+        to.check(at(699), CRASHER),
+        Decision::Run,
+        "the age came with the news"
+    );
+}
+
+#[test]
+fn a_clearing_travels_and_old_news_do_not_undo_it() {
+    let (mut from, mut to) = (suspects(), suspects());
+    from.on_server_died(at(1), death(1), &[CRASHER, BESIDE]);
+    let old = from.news(at(1));
+    to.merge(at(1), &old);
+    from.on_finished(BESIDE, at(2));
+    to.merge(at(2), &from.news(at(2)));
+    to.merge(at(3), &old);
+    assert_eq!(to.check(at(3), BESIDE), Decision::Run);
+}
+
+#[test]
+fn news_are_bounded_and_each_strike_comes_in_turn() {
+    let mut suspects = suspects();
+    let in_flight: Vec<_> = (0..200).map(Fingerprint).collect();
+    suspects.on_server_died(at(1), death(1), &in_flight);
+    let mut seen = std::collections::BTreeSet::new();
+    for _ in 0..7 {
+        let news = suspects.news(at(1));
+        assert!(news.strikes.len() <= Options::default().max_news);
+        assert!(news.encoded_len() < 1_024);
+        seen.extend(news.strikes.iter().map(|it| it.fingerprint));
+    }
+    assert_eq!(seen.len(), 200);
+}
+
+#[test]
+fn the_number_of_suspects_is_bounded() {
+    let mut suspects = Suspects::new(Options {
+        max_suspects: 10,
+        ..Options::default()
+    });
+    for n in 0..100 {
+        suspects.on_server_died(at(n), death(1), &[Fingerprint(n)]);
+    }
+    assert_eq!(suspects.len(), 10);
+    assert_eq!(suspects.check(at(100), Fingerprint(99)), Decision::RunAlone);
+}
+
+#[test]
+fn nodes_that_heard_the_same_news_in_any_order_decide_alike() {
+    arbtest(|u| {
+        let mut messages = Vec::new();
+        for owner in 0..3 {
+            let mut source = suspects();
+            // `ratio` is true for ever once the input is used up.
+            while !u.is_empty() && u.ratio(3, 4)? {
+                let fingerprint = Fingerprint(u.int_in_range(0..=2)?);
+                let number = u.int_in_range(1..=3)?;
+                let death = Death {
+                    owner: NodeId(owner),
+                    number,
+                };
+                source.on_server_died(at(1), death, &[fingerprint, Fingerprint(7)]);
+                if u.arbitrary()? {
+                    source.on_finished(fingerprint, at(2));
+                }
+                messages.push(source.news(at(2)));
+            }
+        }
+        let (mut forth, mut back) = (suspects(), suspects());
+        messages.iter().for_each(|news| forth.merge(at(2), news));
+        messages
+            .iter()
+            .rev()
+            .for_each(|news| back.merge(at(2), news));
+        for n in 0..8 {
+            assert_eq!(
+                forth.check(at(2), Fingerprint(n)),
+                back.check(at(2), Fingerprint(n))
+            );
+        }
+        Ok(())
+    });
+}
