Join two lines in the order that the peers' word allows

Both orders are tried now, and the peers are asked unless neither contradicts.

A peer also vouches by a line alone now (Head::keeps_line), so that a head need not be sent to ask.

--- a/crates/table/src/commit/lines.rs
+++ b/crates/table/src/commit/lines.rs
@@ -64,7 +64,9 @@
 impl Lines<'_> {
     /// One head that accounts for both lines, or nothing where the peers have to say more.
     ///
-    /// Where the lines contradict each other, the one that the peers block gives way.
+    /// Where the lines contradict each other in either order, the one that the peers block gives
+    /// way. One order alone does not tell: an edit made on a restored cell may find what it expects
+    /// below an accepted edit of that cell, and not on top of it.
     pub(super) fn join(&self) -> Option<Merged> {
         match (self.known, self.stored) {
             (None, None) => Some(whole(&Head::default())),
@@ -78,17 +80,26 @@
     }
 
     fn join_forked(&self, known: &Head, stored: &Head) -> Option<Merged> {
-        let gives_way = |line| self.held.is_some_and(|held| held.blocks(line));
-        let (base, other) = match gives_way(known) && !gives_way(stored) {
-            true => (stored, known),
-            false => (known, stored),
-        };
-        let merged = merge(base, other);
-        if !merged.contested || gives_way(other) {
-            return Some(merged);
+        let on_known = merge(known, stored);
+        let on_stored = merge(stored, known);
+        if !on_known.contested && !on_stored.contested {
+            return Some(on_known);
         }
-        let overruled = self.platform_wins && self.held.is_some();
-        overruled.then(|| merge(stored, known))
+        let held = self.held?;
+        match (held.blocks(known), held.blocks(stored)) {
+            (false, true) => Some(on_known),
+            (true, false) => Some(on_stored),
+            (true, true) => Some(on_known),
+            (false, false) => self.join_undecided(on_known, on_stored),
+        }
+    }
+
+    /// Where the peers leave it open, an order that drops nothing, or what an operator said.
+    fn join_undecided(&self, on_known: Merged, on_stored: Merged) -> Option<Merged> {
+        if !on_known.contested {
+            return Some(on_known);
+        }
+        (!on_stored.contested || self.platform_wins).then_some(on_stored)
     }
 }
 
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -150,8 +150,15 @@
     /// Whether this is `older`, or builds on it and has dropped none of its edits.
     #[must_use]
     pub fn keeps(&self, older: &Self) -> bool {
-        let builds = matches!(older.lineage(self), Lineage::Same | Lineage::Ahead);
-        builds && !older.recent().any(|record| self.has_dropped(record.edit))
+        let kept = older.line().is_none_or(|line| self.keeps_line(line));
+        kept || self.may_have_spilled(older.revision)
+    }
+
+    /// Whether the head goes on from a line, or joined it without dropping an edit, as far as its
+    /// last records tell.
+    #[must_use]
+    pub fn keeps_line(&self, line: LineId) -> bool {
+        self.recent.iter().any(|record| record.keeps(line))
     }
 
     /// Whether the last records say that an edit was dropped.
--- a/crates/table/src/record.rs
+++ b/crates/table/src/record.rs
@@ -71,6 +71,15 @@
         self.line == line || joined.unwrap_or_default().contains(&line)
     }
 
+    /// Whether this ends the line, or joined it with another and dropped nothing.
+    pub(crate) fn keeps(&self, line: LineId) -> bool {
+        let dropped = self
+            .reinstall
+            .as_ref()
+            .is_some_and(|join| !join.dropped.is_empty());
+        self.line == line || (self.accounts_for(line) && !dropped)
+    }
+
     /// The size of the record in the head, in bytes.
     pub(crate) fn bytes(&self) -> usize {
         let text = serde_json::to_vec(self);
--- a/crates/table/tests/p12_accepted_configuration.rs
+++ b/crates/table/tests/p12_accepted_configuration.rs
@@ -80,6 +80,16 @@
     });
 }
 
+/// In this schedule an edit was joined in below one that had been accepted before it was invoked.
+#[test]
+fn p12_a_join_keeps_the_order_of_edits_of_a_cell() {
+    let plan = Plan {
+        operators: true,
+        ..Plan::default()
+    };
+    assert_eq!(check(&run(12_637, plan)), Ok(()));
+}
+
 #[test]
 fn the_naive_rule_that_the_platform_alone_accepts_loses_accepted_edits() {
     let plan = Plan {
