Start no thread for each request to a server, and hold one descriptor a connection

Cause: ureq resolves names on a thread of its own for every request with a time limit, also for IP numbers on kept connections. The resolver is now a crate that node, platform client and stand-ins use. Node-to-node connections held up to five descriptors a side; now one.

A key that had no limit when its shard's epoch began, and every key of a first epoch, begins with its whole burst: nobody can have given its tokens before.

--- a/crates/load/examples/client_cost.rs
+++ b/crates/load/examples/client_cost.rs
@@ -18,7 +18,8 @@
     fleet::Ingress,
     report::Latency,
 };
-use cassiashunt_standin::server::{self, ID_HEADER, IpResolver};
+use cassiashunt_resolve::IpResolver;
+use cassiashunt_standin::server::{self, ID_HEADER};
 use eyre::{OptionExt, ensure};
 use ureq::unversioned::transport::DefaultConnector;
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -43,7 +43,10 @@
 
     /// What a commit is told that asks which head is in force here.
     pub(crate) fn holding(&self) -> Option<Holding> {
-        self.applied.lock().unwrap_or_else(PoisonError::into_inner).holding()
+        self.applied
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .holding()
     }
 
     /// Notes that a line of history was accepted.
--- a/crates/node/src/duty/accept.rs
+++ b/crates/node/src/duty/accept.rs
@@ -27,7 +27,10 @@
         wait: &thread::sleep,
     };
     let outcome = commit::run(&shared.platform, &peers, commit);
-    if let Outcome::Accepted { line: Some(line), .. } = &outcome {
+    if let Outcome::Accepted {
+        line: Some(line), ..
+    } = &outcome
+    {
         shared.config.note_accepted(*line);
     }
     outcome
@@ -37,7 +40,9 @@
 fn held(shared: &Arc<Shared>) -> Held {
     let relays = shared.control.own_relays();
     let others = relays.iter().filter(|peer| peer.node != shared.id);
-    let mut peers: Vec<_> = others.filter_map(|peer| fetch::holding(shared, *peer)).collect();
+    let mut peers: Vec<_> = others
+        .filter_map(|peer| fetch::holding(shared, *peer))
+        .collect();
     let is_relay = relays.iter().any(|peer| peer.node == shared.id);
     peers.extend(shared.config.holding().filter(|_| is_relay));
     Held {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
-    sync::{Condvar, Mutex, MutexGuard, OnceLock, PoisonError},
+    sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError},
 };
 
 use cassiashunt_control::{Control, ShardKey, ShardKind};
@@ -61,6 +61,8 @@
     holder: Holder,
     authority: Option<Authority>,
     keys: BTreeSet<Key>,
+    /// The table that was in force when the authority's epoch began.
+    at_start: Arc<Lookup>,
     /// The revision by which the authority's limits were set.
     revision: Revision,
     primary: Option<NodeId>,
@@ -74,6 +76,7 @@
                 holder: Holder::new(me, Default::default()),
                 authority: None,
                 keys: BTreeSet::new(),
+                at_start: Arc::default(),
                 revision: Revision(0),
                 primary: None,
                 epoch: Epoch(0),
@@ -193,6 +196,7 @@
         let minute_ends = shared.clock.now() + MINUTE;
         state.authority = Some(Authority::new(epoch, minute_ends, Default::default()));
         state.keys.clear();
+        state.at_start = shared.config.lookup();
     }
 
     /// Shards whose authority is not known to act: it is not live, or has just begun to claim.
@@ -305,7 +309,7 @@
         for key in keys {
             match limit(lookup, &key) {
                 Some(limit) => {
-                    authority.set_limit(now, key, limit, Start::Empty);
+                    authority.set_limit(now, key, limit, start(&self.at_start, self.epoch, &key));
                     self.keys.insert(key);
                 }
                 None => {
@@ -317,6 +321,17 @@
     }
 }
 
+/// What a key begins with: nothing, unless no earlier authority can have given its tokens.
+///
+/// That is so in a shard's first epoch, and where the key had no limit when the epoch began.
+fn start(at_start: &Lookup, epoch: Epoch, key: &Key) -> Start {
+    let is_first = epoch == Epoch(1);
+    if is_first || limit(at_start, key).is_none() {
+        return Start::Full;
+    }
+    Start::Empty
+}
+
 /// What a request of this cell counts against.
 fn keys(workspace: Workspace, cell: &Cell, route: Route, class: Class) -> Vec<Key> {
     let mut keys = Vec::new();
--- a/crates/node/src/link/dialer.rs
+++ b/crates/node/src/link/dialer.rs
@@ -43,7 +43,7 @@
 /// A connection to another node.
 pub(crate) struct Link {
     peer: NodeId,
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     out: Ring<Queued>,
     pending: Arc<Pending>,
     next: AtomicU64,
@@ -64,11 +64,11 @@
         if (opts.path.is_cut)() {
             return Err(io::ErrorKind::TimedOut.into());
         }
-        let stream = TcpStream::connect_timeout(&addr, opts.connect)?;
+        let stream = Arc::new(TcpStream::connect_timeout(&addr, opts.connect)?);
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(opts.connect))?;
-        let mut reader = Reader::new(stream.try_clone()?);
-        let mut writer = Writer::new(stream.try_clone()?);
+        let mut reader = Reader::new(Arc::clone(&stream));
+        let mut writer = Writer::new(Arc::clone(&stream));
         let peer = shake_hands(&mut reader, &mut writer, opts)?;
         stream.set_read_timeout(None)?;
         let link = Arc::new(Self {
--- a/crates/node/src/link/listener.rs
+++ b/crates/node/src/link/listener.rs
@@ -5,7 +5,7 @@
     io,
     net::{Shutdown, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -39,7 +39,7 @@
 pub(crate) struct Acceptor {
     opts: Options,
     submit: Submit,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<Vec<Weak<TcpStream>>>,
     is_stopped: AtomicBool,
 }
 
@@ -82,29 +82,26 @@
     /// Ends all connections; the listener is woken by one from here.
     pub(crate) fn stop(&self) {
         self.is_stopped.store(true, Ordering::Release);
-        for stream in self
-            .open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .drain(..)
-        {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        for stream in open.drain(..).filter_map(|stream| stream.upgrade()) {
             // The other side may have closed before.
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let stream = Arc::new(stream);
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(self.opts.handshake))?;
-        let mut reader = Reader::new(stream.try_clone()?);
-        let mut writer = Writer::new(stream.try_clone()?);
+        let mut reader = Reader::new(Arc::clone(&stream));
+        let mut writer = Writer::new(Arc::clone(&stream));
         let peer = self.shake_hands(&mut reader, &mut writer)?;
         stream.set_read_timeout(None)?;
-        self.remember(&stream)?;
+        self.remember(&stream);
         let out = Ring::new(self.opts.frames);
         let path = (self.opts.path)(peer);
         let ring = out.clone();
-        let cut = stream.try_clone()?;
+        let cut = Arc::clone(&stream);
         let write = move || {
             if let Err(err) = writer.run(&ring, &path, |_| ()) {
                 log::debug!(event = "peer-write-failed", peer:% = peer; "{err}");
@@ -121,11 +118,10 @@
         read
     }
 
-    fn remember(&self, stream: &TcpStream) -> io::Result<()> {
+    fn remember(&self, stream: &Arc<TcpStream>) {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.retain(|stream| stream.peer_addr().is_ok());
-        open.push(stream.try_clone()?);
-        Ok(())
+        open.retain(|stream| stream.strong_count() > 0);
+        open.push(Arc::downgrade(stream));
     }
 
     fn shake_hands(&self, reader: &mut Reader, writer: &mut Writer) -> io::Result<NodeId> {
@@ -153,7 +149,7 @@
         // Nobody waits for these answers any more.
         for reply in cancels
             .into_values()
-            .filter_map(|reply: std::sync::Weak<_>| reply.upgrade())
+            .filter_map(|reply: Weak<_>| reply.upgrade())
         {
             (self.submit.cancel)(&reply);
         }
@@ -164,7 +160,7 @@
         &self,
         frame: Frame,
         partial: &mut HashMap<u64, Partial>,
-        cancels: &mut HashMap<u64, std::sync::Weak<Reply>>,
+        cancels: &mut HashMap<u64, Weak<Reply>>,
         out: &Ring<Queued>,
     ) {
         let request = frame.request;
--- a/crates/node/src/link/stream.rs
+++ b/crates/node/src/link/stream.rs
@@ -39,13 +39,13 @@
 
 /// Reads messages off a socket.
 pub(crate) struct Reader {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     codec: FrameCodec,
     buf: BytesMut,
 }
 
 impl Reader {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: Arc<TcpStream>) -> Self {
         Self {
             stream,
             codec: FrameCodec::default(),
@@ -61,7 +61,7 @@
             }
             let filled = self.buf.len();
             self.buf.resize(filled + READ_BYTES, 0);
-            let read = self.stream.read(&mut self.buf[filled..]);
+            let read = (&*self.stream).read(&mut self.buf[filled..]);
             self.buf
                 .truncate(filled + read.as_ref().copied().unwrap_or(0));
             match read {
@@ -76,13 +76,13 @@
 
 /// Writes messages to a socket.
 pub(crate) struct Writer {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     codec: FrameCodec,
     buf: BytesMut,
 }
 
 impl Writer {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: Arc<TcpStream>) -> Self {
         Self {
             stream,
             codec: FrameCodec::default(),
@@ -121,7 +121,7 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        self.stream.write_all(&self.buf)?;
+        (&*self.stream).write_all(&self.buf)?;
         self.buf.clear();
         Ok(())
     }
--- a/crates/node/src/owner/backend.rs
+++ b/crates/node/src/owner/backend.rs
@@ -7,11 +7,13 @@
 };
 
 use bytes::Bytes;
+use cassiashunt_resolve::IpResolver;
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::HeaderLine;
 use ureq::{
     Agent, Body, SendBody,
     http::{Request, Response, Uri},
+    unversioned::transport::DefaultConnector,
 };
 
 use super::Job;
@@ -57,7 +59,7 @@
             .build();
         Self {
             addr,
-            agent: cfg.new_agent(),
+            agent: Agent::with_parts(cfg, DefaultConnector::default(), IpResolver),
             connect,
         }
     }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,10 +5,12 @@
     time::{Duration, Instant},
 };
 
+use cassiashunt_resolve::IpResolver;
 use cassiashunt_types::Time;
 use ureq::{
     Agent, Body, Timeout,
     http::{Response, StatusCode},
+    unversioned::transport::DefaultConnector,
 };
 
 use crate::{
@@ -75,7 +77,7 @@
             calls: Calls::default(),
         };
         Self {
-            agent: cfg.new_agent(),
+            agent: Agent::with_parts(cfg, DefaultConnector::default(), IpResolver),
             options,
             origin: Instant::now(),
             account: Mutex::new(account),
--- a/crates/standin/src/server/resolver.rs
+++ b/crates/resolve/src/lib.rs
@@ -1,4 +1,4 @@
-//! A resolver for addresses that are IP numbers already.
+//! A resolver for `ureq` that takes addresses which are IP numbers already.
 //!
 //! The default resolver of `ureq` starts a thread for each request that has a time limit, also
 //! where the connection is kept and the host is an IP number.
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -22,7 +22,6 @@
 pub mod http;
 mod options;
 mod record;
-mod resolver;
 mod state;
 mod work;
 
@@ -30,12 +29,12 @@
 pub use control::Load;
 pub use options::{Child, Endpoint, Options, Order, Peer, Report, ServiceTime, Spread};
 pub use record::{Journal, Outcome, Record, Stats};
-pub use resolver::IpResolver;
 pub use work::{
     CRASH_HEADER, CRASH_MARK, DIGEST_HEADER, ID_HEADER, TICKET_HEADER, TIMEOUT_HEADER,
     VERDICT_HEADER,
 };
 
+use cassiashunt_resolve::IpResolver;
 use http::Connection;
 use state::State;
 use ureq::unversioned::transport::DefaultConnector;
