--- /dev/null
+++ b/crates/control/examples/ways.rs
@@ -0,0 +1,149 @@
+//! Compares what may attest freshness, and measures its cost:
+//! `cargo run --release -p cassiashunt-control --example ways`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+
+use cassiashunt_control::{Control, Domain, Heads, RelayEntry, Touch, msg, touch};
+use cassiashunt_types::{NodeId, Revision, Time};
+use prost::Message;
+use support::{Fault, FaultKind, NODES, NODES_PER_DOMAIN, Plan, run};
+
+const SEEDS: u64 = 20;
+
+fn side_of(domain: usize) -> Vec<bool> {
+    (0..NODES)
+        .map(|node| node / NODES_PER_DOMAIN == domain)
+        .collect()
+}
+
+fn lasting(at_secs: u64, kind: FaultKind) -> Fault {
+    Fault {
+        at: Time::from_millis(at_secs * 1_000),
+        kind,
+    }
+}
+
+/// Share of the requests from the fourth to the fourteenth second that were served.
+fn served(platform_only: bool, faults: &[Fault]) -> (f64, f64) {
+    let (mut served, mut all, mut calls) = (0, 0, 0);
+    let during = Time::from_millis(4_000)..Time::from_millis(14_000);
+    for seed in 0..SEEDS {
+        let history = run(Plan {
+            seed,
+            platform_only,
+            faults: faults.to_vec(),
+            ..Plan::default()
+        });
+        let runs = history
+            .runs
+            .iter()
+            .filter(|run| during.contains(&run.at))
+            .count();
+        let refusals = history
+            .refusals
+            .iter()
+            .filter(|at| during.contains(at))
+            .count();
+        served += runs;
+        all += runs + refusals;
+        calls += history.calls;
+    }
+    let seconds = Plan::default().span.as_secs_f64() * SEEDS as f64;
+    (100.0 * served as f64 / all as f64, calls as f64 / seconds)
+}
+
+fn availability() {
+    let span = Duration::from_secs(10);
+    let outage = FaultKind::Outage(span);
+    let cut = FaultKind::Split(side_of(2), [true, true], span);
+    let lost = FaultKind::Split(side_of(2), [true, false], span);
+    let cases = [
+        ("ordinary day", vec![]),
+        ("platform down for 10 s", vec![lasting(4, outage.clone())]),
+        (
+            "domain cut off, platform reached by both",
+            vec![lasting(4, cut)],
+        ),
+        (
+            "domain cut off from all, platform up",
+            vec![lasting(4, lost.clone())],
+        ),
+        (
+            "domain cut off, platform down",
+            vec![lasting(4, lost), lasting(4, outage)],
+        ),
+    ];
+    println!("{NODES} nodes in 3 domains, {SEEDS} seeds, share served in the 10 s of the fault");
+    for (label, faults) in cases {
+        let (alone, _) = served(true, &faults);
+        let (both, calls) = served(false, &faults);
+        println!(
+            "{label:<42} platform alone {alone:>6.2}%  platform or relays {both:>6.2}%  platform calls {calls:.1}/s"
+        );
+    }
+}
+
+fn control(domains: u64) -> Control {
+    let entry = |node| RelayEntry {
+        node: NodeId(node),
+        since: Revision(1),
+    };
+    let domain = |d: u64| Domain {
+        name: format!("domain-{d}")
+            .parse()
+            .expect("a short word is a name"),
+        relays: (3 * d..3 * d + 3).map(entry).collect(),
+        previous: Vec::new(),
+    };
+    Control {
+        revision: Revision(1),
+        domains: (0..domains).map(domain).collect(),
+        shards: Vec::new(),
+    }
+}
+
+fn cost() {
+    const ROUNDS: u32 = 20_000;
+    println!(
+        "one node, a round = hearing an answer with a report of each relay, deciding, passing on"
+    );
+    for domains in [3, 5, 10] {
+        let heads = Heads {
+            table: Revision(1_000),
+            control: Revision(1),
+        };
+        let mut touch = Touch::new(touch::Options::default());
+        touch.apply_control(&control(domains));
+        touch.apply_table(heads.table);
+        let report = |relay| msg::Report {
+            relay,
+            bearer: relay,
+            table: 1_000,
+            control: 1,
+            age_micros: 350_000,
+            platform_age_micros: Some(700_000),
+            vouches: true,
+        };
+        let reports: Vec<msg::Report> = (0..3 * domains).map(report).collect();
+        let bytes: usize = reports.iter().map(|r| r.encoded_len() + 2).sum();
+        let begun = Instant::now();
+        for round in 0..ROUNDS {
+            let now = Time::from_millis(u64::from(round) * 10);
+            for report in &reports {
+                touch.heard(now, now, report);
+            }
+            assert!(touch.check(now, heads).is_ok());
+            assert!(!touch.pass_on(now).is_empty());
+        }
+        let each = begun.elapsed() / ROUNDS;
+        println!("{domains} domains: {bytes} bytes a round, {each:?} a round");
+    }
+}
+
+fn main() {
+    availability();
+    cost();
+}
--- a/crates/control/src/touch.rs
+++ b/crates/control/src/touch.rs
@@ -253,7 +253,9 @@
     fn forget_stale(&mut self, floor: Time) {
         for sightings in self.relays.values_mut() {
             sightings.vouched.retain(|sighting| sighting.as_of >= floor);
-            sightings.platform.retain(|sighting| sighting.as_of >= floor);
+            sightings
+                .platform
+                .retain(|sighting| sighting.as_of >= floor);
         }
         self.relays
             .retain(|_, seen| !(seen.vouched.is_empty() && seen.platform.is_empty()));
--- a/crates/control/tests/support/history.rs
+++ b/crates/control/tests/support/history.rs
@@ -33,6 +33,8 @@
     pub accepted: Vec<Accepted>,
     pub acts: Vec<Act>,
     pub refusals: Vec<Time>,
+    /// Calls of the platform.
+    pub calls: u64,
 }
 
 /// The first run for a withdrawn key that began later than `bound` after the acceptance.
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -36,6 +36,8 @@
     pub loss: u64,
     pub late: u64,
     pub skewed_clocks: bool,
+    /// Nobody trusts the relays' word for their domains: the platform alone attests.
+    pub platform_only: bool,
     pub faults: Vec<Fault>,
 }
 
@@ -47,6 +49,7 @@
             loss: 0,
             late: 0,
             skewed_clocks: false,
+            platform_only: false,
             faults: Vec::new(),
         }
     }
@@ -471,7 +474,11 @@
         if is_new {
             let me = &mut self.nodes[node];
             me.control = control.clone();
-            me.touch.apply_control(control);
+            let mut trusted = control.clone();
+            if self.plan.platform_only {
+                trusted.domains.clear();
+            }
+            me.touch.apply_control(&trusted);
             self.relay_event(node, relay::Event::Control(control.clone()));
         }
     }
@@ -502,6 +509,7 @@
     }
 
     fn call(&mut self, node: usize, call: Call) {
+        self.history.calls += 1;
         let delay = self.delay();
         self.push(
             self.now + CALL_TIMEOUT,
