--- /dev/null
+++ b/crates/once/tests/support/node.rs
@@ -0,0 +1,259 @@
+//! One node: client, home, backup and claims, with a reduced control value for one shard.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cassiashunt_once::{
+    Attempt, Backup, Client, Home, Send, Stance, Start,
+    home::Options,
+    msg::{Body, Message},
+};
+use cassiashunt_types::{Epoch, NodeId, RateMargin, ShardId, Time};
+
+pub const SHARD: ShardId = ShardId(0);
+pub const FRESHNESS: Duration = Duration::from_secs(2);
+
+/// The shard's entry of the control value.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Control {
+    pub epoch: Epoch,
+    pub primary: Option<NodeId>,
+    pub backup: Option<NodeId>,
+}
+
+/// A write of the entry that succeeds only on the entry's present epoch.
+#[derive(Debug, Clone, Copy)]
+pub struct Swap {
+    pub expected: Epoch,
+    pub primary: NodeId,
+    pub backup: Option<NodeId>,
+}
+
+#[derive(Debug)]
+enum Claim {
+    /// With the records, in a home that may have to copy them first.
+    With { home: Home, copies_first: bool },
+    /// Without; may act from this point on.
+    Without { backup: NodeId, ready: Option<Time> },
+}
+
+pub struct Node {
+    pub id: NodeId,
+    pub client: Client,
+    pub open: BTreeMap<Attempt, (usize, usize)>,
+    home: Option<Home>,
+    backup: Backup,
+    claim: Option<(Epoch, Claim)>,
+    control: Control,
+    read_at: Option<Time>,
+    swap_at: Time,
+    options: Options,
+}
+
+impl Node {
+    pub fn new(id: NodeId, options: Options) -> Self {
+        Self {
+            id,
+            client: Client::new(id, Default::default()),
+            open: BTreeMap::new(),
+            home: None,
+            backup: Backup::new(id, SHARD),
+            claim: None,
+            control: Control::default(),
+            read_at: None,
+            swap_at: Time::ZERO,
+            options,
+        }
+    }
+
+    pub fn epoch(&self) -> Epoch {
+        self.control.epoch
+    }
+
+    pub fn is_in_touch(&self, now: Time) -> bool {
+        self.read_at.is_some_and(|at| now.since(at) < FRESHNESS)
+    }
+
+    fn stance(&self, now: Time, home: &Home) -> Stance {
+        let control = &self.control;
+        let is_named = control.epoch == home.epoch()
+            && control.primary == Some(self.id)
+            && control.backup == home.backup();
+        match is_named && self.is_in_touch(now) {
+            true => Stance::Acting,
+            false => Stance::Waiting,
+        }
+    }
+
+    pub fn on(&mut self, now: Time, msg: &Message) -> Vec<Send> {
+        match msg.body {
+            Some(Body::Reply(_)) => self.client.on(now, msg),
+            Some(Body::Copy(_)) => return self.backup.on(now, msg),
+            _ => {
+                let stance = self.home.as_ref().map(|home| self.stance(now, home));
+                let mut sends = match (&mut self.home, stance) {
+                    (Some(home), Some(stance)) => home.on(now, msg, stance),
+                    _ => Vec::new(),
+                };
+                if let Some((_, Claim::With { home, .. })) = &mut self.claim {
+                    sends.extend(home.on(now, msg, Stance::Waiting));
+                }
+                return sends;
+            }
+        }
+        Vec::new()
+    }
+
+    /// The platform answered a question asked at `asked`.
+    pub fn read(&mut self, now: Time, asked: Time, control: Control) {
+        if control.epoch < self.control.epoch {
+            return;
+        }
+        self.control = control;
+        self.read_at = self.read_at.max(Some(asked));
+        self.backup.follow(control.epoch);
+        if let Some(primary) = control.primary {
+            self.client.follow(SHARD, control.epoch, primary);
+        }
+        self.home.take_if(|home| home.epoch() < control.epoch);
+        self.settle(now);
+    }
+
+    fn settle(&mut self, now: Time) {
+        let control = self.control;
+        let Some((expected, claim)) = self.claim.take() else {
+            return;
+        };
+        let is_mine = control.epoch == expected.next() && control.primary == Some(self.id);
+        match claim {
+            claim if control.epoch == expected => self.claim = Some((expected, claim)),
+            Claim::With { home, .. } if is_mine => self.home = Some(home),
+            Claim::Without { backup, ready } if is_mine => {
+                let wait = RateMargin::default().at_most(FRESHNESS + self.options.validity);
+                let ready = ready.or(Some(now + wait));
+                self.claim = Some((expected, Claim::Without { backup, ready }));
+            }
+            _ => {}
+        }
+    }
+
+    /// Time went by; `live` are the nodes in other failure domains that are not suspected.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        live: &[NodeId],
+        is_gone: impl Fn(NodeId) -> bool,
+        may_claim: bool,
+    ) -> (Vec<Send>, Option<Swap>) {
+        let mut sends = self.client.poll(now);
+        self.backup.tick(now);
+        if let Some(home) = &mut self.home {
+            sends.extend(home.tick(now));
+        }
+        if let Some((_, Claim::With { home, .. })) = &mut self.claim {
+            sends.extend(home.tick(now));
+        }
+        if self.is_in_touch(now) {
+            self.look_over(now, live, &is_gone, may_claim);
+        }
+        let swap = self.swap(now, live, &is_gone);
+        (sends, swap)
+    }
+
+    fn look_over(
+        &mut self,
+        now: Time,
+        live: &[NodeId],
+        is_gone: &impl Fn(NodeId) -> bool,
+        may_claim: bool,
+    ) {
+        let control = self.control;
+        let Some(other) = live.first().copied() else {
+            return;
+        };
+        if let Some((_, Claim::Without { ready, backup })) = &self.claim
+            && ready.is_some_and(|ready| now >= ready)
+        {
+            let start = Start::lossy(control.epoch, now, &self.options);
+            let backup = control.backup.or(Some(*backup));
+            self.home = Some(self.make(control.epoch, backup, start));
+            self.claim = None;
+        }
+        if self.claim.is_some() {
+            return;
+        }
+        let Some(primary) = control.primary else {
+            if may_claim {
+                self.claim_with(control.epoch, other, Start::first(), false);
+            }
+            return;
+        };
+        if primary == self.id {
+            let is_lost = |home: &mut Home| {
+                home.backup() != control.backup
+                    || home.backup_is_lost(now)
+                    || home.backup().is_some_and(is_gone)
+            };
+            match self.home.take_if(is_lost) {
+                Some(home) => self.claim_with(control.epoch, other, home.stop(), true),
+                None if self.home.is_none() => self.claim_without(control.epoch, other),
+                None => {}
+            }
+        } else if is_gone(primary) && control.backup == Some(self.id) {
+            match self.backup.seal(now, control.epoch, primary) {
+                Some(start) => self.claim_with(control.epoch, other, start, false),
+                None => self.claim_without(control.epoch, other),
+            }
+        } else if is_gone(primary) && control.backup.is_none_or(is_gone) && may_claim {
+            self.claim_without(control.epoch, other);
+        }
+    }
+
+    fn make(&self, epoch: Epoch, backup: Option<NodeId>, start: Start) -> Home {
+        Home::new(self.id, SHARD, epoch, backup, start, self.options)
+    }
+
+    fn claim_with(&mut self, expected: Epoch, backup: NodeId, start: Start, copies_first: bool) {
+        let home = self.make(expected.next(), Some(backup), start);
+        self.claim = Some((expected, Claim::With { home, copies_first }));
+    }
+
+    fn claim_without(&mut self, expected: Epoch, backup: NodeId) {
+        let ready = None;
+        self.claim = Some((expected, Claim::Without { backup, ready }));
+    }
+
+    fn swap(
+        &mut self,
+        now: Time,
+        live: &[NodeId],
+        is_gone: &impl Fn(NodeId) -> bool,
+    ) -> Option<Swap> {
+        let (expected, claim) = self.claim.take()?;
+        let (claim, backup) = match claim {
+            Claim::With { home, copies_first } => {
+                let is_lost = home.backup_is_lost(now) || home.backup().is_some_and(is_gone);
+                let home = match live.iter().find(|node| Some(**node) != home.backup()) {
+                    Some(other) if is_lost => self.make(home.epoch(), Some(*other), home.stop()),
+                    _ => home,
+                };
+                let backup = home.backup().filter(|_| home.is_copied() || !copies_first);
+                (Claim::With { home, copies_first }, backup)
+            }
+            Claim::Without { backup, ready } => (
+                Claim::Without { backup, ready },
+                Some(backup).filter(|_| ready.is_none()),
+            ),
+        };
+        self.claim = Some((expected, claim));
+        if backup.is_none() || now < self.swap_at || self.control.epoch != expected {
+            return None;
+        }
+        self.swap_at = now + Duration::from_millis(500);
+        let primary = self.id;
+        Some(Swap {
+            expected,
+            primary,
+            backup,
+        })
+    }
+}
