Add the owner's side of permits and drive the proof of containment by it

What the proof's fleet did by hand to ask for permits and give them back is now the Holder, so that the node embeds the code that was explored.

Owners remember the priorities they saw for 10 minutes instead of one, since a class that ingress sheds for long would be forgotten and opened at once.

--- a/crates/admit/src/meter.rs
+++ b/crates/admit/src/meter.rs
@@ -9,7 +9,7 @@
 /// The time between two steps of the level.
 const STEP: Duration = Duration::from_millis(100);
 /// How long a priority counts as present after its last request.
-const PRESENCE: Duration = Duration::from_secs(60);
+const PRESENCE: Duration = Duration::from_secs(600);
 /// The share of offered requests that an owner refuses itself when the level is right. It keeps
 /// the server busy.
 const TARGET_REFUSED: f64 = 0.05;
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod coordinator;
 mod fingerprint;
+pub mod holder;
 pub mod message;
 pub mod permits;
 mod strike;
@@ -14,6 +15,7 @@
 
 pub use coordinator::coordinator;
 pub use fingerprint::Fingerprint;
+pub use holder::Holder;
 pub use permits::Permits;
 pub use strike::Death;
 pub use suspects::{Decision, Suspects};
--- a/crates/suspect/tests/fleet/mod.rs
+++ b/crates/suspect/tests/fleet/mod.rs
@@ -3,12 +3,13 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap},
+    collections::{BinaryHeap, HashMap},
 };
 
 use cassiashunt_suspect::{
-    Death, Decision, Fingerprint, Permits, Suspects,
-    message::{AskPermit, News, ReleasePermit, StrikeNews},
+    Death, Decision, Fingerprint, Holder, Permits, Suspects,
+    holder::{self, Action},
+    message::{AskPermit, News, PermitAnswer, ReleasePermit, StrikeNews},
     permits, suspects,
 };
 use cassiashunt_types::prelude::*;
@@ -23,7 +24,6 @@
 pub const NEWS: Duration = Duration::from_secs(2);
 const RUN: Duration = Duration::from_secs(20);
 const GOSSIP: Duration = Duration::from_millis(100);
-const PATIENCE: Duration = Duration::from_millis(400);
 const RESTART: Duration = Duration::from_millis(300);
 
 /// What contains the crashing request.
@@ -164,17 +164,9 @@
     running: Vec<RunAt>,
     is_up: bool,
     deaths: u32,
-    solo: Option<Solo>,
-    next_permit: u64,
-}
-
-/// A suspect that waits for its permit or for its server to be empty.
-struct Solo {
-    request: usize,
-    asked: Time,
-    number: u64,
-    coordinator: NodeId,
-    is_given: bool,
+    holder: Holder,
+    /// A suspect that has its permit and waits for its server to be empty.
+    waiting: Option<(usize, Time)>,
 }
 
 struct Request {
@@ -189,9 +181,9 @@
     Arrive(usize, NodeId),
     End(RunAt),
     Ask(AskPermit, NodeId),
-    Answer(AskPermit, bool),
-    GiveUp(usize),
-    Release(ReleasePermit, NodeId, u32),
+    Answer(PermitAnswer, NodeId),
+    Release(ReleasePermit, NodeId),
+    Acknowledged(u64, NodeId),
     Lost(usize, NodeId),
     Gossip(NodeAt),
     News(News, NodeId),
@@ -210,9 +202,8 @@
     next_node: u64,
     nodes: Vec<Node>,
     requests: Vec<Request>,
-    /// The request and the permit's number of each run.
+    /// The request of each run.
     of_run: Vec<usize>,
-    numbers: BTreeMap<RunAt, (u64, NodeId)>,
     /// Fingerprints' callers send through the nodes in turn.
     turn: u64,
     history: History,
@@ -229,7 +220,6 @@
         nodes: Vec::new(),
         requests: Vec::new(),
         of_run: Vec::new(),
-        numbers: BTreeMap::new(),
         turn: 0,
         history: History::default(),
         scene,
@@ -283,8 +273,14 @@
             running: Vec::new(),
             is_up: true,
             deaths: 0,
-            solo: None,
-            next_permit: 1,
+            holder: Holder::new(
+                id,
+                holder::Options {
+                    validity: VALIDITY,
+                    ..Default::default()
+                },
+            ),
+            waiting: None,
         }
     }
 
@@ -330,9 +326,13 @@
             Event::Arrive(request, owner) => self.on_arrive(request, owner),
             Event::End(run) => self.on_end(run),
             Event::Ask(ask, coordinator) => self.on_ask(ask, coordinator),
-            Event::Answer(ask, is_given) => self.on_answer(&ask, is_given),
-            Event::GiveUp(request) => self.on_give_up(request),
-            Event::Release(release, to, tries) => self.on_release(release, to, tries),
+            Event::Answer(answer, to) => self.on_answer(&answer, to),
+            Event::Release(release, to) => self.on_release(&release, to),
+            Event::Acknowledged(number, to) => {
+                if let Some(at) = self.at(to) {
+                    self.nodes[at].holder.on_acknowledged(number);
+                }
+            }
             Event::Lost(request, node) => self.on_lost(request, node),
             Event::Gossip(at) => self.on_gossip(at),
             Event::News(news, to) => {
@@ -390,46 +390,48 @@
         };
         let fingerprint = self.requests[request].fingerprint;
         let decision = self.check(at, fingerprint);
-        let is_busy = self.nodes[at].solo.is_some() || self.is_solo_running(at);
+        let is_busy = self.nodes[at].holder.is_busy();
         match decision {
             _ if !self.nodes[at].is_up || is_busy => self.finish(request, Some(Verdict::NotRun)),
-            Decision::Run => self.start(at, request, None),
+            Decision::Run => self.start(at, request, false),
             Decision::RunAlone => self.start_solo(at, request),
             Decision::Refuse(_) => self.finish(request, Some(Verdict::NotRun)),
         }
     }
 
-    fn is_solo_running(&self, at: NodeAt) -> bool {
-        self.nodes[at]
-            .running
-            .iter()
-            .any(|run| self.history.runs[*run].is_permitted)
-    }
-
     fn start_solo(&mut self, at: NodeAt, request: usize) {
         let fingerprint = self.requests[request].fingerprint;
         let node = &mut self.nodes[at];
-        let Some(coordinator) = node.permits.coordinator(fingerprint) else {
-            return self.finish(request, Some(Verdict::NotRun));
-        };
-        let ask = AskPermit {
-            fingerprint: fingerprint.0,
-            holder: node.id.0,
-            number: node.next_permit,
-        };
-        node.solo = Some(Solo {
-            request,
-            asked: self.now,
-            number: node.next_permit,
-            coordinator,
-            is_given: false,
-        });
-        node.next_permit += 1;
-        self.after(PATIENCE, Event::GiveUp(request));
-        if self.scene.containment == Containment::NoPermits {
-            return self.on_answer(&ask, true);
+        let coordinator = node.permits.coordinator(fingerprint);
+        let id = RequestId(request as u64);
+        let actions = node.holder.begin(self.now, id, fingerprint, coordinator);
+        self.act(at, actions);
+    }
+
+    fn act(&mut self, at: NodeAt, actions: Vec<Action>) {
+        let me = self.nodes[at].id;
+        for action in actions {
+            match action {
+                // Without permits, everybody is its own coordinator.
+                Action::Ask(_, ask) if self.scene.containment == Containment::NoPermits => {
+                    let answer = PermitAnswer {
+                        number: ask.number,
+                        is_given: true,
+                        retry_after_ms: 0,
+                    };
+                    self.on_answer(&answer, me);
+                }
+                Action::Ask(to, ask) => self.send(Event::Ask(ask, to)),
+                Action::Run(request, until) => {
+                    self.nodes[at].waiting = Some((request.0 as usize, until));
+                    self.try_solo(at);
+                }
+                Action::Refuse(request, refusal) => {
+                    self.finish(request.0 as usize, Some(refusal.verdict));
+                }
+                Action::Release(to, release) => self.send(Event::Release(release, to)),
+            }
         }
-        self.send(Event::Ask(ask, coordinator));
     }
 
     fn on_ask(&mut self, ask: AskPermit, coordinator: NodeId) {
@@ -437,91 +439,49 @@
             return;
         };
         let node = &mut self.nodes[at];
-        let is_given = node.permits.ask(self.now, &ask, &mut node.suspects).is_ok();
-        self.send(Event::Answer(ask, is_given));
+        let answer = PermitAnswer {
+            number: ask.number,
+            is_given: node.permits.ask(self.now, &ask, &mut node.suspects).is_ok(),
+            retry_after_ms: 0,
+        };
+        self.send(Event::Answer(answer, NodeId(ask.holder)));
     }
 
-    fn on_answer(&mut self, ask: &AskPermit, is_given: bool) {
-        let Some(at) = self.at(NodeId(ask.holder)) else {
-            return;
-        };
-        let Some(solo) = self.nodes[at]
-            .solo
-            .as_mut()
-            .filter(|it| it.number == ask.number)
-        else {
-            return;
-        };
-        solo.is_given = is_given;
-        if is_given {
-            self.try_solo(at);
-        } else {
-            self.give_back(at);
-        }
+    fn on_answer(&mut self, answer: &PermitAnswer, holder: NodeId) {
+        let Some(at) = self.at(holder) else { return };
+        let actions = self.nodes[at].holder.on_answer(self.now, answer);
+        self.act(at, actions);
+    }
+
+    fn on_release(&mut self, release: &ReleasePermit, to: NodeId) {
+        let Some(at) = self.at(to) else { return };
+        let node = &mut self.nodes[at];
+        node.permits.release(self.now, release, &mut node.suspects);
+        self.send(Event::Acknowledged(release.number, NodeId(release.holder)));
     }
 
     /// Starts the suspect once its server is empty.
     fn try_solo(&mut self, at: NodeAt) {
         let node = &mut self.nodes[at];
-        let is_ready = node.running.is_empty() && node.solo.as_ref().is_some_and(|it| it.is_given);
-        if !is_ready {
+        if !node.running.is_empty() {
             return;
         }
-        let solo = node.solo.take().expect("it was checked above");
-        // A run takes at most 20 ms, which fits in the rest of the validity.
-        assert!(self.now.since(solo.asked) + Duration::from_millis(20) < VALIDITY);
-        self.start(at, solo.request, Some((solo.number, solo.coordinator)));
-    }
-
-    fn on_give_up(&mut self, request: usize) {
-        let waits = |node: &Node| node.solo.as_ref().is_some_and(|it| it.request == request);
-        if let Some(at) = self.nodes.iter().position(waits) {
-            self.give_back(at);
+        if let Some((request, until)) = node.waiting.take() {
+            assert!(
+                self.now + Duration::from_millis(20) < until,
+                "a run takes up to 20 ms"
+            );
+            self.start(at, request, true);
         }
     }
 
-    fn give_back(&mut self, at: NodeAt) {
-        let Some(solo) = self.nodes[at].solo.take() else {
-            return;
-        };
-        let fingerprint = self.requests[solo.request].fingerprint;
-        self.release(at, fingerprint, (solo.number, solo.coordinator), None);
-        self.finish(solo.request, Some(Verdict::NotRun));
-    }
-
-    fn release(
-        &mut self,
-        at: NodeAt,
-        fingerprint: Fingerprint,
-        (number, coordinator): (u64, NodeId),
-        strike: Option<StrikeNews>,
-    ) {
-        let release = ReleasePermit {
-            fingerprint: fingerprint.0,
-            holder: self.nodes[at].id.0,
-            number,
-            strike,
-        };
-        self.after(
-            Duration::from_millis(1),
-            Event::Release(release, coordinator, 20),
-        );
-    }
-
-    /// A release is sent until it arrives.
-    fn on_release(&mut self, release: ReleasePermit, to: NodeId, tries: u32) {
-        let Some(at) = self.at(to) else { return };
-        if self.rng.f64() < self.scene.loss && tries > 0 {
-            return self.after(
-                Duration::from_millis(50),
-                Event::Release(release, to, tries - 1),
-            );
-        }
-        let node = &mut self.nodes[at];
-        node.permits.release(self.now, &release, &mut node.suspects);
+    fn end_solo(&mut self, at: NodeAt, request: usize, strike: Option<StrikeNews>) {
+        let id = RequestId(request as u64);
+        let actions = self.nodes[at].holder.done(self.now, id, strike);
+        self.act(at, actions);
     }
 
-    fn start(&mut self, at: NodeAt, request: usize, permit: Option<(u64, NodeId)>) {
+    fn start(&mut self, at: NodeAt, request: usize, is_permitted: bool) {
         let work = Duration::from_micros(self.rng.u64(2_000..20_000));
         let it = &self.requests[request];
         if it.is_answered && it.was_not_run {
@@ -530,16 +490,13 @@
         self.history.runs.push(Run {
             fingerprint: it.fingerprint,
             server: self.nodes[at].id.0 as usize,
-            is_permitted: permit.is_some(),
+            is_permitted,
             began: self.now,
             ended: self.now + work,
             has_died: false,
         });
         let run = self.history.runs.len() - 1;
         self.of_run.push(request);
-        if let Some(permit) = permit {
-            self.numbers.insert(run, permit);
-        }
         self.nodes[at].running.push(run);
         self.after(work, Event::End(run));
     }
@@ -557,9 +514,7 @@
         }
         self.nodes[at].running.retain(|other| *other != run);
         self.nodes[at].suspects.on_finished(fingerprint, began);
-        if let Some(permit) = self.numbers.remove(&run) {
-            self.release(at, fingerprint, permit, None);
-        }
+        self.end_solo(at, self.of_run[run], None);
         self.finish(self.of_run[run], None);
         self.try_solo(at);
     }
@@ -590,11 +545,12 @@
             .map(|it| self.requests[*it].fingerprint)
             .collect();
         node.suspects.on_server_died(self.now, death, &fingerprints);
-        if let Some(permit) = self.numbers.remove(&run) {
-            let strike = self.nodes[at].suspects.strike(self.now, CRASHER, death);
-            self.release(at, CRASHER, permit, strike);
+        let strike = self.nodes[at].suspects.strike(self.now, CRASHER, death);
+        self.end_solo(at, self.of_run[run], strike);
+        if let Some((waiting, _)) = self.nodes[at].waiting.take() {
+            self.end_solo(at, waiting, None);
+            self.finish(waiting, Some(Verdict::NotRun));
         }
-        self.give_back(at);
         for request in requests {
             self.tell_ingress(at, request, death);
             self.finish(request, Some(Verdict::MayHaveRun));
@@ -617,7 +573,7 @@
         if self.nodes[at].permits.has_given(CRASHER) {
             self.history.coordinators_lost += 1;
         }
-        let solo = self.nodes[at].solo.take().map(|it| it.request);
+        let solo = self.nodes[at].waiting.take().map(|it| it.0);
         for run in in_flight {
             self.after(
                 Duration::from_millis(5),
@@ -664,6 +620,8 @@
         let node = &mut self.nodes[at];
         node.permits.tick(now, &mut node.suspects);
         let id = node.id;
+        let actions = node.holder.tick(now);
+        self.act(at, actions);
         let peers: Vec<_> = self
             .live(at)
             .into_iter()
--- a/crates/suspect/tests/p13_crashing_request_is_contained.rs
+++ b/crates/suspect/tests/p13_crashing_request_is_contained.rs
@@ -11,7 +11,7 @@
 use cassiashunt_types::prelude::*;
 use fleet::{CRASHER, Containment, History, Run, Scene, check, run};
 
-const SEEDS: u64 = 150;
+const SEEDS: u64 = 300;
 
 /// A scene whose troubles are drawn by its seed.
 fn scene(seed: u64, containment: Containment) -> Scene {
