--- a/crates/fleet/src/experiment.rs
+++ b/crates/fleet/src/experiment.rs
@@ -76,7 +76,7 @@
         },
         policy: policy.wrap_err_with(|| format!("settings of variant {}", variant.name))?,
         cross_domain_us: (experiment.domain_one_way_ms * 1_000.0) as u64,
-        platform_urls: Vec::new(),
+        ..Options::default()
     })
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -43,7 +43,7 @@
 }
 
 /// What a fleet is made of.
-#[derive(Debug, Clone, Default)]
+#[derive(Default)]
 pub struct Options {
     /// The failure domains.
     pub domains: Vec<FailureDomain>,
@@ -57,8 +57,10 @@
     pub policy: settings::Policy,
     /// One way between failure domains, in microseconds.
     pub cross_domain_us: u64,
-    /// Where nodes reach the platform, by number; the stand-in itself where not given.
+    /// Where nodes reach the platform, by number; the stand-in itself where empty or not given.
     pub platform_urls: Vec<String>,
+    /// Is told the stand-in's address before the first node starts.
+    pub on_platform: Option<Box<dyn Fn(SocketAddr) + Send + Sync>>,
 }
 
 /// A node with its backend server.
@@ -117,6 +119,9 @@
             cuts: Cuts::default(),
             opts,
         };
+        if let Some(tell) = &fleet.opts.on_platform {
+            tell(fleet.platform.addr());
+        }
         for number in 0..fleet.opts.servers.len() {
             let member = fleet.start_member(number)?;
             fleet.members.push(member);
@@ -141,7 +146,10 @@
         let until = Instant::now() + PATIENCE;
         while !self.is_ready() {
             if Instant::now() >= until {
-                bail!("the fleet did not come together within {PATIENCE:?}: {}", self.describe());
+                bail!(
+                    "the fleet did not come together within {PATIENCE:?}: {}",
+                    self.describe()
+                );
             }
             thread::sleep(LOOK);
         }
@@ -278,6 +286,7 @@
         let spec = &self.opts.servers[number];
         let domains = self.opts.domains.iter().copied();
         let url = self.opts.platform_urls.get(number).cloned();
+        let url = url.filter(|url| !url.is_empty());
         let settings = Settings {
             node: settings::Place {
                 callers,
@@ -326,7 +335,9 @@
     fn describe(&self) -> String {
         let numbers = (0..self.members.len()).filter(|number| self.members[*number].is_up());
         let texts = numbers.map(|number| self.operator(number).get("/status"));
-        texts.map(|text| format!("\n{}", text.unwrap_or_else(|err| err.to_string()))).collect()
+        texts
+            .map(|text| format!("\n{}", text.unwrap_or_else(|err| err.to_string())))
+            .collect()
     }
 
     /// Whether a node is in touch, sees so many servers, and knows an authority for every shard.
--- a/crates/fleet/tests/p03_p04_identity.rs
+++ b/crates/fleet/tests/p03_p04_identity.rs
@@ -35,7 +35,10 @@
 /// No captured byte sequence contains an issued key, however it is encoded.
 fn check_secrecy(records: &[Record], keys: &[&str]) -> Result<(), String> {
     for record in records {
-        let lines = record.headers.iter().map(|line| format!("{}: {}", line.name, line.value));
+        let lines = record
+            .headers
+            .iter()
+            .map(|line| format!("{}: {}", line.name, line.value));
         let query = record.query.clone().unwrap_or_default();
         let text = format!("{} {query} {}", record.path, lines.collect::<String>());
         let text = text.to_lowercase().replace("%5f", "_").replace("%61", "a");
@@ -56,7 +59,9 @@
 #[test]
 fn p03_p04_forged_headers_and_misplaced_keys_neither_borrow_a_workspace_nor_reach_a_server() {
     let fleet = start();
-    fleet.bind("GET /open", "open", "read", "rota").expect("accepted");
+    fleet
+        .bind("GET /open", "open", "read", "rota")
+        .expect("accepted");
     fleet.set("*,open,*", "open", "yes").expect("accepted");
     let caller = Caller::new(KEY);
     let anonymous = Caller::new("");
@@ -80,12 +85,22 @@
             ("cAssiashunt-class", "sign-off"),
             ("Cassiashunt-Chain", "1"),
         ];
-        assert!(caller.send(addr, "GET", "/photos", &forged).expect("answered").is_ok());
+        assert!(
+            caller
+                .send(addr, "GET", "/photos", &forged)
+                .expect("answered")
+                .is_ok()
+        );
 
         let id = next(&mut sent, None);
         let ticket = [("Standin-Id", id.as_str()), ("Cassiashunt-Ticket", "00ff")];
-        let seen = caller.send(addr, "GET", "/photos", &ticket).expect("answered");
-        assert_eq!((seen.status, seen.code.as_deref()), (401, Some("bad-ticket")));
+        let seen = caller
+            .send(addr, "GET", "/photos", &ticket)
+            .expect("answered");
+        assert_eq!(
+            (seen.status, seen.code.as_deref()),
+            (401, Some("bad-ticket"))
+        );
 
         let id = next(&mut sent, None);
         let seen = anonymous.send(addr, "GET", "/photos", &[("Standin-Id", &id)]);
@@ -94,36 +109,71 @@
         assert!(seen.is_not_run());
 
         let id = next(&mut sent, None);
-        let headers = [("Standin-Id", id.as_str()), ("Cassiashunt-Workspace", "ward-7")];
-        assert!(anonymous.send(addr, "GET", "/open", &headers).expect("answered").is_ok());
+        let headers = [
+            ("Standin-Id", id.as_str()),
+            ("Cassiashunt-Workspace", "ward-7"),
+        ];
+        assert!(
+            anonymous
+                .send(addr, "GET", "/open", &headers)
+                .expect("answered")
+                .is_ok()
+        );
 
         let encoded = format!("/photos?k=%63assia%5F{}&bytes=10", &KEY[7..]);
         let id = next(&mut sent, Some("ward-7"));
-        let keyed = [("Standin-Id", id.as_str()), ("X-Api-Key", KEY), ("COOKIE", KEY)];
-        assert!(caller.send(addr, "GET", &encoded, &keyed).expect("answered").is_ok());
+        let keyed = [
+            ("Standin-Id", id.as_str()),
+            ("X-Api-Key", KEY),
+            ("COOKIE", KEY),
+        ];
+        assert!(
+            caller
+                .send(addr, "GET", &encoded, &keyed)
+                .expect("answered")
+                .is_ok()
+        );
 
         let id = next(&mut sent, Some("ward-7"));
         let target = format!("/sections?key={KEY}");
         let headers = [("Standin-Id", id.as_str())];
-        assert!(caller.send(addr, "GET", &target, &headers).expect("answered").is_ok());
+        assert!(
+            caller
+                .send(addr, "GET", &target, &headers)
+                .expect("answered")
+                .is_ok()
+        );
 
         let id = next(&mut sent, None);
         let two = [("Standin-Id", id.as_str()), ("X-Api-Key", OTHER_KEY)];
         let seen = caller.send(addr, "GET", "/photos", &two).expect("answered");
-        assert_eq!((seen.status, seen.code.as_deref()), (400, Some("bad-request")));
+        assert_eq!(
+            (seen.status, seen.code.as_deref()),
+            (400, Some("bad-request"))
+        );
 
         let id = next(&mut sent, None);
         let target = format!("/photos/{KEY}");
-        let seen = caller.send(addr, "GET", &target, &[("Standin-Id", &id)]).expect("answered");
+        let seen = caller
+            .send(addr, "GET", &target, &[("Standin-Id", &id)])
+            .expect("answered");
         assert_eq!(seen.status, 400);
     }
     let records = runs(&fleet);
     assert!(!records.is_empty());
-    let direct: Vec<Run> = records.iter().filter(|r| r.path != "/stock").map(run_of).collect();
+    let direct: Vec<Run> = records
+        .iter()
+        .filter(|r| r.path != "/stock")
+        .map(run_of)
+        .collect();
     assert_eq!(check_workspaces(&sent, &direct), Ok(()));
     let children = records.iter().filter(|record| record.path == "/stock");
     assert!(children.clone().count() >= 6);
-    assert!(children.clone().all(|record| record.workspace.as_deref() == Some("ward-7")));
+    assert!(
+        children
+            .clone()
+            .all(|record| record.workspace.as_deref() == Some("ward-7"))
+    );
     assert_eq!(check_secrecy(&records, &[KEY, OTHER_KEY]), Ok(()));
 }
 
--- a/crates/fleet/tests/p07_whole_answers.rs
+++ b/crates/fleet/tests/p07_whole_answers.rs
@@ -23,7 +23,11 @@
             continue;
         }
         if seen.status != 200 || seen.body != body(id, *bytes) {
-            return Err(format!("{id}: status {}, {} bytes", seen.status, seen.body.len()));
+            return Err(format!(
+                "{id}: status {}, {} bytes",
+                seen.status,
+                seen.body.len()
+            ));
         }
         let expected = format!("{:016x}", digest(&seen.body));
         if seen.digest.as_ref().is_some_and(|told| *told != expected) {
@@ -63,7 +67,10 @@
         fleet.members[0].server.crash();
         thread::sleep(std::time::Duration::from_millis(100));
         fleet.kill_node(1);
-        threads.into_iter().flat_map(|t| t.join().expect("callers do not panic")).collect()
+        threads
+            .into_iter()
+            .flat_map(|t| t.join().expect("callers do not panic"))
+            .collect()
     });
     let whole = check(&history).expect("no answer is short, torn or another's");
     assert!(whole > CALLERS * REQUESTS / 2, "only {whole} whole answers");
--- a/crates/fleet/tests/p11_graceful_stop.rs
+++ b/crates/fleet/tests/p11_graceful_stop.rs
@@ -39,15 +39,28 @@
             .collect();
         let guard = Done(&is_done);
         for number in 0..fleet.members.len() {
-            assert_eq!(fleet.stop_node(number), Some(Stopped::Drained), "node {number}");
-            fleet.replace_node(number).expect("the addresses are free again");
+            assert_eq!(
+                fleet.stop_node(number),
+                Some(Stopped::Drained),
+                "node {number}"
+            );
+            fleet
+                .replace_node(number)
+                .expect("the addresses are free again");
             fleet.wait_ready().expect("the fleet is complete again");
         }
         drop(guard);
-        threads.into_iter().flat_map(|t| t.join().expect("callers do not panic")).collect()
+        threads
+            .into_iter()
+            .flat_map(|t| t.join().expect("callers do not panic"))
+            .collect()
     });
     let served = check(&history).expect("nothing is cut off");
-    assert!(served * 10 >= history.len() * 9, "{served} of {} served", history.len());
+    assert!(
+        served * 10 >= history.len() * 9,
+        "{served} of {} served",
+        history.len()
+    );
 }
 
 /// Ends the callers, also where the test fails.
@@ -71,7 +84,11 @@
     let mut at = number;
     while !is_done.load(Ordering::Acquire) {
         let addr = addrs[at % addrs.len()];
-        let target = if number.is_multiple_of(3) { "/photos?bytes=300000" } else { "/sections" };
+        let target = if number.is_multiple_of(3) {
+            "/photos?bytes=300000"
+        } else {
+            "/sections"
+        };
         match caller.get(addr, target) {
             // A node that has stopped takes no connection: nothing of the request was sent.
             Err(err) if err.contains("refused") => at += 1,
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,8 +2,12 @@
 #![allow(dead_code)]
 
 use std::{
-    io::Read,
-    net::SocketAddr,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -87,10 +91,16 @@
         ("POST /sign-off", "sign-off", "sign-off"),
         ("GET /photos", "photos", "read"),
     ] {
-        fleet.bind(endpoint, route, class, "rota").expect("accepted");
+        fleet
+            .bind(endpoint, route, class, "rota")
+            .expect("accepted");
     }
-    fleet.bind("GET /stock", "stock", "read", "stores").expect("accepted");
-    fleet.set("*,sign-off,*", "priority", "255").expect("accepted");
+    fleet
+        .bind("GET /stock", "stock", "read", "stores")
+        .expect("accepted");
+    fleet
+        .set("*,sign-off,*", "priority", "255")
+        .expect("accepted");
     fleet.give_key("ward-7", KEY).expect("accepted");
     fleet.give_key("ward-8", OTHER_KEY).expect("accepted");
     fleet
@@ -199,9 +209,101 @@
 
 /// Every run of the fleet's servers.
 pub fn runs(fleet: &Fleet) -> Vec<server::Record> {
-    fleet.members.iter().flat_map(|member| member.server.runs()).collect()
+    fleet
+        .members
+        .iter()
+        .flat_map(|member| member.server.runs())
+        .collect()
 }
 
 pub fn callers(fleet: &Fleet) -> Vec<SocketAddr> {
-    fleet.members.iter().map(|member| member.addresses.callers).collect()
+    fleet
+        .members
+        .iter()
+        .map(|member| member.addresses.callers)
+        .collect()
+}
+
+/// A way to the platform that can be shut: a relay of bytes on loopback.
+pub struct Gate {
+    listener: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
+    is_shut: Arc<AtomicBool>,
+}
+
+impl Gate {
+    pub fn open() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+        let addr = listener.local_addr().expect("the listener is bound");
+        let target = Arc::new(Mutex::new(None));
+        let is_shut = Arc::new(AtomicBool::new(false));
+        let (to, shut) = (Arc::clone(&target), Arc::clone(&is_shut));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let target: Option<SocketAddr> = *to.lock().expect("no holder panics");
+                if let Some(target) = target {
+                    pass(stream, target, &shut);
+                }
+            }
+        });
+        Self {
+            listener: addr,
+            target,
+            is_shut,
+        }
+    }
+
+    pub fn url(&self) -> String {
+        format!("http://{}", self.listener)
+    }
+
+    pub fn shut(&self) {
+        self.is_shut.store(true, Ordering::Release);
+    }
+
+    pub fn reopen(&self) {
+        self.is_shut.store(false, Ordering::Release);
+    }
+}
+
+/// Passes bytes both ways until the gate is shut.
+fn pass(stream: TcpStream, target: SocketAddr, is_shut: &Arc<AtomicBool>) {
+    if is_shut.load(Ordering::Acquire) {
+        return;
+    }
+    let Ok(other) = TcpStream::connect(target) else {
+        return;
+    };
+    let pairs = [
+        (stream.try_clone(), other.try_clone()),
+        (Ok(other), Ok(stream)),
+    ];
+    for (from, to) in pairs {
+        let (Ok(mut from), Ok(mut to)) = (from, to) else {
+            return;
+        };
+        let is_shut = Arc::clone(is_shut);
+        std::thread::spawn(move || {
+            let mut buf = [0; 16 * 1024];
+            while let Ok(len) = from.read(&mut buf) {
+                if len == 0 || is_shut.load(Ordering::Acquire) || to.write_all(&buf[..len]).is_err()
+                {
+                    break;
+                }
+            }
+            let _ = to.shutdown(std::net::Shutdown::Both);
+            let _ = from.shutdown(std::net::Shutdown::Both);
+        });
+    }
+}
+
+/// Starts a fleet some of whose nodes reach the platform through a gate.
+pub fn start_with_gate(opts: Options, gate: &Gate) -> Fleet {
+    let target = Arc::clone(&gate.target);
+    start_with(Options {
+        on_platform: Some(Box::new(move |addr| {
+            *target.lock().expect("no holder panics") = Some(addr);
+        })),
+        ..opts
+    })
 }
--- a/crates/node/src/duty/threads.rs
+++ b/crates/node/src/duty/threads.rs
@@ -69,6 +69,7 @@
             shared.wiring.clone(),
         ));
         shared.limits.set_net(net.try_clone()?);
+        shared.suspects.set_net(net.try_clone()?);
         let (calls, fetches) = (Ring::new(CALLS), Ring::new(FETCHES));
         let is_stopped = Arc::new(AtomicBool::new(false));
         start_receiver(&net, &is_stopped, &tx)?;
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -107,6 +107,7 @@
         let asks = self.shards.tick(now);
         self.ask_claims(shared, asks);
         self.settle_claims(shared);
+        shared.suspects.tick(shared);
         self.ticks += 1;
         if self.ticks.is_multiple_of(SLOW_TICKS) {
             self.look_over(shared);
@@ -142,6 +143,7 @@
         match Kind::try_from(envelope.kind) {
             Ok(Kind::Member) => self.membership.receive(shared, from, payload),
             Ok(Kind::Config) => self.on_config(shared, from, envelope),
+            Ok(Kind::Suspect) => shared.suspects.receive(shared, from, payload),
             Ok(Kind::Limit) => shared.limits.receive(shared, from, payload),
             _ => log::debug!(event = "control-kind-unknown", from:% = from; ""),
         }
@@ -322,6 +324,10 @@
     fn look_over(&mut self, shared: &Arc<Shared>) {
         self.fetch_newer(shared);
         self.publish_relays(shared);
+        let live = self.membership.members.live().map(|record| record.id);
+        shared
+            .suspects
+            .on_members(shared.clock.now(), live.collect());
         if !shared.lifecycle().phase().takes_work() {
             return;
         }
--- a/crates/node/src/ingress/collect.rs
+++ b/crates/node/src/ingress/collect.rs
@@ -88,21 +88,28 @@
 }
 
 /// Why there is none.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct Failure {
     pub refusal: Refusal,
     /// Retries that came back; `None` where they are lost.
     pub unused_retries: Option<u32>,
     /// The owner's signal, where it sent one.
     pub signal: Option<u32>,
+    /// The encoded strike against the request, where the server died with it.
+    pub strike: Vec<u8>,
+    /// Whether the connection to the owner was lost.
+    pub is_link_lost: bool,
 }
 
 impl Failure {
+    /// A failure of which nothing more is known.
     pub(super) const fn lost(refusal: Refusal) -> Self {
         Self {
             refusal,
             unused_retries: None,
             signal: None,
+            strike: Vec::new(),
+            is_link_lost: false,
         }
     }
 }
@@ -145,7 +152,9 @@
                 return Err(Failure {
                     refusal: Refusal::from(&refused),
                     unused_retries: Some(refused.unused_retries),
+                    is_link_lost: refused.signal.is_none(),
                     signal: refused.signal,
+                    strike: refused.strike,
                 });
             }
             Body::Begin(_) | Body::Cancel(_) | Body::Fetch(_) => {}
@@ -170,7 +179,10 @@
         match source.next(left.min(LOOK)) {
             Ok(body) => return Ok(body),
             Err(PopError::Closed) => {
-                return Err(Failure::lost(Refusal::may_have_run(Reason::Lost)));
+                return Err(Failure {
+                    is_link_lost: true,
+                    ..Failure::lost(Refusal::may_have_run(Reason::Lost))
+                });
             }
             Err(PopError::Timeout) if (patience.is_unwanted)() => {
                 return Err(Failure::lost(Refusal::may_have_run(Reason::Cancelled)));
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -9,6 +9,7 @@
     Outcome, ServerKey,
     retry::{self, Allowance, Lending},
 };
+use cassiashunt_suspect::Decision;
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::Begin;
 
@@ -54,8 +55,10 @@
 
 /// Decides whether a chain may start.
 fn admit(shared: &Shared, plan: &Plan) -> Result<(), Refusal> {
-    shared.suspects.check(plan.fingerprint)?;
     let now = shared.clock.now();
+    if let Decision::Refuse(refusal) = shared.suspects.check(now, plan.fingerprint) {
+        return Err(refusal);
+    }
     let req = ingress::Request {
         route: plan.binding.route,
         workspace: plan.workspace.unwrap_or_else(nobody),
@@ -125,9 +128,8 @@
         let loan = self.allowance().lend(Lending::Half);
         let mut source = self.send(chosen, loan.tokens);
         let ended = source.as_mut().map_err(|refusal| Failure {
-            refusal: *refusal,
             unused_retries: Some(loan.tokens),
-            signal: None,
+            ..Failure::lost(*refusal)
         });
         let ended = ended.and_then(|source| collect::whole(source, &self.patience()));
         match &ended {
@@ -140,6 +142,7 @@
         if let (Err(_), Ok(Source::Local { reply, .. })) = (&ended, &source) {
             self.shared.cancel_local(reply);
         }
+        self.strike(chosen, &ended);
         self.learn(pool, chosen, &ended);
         ended.map_err(|failure| failure.refusal)
     }
@@ -185,9 +188,16 @@
             permit: 0,
             permit_us: 0,
             fingerprint: plan.fingerprint,
+            is_suspect: self.is_suspect(),
         }
     }
 
+    fn is_suspect(&self) -> bool {
+        let now = self.shared.clock.now();
+        let decision = self.shared.suspects.check(now, self.plan.fingerprint);
+        decision != Decision::Run
+    }
+
     fn patience(&self) -> Patience<'_> {
         Patience {
             clock: self.shared.clock,
@@ -198,6 +208,18 @@
         }
     }
 
+    /// Takes in that a server, or a whole node, was lost with the request in flight.
+    fn strike(&self, chosen: Chosen, ended: &Result<Whole, Failure>) {
+        let Err(failure) = ended else { return };
+        let now = self.shared.clock.now();
+        let suspects = &self.shared.suspects;
+        if !failure.strike.is_empty() {
+            suspects.merge(now, &failure.strike);
+        } else if failure.is_link_lost && failure.refusal.verdict == Verdict::MayHaveRun {
+            suspects.on_node_lost(now, chosen.peer.node, self.plan.fingerprint);
+        }
+    }
+
     /// Takes in what an attempt told about the server and the chain.
     fn learn(&self, pool: &Pool, chosen: Chosen, ended: &Result<Whole, Failure>) {
         let now = self.shared.clock.now();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
 use cassiashunt_control::Control;
 use cassiashunt_http::Limits as HttpLimits;
 use cassiashunt_member::Lifecycle;
+use cassiashunt_suspect::Decision;
 use cassiashunt_timer::{Clock, Service as Timer};
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Seal, Secret};
@@ -430,7 +431,7 @@
         owner: OnceLock::new(),
         held: Held::new(settings.bounds.held_bytes),
         stats: Stats::default(),
-        suspects: Suspects::default(),
+        suspects: Suspects::new(clock.now(), id),
         limits: Limits::new(id),
         seen: duty::Seen::default(),
         control_value: RwLock::default(),
@@ -472,7 +473,9 @@
 fn gate(shared: &Arc<Shared>) -> Gate {
     let weak = Arc::downgrade(shared);
     let gone = Refusal::not_run(Reason::Draining);
-    let (ranks, offers, runs) = (weak.clone(), weak.clone(), weak);
+    let (ranks, offers, runs) = (weak.clone(), weak.clone(), weak.clone());
+    let (suspicions, alone, ends) = (weak.clone(), weak.clone(), weak.clone());
+    let (deaths, strikes, finishes) = (weak.clone(), weak.clone(), weak);
     let lowest = Rank {
         priority: Priority(0),
         weight: 1,
@@ -481,8 +484,35 @@
         rank: Box::new(move |job| ranks.upgrade().map_or(lowest, |shared| shared.rank(job))),
         accept: Box::new(move |now| offers.upgrade().ok_or(gone)?.may_accept(now)),
         check: Box::new(move |now, job| runs.upgrade().ok_or(gone)?.check_job(now, job)),
-        died: Box::new(|_| ()),
-        finished: Box::new(|_| ()),
+        suspicion: Box::new(move |now, fingerprint| {
+            let shared = suspicions.upgrade();
+            shared.map_or(Decision::Run, |shared| {
+                shared.suspects.check(now, fingerprint)
+            })
+        }),
+        ask_alone: Box::new(move |request, fingerprint| {
+            if let Some(shared) = alone.upgrade() {
+                shared.suspects.begin(&shared, request, fingerprint);
+            }
+        }),
+        ended_alone: Box::new(move |request, strike| {
+            if let Some(shared) = ends.upgrade() {
+                shared.suspects.ended(&shared, request, strike);
+            }
+        }),
+        died: Box::new(move |now, in_flight| {
+            if let Some(shared) = deaths.upgrade() {
+                shared.suspects.on_server_died(now, in_flight);
+            }
+        }),
+        strike: Box::new(move |now, fingerprint| {
+            strikes.upgrade()?.suspects.last_strike(now, fingerprint)
+        }),
+        finished: Box::new(move |fingerprint, began| {
+            if let Some(shared) = finishes.upgrade() {
+                shared.suspects.on_finished(fingerprint, began);
+            }
+        }),
     }
 }
 
--- a/crates/node/src/owner/job.rs
+++ b/crates/node/src/owner/job.rs
@@ -34,6 +34,8 @@
     pub idempotency_key: String,
     pub permit: Option<Permit>,
     pub fingerprint: u64,
+    /// Whether it runs, or is to run, beside no other.
+    pub is_alone: bool,
     pub body: Bytes,
     pub reply: Arc<Reply>,
 }
@@ -67,6 +69,7 @@
             idempotency_key: begin.idempotency_key,
             permit: Some(permit).filter(|permit| permit.number != 0),
             fingerprint: begin.fingerprint,
+            is_alone: begin.is_suspect,
             body,
             reply,
         })
--- a/crates/node/src/owner/owner.rs
+++ b/crates/node/src/owner/owner.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use cassiashunt_admit::{Action, Admission, Job as Entry, Priority, Signal};
 use cassiashunt_ring::Ring;
+use cassiashunt_suspect::{Decision, message::StrikeNews};
 use cassiashunt_timer::Clock;
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::Begin;
@@ -38,10 +39,18 @@
     pub accept: Box<dyn Fn(Time) -> Result<(), Refusal> + Send + Sync>,
     /// Whether a request may run at this very moment.
     pub check: Box<dyn Fn(Time, &Job) -> Result<(), Refusal> + Send + Sync>,
+    /// Whether a request with this fingerprint may run beside others.
+    pub suspicion: Box<dyn Fn(Time, u64) -> Decision + Send + Sync>,
+    /// Asks for the leave to run a request alone.
+    pub ask_alone: Box<dyn Fn(RequestId, u64) + Send + Sync>,
+    /// A request that had leave to run alone has ended, with the strike where the server died.
+    pub ended_alone: Box<dyn Fn(RequestId, Option<StrikeNews>) + Send + Sync>,
     /// The server died with these fingerprints in flight.
-    pub died: Box<dyn Fn(&[u64]) + Send + Sync>,
-    /// A request with this fingerprint finished.
-    pub finished: Box<dyn Fn(u64) + Send + Sync>,
+    pub died: Box<dyn Fn(Time, &[u64]) + Send + Sync>,
+    /// The strike of the server's last death against a request.
+    pub strike: Box<dyn Fn(Time, u64) -> Option<StrikeNews> + Send + Sync>,
+    /// A run of a request with this fingerprint, begun then, finished.
+    pub finished: Box<dyn Fn(u64, Time) + Send + Sync>,
 }
 
 /// How a server is owned.
@@ -67,6 +76,8 @@
     admission: Admission,
     waiting: HashMap<RequestId, Job>,
     running: HashMap<RequestId, u64>,
+    /// Suspects that wait for the leave to run alone.
+    parked: HashMap<RequestId, Job>,
 }
 
 impl Owner {
@@ -86,6 +97,7 @@
             admission: Admission::new(clock.now(), admission),
             waiting: HashMap::new(),
             running: HashMap::new(),
+            parked: HashMap::new(),
         };
         Arc::new(Self {
             clock,
@@ -127,7 +139,42 @@
         if let Err(refusal) = self.may_take(now, &job) {
             return reply.refuse(refusal, Some(self.signal().to_bits()), job.retries);
         }
-        self.offer(now, job);
+        match (self.gate.suspicion)(now, job.fingerprint) {
+            Decision::Refuse(refusal) => {
+                reply.refuse(refusal, Some(self.signal().to_bits()), job.retries);
+            }
+            Decision::Run if !job.is_alone => self.offer(now, job),
+            Decision::Run | Decision::RunAlone => self.park(job),
+        }
+    }
+
+    /// Keeps a suspect until it has leave to run alone.
+    fn park(&self, mut job: Job) {
+        job.is_alone = true;
+        let (id, fingerprint) = (job.reply.id(), job.fingerprint);
+        self.lock().parked.insert(id, job);
+        (self.gate.ask_alone)(id, fingerprint);
+    }
+
+    /// A suspect has leave to run alone until then.
+    pub(crate) fn run_alone(&self, id: RequestId, until: Time) {
+        let parked = self.lock().parked.remove(&id);
+        match parked {
+            Some(mut job) => {
+                job.deadline = job.deadline.min(until);
+                self.offer(self.clock.now(), job);
+            }
+            None => (self.gate.ended_alone)(id, None),
+        }
+    }
+
+    /// A suspect does not get leave to run.
+    pub(crate) fn refuse_parked(&self, id: RequestId, refusal: Refusal) {
+        let parked = self.lock().parked.remove(&id);
+        if let Some(job) = parked {
+            let signal = Some(self.signal().to_bits());
+            job.reply.refuse(refusal, signal, job.retries);
+        }
     }
 
     fn may_take(&self, now: Time, job: &Job) -> Result<(), Refusal> {
@@ -151,8 +198,12 @@
         };
         let due = {
             let mut state = self.lock();
+            let is_alone = job.is_alone;
             state.waiting.insert(entry.key, job);
-            let actions = state.admission.offer(now, entry);
+            let actions = match is_alone {
+                true => state.admission.offer_alone(now, entry),
+                false => state.admission.offer(now, entry),
+            };
             state.take(actions)
         };
         self.act(due);
@@ -208,7 +259,7 @@
     /// Requests that run or wait.
     pub(crate) fn in_flight(&self) -> usize {
         let state = self.lock();
-        state.waiting.len() + state.running.len()
+        state.waiting.len() + state.running.len() + state.parked.len()
     }
 
     /// The shedding level and load to tell others.
@@ -233,7 +284,7 @@
         log::info!(event = "server-state", state = self.health.name(); "");
         if sight == Sight::Refuse {
             let in_flight: Vec<_> = self.lock().running.values().copied().collect();
-            (self.gate.died)(&in_flight);
+            (self.gate.died)(self.clock.now(), &in_flight);
         }
     }
 
@@ -261,6 +312,9 @@
                     }
                 }
                 Due::Refuse(job, refusal) => {
+                    if job.is_alone {
+                        (self.gate.ended_alone)(job.reply.id(), None);
+                    }
                     let signal = Some(self.signal().to_bits());
                     job.reply.refuse(refusal, signal, job.retries);
                 }
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -3,8 +3,10 @@
 use std::sync::{Arc, PoisonError};
 
 use cassiashunt_route::retry::Allowance;
+use cassiashunt_suspect::message::StrikeNews;
 use cassiashunt_types::prelude::*;
-use cassiashunt_wire::{Body, Chunk, End, Head};
+use cassiashunt_wire::{Body, Chunk, End, Head, Refused};
+use prost::Message as _;
 use ureq::{Body as AnswerBody, http::Response};
 
 use super::{
@@ -25,6 +27,7 @@
         let now = self.clock.now();
         if let Err(refusal) = self.may_run(now, &job) {
             self.finish(id, &Finish::NotSent);
+            self.end_alone(&job, None);
             return job
                 .reply
                 .refuse(refusal, Some(self.signal().to_bits()), job.retries);
@@ -86,7 +89,8 @@
                         is_ok: true,
                     },
                 );
-                (self.gate.finished)(job.fingerprint);
+                (self.gate.finished)(job.fingerprint, started);
+                self.end_alone(job, None);
                 let end = End {
                     body_len,
                     unused_retries: unused,
@@ -98,27 +102,45 @@
                 let _ = job.reply.send(Body::End(end));
             }
             Err(failure) => {
-                self.on_failure(job, latency, failure);
-                let signal = Some(self.signal().to_bits());
-                job.reply.refuse(failure.refusal, signal, unused);
+                let strike = self.on_failure(job, latency, failure);
+                self.end_alone(job, strike.clone());
+                let refused = Refused {
+                    signal: Some(self.signal().to_bits()),
+                    unused_retries: unused,
+                    strike: strike
+                        .map(|strike| strike.encode_to_vec())
+                        .unwrap_or_default(),
+                    ..Refused::from(failure.refusal)
+                };
+                // An asker that has gone needs no answer.
+                let _ = job.reply.send(Body::Refused(refused));
             }
         }
     }
 
-    fn on_failure(&self, job: &Job, latency: Duration, failure: Failure) {
+    /// Gives the leave to run alone back, where the request had one.
+    fn end_alone(&self, job: &Job, strike: Option<StrikeNews>) {
+        if job.is_alone {
+            (self.gate.ended_alone)(job.reply.id(), strike);
+        }
+    }
+
+    /// Takes in a failed run, and gives the strike against it where the server has died.
+    fn on_failure(&self, job: &Job, latency: Duration, failure: Failure) -> Option<StrikeNews> {
         if failure.is_broken && !self.backend.is_listening() {
             self.see(Sight::Refuse);
         }
         let ran = failure.refusal.verdict == Verdict::MayHaveRun;
-        let end = if ran {
-            Finish::Ran {
+        let end = match ran {
+            true => Finish::Ran {
                 latency,
                 is_ok: false,
-            }
-        } else {
-            Finish::NotSent
+            },
+            false => Finish::NotSent,
         };
         self.finish(job.reply.id(), &end);
+        let died = failure.is_broken && ran && !self.is_up();
+        died.then(|| (self.gate.strike)(self.clock.now(), job.fingerprint))?
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -91,6 +91,9 @@
     /// Fingerprint of workspace, route and body.
     #[prost(uint64, tag = "16")]
     pub fingerprint: u64,
+    /// Whether the ingress node suspects the request of crashing servers.
+    #[prost(bool, tag = "17")]
+    pub is_suspect: bool,
 }
 
 /// One HTTP header.
@@ -161,6 +164,9 @@
     /// The owner's shedding level and load, packed; `None` where there is no owner to tell it.
     #[prost(uint32, optional, tag = "5")]
     pub signal: Option<u32>,
+    /// Where the server died with the request in flight: the strike against it, encoded.
+    #[prost(bytes = "vec", tag = "6")]
+    pub strike: Vec<u8>,
 }
 
 /// The asking side has given the request up.
@@ -205,6 +211,7 @@
             retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
             unused_retries: 0,
             signal: None,
+            strike: Vec::new(),
         }
     }
 }
