Follow pages to their end and tell news in an order of each node's own

A part of the member list that did not fit one page was cut off: at 1,000 nodes the mean part of 16 members is about as long as a page, so its last members could only come as news.

--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -23,9 +23,6 @@
 /// Peers that are told goodbye directly.
 const FAREWELLS: usize = 4;
 
-/// A page with so many changes is followed by the next one soon.
-const BULK: usize = 3;
-
 /// One node's view of the fleet and its part in keeping it.
 #[derive(Debug)]
 pub struct Members {
@@ -51,7 +48,7 @@
     /// A node that knows only itself.
     #[must_use]
     pub fn new(opts: Options, me: Record, mut rng: fastrand::Rng) -> Self {
-        let mut rumors = Rumors::default();
+        let mut rumors = Rumors::new(me.id);
         rumors.add(me.id);
         Self {
             opts,
@@ -342,7 +339,7 @@
             Some(Body::Ack(ack)) => self.on_ack(now, from, id, &ack),
             Some(Body::Relay(relay)) => self.on_relay(now, from, &relay),
             Some(Body::Pull(pull)) => self.on_pull(from, &pull),
-            Some(Body::Page(page)) => self.on_page(now, &page, changes),
+            Some(Body::Page(page)) => self.on_page(now, from, &page, changes),
             None => {}
         }
     }
@@ -587,13 +584,16 @@
         self.out.push(Action::Send { to: from, msg });
     }
 
-    fn on_page(&mut self, now: Time, page: &Page, changes: usize) {
+    fn on_page(&mut self, now: Time, from: SocketAddr, page: &Page, changes: usize) {
         let is_copy = page.last == u64::MAX && self.copy_from.is_some();
         if is_copy {
             self.copy_from = (page.rest != 0).then_some(page.rest);
+        } else if page.rest != 0 {
+            let (first, last) = (page.rest, page.last);
+            self.send(from, Body::Pull(Pull { first, last }));
         }
-        if changes >= BULK {
-            // Much has changed, more than news can carry.
+        if changes > 0 {
+            // There may be more than news can carry.
             self.next_pull = now + self.opts.period;
         }
     }
--- a/crates/member/src/options.rs
+++ b/crates/member/src/options.rs
@@ -29,7 +29,7 @@
     /// The most bytes of members in a page.
     pub page_bytes: usize,
     /// At most one page is asked for in each such time, once the first copy is complete and unless
-    /// pages bring much that is new.
+    /// the last one brought something new.
     pub pull_period: Duration,
     /// The most members that are kept, unreachable ones included.
     pub members: usize,
--- a/crates/member/src/reports.rs
+++ b/crates/member/src/reports.rs
@@ -91,7 +91,7 @@
         Self {
             me,
             held: BTreeMap::new(),
-            news: Rumors::default(),
+            news: Rumors::new(me),
             wanted: BTreeMap::new(),
         }
     }
--- a/crates/member/src/rumors.rs
+++ b/crates/member/src/rumors.rs
@@ -5,7 +5,7 @@
 use cassiashunt_types::prelude::*;
 use prost::Message as _;
 
-use crate::msg::Update;
+use crate::{msg::Update, view::mix};
 
 /// The bytes that frame one update within a message.
 const FRAME_BYTES: usize = 3;
@@ -13,13 +13,29 @@
 /// The members about which there is news, and how often each piece has been sent.
 ///
 /// Only ids are kept: what is sent is the view at the time of sending.
-#[derive(Debug, Default)]
+///
+/// Among pieces that were told equally often, each node has an order of its own; with the same
+/// order everywhere, the last ones would wait for all the others.
+#[derive(Debug)]
 pub(crate) struct Rumors {
+    salt: u64,
     sends: BTreeMap<NodeId, u32>,
-    order: BTreeSet<(u32, NodeId)>,
+    order: BTreeSet<(u32, u64, NodeId)>,
 }
 
 impl Rumors {
+    pub(crate) fn new(me: NodeId) -> Self {
+        Self {
+            salt: mix(me.0),
+            sends: BTreeMap::new(),
+            order: BTreeSet::new(),
+        }
+    }
+
+    fn rank(&self, id: NodeId) -> u64 {
+        mix(self.salt ^ id.0)
+    }
+
     /// There is news about this member.
     pub(crate) fn add(&mut self, id: NodeId) {
         self.remove(id);
@@ -35,7 +51,7 @@
 
     /// The members to tell of, the least often told first.
     pub(crate) fn iter(&self) -> impl Iterator<Item = NodeId> + '_ {
-        self.order.iter().map(|(_, id)| *id)
+        self.order.iter().map(|(_, _, id)| *id)
     }
 
     /// Takes up to `limit_bytes` of news for a message, and news about `first` in any case.
@@ -78,13 +94,13 @@
     /// Forgets the news about a member.
     pub(crate) fn remove(&mut self, id: NodeId) -> Option<u32> {
         let count = self.sends.remove(&id)?;
-        self.order.remove(&(count, id));
+        self.order.remove(&(count, self.rank(id), id));
         Some(count)
     }
 
     fn put(&mut self, id: NodeId, count: u32) {
         self.sends.insert(id, count);
-        self.order.insert((count, id));
+        self.order.insert((count, self.rank(id), id));
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -193,6 +193,29 @@
     check(&net, 7);
 }
 
+#[test]
+fn a_paused_process_whose_address_was_taken_wakes_in_vain() {
+    for_seeds(30, |seed| {
+        let mut net = settled(seed, fast(), 7);
+        let old = net.ids()[3];
+        let place = net.processes[&old].addr;
+        let span = Duration::from_millis(net.rng.u64(500..6_000));
+        net.pause(old, span);
+        net.run(Duration::from_millis(300));
+        let new = net.start(place, &[addr(1), addr(2), addr(3)]);
+        net.run(Duration::from_secs(12));
+        for (id, process) in net.processes.iter().filter(|(id, _)| **id != old) {
+            assert!(
+                process.members.is_gone(old),
+                "seed {seed}: {id} keeps the old one"
+            );
+            let knows = *id == new || process.members.get(new).is_some();
+            assert!(knows, "seed {seed}: {id} lacks the new one");
+        }
+        assert_eq!(resurrected(&net.history), None, "seed {seed}: resurrected");
+    });
+}
+
 #[test]
 fn both_sides_of_a_long_cut_keep_each_other_as_unreachable_and_meet_again() {
     for_seeds(20, |seed| {
