Tell freshness on in one summary; only relays exchange reports

That nothing newer had been accepted at a point is true for everybody, so a node in touch now tells it on as two revisions and an age.

An older report that is passed on no longer changes who bears a relay's role.

--- a/crates/control/src/msg.rs
+++ b/crates/control/src/msg.rs
@@ -29,6 +29,21 @@
     pub vouches: bool,
 }
 
+/// What a node that is in touch may tell any other: nothing newer than these revisions had been
+/// accepted this long ago. It counts only in the answer to a question.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Summary {
+    /// The table revision.
+    #[prost(uint64, tag = "1")]
+    pub table: u64,
+    /// The control revision.
+    #[prost(uint64, tag = "2")]
+    pub control: u64,
+    /// Microseconds since nothing newer had been accepted.
+    #[prost(uint64, tag = "3")]
+    pub age_micros: u64,
+}
+
 /// A relay's role, given away once and for good.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct HandOver {
--- a/crates/control/src/touch.rs
+++ b/crates/control/src/touch.rs
@@ -37,6 +37,8 @@
     Platform,
     /// Most relays of every failure domain knew nothing newer a short while ago.
     Relays,
+    /// Another node knew, by one of these, that nothing newer had been accepted.
+    Told,
 }
 
 /// The node is in touch.
@@ -55,6 +57,7 @@
     control: Control,
     table: Revision,
     relays: BTreeMap<NodeId, Sightings>,
+    told: Vec<Sighting>,
     newest: Heads,
     newer_since: Option<Time>,
 }
@@ -83,6 +86,7 @@
             control: Control::default(),
             table: Revision::default(),
             relays: BTreeMap::new(),
+            told: Vec::new(),
             newest: Heads::default(),
             newer_since: None,
         }
@@ -134,7 +138,10 @@
             heads,
         };
         let entry = self.relays.entry(relay).or_default();
-        entry.bearer = NodeId(report.bearer);
+        let as_of = sighting(report.age_micros).as_of;
+        if entry.latest().is_none_or(|latest| as_of >= latest) {
+            entry.bearer = NodeId(report.bearer);
+        }
         for (list, age) in [
             (&mut entry.vouched, vouched),
             (&mut entry.platform, report.platform_age_micros),
@@ -145,6 +152,38 @@
         }
     }
 
+    /// Takes in a summary that answers a question sent at `asked`.
+    pub fn heard_summary(&mut self, now: Time, asked: Time, summary: &msg::Summary) {
+        let heads = Heads {
+            table: Revision(summary.table),
+            control: Revision(summary.control),
+        };
+        self.note_newest(now, heads);
+        let floor = now.before(self.options.freshness);
+        self.forget_stale(floor);
+        let age = Duration::from_micros(summary.age_micros);
+        let as_of = asked.before(self.options.margin.at_most(age));
+        if as_of >= floor {
+            insert(&mut self.told, Sighting { as_of, heads });
+        }
+    }
+
+    /// What to tell another node in answer to its question; nothing where this one is out of touch.
+    ///
+    /// That nothing newer than some revisions had been accepted at some point is true for
+    /// everybody, so it may be told on without the reports that show it.
+    #[must_use]
+    pub fn summary(&self, now: Time) -> Option<msg::Summary> {
+        let applied = self.applied();
+        let (as_of, _) = self.as_of(applied)?;
+        let age = now.since(as_of);
+        (age < self.options.freshness).then(|| msg::Summary {
+            table: applied.table.0,
+            control: applied.control.0,
+            age_micros: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+        })
+    }
+
     /// Whether the node may act, at this very moment, by the revisions that it decides with.
     ///
     /// Call it at the moment of acting with the revisions of the snapshot in hand, so that a
@@ -165,16 +204,7 @@
     /// A node may publish `until` to its request threads, which compare it with the clock.
     #[must_use]
     pub fn in_touch(&self, applied: Heads) -> Option<InTouch> {
-        let by_platform = self
-            .platform_as_of(applied)
-            .map(|as_of| (as_of, Basis::Platform));
-        let by_relays = self
-            .relays_as_of(applied)
-            .map(|as_of| (as_of, Basis::Relays));
-        let (as_of, basis) = by_platform
-            .into_iter()
-            .chain(by_relays)
-            .max_by_key(|best| best.0)?;
+        let (as_of, basis) = self.as_of(applied)?;
         let lapse = as_of + self.options.freshness;
         let until = match self.newer_since.filter(|_| !applied.covers(self.newest)) {
             Some(since) => lapse.min(since + self.options.freshness),
@@ -200,6 +230,25 @@
             .map_or(relay, |sightings| sightings.bearer)
     }
 
+    /// The newest point as of which nothing newer than `applied` had been accepted.
+    fn as_of(&self, applied: Heads) -> Option<(Time, Basis)> {
+        let ways = [
+            (self.platform_as_of(applied), Basis::Platform),
+            (self.relays_as_of(applied), Basis::Relays),
+            (newest(&self.told, applied), Basis::Told),
+        ];
+        ways.into_iter()
+            .filter_map(|(as_of, basis)| Some((as_of?, basis)))
+            .max_by_key(|way| way.0)
+    }
+
+    fn applied(&self) -> Heads {
+        Heads {
+            table: self.table,
+            control: self.control.revision,
+        }
+    }
+
     fn platform_as_of(&self, applied: Heads) -> Option<Time> {
         let all = self.relays.values();
         all.filter_map(|sightings| newest(&sightings.platform, applied))
@@ -236,10 +285,7 @@
     }
 
     fn note_applied(&mut self) {
-        let applied = Heads {
-            table: self.table,
-            control: self.control.revision,
-        };
+        let applied = self.applied();
         if applied.covers(self.newest) {
             self.newest = applied;
             self.newer_since = None;
@@ -251,6 +297,7 @@
     }
 
     fn forget_stale(&mut self, floor: Time) {
+        self.told.retain(|sighting| sighting.as_of >= floor);
         for sightings in self.relays.values_mut() {
             sightings.vouched.retain(|sighting| sighting.as_of >= floor);
             sightings
@@ -263,6 +310,11 @@
 }
 
 impl Sightings {
+    fn latest(&self) -> Option<Time> {
+        let all = self.vouched.iter().chain(&self.platform);
+        all.map(|sighting| sighting.as_of).max()
+    }
+
     fn report(&self, now: Time, relay: NodeId) -> Option<msg::Report> {
         let vouched = self.vouched.iter().max_by_key(|sighting| sighting.as_of);
         let platform = self.platform.iter().max_by_key(|sighting| sighting.as_of);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -93,7 +93,7 @@
 
 #[derive(Debug, Clone)]
 enum Message {
-    Ping { asked: Time },
+    Ping { asked: Time, wants_reports: bool },
     Pong(Pong),
     AskApplied { relay: NodeId },
     Applied(msg::Applied),
@@ -104,6 +104,7 @@
 struct Pong {
     asked: Time,
     reports: Vec<msg::Report>,
+    summary: Option<msg::Summary>,
     table: Revision,
     control: Control,
 }
@@ -379,14 +380,29 @@
         }
     }
 
-    /// Asks one node of the own failure domain and two of any.
+    /// Relays ask two relays and one near node for reports; others ask one near node and two of
+    /// any, and are content with summaries.
     fn gossip(&mut self, node: usize) {
         let own = node / NODES_PER_DOMAIN * NODES_PER_DOMAIN;
-        let near = own..own + NODES_PER_DOMAIN;
-        for among in [near, 0..NODES, 0..NODES] {
-            let to = self.rng.usize(among);
+        let near = self.rng.usize(own..own + NODES_PER_DOMAIN);
+        let wants_reports = self.nodes[node].relay.is_relay() || self.plan.platform_only;
+        let relays: Vec<usize> = self.nodes[node]
+            .control
+            .relays()
+            .map(|relay| (self.nodes[node].touch.bearer(relay).0 - 100) as usize)
+            .collect();
+        for place in 0..3 {
+            let to = match place {
+                0 => near,
+                _ if wants_reports && !relays.is_empty() => relays[self.rng.usize(0..relays.len())],
+                _ => self.rng.usize(0..NODES),
+            };
             let asked = self.local(node);
-            self.send(node, to, Message::Ping { asked });
+            let ping = Message::Ping {
+                asked,
+                wants_reports,
+            };
+            self.send(node, to, ping);
         }
         self.push(self.now + GOSSIP, Event::Gossip(node));
     }
@@ -416,13 +432,19 @@
     fn deliver(&mut self, from: usize, to: usize, message: Message) {
         let now = self.local(to);
         match message {
-            Message::Ping { asked } => {
+            Message::Ping {
+                asked,
+                wants_reports,
+            } => {
                 let me = &self.nodes[to];
                 let mut reports = me.relay.reports(now);
                 reports.extend(me.touch.pass_on(now));
+                reports.retain(|_| wants_reports);
+                let summary = me.touch.summary(now).filter(|_| !self.plan.platform_only);
                 let pong = Pong {
                     asked,
                     reports,
+                    summary,
                     table: me.table,
                     control: me.control.clone(),
                 };
@@ -446,6 +468,11 @@
             self.nodes[node].touch.heard(now, pong.asked, &report);
             self.relay_event(node, relay::Event::Heard(report));
         }
+        if let Some(summary) = pong.summary {
+            self.nodes[node]
+                .touch
+                .heard_summary(now, pong.asked, &summary);
+        }
         self.learn(node, pong.table, &pong.control);
     }
 
--- a/crates/control/tests/touch.rs
+++ b/crates/control/tests/touch.rs
@@ -203,3 +203,36 @@
         Ok(())
     });
 }
+
+#[test]
+fn what_was_told_on_lapses_with_the_sighting_it_rests_on() {
+    let mut first = touch(&[("ikeja", &[1])]);
+    first.heard(millis(100), millis(100), &report(1, 7));
+    let summary = first
+        .summary(millis(700))
+        .expect("the first node is in touch");
+    assert_eq!(summary.age_micros, 600_000);
+    assert!(first.summary(millis(2_100)).is_none());
+    let mut second = touch(&[("ikeja", &[1])]);
+    second.heard_summary(millis(5_020), millis(5_010), &summary);
+    let in_touch = second
+        .check(millis(5_020), FIRST)
+        .expect("the second was told");
+    assert_eq!(in_touch.basis, Basis::Told);
+    assert!(in_touch.until <= millis(5_010 + 2_000 - 600));
+    assert!(second.check(in_touch.until, FIRST).is_err());
+}
+
+#[test]
+fn a_node_with_less_than_it_was_told_is_not_in_touch_by_it() {
+    let mut first = touch(&[("ikeja", &[1])]);
+    first.apply_table(Revision(8));
+    first.heard(millis(100), millis(100), &report(1, 8));
+    let summary = first
+        .summary(millis(100))
+        .expect("the first node is in touch");
+    let mut second = touch(&[("ikeja", &[1])]);
+    second.heard_summary(millis(200), millis(200), &summary);
+    assert!(second.check(millis(200), FIRST).is_err());
+    assert_eq!(second.newest().table, Revision(8));
+}
