--- a/crates/control/examples/ways.rs
+++ b/crates/control/examples/ways.rs
@@ -139,11 +139,124 @@
             assert!(!touch.pass_on(now).is_empty());
         }
         let each = begun.elapsed() / ROUNDS;
-        println!("{domains} domains: {bytes} bytes a round, {each:?} a round");
+        let now = Time::from_millis(u64::from(ROUNDS) * 10);
+        let summary = touch
+            .summary(now)
+            .expect("it heard of every relay just now");
+        let told = summary.encoded_len() + 2;
+        println!(
+            "{domains} domains: a summary takes {told} bytes; reports take {bytes}, {each:?} a round"
+        );
+    }
+}
+
+const SOURCES: usize = 15;
+const STEP_MILLIS: u64 = 10;
+const STEPS: u64 = 2_000;
+const STEPS_BEFORE_COUNTING: u64 = 200;
+
+/// Nodes that ask others at random, some of which hear of the platform themselves.
+struct Gossip {
+    fleet: Vec<Touch>,
+    asks: u32,
+    period_millis: u64,
+    rng: fastrand::Rng,
+    out_of_touch: u64,
+    checks: u64,
+    oldest_micros: u64,
+}
+
+const HEADS: Heads = Heads {
+    table: Revision(1_000),
+    control: Revision(1),
+};
+
+impl Gossip {
+    fn new(nodes: usize, asks: u32, period_millis: u64) -> Self {
+        let mut touch = Touch::new(touch::Options::default());
+        touch.apply_control(&control(5));
+        touch.apply_table(HEADS.table);
+        Self {
+            fleet: vec![touch; nodes],
+            asks,
+            period_millis,
+            rng: fastrand::Rng::with_seed(1),
+            out_of_touch: 0,
+            checks: 0,
+            oldest_micros: 0,
+        }
+    }
+
+    fn run(&mut self) {
+        for step in 0..STEPS {
+            let now = Time::from_millis(5_000 + step * STEP_MILLIS);
+            for node in 0..self.fleet.len() {
+                let phase = (node as u64 * 7 + step) % (self.period_millis / STEP_MILLIS);
+                match (node < SOURCES, phase) {
+                    (true, _) => self.fleet[node].heard(now, now, &source()),
+                    (false, 0) => self.ask_others(node, now),
+                    (false, _) => {}
+                }
+                if step > STEPS_BEFORE_COUNTING {
+                    self.count(node, now);
+                }
+            }
+        }
+    }
+
+    fn ask_others(&mut self, node: usize, now: Time) {
+        let asked = now.before(Duration::from_millis(2));
+        for _ in 0..self.asks {
+            let other = self.rng.usize(0..self.fleet.len());
+            if let Some(summary) = self.fleet[other].summary(now) {
+                self.fleet[node].heard_summary(now, asked, &summary);
+            }
+        }
+    }
+
+    fn count(&mut self, node: usize, now: Time) {
+        let touch = &self.fleet[node];
+        self.checks += 1;
+        self.out_of_touch += u64::from(touch.check(now, HEADS).is_err());
+        let age = touch.summary(now).map_or(2_000_000, |told| told.age_micros);
+        self.oldest_micros = self.oldest_micros.max(age);
+    }
+}
+
+/// A report of a relay whose knowledge is 0.5 s old.
+fn source() -> msg::Report {
+    msg::Report {
+        relay: 1,
+        bearer: 1,
+        table: 1_000,
+        control: 1,
+        age_micros: 500_000,
+        platform_age_micros: Some(500_000),
+        vouches: true,
+    }
+}
+
+/// How old the fleet's knowledge is when a few nodes have it and all tell it on.
+fn spread() {
+    println!("told on from {SOURCES} nodes that know it 0.5 s late, 20 s");
+    for (nodes, asks, period) in [
+        (100, 3, 300),
+        (1_000, 3, 300),
+        (1_000, 3, 200),
+        (1_000, 2, 300),
+    ] {
+        let mut gossip = Gossip::new(nodes, asks, period);
+        gossip.run();
+        println!(
+            "{nodes} nodes, {asks} asks in {period} ms: oldest {} ms, out of touch {:.4}%",
+            gossip.oldest_micros / 1_000,
+            100.0 * gossip.out_of_touch as f64 / gossip.checks as f64
+        );
     }
 }
 
 fn main() {
     availability();
     cost();
+    spread();
 }
