Ask peer after peer for newer configuration, by records where they suffice

A report names what a relay knows of, not what it has. Ruled out: ages of attestations, relays that do not vouch (the trace shows all six vouching below 0.33 s).

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use cassiashunt_table::{Applied, Head, KeyState, LineId, Lookup, Offer, commit::Holding};
+use cassiashunt_table::{
+    Applied, Head, KeyState, LineId, Lookup, Offer, Record, SpillLimits, commit::Holding,
+};
 use cassiashunt_types::prelude::*;
 
 /// The table and keys in force; only ever moves to higher revisions.
@@ -38,7 +40,7 @@
     /// Whether the table in force goes on from a line of history, as far as its records tell.
     pub(crate) fn accounts_for(&self, line: LineId, revision: Revision) -> bool {
         let head = self.head();
-        head.is_some_and(|head| head.accounts_for(line) || head.may_have_spilled(revision))
+        head.is_some_and(|head| head.keeps_line(line) || head.may_have_spilled(revision))
     }
 
     /// What a commit is told that asks which head is in force here.
@@ -60,16 +62,30 @@
         self.offer_shared(&Arc::new(head))
     }
 
+    /// Puts later records in force; `None` where they do not go on from the table in force.
+    pub(crate) fn offer_records(&self, records: &[Record]) -> Option<Offer> {
+        let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
+        let offer = applied
+            .offer_records(records, &SpillLimits::default())
+            .ok()?;
+        self.publish(&applied, &offer);
+        Some(offer)
+    }
+
     /// Puts a head in force unless it is older or forked.
     pub(crate) fn offer_shared(&self, head: &Arc<Head>) -> Offer {
         let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
         let offer = applied.offer(Arc::clone(head));
+        self.publish(&applied, &offer);
+        offer
+    }
+
+    fn publish(&self, applied: &Applied, offer: &Offer) {
         if let Offer::Taken { revision } = offer {
             *self.lookup.write().unwrap_or_else(PoisonError::into_inner) =
                 Arc::clone(applied.lookup());
             log::info!(event = "table-in-force", revision = revision.0; "");
         }
-        offer
     }
 
     /// Whether a key still works, by the table in force.
--- a/crates/node/src/duty/fetch.rs
+++ b/crates/node/src/duty/fetch.rs
@@ -34,11 +34,11 @@
 /// Fetches until the ring is closed.
 pub(super) fn run(shared: &Shared, ring: &Ring<Request>, tx: &SyncSender<Event>) {
     while let Ok(req) = ring.pop() {
-        let value = req
-            .peers
-            .iter()
-            .find_map(|peer| fetch(shared, *peer, req.kind));
-        let event = value.and_then(|value| take(shared, req.kind, &value));
+        let take_from = |peer: &Peer| {
+            let fetched = fetch(shared, *peer, req.kind, known_line(shared))?;
+            take(shared, req.kind, &fetched)
+        };
+        let event = req.peers.iter().find_map(take_from);
         if let Some(event) = event
             && tx.send(event).is_err()
         {
@@ -47,9 +47,14 @@
     }
 }
 
+/// The line of history that the table in force here goes on from.
+fn known_line(shared: &Shared) -> Option<LineId> {
+    shared.config.head().and_then(|head| head.line())
+}
+
 /// The table that a peer has in force.
 pub(super) fn holding(shared: &Shared, peer: Peer) -> Option<Holding> {
-    let fetched = fetch(shared, peer, ValueKind::Table)?;
+    let fetched = fetch(shared, peer, ValueKind::Table, None)?;
     let head = Head::from_bytes(&fetched.value).ok()?;
     Some(Holding {
         head: Arc::new(head),
@@ -62,10 +67,16 @@
     value: Bytes,
     /// With the table: the newest line that is known to have been accepted.
     accepted: Option<LineId>,
+    /// With the table: whether only the records after the known line came.
+    is_records: bool,
 }
 
-fn fetch(shared: &Shared, peer: Peer, kind: ValueKind) -> Option<Fetched> {
-    let mut call = shared.links.get(peer).ok()?.fetch(kind).ok()?;
+fn fetch(shared: &Shared, peer: Peer, kind: ValueKind, known: Option<LineId>) -> Option<Fetched> {
+    let question = Fetch {
+        kind: kind.into(),
+        known_line: known.map(|line| line.0),
+    };
+    let mut call = shared.links.get(peer).ok()?.fetch(question).ok()?;
     let mut value = BytesMut::new();
     loop {
         match call.next(PATIENCE).ok()? {
@@ -77,6 +88,7 @@
                 return Some(Fetched {
                     value: value.freeze(),
                     accepted: end.accepted_line.map(LineId),
+                    is_records: end.is_records,
                 });
             }
             _ => return None,
@@ -88,8 +100,12 @@
     let value = &fetched.value;
     match kind {
         ValueKind::Table => {
-            let head = Head::from_bytes(value).ok()?;
-            let offer = shared.config.offer(head);
+            let offer = match fetched.is_records {
+                true => shared
+                    .config
+                    .offer_records(&serde_json::from_slice::<Vec<_>>(value).ok()?)?,
+                false => shared.config.offer(Head::from_bytes(value).ok()?),
+            };
             if let Some(line) = fetched.accepted {
                 shared.config.note_accepted(line);
             }
@@ -111,8 +127,15 @@
 
 /// Answers a peer's question for a value.
 pub(crate) fn answer(shared: &Shared, fetch: Fetch, reply: &Reply) {
+    let head = shared.config.head();
+    let known = fetch.known_line.map(LineId);
+    let records = head
+        .as_ref()
+        .zip(known)
+        .and_then(|(head, line)| records_after(head, line));
+    let is_records = records.is_some() && fetch.kind == i32::from(ValueKind::Table);
     let value = match ValueKind::try_from(fetch.kind) {
-        Ok(ValueKind::Table) => shared.config.head().map(|head| head.to_bytes()),
+        Ok(ValueKind::Table) => records.or_else(|| head.map(|head| head.to_bytes())),
         Ok(ValueKind::Control) => shared.control_bytes(),
         Err(_) => None,
     };
@@ -124,6 +147,7 @@
     let end = End {
         body_len: value.len() as u64,
         accepted_line: accepted.map(|line| line.0),
+        is_records,
         ..End::default()
     };
     let pieces = chunks(&value).map(Body::Chunk).chain([Body::End(end)]);
@@ -133,3 +157,9 @@
         }
     }
 }
+
+/// The encoded records after a line, where the head still holds all of them.
+fn records_after(head: &Head, line: LineId) -> Option<Vec<u8>> {
+    let records = head.records_after(line)?;
+    Some(serde_json::to_vec(&records).expect("records are plain JSON"))
+}
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -395,7 +395,8 @@
         let own = shared.settings.node.failure_domain;
         let now = shared.clock.now();
         let attesting = self.membership.members.attestations(now);
-        let members = attesting.filter_map(|a| self.membership.members.get(a.node));
+        let others = attesting.filter(|attestation| attestation.node != shared.id);
+        let members = others.filter_map(|a| self.membership.members.get(a.node));
         let mut peers: Vec<Peer> = members
             .map(|member| Peer {
                 node: member.record.id,
--- a/crates/node/src/link/dialer.rs
+++ b/crates/node/src/link/dialer.rs
@@ -14,9 +14,7 @@
 use bytes::Bytes;
 use cassiashunt_ring::{PopError, Ring};
 use cassiashunt_types::prelude::*;
-use cassiashunt_wire::{
-    Begin, Body, Cancel, Chunk, Dialer, End, Fetch, Frame, Secret, ValueKind, Welcome,
-};
+use cassiashunt_wire::{Begin, Body, Cancel, Chunk, Dialer, End, Fetch, Frame, Secret, Welcome};
 
 use super::{
     pending::Pending,
@@ -166,7 +164,7 @@
     /// # Errors
     ///
     /// Not run where the connection is lost or has no room.
-    pub(crate) fn fetch(self: &Arc<Self>, kind: ValueKind) -> Result<Call, Refusal> {
+    pub(crate) fn fetch(self: &Arc<Self>, question: Fetch) -> Result<Call, Refusal> {
         let request = self.next.fetch_add(1, Ordering::Relaxed);
         let answer = Ring::new(ANSWER_PIECES);
         if !self.pending.add(request, answer.clone()) {
@@ -178,7 +176,7 @@
             answer,
             is_done: false,
         };
-        self.send(request, Body::Fetch(Fetch { kind: kind.into() }))?;
+        self.send(request, Body::Fetch(question))?;
         Ok(call)
     }
 
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -96,7 +96,7 @@
                     unused_retries: unused,
                     signal: self.signal().to_bits(),
                     visited: parent.visited(),
-                    accepted_line: None,
+                    ..End::default()
                 };
                 // An asker that has gone needs no answer.
                 let _ = job.reply.send(Body::End(end));
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -133,6 +133,9 @@
     /// With the table: the newest line of its history that is known to have been accepted.
     #[prost(fixed64, optional, tag = "5")]
     pub accepted_line: Option<u64>,
+    /// With the table: whether the body holds only the records after the known line.
+    #[prost(bool, tag = "6")]
+    pub is_records: bool,
 }
 
 /// Status and headers of an answer.
@@ -189,6 +192,9 @@
     /// Which value.
     #[prost(enumeration = "ValueKind", tag = "1")]
     pub kind: i32,
+    /// The line of history that the asking side has; absent where it wants the whole value.
+    #[prost(fixed64, optional, tag = "2")]
+    pub known_line: Option<u64>,
 }
 
 impl Frame {
