Take news in only once the backup holds it; split records and copies from the home

Cause: a home that was sealed by its backup, as on a planned stop, still acknowledged a finished run that the backup never got, so that repeats were told may-have-run though the answer was known. The client now tells it until the backup holds it.

an_answer_that_the_backup_missed_is_told_to_the_successor fails when news is acknowledged at once. Ruled out: that the split changed a rule.

--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -1,19 +1,18 @@
 //! The home of a shard of idempotency keys.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use cassiashunt_types::{Epoch, NodeId, RateMargin, Reason, Refusal, ShardId, Time};
 
 use crate::{
     Answer, Attempt, Key, Send, Start,
+    copies::{Copies, Due},
     msg::{
         Ask, AskBody, Begin, Body, Complete, Copied, CopiedBody, Copy, CopyBody, Message, Noted,
         Permit, Refused, Reply, ReplyBody, WireRecord, micros,
     },
     record::{Record, State},
+    records::Records,
 };
 
 /// Settings of [`Home`].
@@ -89,39 +88,21 @@
     epoch: Epoch,
     backup: Option<NodeId>,
     options: Options,
-    records: HashMap<Key, Record>,
-    expiries: BTreeSet<(Time, Key)>,
-    answer_bytes: usize,
+    records: Records,
+    copies: Copies,
     lossy: Epoch,
     undated_until: Time,
-    version: u64,
-    /// States that the backup is not known to hold, by version.
-    copying: BTreeMap<u64, Copying>,
-    versions: HashMap<Key, u64>,
-    /// Clients that wait for the backup, with what they asked.
-    waiting: HashMap<Key, Begin>,
-    pairing: Pairing,
-    complete_sent: Option<Time>,
+    /// Clients that wait for the backup to hold a record.
+    waiting: HashMap<Key, Wait>,
 }
 
-/// How far the backup has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Pairing {
-    /// It is being sent the records that the epoch began with.
-    Copying,
-    /// It holds them and is to confirm that it knows.
-    Completing,
-    /// It holds everything but the newest states.
-    Paired,
-    /// It is the backup no longer.
-    Ended,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Copying {
-    key: Key,
-    since: Option<Time>,
-    sent: Option<Time>,
+/// What a client waits for.
+#[derive(Debug, Clone)]
+enum Wait {
+    /// The permit that it asked for.
+    Permit(Begin),
+    /// Word that its news has been taken in.
+    Noted,
 }
 
 impl Home {
@@ -141,26 +122,15 @@
             epoch,
             backup: backup.filter(|backup| *backup != me),
             options,
-            expiries: BTreeSet::new(),
-            answer_bytes: start.records.values().map(Record::answer_bytes).sum(),
-            records: start.records,
+            records: Records::new(start.records),
+            copies: Copies::new(start.version),
             lossy: start.lossy,
             undated_until: start.undated_until,
-            version: start.version,
-            copying: BTreeMap::new(),
-            versions: HashMap::new(),
             waiting: HashMap::new(),
-            pairing: Pairing::Copying,
-            complete_sent: None,
         };
-        let entries = home.records.iter();
-        home.expiries = entries.map(|(key, it)| (it.expiry, *key)).collect();
-        let mut keys: Vec<Key> = home.records.keys().copied().collect();
-        keys.sort_unstable();
-        for key in keys {
+        for key in home.records.keys() {
             home.copy_later(key);
         }
-        home.advance();
         home
     }
 
@@ -185,14 +155,14 @@
     /// Whether no record is kept.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.len() == 0
     }
 
     /// Whether the backup holds all that the epoch began with, so that it may be claimed.
     #[must_use]
     pub fn is_copied(&self) -> bool {
         match self.backup {
-            Some(_) => self.pairing == Pairing::Paired,
+            Some(_) => self.copies.is_paired(),
             None => !self.options.needs_backup,
         }
     }
@@ -200,21 +170,19 @@
     /// Whether there is no backup, or it has stopped or not answered for too long; the node picks another.
     #[must_use]
     pub fn backup_is_lost(&self, now: Time) -> bool {
-        let is_late = |since: Time| now.since(since) > self.options.backup_timeout;
-        let oldest = self.copying.values().next().and_then(|it| it.since);
-        let waits = oldest.into_iter().chain(self.complete_sent);
         let is_missing = self.backup.is_none() && self.options.needs_backup;
-        is_missing || self.pairing == Pairing::Ended || waits.into_iter().any(is_late)
+        let timeout = self.options.backup_timeout;
+        is_missing || self.copies.has_ended() || self.copies.is_late(now, timeout)
     }
 
     /// Ends the epoch at this node: what its successor here begins with.
     #[must_use]
     pub fn stop(self) -> Start {
         Start {
-            records: self.records,
+            records: self.records.into_map(),
             lossy: self.lossy,
             undated_until: self.undated_until,
-            version: self.version,
+            version: self.copies.version(),
         }
     }
 
@@ -244,14 +212,14 @@
         }
         self.expire(now);
         let is_question = matches!(body, AskBody::Begin(_));
-        if self.pairing == Pairing::Ended && !is_question {
+        if self.copies.has_ended() && !is_question {
             return Vec::new();
         }
         let reply = match body {
             AskBody::Begin(begin) => self.begin(now, key, ask.fingerprint, attempt, begin),
-            AskBody::Release(_) => Some(self.release(now, key, ask.fingerprint, attempt)),
+            AskBody::Release(_) => self.release(now, key, ask.fingerprint, attempt),
             AskBody::Finish(answer) => {
-                Some(self.finish(now, key, ask.fingerprint, attempt, answer.into()))
+                self.finish(now, key, ask.fingerprint, attempt, answer.into())
             }
         };
         let reply = reply.map(|body| self.reply(attempt, body));
@@ -268,7 +236,7 @@
         attempt: Attempt,
         begin: &Begin,
     ) -> Option<ReplyBody> {
-        let Some(record) = self.records.get(&key) else {
+        let Some(record) = self.records.get(key) else {
             return self.begin_new(now, key, fingerprint, attempt, begin);
         };
         if record.fingerprint != fingerprint {
@@ -345,8 +313,8 @@
 
     /// A permit where the backup holds the record; otherwise the client waits.
     fn permit(&mut self, key: Key, begin: &Begin) -> Option<ReplyBody> {
-        if self.versions.contains_key(&key) || !self.is_copied() {
-            self.waiting.insert(key, begin.clone());
+        if self.copies.is_under_way(key) || !self.is_copied() {
+            self.waiting.insert(key, Wait::Permit(begin.clone()));
             return None;
         }
         Some(ReplyBody::Permit(Permit {
@@ -357,8 +325,14 @@
 
     /// The attempt never ran: another may. Only its owner may say so, and before this it made the
     /// permit useless at itself.
-    fn release(&mut self, now: Time, key: Key, fingerprint: u64, attempt: Attempt) -> ReplyBody {
-        let is_its_own = match self.records.get(&key) {
+    fn release(
+        &mut self,
+        now: Time,
+        key: Key,
+        fingerprint: u64,
+        attempt: Attempt,
+    ) -> Option<ReplyBody> {
+        let is_its_own = match self.records.get(key) {
             Some(record) => record.attempt == attempt && record.state == State::Started,
             None => !self.may_be_lost(now, key) && self.records.len() < self.options.records,
         };
@@ -373,7 +347,7 @@
             };
             self.put(key, record);
         }
-        ReplyBody::Noted(Noted {})
+        self.noted(key, attempt)
     }
 
     fn finish(
@@ -383,13 +357,13 @@
         fingerprint: u64,
         attempt: Attempt,
         answer: Answer,
-    ) -> ReplyBody {
-        let is_its_own = match self.records.get(&key) {
+    ) -> Option<ReplyBody> {
+        let is_its_own = match self.records.get(key) {
             Some(it) => it.attempt == attempt && !matches!(it.state, State::Finished(_)),
             None => self.records.len() < self.options.records,
         };
         if is_its_own {
-            let has_room = self.answer_bytes + answer.len() <= self.options.answer_bytes;
+            let has_room = self.records.answer_bytes() + answer.len() <= self.options.answer_bytes;
             let record = Record {
                 fingerprint,
                 attempt,
@@ -399,7 +373,7 @@
             };
             self.put(key, record);
         }
-        ReplyBody::Noted(Noted {})
+        self.noted(key, attempt)
     }
 
     fn on_copied(
@@ -410,117 +384,73 @@
         stance: Stance,
     ) -> Vec<Send> {
         let is_mine = msg.epoch == self.epoch.0 && copied.primary == self.me.0;
-        if !is_mine || Some(NodeId(copied.backup)) != self.backup || self.pairing == Pairing::Ended
-        {
+        if !is_mine || Some(NodeId(copied.backup)) != self.backup || self.copies.has_ended() {
             return Vec::new();
         }
-        let permit = match &copied.body {
-            Some(CopiedBody::Held(version)) => self.held(*version, stance),
-            Some(CopiedBody::Complete(_)) => self.completed(),
-            Some(CopiedBody::Sealed(_)) => self.ended(),
-            None => None,
-        };
-        let mut sends: Vec<Send> = permit.into_iter().collect();
-        self.advance();
+        let mut sends = Vec::new();
+        match &copied.body {
+            Some(CopiedBody::Held(version)) => sends.extend(self.held(*version, stance)),
+            Some(CopiedBody::Complete(_)) => self.copies.completed(),
+            Some(CopiedBody::Sealed(_)) => self.copies.end(),
+            None => {}
+        }
         sends.extend(self.send_copies(now));
         sends
     }
 
+    /// The backup holds the newest state of a record, so that its client may be answered.
     fn held(&mut self, version: u64, stance: Stance) -> Option<Send> {
-        let key = self.copying.remove(&version)?.key;
-        self.versions.remove(&key);
-        let begin = self.waiting.remove(&key)?;
-        let record = self.records.get(&key)?;
+        let key = self.copies.held(version)?;
+        let wait = self.waiting.remove(&key)?;
+        let record = self.records.get(key)?;
         let attempt = record.attempt;
-        let may_run = record.state == State::Started && stance == Stance::Acting;
-        let reply = may_run.then(|| self.permit(key, &begin)).flatten()?;
+        let has_started = record.state == State::Started;
+        let reply = match wait {
+            _ if stance == Stance::Waiting => return None,
+            Wait::Permit(begin) if has_started => self.permit(key, &begin)?,
+            Wait::Permit(_) => return None,
+            Wait::Noted => ReplyBody::Noted(Noted {}),
+        };
         Some(self.reply(attempt, reply))
     }
 
-    fn completed(&mut self) -> Option<Send> {
-        if self.pairing == Pairing::Completing {
-            self.pairing = Pairing::Paired;
-            self.complete_sent = None;
-        }
-        None
-    }
-
-    fn ended(&mut self) -> Option<Send> {
-        self.pairing = Pairing::Ended;
-        None
-    }
-
-    fn advance(&mut self) {
-        if self.pairing == Pairing::Copying && self.copying.is_empty() {
-            self.pairing = Pairing::Completing;
+    /// Word to a client that its news has been taken in, once the backup holds it too.
+    fn noted(&mut self, key: Key, attempt: Attempt) -> Option<ReplyBody> {
+        let record = self.records.get(key);
+        let is_its_own = record.is_some_and(|record| record.attempt == attempt);
+        if is_its_own && self.copies.is_under_way(key) {
+            self.waiting.insert(key, Wait::Noted);
+            return None;
         }
+        Some(ReplyBody::Noted(Noted {}))
     }
 
     fn put(&mut self, key: Key, record: Record) {
-        self.remove(&key);
-        self.answer_bytes += record.answer_bytes();
-        self.expiries.insert((record.expiry, key));
-        self.records.insert(key, record);
+        self.waiting.remove(&key);
+        self.records.put(key, record);
         self.copy_later(key);
     }
 
-    fn remove(&mut self, key: &Key) {
-        if let Some(record) = self.records.remove(key) {
-            self.answer_bytes -= record.answer_bytes();
-            self.expiries.remove(&(record.expiry, *key));
-        }
-        if let Some(version) = self.versions.remove(key) {
-            self.copying.remove(&version);
-        }
-        self.waiting.remove(key);
-    }
-
     fn copy_later(&mut self, key: Key) {
-        if self.backup.is_none() {
-            return;
+        if self.backup.is_some() {
+            self.copies.add(key);
         }
-        self.version += 1;
-        self.versions.insert(key, self.version);
-        let copying = Copying {
-            key,
-            since: None,
-            sent: None,
-        };
-        self.copying.insert(self.version, copying);
     }
 
     fn expire(&mut self, now: Time) {
-        while let Some((expiry, key)) = self.expiries.first().copied()
-            && expiry <= now
-        {
-            self.remove(&key);
+        while let Some(key) = self.records.pop_expired(now) {
+            self.copies.remove(key);
+            self.waiting.remove(&key);
         }
-        self.advance();
     }
 
     fn send_copies(&mut self, now: Time) -> Vec<Send> {
-        let Some(backup) = self.backup.filter(|_| self.pairing != Pairing::Ended) else {
+        let Some(backup) = self.backup else {
             return Vec::new();
         };
-        let again = self.options.copy_again;
-        let is_due = |sent: Option<Time>| sent.is_none_or(|sent| now.since(sent) >= again);
-        let mut bodies = Vec::new();
-        let under_way = self.copying.iter_mut().take(self.options.copies_under_way);
-        for (version, copying) in under_way.filter(|(_, copying)| is_due(copying.sent)) {
-            copying.sent = Some(now);
-            copying.since.get_or_insert(now);
-            let record = self.records.get(&copying.key);
-            let record = record.expect("a record goes with its copying");
-            let wire = WireRecord::new(now, *version, copying.key, record);
-            bodies.push(CopyBody::Record(wire));
-        }
-        if self.pairing == Pairing::Completing && is_due(self.complete_sent) {
-            self.complete_sent = Some(now);
-            bodies.push(CopyBody::Complete(Complete {
-                lossy: self.lossy.0,
-                undated_micros: micros(self.undated_until.since(now)),
-            }));
-        }
+        let (again, most) = (self.options.copy_again, self.options.copies_under_way);
+        let due = self.copies.due(now, again, most);
+        let bodies = due.into_iter().filter_map(|due| self.copy(now, due));
         let primary = self.me.0;
         let send = |body| {
             let body = Some(body);
@@ -528,7 +458,20 @@
             let msg = Message::new(self.shard, self.epoch, body);
             Send { to: backup, msg }
         };
-        bodies.into_iter().map(send).collect()
+        bodies.map(send).collect()
+    }
+
+    fn copy(&self, now: Time, due: Due) -> Option<CopyBody> {
+        match due {
+            Due::Record { version, key } => {
+                let record = self.records.get(key)?;
+                Some(CopyBody::Record(WireRecord::new(now, version, key, record)))
+            }
+            Due::Complete => Some(CopyBody::Complete(Complete {
+                lossy: self.lossy.0,
+                undated_micros: micros(self.undated_until.since(now)),
+            })),
+        }
     }
 
     fn reply(&self, attempt: Attempt, body: ReplyBody) -> Send {
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -40,10 +40,12 @@
 mod attempt;
 pub mod backup;
 pub mod client;
+mod copies;
 pub mod home;
 mod key;
 pub mod msg;
 mod record;
+mod records;
 mod send;
 mod start;
 
--- a/crates/once/tests/home.rs
+++ b/crates/once/tests/home.rs
@@ -230,6 +230,28 @@
     ));
 }
 
+#[test]
+fn an_answer_that_the_backup_missed_is_told_to_the_successor() {
+    let options = Options::default();
+    let mut pair = paired(options);
+    let (attempt, decision) = ask(&mut pair, req(1, 7));
+    assert_eq!(decision, Decision::Run);
+    let start = pair.backup.seal(NOW, Epoch(1), HOME);
+    let outcome = Outcome::Answered(b"done".as_slice().into());
+    pair.client.finish(NOW, attempt, outcome);
+    pair.settle(NOW);
+    let options = Options {
+        needs_backup: false,
+        ..options
+    };
+    let start = start.expect("the copy is complete");
+    pair.home = Home::new(BACKUP, SHARD, Epoch(2), None, start, options);
+    pair.client.follow(SHARD, Epoch(2), BACKUP);
+    pair.settle(NOW);
+    let (_, decision) = ask(&mut pair, req(1, 7));
+    assert_eq!(decision, Decision::Answered(b"done".to_vec()));
+}
+
 #[test]
 fn a_waiting_home_gives_no_permit() {
     let mut pair = paired(Options::default());
