--- a/cassiashunt/src/cmd/mod.rs
+++ b/cassiashunt/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 mod check;
+mod demo;
 mod drain;
 mod edit;
 mod key;
@@ -29,6 +30,7 @@
         CassiashuntCmd::Status(flags) => status::run(&flags),
         CassiashuntCmd::Drain(flags) => drain::run(&flags),
         CassiashuntCmd::Load(flags) => load::run(flags),
+        CassiashuntCmd::Demo(_) => demo::run(),
         CassiashuntCmd::Standin(flags) => standin::run(flags),
     }
 }
--- a/cassiashunt/src/flags.rs
+++ b/cassiashunt/src/flags.rs
@@ -151,6 +151,9 @@
             optional --quiet
         }
 
+        /// Shows a fleet at work, all in this process and on loopback.
+        cmd demo {}
+
         /// Runs a stand-in for an outside system, for tests and experiments.
         cmd standin {
             /// The platform's key-value service.
