--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -307,3 +307,30 @@
         ..opts
     })
 }
+
+/// Ends callers that look at its flag, also where the test fails.
+pub struct Done<'a>(pub &'a AtomicBool);
+
+impl Drop for Done<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Release);
+    }
+}
+
+/// Microseconds since 1970, by the clock of the servers' records.
+pub fn now_micros() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let micros = since.expect("the clock is past 1970").as_micros();
+    u64::try_from(micros).expect("the clock is before the year 500000")
+}
+
+/// How often each name occurs.
+pub fn counts(
+    names: impl IntoIterator<Item = String>,
+) -> std::collections::BTreeMap<String, usize> {
+    let mut counts = std::collections::BTreeMap::new();
+    for name in names {
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
