--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -353,7 +353,9 @@
             .iter()
             .filter_map(|s| s["available"].as_u64())
             .sum();
-        seen == servers as u64 && status["in-touch"] == true && status["limit-shards-open"] == 0
+        let open = [&status["limit-shards-open"], &status["home-shards-open"]];
+        let is_whole = open.iter().all(|count| **count == 0);
+        seen == servers as u64 && status["in-touch"] == true && is_whole
     }
 }
 
--- a/crates/node/src/duty/control.rs
+++ b/crates/node/src/duty/control.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         OnceLock, PoisonError, RwLock,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
         mpsc::SyncSender,
     },
 };
@@ -29,6 +29,7 @@
     seal: Seal,
     addr: SocketAddr,
     in_touch_until: AtomicU64,
+    open_homes: AtomicUsize,
     places: RwLock<HashMap<NodeId, Place>>,
     applied: RwLock<HashMap<NodeId, Revision>>,
     own_relays: RwLock<Vec<Peer>>,
@@ -42,6 +43,7 @@
             seal,
             addr,
             in_touch_until: AtomicU64::new(0),
+            open_homes: AtomicUsize::new(usize::MAX),
             places: RwLock::default(),
             applied: RwLock::default(),
             own_relays: RwLock::default(),
@@ -78,6 +80,15 @@
         self.seal.node()
     }
 
+    /// Shards of idempotency keys that nobody holds, or that this node holds and cannot act for.
+    pub(crate) fn open_homes(&self) -> usize {
+        self.open_homes.load(Ordering::Acquire)
+    }
+
+    pub(super) fn set_open_homes(&self, open: usize) {
+        self.open_homes.store(open, Ordering::Release);
+    }
+
     /// Where other nodes reach this one.
     pub(crate) fn addr(&self) -> SocketAddr {
         self.addr
--- a/crates/node/src/duty/shards.rs
+++ b/crates/node/src/duty/shards.rs
@@ -39,10 +39,15 @@
     }
 
     /// Begins to claim every shard without a live holder that falls to this node.
-    pub(super) fn look_over(&mut self, control: &Control, live: &[NodeId]) {
+    pub(super) fn look_over(
+        &mut self,
+        control: &Control,
+        live: &[NodeId],
+        is_gone: impl Fn(NodeId) -> bool,
+    ) {
         for key in keys() {
             let holder = control.shard(key).map(|shard| shard.primary);
-            let is_held = holder.is_some_and(|holder| live.contains(&holder));
+            let is_held = holder.is_some_and(|holder| !is_gone(holder));
             if is_held || self.claims.contains_key(&key) || first(key, live) != Some(self.me) {
                 continue;
             }
@@ -86,11 +91,14 @@
         let mut asks = Vec::new();
         for claim in self.claims.values_mut() {
             let asked = step(claim);
-            asks.extend(
-                asked
-                    .into_iter()
-                    .map(|ask| ClaimAsk::of(self.me, claim, ask)),
-            );
+            let write = TakeOver {
+                key: claim.key(),
+                expected: claim.expected(),
+                primary: self.me,
+                backup: None,
+                lossy: false,
+            };
+            asks.extend(asked.into_iter().map(|ask| ClaimAsk::of(write, ask)));
         }
         asks
     }
@@ -106,15 +114,10 @@
 }
 
 impl ClaimAsk {
-    fn of(me: NodeId, claim: &Claim, ask: Ask) -> Self {
+    /// The ask of a claim that is written as `write`.
+    pub(super) fn of(write: TakeOver, ask: Ask) -> Self {
         match ask {
-            Ask::WriteClaim => Self::Write(TakeOver {
-                key: claim.key(),
-                expected: claim.expected(),
-                primary: me,
-                backup: None,
-                lossy: false,
-            }),
+            Ask::WriteClaim => Self::Write(write),
             ask => Self::Plain(ask),
         }
     }
@@ -128,14 +131,14 @@
 }
 
 /// The node that a shard falls to, by rendezvous hash.
-fn first(key: ShardKey, live: &[NodeId]) -> Option<NodeId> {
+pub(super) fn first(key: ShardKey, live: &[NodeId]) -> Option<NodeId> {
     live.iter()
         .copied()
         .max_by_key(|node| (score(key, *node), *node))
 }
 
 /// A mix of shard and node (SplitMix64's finalizer).
-fn score(key: ShardKey, node: NodeId) -> u64 {
+pub(super) fn score(key: ShardKey, node: NodeId) -> u64 {
     let kind = match key.kind {
         ShardKind::Limit => 1,
         ShardKind::Home => 2,
--- a/crates/node/src/duty/threads.rs
+++ b/crates/node/src/duty/threads.rs
@@ -69,6 +69,7 @@
             shared.wiring.clone(),
         ));
         shared.limits.set_net(net.try_clone()?);
+        shared.once.set_net(net.try_clone()?);
         shared.suspects.set_net(net.try_clone()?);
         let (calls, fetches) = (Ring::new(CALLS), Ring::new(FETCHES));
         let is_stopped = Arc::new(AtomicBool::new(false));
@@ -212,6 +213,7 @@
         for _ in ticks {
             let Some(shared) = weak.upgrade() else { return };
             shared.limits.poll(&shared);
+            shared.once.flush(&shared);
         }
     };
     spawn("limits", poll)?;
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -23,8 +23,10 @@
     event::Event,
     fetch,
     freshness::{Freshness, Step},
+    homes::{Homes, Scene},
     membership::Membership,
     message::{AppliedRevisions, AskApplied, ConfigBody, ConfigMessage},
+    missing::Missing,
     net::Net,
     platform::{Answer, ControlEdit, Request},
     shards::{ClaimAsk, Shards},
@@ -50,6 +52,12 @@
     freshness: Freshness,
     spreading: Spreading,
     shards: Shards,
+    homes: Homes,
+    /// Nodes that take work, as of the last look.
+    takers: Vec<Electable>,
+    /// Holders of shards that are surely gone or leaving, as of the last look.
+    gone: Vec<NodeId>,
+    missing: Missing,
     ticks: u32,
 }
 
@@ -63,6 +71,10 @@
             freshness: Freshness::new(shared, rings.calls.clone()),
             spreading: Spreading::default(),
             shards: Shards::new(shared.id, domain, freshness),
+            homes: homes(shared, domain, freshness),
+            takers: Vec::new(),
+            gone: Vec::new(),
+            missing: Missing::default(),
             net,
             rings,
             ticks: 0,
@@ -107,6 +119,7 @@
         let asks = self.shards.tick(now);
         self.ask_claims(shared, asks);
         self.settle_claims(shared);
+        self.tick_homes(shared);
         shared.suspects.tick(shared);
         self.ticks += 1;
         if self.ticks.is_multiple_of(SLOW_TICKS) {
@@ -143,6 +156,7 @@
         match Kind::try_from(envelope.kind) {
             Ok(Kind::Member) => self.membership.receive(shared, from, payload),
             Ok(Kind::Config) => self.on_config(shared, from, envelope),
+            Ok(Kind::Once) => self.on_once(shared, payload),
             Ok(Kind::Suspect) => shared.suspects.receive(shared, from, payload),
             Ok(Kind::Limit) => shared.limits.receive(shared, from, payload),
             _ => log::debug!(event = "control-kind-unknown", from:% = from; ""),
@@ -204,6 +218,8 @@
             self.ask(shared, asks);
             let asks = self.shards.relay_applied(now, &applied);
             self.ask_claims(shared, asks);
+            let asks = self.homes.relay_applied(now, &applied);
+            self.ask_claims(shared, asks);
         }
         self.settle_claims(shared);
     }
@@ -227,11 +243,14 @@
             self.ask(shared, asks);
             let asks = self.shards.control_read(now, control);
             self.ask_claims(shared, asks);
+            let asks = self.homes.control_read(now, control);
+            self.ask_claims(shared, asks);
         }
     }
 
     fn on_control(&mut self, shared: &Arc<Shared>, control: &Control) {
         let steps = self.freshness.apply_control(shared, control);
+        self.homes.apply_control(self.freshness.control());
         self.follow(shared, steps);
     }
 
@@ -283,6 +302,54 @@
         }
     }
 
+    /// Looks which holders of shards are gone or leaving.
+    fn look_for_gone(&mut self, shared: &Shared) {
+        let shards = self.freshness.control().shards.iter();
+        let holders: Vec<NodeId> = shards
+            .flat_map(|shard| [Some(shard.primary), shard.backup])
+            .flatten()
+            .filter(|node| *node != shared.id)
+            .collect();
+        let members = &self.membership.members;
+        let now = shared.clock.now();
+        self.gone = self.missing.gone(now, &holders, members);
+    }
+
+    fn tick_homes(&mut self, shared: &Arc<Shared>) {
+        let scene = Scene {
+            now: shared.clock.now(),
+            control: self.freshness.control(),
+            live: &self.takers,
+            gone: &self.gone,
+        };
+        let (sends, asks) = self.homes.tick(&scene);
+        shared
+            .control
+            .set_open_homes(self.homes.open(self.freshness.control()));
+        for send in sends {
+            shared.once.send(shared, send);
+        }
+        self.ask_claims(shared, asks);
+    }
+
+    fn on_once(&mut self, shared: &Shared, payload: &[u8]) {
+        let Ok(msg) = cassiashunt_once::msg::Message::decode(payload) else {
+            return;
+        };
+        let now = shared.clock.now();
+        shared.once.receive(now, &msg);
+        let scene = Scene {
+            now,
+            control: self.freshness.control(),
+            live: &self.takers,
+            gone: &self.gone,
+        };
+        let in_touch = shared.control.check(now).is_ok();
+        for send in self.homes.receive(&scene, &msg, in_touch) {
+            shared.once.send(shared, send);
+        }
+    }
+
     fn settle_claims(&mut self, shared: &Arc<Shared>) {
         for won in self.shards.take_won() {
             shared.limits.begin_epoch(shared, won.key.id, won.epoch);
@@ -348,8 +415,21 @@
         {
             self.edit_control(ControlEdit::Replace(replace));
         }
-        let nodes: Vec<NodeId> = live.iter().map(|member| member.node).collect();
-        self.shards.look_over(self.freshness.control(), &nodes);
+        self.takers = live;
+        let nodes: Vec<NodeId> = self.takers.iter().map(|member| member.node).collect();
+        self.look_for_gone(shared);
+        let gone = &self.gone;
+        self.shards
+            .look_over(self.freshness.control(), &nodes, |node| {
+                gone.contains(&node)
+            });
+        let scene = Scene {
+            now: shared.clock.now(),
+            control: self.freshness.control(),
+            live: &self.takers,
+            gone: &self.gone,
+        };
+        self.homes.look_over(&scene);
     }
 
     /// Tells the operators' threads who the relays of this failure domain are.
@@ -431,3 +511,9 @@
         }
     }
 }
+
+fn homes(shared: &Shared, domain: FailureDomain, freshness: Duration) -> Homes {
+    let window = Duration::from_millis(shared.settings.times.record_ms);
+    let needs_backup = !shared.settings.node.other_failure_domains.is_empty();
+    Homes::new(shared.id, domain, freshness, window, needs_backup)
+}
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -185,8 +185,7 @@
             key: plan.key.0,
             revision: plan.revision.0,
             idempotency_key: plan.idempotency_key.clone(),
-            permit: 0,
-            permit_us: 0,
+            runs_once: !plan.is_idempotent && !plan.idempotency_key.is_empty(),
             fingerprint: plan.fingerprint,
             is_suspect: self.is_suspect(),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod link;
 mod node;
+mod once;
 mod operator;
 mod owner;
 pub mod settings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,6 +28,7 @@
     ingress::{self, Held},
     limits::Limits,
     link::{self, Links, Path},
+    once::{Leave, Once},
     operator,
     owner::{self, Backend, Gate, Job, Owner, Rank, Reply, Submit},
     stats::Stats,
@@ -52,6 +53,7 @@
     pub stats: Stats,
     pub suspects: Suspects,
     pub limits: Limits,
+    pub once: Once,
     pub platform: cassiashunt_platform::Http,
     pub control: duty::Control,
     pub wiring: Wiring,
@@ -95,6 +97,7 @@
             .write()
             .unwrap_or_else(PoisonError::into_inner) = shared;
         self.limits.apply_control(control);
+        self.once.apply_control(control);
     }
 
     /// The control value in force, as it travels; `None` before the first.
@@ -154,6 +157,13 @@
         Ok(())
     }
 
+    /// The leave to run a request that runs at most once.
+    fn leave(&self, job: &Job) -> Result<Leave, Refusal> {
+        let workspace = job.workspace.unwrap_or_else(owner::nobody);
+        let key = cassiashunt_once::Key::new(workspace, &job.idempotency_key);
+        self.once.leave(self, key, job.fingerprint, job.deadline)
+    }
+
     fn may_accept(&self, now: Time) -> Result<(), Refusal> {
         if self.lifecycle().may_accept(now) {
             return Ok(());
@@ -433,6 +443,7 @@
         stats: Stats::default(),
         suspects: Suspects::new(clock.now(), id),
         limits: Limits::new(id),
+        once: Once::new(id),
         seen: duty::Seen::default(),
         control_value: RwLock::default(),
         is_repairing: AtomicBool::new(false),
@@ -475,6 +486,7 @@
     let gone = Refusal::not_run(Reason::Draining);
     let (ranks, offers, runs) = (weak.clone(), weak.clone(), weak.clone());
     let (suspicions, alone, ends) = (weak.clone(), weak.clone(), weak.clone());
+    let (leaves, onces) = (weak.clone(), weak.clone());
     let (deaths, strikes, finishes) = (weak.clone(), weak.clone(), weak);
     let lowest = Rank {
         priority: Priority(0),
@@ -484,6 +496,15 @@
         rank: Box::new(move |job| ranks.upgrade().map_or(lowest, |shared| shared.rank(job))),
         accept: Box::new(move |now| offers.upgrade().ok_or(gone)?.may_accept(now)),
         check: Box::new(move |now, job| runs.upgrade().ok_or(gone)?.check_job(now, job)),
+        leave: Box::new(move |job| {
+            let shared = leaves.upgrade().ok_or(gone)?;
+            shared.leave(job)
+        }),
+        finish_once: Box::new(move |attempt, outcome| {
+            if let Some(shared) = onces.upgrade() {
+                shared.once.finish(&shared, attempt, outcome);
+            }
+        }),
         suspicion: Box::new(move |now, fingerprint| {
             let shared = suspicions.upgrade();
             shared.map_or(Decision::Run, |shared| {
--- a/crates/node/src/owner/job.rs
+++ b/crates/node/src/owner/job.rs
@@ -8,14 +8,6 @@
 
 use super::Reply;
 
-/// The leave to run a request that must run at most once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Permit {
-    pub number: u64,
-    /// The permit is of no use from then on.
-    pub until: Time,
-}
-
 /// A whole request with the way back to its asker.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -32,7 +24,8 @@
     pub target: String,
     pub headers: Vec<HeaderLine>,
     pub idempotency_key: String,
-    pub permit: Option<Permit>,
+    /// Whether it is to run at most once.
+    pub runs_once: bool,
     pub fingerprint: u64,
     /// Whether it runs, or is to run, beside no other.
     pub is_alone: bool,
@@ -49,10 +42,6 @@
         reply: Arc<Reply>,
     ) -> Result<Self, InvalidLabel> {
         let workspace = Some(begin.workspace.as_str()).filter(|name| !name.is_empty());
-        let permit = Permit {
-            number: begin.permit,
-            until: now + Duration::from_micros(begin.permit_us),
-        };
         Ok(Self {
             chain: ChainId(begin.chain),
             depth: begin.depth,
@@ -67,7 +56,7 @@
             target: begin.target,
             headers: begin.headers,
             idempotency_key: begin.idempotency_key,
-            permit: Some(permit).filter(|permit| permit.number != 0),
+            runs_once: begin.runs_once,
             fingerprint: begin.fingerprint,
             is_alone: begin.is_suspect,
             body,
--- a/crates/node/src/owner/owner.rs
+++ b/crates/node/src/owner/owner.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use cassiashunt_admit::{Action, Admission, Job as Entry, Priority, Signal};
+use cassiashunt_once::{Attempt, Outcome};
 use cassiashunt_ring::Ring;
 use cassiashunt_suspect::{Decision, message::StrikeNews};
 use cassiashunt_timer::Clock;
@@ -19,7 +20,7 @@
     Backend, Job, Reply,
     health::{Health, Sight},
 };
-use crate::ticket::Tickets;
+use crate::{once::Leave, ticket::Tickets};
 
 /// Stack of a worker thread, in bytes.
 const WORKER_STACK: usize = 256 * 1024;
@@ -39,6 +40,10 @@
     pub accept: Box<dyn Fn(Time) -> Result<(), Refusal> + Send + Sync>,
     /// Whether a request may run at this very moment.
     pub check: Box<dyn Fn(Time, &Job) -> Result<(), Refusal> + Send + Sync>,
+    /// The leave to run a request that runs at most once.
+    pub leave: Box<dyn Fn(&Job) -> Result<Leave, Refusal> + Send + Sync>,
+    /// A run that had leave has ended.
+    pub finish_once: Box<dyn Fn(Attempt, Outcome) + Send + Sync>,
     /// Whether a request with this fingerprint may run beside others.
     pub suspicion: Box<dyn Fn(Time, u64) -> Decision + Send + Sync>,
     /// Asks for the leave to run a request alone.
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, PoisonError};
 
+use cassiashunt_once::{Attempt, Outcome};
 use cassiashunt_route::retry::Allowance;
 use cassiashunt_suspect::message::StrikeNews;
 use cassiashunt_types::prelude::*;
@@ -16,7 +17,8 @@
     owner::Finish,
 };
 use crate::{
-    link::CHUNK_BYTES,
+    link::{CHUNK_BYTES, chunks},
+    once::{Copy, KeptAnswer, Leave},
     ticket::{Parent, Ticket},
 };
 
@@ -32,13 +34,59 @@
                 .reply
                 .refuse(refusal, Some(self.signal().to_bits()), job.retries);
         }
+        let attempt = match self.ask_leave(&job) {
+            Ok(attempt) => attempt,
+            Err(denied) => return self.deny(&job, denied),
+        };
+        let now = self.clock.now();
+        let mut copy = Copy::default();
         let parent = Arc::new(Parent::new(&job, Allowance::new(job.retries)));
         let ticket = self.tickets.issue(Arc::clone(&parent));
-        let ended = self.exchange(now, &job, ticket);
+        let ended = self.exchange(now, &job, ticket, &mut copy);
         self.tickets.withdraw(ticket);
+        if let Some(attempt) = attempt {
+            (self.gate.finish_once)(attempt, outcome(&ended, copy));
+        }
         self.settle(now, &job, &parent, ended);
     }
 
+    /// Asks for the leave to run a request that runs at most once, where it is one.
+    fn ask_leave(&self, job: &Job) -> Result<Option<Attempt>, Denied> {
+        if !job.runs_once {
+            return Ok(None);
+        }
+        match (self.gate.leave)(job) {
+            Ok(Leave::Run(attempt)) => Ok(Some(attempt)),
+            Ok(Leave::Answered(kept)) => Err(Denied::Answered(kept)),
+            Err(refusal) => Err(Denied::Refused(refusal)),
+        }
+    }
+
+    /// Answers a request that did not get leave; its slot is free again first.
+    fn deny(&self, job: &Job, denied: Denied) {
+        self.finish(job.reply.id(), &Finish::NotSent);
+        self.end_alone(job, None);
+        let signal = self.signal().to_bits();
+        match denied {
+            Denied::Refused(refusal) => job.reply.refuse(refusal, Some(signal), job.retries),
+            Denied::Answered(kept) => {
+                let end = End {
+                    body_len: kept.body.len() as u64,
+                    unused_retries: job.retries,
+                    signal,
+                    ..End::default()
+                };
+                let head = Body::Head(kept.head.unwrap_or_default());
+                let pieces = chunks(&kept.body).map(Body::Chunk);
+                let all = [head].into_iter().chain(pieces).chain([Body::End(end)]);
+                // An asker that has gone needs no answer.
+                let _ = all
+                    .map(|piece| job.reply.send(piece))
+                    .collect::<Result<(), _>>();
+            }
+        }
+    }
+
     /// The last check before the request is handed to the server.
     fn may_run(&self, now: Time, job: &Job) -> Result<(), Refusal> {
         if job.reply.is_cancelled() {
@@ -47,14 +95,17 @@
         if now >= job.deadline {
             return Err(Refusal::not_run(Reason::Deadline));
         }
-        if job.permit.is_some_and(|permit| now >= permit.until) {
-            return Err(Refusal::not_run(Reason::Full));
-        }
         (self.gate.check)(now, job)
     }
 
     /// Sends the request to the server and its answer, but for the end, back to the asker.
-    fn exchange(&self, now: Time, job: &Job, ticket: Ticket) -> Result<u64, Failure> {
+    fn exchange(
+        &self,
+        now: Time,
+        job: &Job,
+        ticket: Ticket,
+        copy: &mut Copy,
+    ) -> Result<u64, Failure> {
         let stamp = Stamp {
             ticket: ticket.to_string(),
             remaining: job.deadline.since(now),
@@ -69,8 +120,9 @@
             refusal: Refusal::may_have_run(Reason::Cancelled),
             is_broken: false,
         };
+        copy.set_head(head.status, &head.headers);
         job.reply.send(Body::Head(head)).map_err(gone)?;
-        copy_body(job, answer)
+        copy_body(job, answer, copy)
     }
 
     fn settle(&self, started: Time, job: &Job, parent: &Parent, ended: Result<u64, Failure>) {
@@ -144,8 +196,24 @@
     }
 }
 
+/// Why a request that runs at most once is not run now.
+enum Denied {
+    /// An earlier request with the same key got this answer.
+    Answered(KeptAnswer),
+    Refused(Refusal),
+}
+
+/// What the home of a request's key is told of its run.
+fn outcome(ended: &Result<u64, Failure>, copy: Copy) -> Outcome {
+    match ended {
+        Ok(_) => copy.outcome(),
+        Err(failure) if failure.refusal.verdict == Verdict::NotRun => Outcome::NotRun,
+        Err(_) => Outcome::Unknown,
+    }
+}
+
 /// Sends the body back piece by piece and gives its length.
-fn copy_body(job: &Job, mut answer: Response<AnswerBody>) -> Result<u64, Failure> {
+fn copy_body(job: &Job, mut answer: Response<AnswerBody>, copy: &mut Copy) -> Result<u64, Failure> {
     let lost = Failure {
         refusal: Refusal::may_have_run(Reason::Lost),
         is_broken: true,
@@ -163,6 +231,7 @@
                 ..lost
             });
         }
+        copy.push(&data);
         body_len += data.len() as u64;
         let is_last = data.len() < CHUNK_BYTES;
         job.reply
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -82,12 +82,9 @@
     /// The caller's idempotency key; empty where none came.
     #[prost(string, tag = "13")]
     pub idempotency_key: String,
-    /// The run permit of an idempotent-once request; zero where none is needed.
-    #[prost(uint64, tag = "14")]
-    pub permit: u64,
-    /// The remaining validity of the run permit, in microseconds.
-    #[prost(uint64, tag = "15")]
-    pub permit_us: u64,
+    /// Whether the request is to run at most once.
+    #[prost(bool, tag = "14")]
+    pub runs_once: bool,
     /// Fingerprint of workspace, route and body.
     #[prost(uint64, tag = "16")]
     pub fingerprint: u64,
