--- a/crates/node/src/duty/shards.rs
+++ b/crates/node/src/duty/shards.rs
@@ -38,20 +38,26 @@
         }
     }
 
-    /// Begins to claim every shard without a live holder that falls to this node.
+    /// Begins to claim every shard that falls to this node and has no holder, or whose holder has
+    /// handed it over to this node.
     pub(super) fn look_over(
         &mut self,
         control: &Control,
         live: &[NodeId],
         is_gone: impl Fn(NodeId) -> bool,
+        is_handed: impl Fn(ShardId, Epoch) -> bool,
     ) {
         for key in keys() {
+            let epoch = control.epoch(key);
             let holder = control.shard(key).map(|shard| shard.primary);
+            if is_handed(key.id, epoch) && holder != Some(self.me) {
+                let claim = Claim::after_hand_over(self.me, self.domain, key, epoch, self.options);
+                self.claims.entry(key).or_insert(claim);
+            }
             let is_held = holder.is_some_and(|holder| !is_gone(holder));
             if is_held || self.claims.contains_key(&key) || first(key, live) != Some(self.me) {
                 continue;
             }
-            let epoch = control.epoch(key);
             let claim = Claim::new(self.me, self.domain, key, epoch, self.options);
             self.claims.insert(key, claim);
         }
--- a/crates/node/src/duty/threads.rs
+++ b/crates/node/src/duty/threads.rs
@@ -37,11 +37,11 @@
 /// Fetches that may wait.
 const FETCHES: usize = 2;
 /// How often the owner's queue is looked over.
-const OWNER_TICK: Duration = Duration::from_millis(5);
+const OWNER_TICK: Duration = Duration::from_millis(20);
 /// How often the backend server is probed.
-const PROBE_PERIOD: Duration = Duration::from_millis(250);
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// How often grants are asked for ahead of need.
-const LIMIT_TICK: Duration = Duration::from_millis(10);
+const LIMIT_TICK: Duration = Duration::from_millis(20);
 
 /// The running duties.
 pub(crate) struct Duties {
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -9,7 +9,7 @@
 };
 
 use cassiashunt_control::{
-    Ask, Control, Member as Electable, election,
+    Ask, Control, Member as Electable, ShardKey, ShardKind, election,
     msg::{Applied, HandOver},
 };
 use cassiashunt_member::{Event as MemberEvent, Phase, Step as LifeStep};
@@ -29,7 +29,7 @@
     missing::Missing,
     net::Net,
     platform::{Answer, ControlEdit, Request},
-    shards::{ClaimAsk, Shards},
+    shards::{ClaimAsk, Shards, first},
     spread::Spreading,
 };
 use crate::{link::Peer, node::Shared};
@@ -146,6 +146,7 @@
         if phase == Phase::Draining {
             let steps = self.freshness.stop(shared, &self.membership);
             self.follow(shared, steps);
+            self.hand_over_limits(shared);
         }
         self.membership.on(shared, MemberEvent::SetPhase(phase));
         self.membership.announce_self(shared);
@@ -302,17 +303,21 @@
         }
     }
 
+    /// Gives the limit shards that this node is the authority of to their next nodes.
+    fn hand_over_limits(&self, shared: &Arc<Shared>) {
+        let others = self.takers.iter().map(|member| member.node);
+        let others: Vec<NodeId> = others.filter(|node| *node != shared.id).collect();
+        shared.limits.hand_over(shared, |id| {
+            let kind = ShardKind::Limit;
+            first(ShardKey { kind, id }, &others)
+        });
+    }
+
     /// Looks which holders of shards are gone or leaving.
     fn look_for_gone(&mut self, shared: &Shared) {
-        let shards = self.freshness.control().shards.iter();
-        let holders: Vec<NodeId> = shards
-            .flat_map(|shard| [Some(shard.primary), shard.backup])
-            .flatten()
-            .filter(|node| *node != shared.id)
-            .collect();
-        let members = &self.membership.members;
         let now = shared.clock.now();
-        self.gone = self.missing.gone(now, &holders, members);
+        let members = &self.membership.members;
+        self.gone = self.missing.gone(now, self.freshness.control(), members);
     }
 
     fn tick_homes(&mut self, shared: &Arc<Shared>) {
@@ -419,10 +424,10 @@
         let nodes: Vec<NodeId> = self.takers.iter().map(|member| member.node).collect();
         self.look_for_gone(shared);
         let gone = &self.gone;
-        self.shards
-            .look_over(self.freshness.control(), &nodes, |node| {
-                gone.contains(&node)
-            });
+        let handed = |id, epoch| shared.limits.is_handed(id, epoch);
+        let is_gone = |node| gone.contains(&node);
+        let control = self.freshness.control();
+        self.shards.look_over(control, &nodes, is_gone, handed);
         let scene = Scene {
             now: shared.clock.now(),
             control: self.freshness.control(),
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -10,7 +10,7 @@
 use cassiashunt_control::{Control, ShardKey, ShardKind};
 use cassiashunt_limit::{
     Attempt, Authority, Decision, Holder, Key, Limit, Start,
-    msg::{AuthorityFrame, HolderFrame},
+    msg::{AuthorityFrame, HandOver, HolderFrame},
 };
 use cassiashunt_table::{Cell, Lookup, Scope};
 use cassiashunt_types::{Label, prelude::*};
@@ -34,7 +34,7 @@
 struct LimitMessage {
     #[prost(uint64, tag = "1")]
     shard: u64,
-    #[prost(oneof = "LimitBody", tags = "2, 3")]
+    #[prost(oneof = "LimitBody", tags = "2, 3, 4")]
     body: Option<LimitBody>,
 }
 
@@ -44,6 +44,8 @@
     Holder(HolderFrame),
     #[prost(message, tag = "3")]
     Authority(AuthorityFrame),
+    #[prost(message, tag = "4")]
+    HandOver(HandOver),
 }
 
 /// This node's side of every shard.
@@ -67,6 +69,8 @@
     revision: Revision,
     primary: Option<NodeId>,
     epoch: Epoch,
+    /// What the authority that stopped handed over to this node.
+    handed: Option<HandOver>,
 }
 
 impl Limits {
@@ -80,6 +84,7 @@
                 revision: Revision(0),
                 primary: None,
                 epoch: Epoch(0),
+                handed: None,
             };
             Shard {
                 state: Mutex::new(state),
@@ -205,6 +210,32 @@
         self.shards.iter().filter(is_open).count()
     }
 
+    /// Whether the shard's authority under this epoch handed over to this node.
+    pub(crate) fn is_handed(&self, id: ShardId, epoch: Epoch) -> bool {
+        let shard = usize::try_from(id.0)
+            .ok()
+            .and_then(|id| self.shards.get(id));
+        shard.is_some_and(|shard| {
+            let state = shard.lock();
+            state
+                .handed
+                .as_ref()
+                .is_some_and(|handed| handed.epoch == epoch.0)
+        })
+    }
+
+    /// Stops being an authority and gives each shard to its successor, for a planned stop.
+    pub(crate) fn hand_over(&self, shared: &Shared, successor: impl Fn(ShardId) -> Option<NodeId>) {
+        for (id, shard) in self.shards.iter().enumerate() {
+            let authority = shard.lock().authority.take();
+            let addr = successor(ShardId(id as u64)).and_then(|node| shared.control.addr_of(node));
+            if let Some((authority, addr)) = authority.zip(addr) {
+                let handed = authority.hand_over(shared.clock.now());
+                self.send(addr, id, LimitBody::HandOver(handed));
+            }
+        }
+    }
+
     /// Hands every unspent token back, for a planned stop.
     pub(crate) fn drain(&self, shared: &Shared) {
         for (id, shard) in self.shards.iter().enumerate() {
@@ -235,6 +266,10 @@
                 state.holder.on(shared.clock.now(), &frame);
                 shard.answered.notify_all();
             }
+            Some(LimitBody::HandOver(handed)) => {
+                log::info!(event = "limit-handed-over", shard = message.shard; "");
+                state.handed = Some(handed);
+            }
             None => {}
         }
     }
@@ -302,17 +337,35 @@
         self.authority.as_mut()?.on(now, frame)
     }
 
+    /// What a key begins with: what was handed over, or nothing, unless no earlier authority can
+    /// have given its tokens. That is so in a shard's first epoch, and where the key had no limit
+    /// when the epoch began.
+    fn start(&self, key: &Key) -> Start {
+        let is_follower = |handed: &&HandOver| Epoch(handed.epoch).next() == self.epoch;
+        if let Some(handed) = self.handed.as_ref().filter(is_follower) {
+            return handed.start(key);
+        }
+        if self.epoch == Epoch(1) || limit(&self.at_start, key).is_none() {
+            return Start::Full;
+        }
+        Start::Empty
+    }
+
     fn set_limits(&mut self, now: Time, lookup: &Lookup, keys: Vec<Key>) {
-        let Some(authority) = &mut self.authority else {
-            return;
-        };
         for key in keys {
             match limit(lookup, &key) {
                 Some(limit) => {
-                    authority.set_limit(now, key, limit, start(&self.at_start, self.epoch, &key));
+                    let start = self.start(&key);
+                    let Some(authority) = &mut self.authority else {
+                        return;
+                    };
+                    authority.set_limit(now, key, limit, start);
                     self.keys.insert(key);
                 }
                 None => {
+                    let Some(authority) = &mut self.authority else {
+                        return;
+                    };
                     authority.retain(|known| *known != key);
                     self.keys.remove(&key);
                 }
@@ -321,17 +374,6 @@
     }
 }
 
-/// What a key begins with: nothing, unless no earlier authority can have given its tokens.
-///
-/// That is so in a shard's first epoch, and where the key had no limit when the epoch began.
-fn start(at_start: &Lookup, epoch: Epoch, key: &Key) -> Start {
-    let is_first = epoch == Epoch(1);
-    if is_first || limit(at_start, key).is_none() {
-        return Start::Full;
-    }
-    Start::Empty
-}
-
 /// What a request of this cell counts against.
 fn keys(workspace: Workspace, cell: &Cell, route: Route, class: Class) -> Vec<Key> {
     let mut keys = Vec::new();
--- a/crates/node/src/link/listener.rs
+++ b/crates/node/src/link/listener.rs
@@ -17,8 +17,9 @@
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Begin, Body, Frame, Hello, Listener, Proof, Refused, Secret};
 
+use super::Submit;
 use super::stream::{Path, Queued, Reader, Writer};
-use crate::owner::{Reply, Submit};
+use crate::owner::Reply;
 
 /// Requests of one connection whose bodies have not arrived whole.
 const MAX_PARTIAL: usize = 1_024;
@@ -151,7 +152,7 @@
             .into_values()
             .filter_map(|reply: Weak<_>| reply.upgrade())
         {
-            (self.submit.cancel)(&reply);
+            self.submit.cancel(&reply);
         }
         Ok(())
     }
@@ -197,16 +198,16 @@
                 let reply = Arc::new(Reply::link(out.clone(), request));
                 cancels.retain(|_, reply| reply.strong_count() > 0);
                 cancels.insert(request, Arc::downgrade(&reply));
-                (self.submit.start)(whole.begin, whole.body.freeze(), reply);
+                self.submit.start(*whole.begin, whole.body.freeze(), &reply);
             }
             Some(Body::Cancel(_)) => {
                 partial.remove(&request);
                 if let Some(reply) = cancels.remove(&request).and_then(|reply| reply.upgrade()) {
-                    (self.submit.cancel)(&reply);
+                    self.submit.cancel(&reply);
                 }
             }
             Some(Body::Fetch(fetch)) => {
-                (self.submit.fetch)(fetch, &Reply::link(out.clone(), request));
+                self.submit.fetch(fetch, &Reply::link(out.clone(), request));
             }
             Some(Body::Head(_) | Body::Refused(_)) | None => {}
         }
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -8,8 +8,10 @@
 mod pending;
 mod pool;
 mod stream;
+mod submit;
 
 pub(crate) use dialer::{CHUNK_BYTES, Call, Link, chunks};
 pub(crate) use listener::{Acceptor, Options as AcceptorOptions};
 pub(crate) use pool::{Links, Options, Peer};
 pub(crate) use stream::{Path, Queued};
+pub(crate) use submit::Submit;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,11 +11,10 @@
     time::Instant,
 };
 
-use cassiashunt_admit::{Priority, ingress::Ingress};
+use cassiashunt_admit::ingress::Ingress;
 use cassiashunt_control::Control;
 use cassiashunt_http::Limits as HttpLimits;
 use cassiashunt_member::Lifecycle;
-use cassiashunt_suspect::Decision;
 use cassiashunt_timer::{Clock, Service as Timer};
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Seal, Secret};
@@ -27,10 +26,10 @@
     fleet::Fleet,
     ingress::{self, Held},
     limits::Limits,
-    link::{self, Links, Path},
-    once::{Leave, Once},
+    link::{self, Links, Path, Submit},
+    once::Once,
     operator,
-    owner::{self, Backend, Gate, Job, Owner, Rank, Reply, Submit},
+    owner::{self, Backend, Gate, Job, Owner, Reply},
     stats::Stats,
     suspects::Suspects,
     ticket::Tickets,
@@ -148,7 +147,7 @@
     }
 
     /// The owner's last look at a request before the server gets it.
-    fn check_job(&self, now: Time, job: &Job) -> Result<(), Refusal> {
+    pub(crate) fn check_job(&self, now: Time, job: &Job) -> Result<(), Refusal> {
         self.check_touch(now, job.key)?;
         let withdrawn = job.key != KeyId(0) && !self.config.is_key_active(job.key);
         if withdrawn && self.config.revision() >= job.revision {
@@ -156,29 +155,6 @@
         }
         Ok(())
     }
-
-    /// The leave to run a request that runs at most once.
-    fn leave(&self, job: &Job) -> Result<Leave, Refusal> {
-        let workspace = job.workspace.unwrap_or_else(owner::nobody);
-        let key = cassiashunt_once::Key::new(workspace, &job.idempotency_key);
-        self.once.leave(self, key, job.fingerprint, job.deadline)
-    }
-
-    fn may_accept(&self, now: Time) -> Result<(), Refusal> {
-        if self.lifecycle().may_accept(now) {
-            return Ok(());
-        }
-        Err(Refusal::not_run(Reason::Draining))
-    }
-
-    fn rank(&self, job: &Job) -> Rank {
-        let lookup = self.config.lookup();
-        let cell = ingress::resolve(&lookup, job.workspace, job.route, job.class);
-        Rank {
-            priority: Priority(cell.priority),
-            weight: cell.weight,
-        }
-    }
 }
 
 /// Why a node did not start.
@@ -273,7 +249,7 @@
         let timer = Timer::start(clock)?;
         let mut threads = own(&shared)?;
         let callers = ingress::Acceptor::new(caller_options(&shared.settings), Arc::clone(&shared));
-        let peers = link::Acceptor::new(peer_options(&shared), submit(&shared));
+        let peers = link::Acceptor::new(peer_options(&shared), Submit::new(&shared));
         let operators = operator::Server::start(&shared)?;
         let addresses = Addresses {
             callers: addr(&sockets.callers)?,
@@ -472,7 +448,7 @@
         warm_up: Duration::from_millis(times.warm_up_ms),
     };
     let tickets = Arc::clone(&shared.tickets);
-    let owner = Owner::new(shared.clock, opts, backend, tickets, gate(shared));
+    let owner = Owner::new(shared.clock, opts, backend, tickets, Gate::new(shared));
     let threads = owner.spawn()?;
     if shared.owner.set(owner).is_err() {
         log::error!(event = "owner-set-twice"; "");
@@ -480,76 +456,6 @@
     Ok(threads)
 }
 
-/// What the owner asks of the rest of the node.
-fn gate(shared: &Arc<Shared>) -> Gate {
-    let weak = Arc::downgrade(shared);
-    let gone = Refusal::not_run(Reason::Draining);
-    let (ranks, offers, runs) = (weak.clone(), weak.clone(), weak.clone());
-    let (suspicions, alone, ends) = (weak.clone(), weak.clone(), weak.clone());
-    let (leaves, onces) = (weak.clone(), weak.clone());
-    let (deaths, strikes, finishes) = (weak.clone(), weak.clone(), weak);
-    let lowest = Rank {
-        priority: Priority(0),
-        weight: 1,
-    };
-    Gate {
-        rank: Box::new(move |job| ranks.upgrade().map_or(lowest, |shared| shared.rank(job))),
-        accept: Box::new(move |now| offers.upgrade().ok_or(gone)?.may_accept(now)),
-        check: Box::new(move |now, job| runs.upgrade().ok_or(gone)?.check_job(now, job)),
-        leave: Box::new(move |job| {
-            let shared = leaves.upgrade().ok_or(gone)?;
-            shared.leave(job)
-        }),
-        finish_once: Box::new(move |attempt, outcome| {
-            if let Some(shared) = onces.upgrade() {
-                shared.once.finish(&shared, attempt, outcome);
-            }
-        }),
-        suspicion: Box::new(move |now, fingerprint| {
-            let shared = suspicions.upgrade();
-            shared.map_or(Decision::Run, |shared| {
-                shared.suspects.check(now, fingerprint)
-            })
-        }),
-        ask_alone: Box::new(move |request, fingerprint| {
-            if let Some(shared) = alone.upgrade() {
-                shared.suspects.begin(&shared, request, fingerprint);
-            }
-        }),
-        ended_alone: Box::new(move |request, strike| {
-            if let Some(shared) = ends.upgrade() {
-                shared.suspects.ended(&shared, request, strike);
-            }
-        }),
-        died: Box::new(move |now, in_flight| {
-            if let Some(shared) = deaths.upgrade() {
-                shared.suspects.on_server_died(now, in_flight);
-            }
-        }),
-        strike: Box::new(move |now, fingerprint| {
-            strikes.upgrade()?.suspects.last_strike(now, fingerprint)
-        }),
-        finished: Box::new(move |fingerprint, began| {
-            if let Some(shared) = finishes.upgrade() {
-                shared.suspects.on_finished(fingerprint, began);
-            }
-        }),
-    }
-}
-
-/// How other nodes' requests reach the owner.
-fn submit(shared: &Arc<Shared>) -> Submit {
-    let (starts, cancels, fetches) = (Arc::clone(shared), Arc::clone(shared), Arc::clone(shared));
-    Submit {
-        start: Box::new(move |begin, body, reply| match starts.owner.get() {
-            Some(owner) => owner.start(*begin, body, &reply),
-            None => reply.refuse(Refusal::not_run(Reason::NoServer), None, begin.retries),
-        }),
-        fetch: Box::new(move |fetch, reply| duty::answer_fetch(&fetches, fetch, reply)),
-        cancel: Box::new(move |reply| cancels.cancel_local(reply)),
-    }
-}
-
 fn caller_options(settings: &Settings) -> ingress::Options {
     let bounds = &settings.bounds;
     let limits = HttpLimits {
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -12,6 +12,8 @@
 
 /// How long a waiting request sleeps at most before it looks again.
 const LOOK: Duration = Duration::from_millis(20);
+/// How long a request waits for its home; it holds a slot of the server meanwhile.
+const PATIENCE: Duration = Duration::from_millis(500);
 /// The largest answer that is kept, in bytes; with its message it fits a datagram of 64 KiB.
 const KEPT_BYTES: usize = 48 * 1024;
 
@@ -109,12 +111,16 @@
             deadline,
         };
         let attempt = self.lock().begin(req)?;
+        let until = shared.clock.now() + PATIENCE;
         loop {
             let now = shared.clock.now();
             if let Err(refusal) = shared.control.check(now) {
                 self.lock().give_up(now, attempt, refusal.reason);
                 return Err(refusal);
             }
+            if now >= until {
+                return Err(self.lock().give_up(now, attempt, Reason::NotInTouch));
+            }
             let mut client = self.lock();
             let mut decision = client.hand_over(now, attempt);
             let sends = match decision {
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -298,10 +298,7 @@
 fn edit(shared: &Arc<Shared>, req: &mut Request) -> Reply {
     let mut text = String::new();
     let read = req.as_reader().take(EDIT_BYTES).read_to_string(&mut text);
-    let edit = match read
-        .map_err(io::Error::from)
-        .map(|_| serde_json::from_str::<Edit>(&text))
-    {
+    let edit = match read.map(|_| serde_json::from_str::<Edit>(&text)) {
         Ok(Ok(edit)) => edit,
         Ok(Err(err)) => return Reply::text(400, "text/plain", format!("no edit: {err}\n")),
         Err(err) => return Reply::text(400, "text/plain", format!("unreadable: {err}\n")),
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -4,13 +4,15 @@
 //! a fixed set of worker threads, at most as many at once as the admission starts.
 
 mod backend;
+mod gate;
 mod health;
 mod job;
-mod owner;
 mod reply;
 mod run;
+mod server;
 
 pub(crate) use backend::Backend;
+pub(crate) use gate::Gate;
 pub(crate) use job::Job;
-pub(crate) use owner::{Gate, Options, Owner, Rank, nobody};
-pub(crate) use reply::{Reply, Submit};
+pub(crate) use reply::Reply;
+pub(crate) use server::{Options, Owner, nobody};
--- a/crates/node/src/owner/reply.rs
+++ b/crates/node/src/owner/reply.rs
@@ -2,17 +2,13 @@
 
 use std::{
     fmt,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
     time::Duration,
 };
 
-use bytes::Bytes;
 use cassiashunt_ring::Ring;
 use cassiashunt_types::prelude::*;
-use cassiashunt_wire::{Begin, Body, Fetch, Frame, Refused};
+use cassiashunt_wire::{Body, Frame, Refused};
 
 use crate::link::Queued;
 
@@ -100,13 +96,3 @@
         let _ = self.send(Body::Refused(refused));
     }
 }
-
-/// How requests of other nodes reach the owner.
-pub(crate) struct Submit {
-    /// Takes in a whole request.
-    pub start: Box<dyn Fn(Box<Begin>, Bytes, Arc<Reply>) + Send + Sync>,
-    /// Answers the question for a value of the configuration.
-    pub fetch: Box<dyn Fn(Fetch, &Reply) + Send + Sync>,
-    /// Gives a request up.
-    pub cancel: Box<dyn Fn(&Reply) + Send + Sync>,
-}
--- a/crates/node/src/owner/run.rs
+++ b/crates/node/src/owner/run.rs
@@ -14,7 +14,7 @@
     Job, Owner,
     backend::{self, Failure, Stamp},
     health::Sight,
-    owner::Finish,
+    server::Finish,
 };
 use crate::{
     link::{CHUNK_BYTES, chunks},
@@ -45,7 +45,7 @@
         let ended = self.exchange(now, &job, ticket, &mut copy);
         self.tickets.withdraw(ticket);
         if let Some(attempt) = attempt {
-            (self.gate.finish_once)(attempt, outcome(&ended, copy));
+            self.gate.finish_once(attempt, outcome(&ended, copy));
         }
         self.settle(now, &job, &parent, ended);
     }
@@ -55,7 +55,7 @@
         if !job.runs_once {
             return Ok(None);
         }
-        match (self.gate.leave)(job) {
+        match self.gate.leave(job) {
             Ok(Leave::Run(attempt)) => Ok(Some(attempt)),
             Ok(Leave::Answered(kept)) => Err(Denied::Answered(kept)),
             Err(refusal) => Err(Denied::Refused(refusal)),
@@ -78,11 +78,9 @@
                 };
                 let head = Body::Head(kept.head.unwrap_or_default());
                 let pieces = chunks(&kept.body).map(Body::Chunk);
-                let all = [head].into_iter().chain(pieces).chain([Body::End(end)]);
+                let mut all = [head].into_iter().chain(pieces).chain([Body::End(end)]);
                 // An asker that has gone needs no answer.
-                let _ = all
-                    .map(|piece| job.reply.send(piece))
-                    .collect::<Result<(), _>>();
+                let _ = all.try_for_each(|piece| job.reply.send(piece));
             }
         }
     }
@@ -95,7 +93,7 @@
         if now >= job.deadline {
             return Err(Refusal::not_run(Reason::Deadline));
         }
-        (self.gate.check)(now, job)
+        self.gate.check(now, job)
     }
 
     /// Sends the request to the server and its answer, but for the end, back to the asker.
@@ -141,7 +139,7 @@
                         is_ok: true,
                     },
                 );
-                (self.gate.finished)(job.fingerprint, started);
+                self.gate.finished(job.fingerprint, started);
                 self.end_alone(job, None);
                 let end = End {
                     body_len,
@@ -173,7 +171,7 @@
     /// Gives the leave to run alone back, where the request had one.
     fn end_alone(&self, job: &Job, strike: Option<StrikeNews>) {
         if job.is_alone {
-            (self.gate.ended_alone)(job.reply.id(), strike);
+            self.gate.ended_alone(job.reply.id(), strike);
         }
     }
 
@@ -192,7 +190,7 @@
         };
         self.finish(job.reply.id(), &end);
         let died = failure.is_broken && ran && !self.is_up();
-        died.then(|| (self.gate.strike)(self.clock.now(), job.fingerprint))?
+        died.then(|| self.gate.strike(self.clock.now(), job.fingerprint))?
     }
 }
 
--- a/crates/node/src/owner/owner.rs
+++ b/crates/node/src/owner/server.rs
@@ -8,56 +8,22 @@
 };
 
 use bytes::Bytes;
-use cassiashunt_admit::{Action, Admission, Job as Entry, Priority, Signal};
-use cassiashunt_once::{Attempt, Outcome};
+use cassiashunt_admit::{Action, Admission, Job as Entry, Signal};
 use cassiashunt_ring::Ring;
-use cassiashunt_suspect::{Decision, message::StrikeNews};
+use cassiashunt_suspect::Decision;
 use cassiashunt_timer::Clock;
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::Begin;
 
 use super::{
-    Backend, Job, Reply,
+    Backend, Gate, Job, Reply,
     health::{Health, Sight},
 };
-use crate::{once::Leave, ticket::Tickets};
+use crate::ticket::Tickets;
 
 /// Stack of a worker thread, in bytes.
 const WORKER_STACK: usize = 256 * 1024;
 
-/// A request's standing in the queue, by the table.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Rank {
-    pub priority: Priority,
-    pub weight: u32,
-}
-
-/// What the rest of the node has a say in.
-pub(crate) struct Gate {
-    /// The standing of a request.
-    pub rank: Box<dyn Fn(&Job) -> Rank + Send + Sync>,
-    /// Whether new work is taken.
-    pub accept: Box<dyn Fn(Time) -> Result<(), Refusal> + Send + Sync>,
-    /// Whether a request may run at this very moment.
-    pub check: Box<dyn Fn(Time, &Job) -> Result<(), Refusal> + Send + Sync>,
-    /// The leave to run a request that runs at most once.
-    pub leave: Box<dyn Fn(&Job) -> Result<Leave, Refusal> + Send + Sync>,
-    /// A run that had leave has ended.
-    pub finish_once: Box<dyn Fn(Attempt, Outcome) + Send + Sync>,
-    /// Whether a request with this fingerprint may run beside others.
-    pub suspicion: Box<dyn Fn(Time, u64) -> Decision + Send + Sync>,
-    /// Asks for the leave to run a request alone.
-    pub ask_alone: Box<dyn Fn(RequestId, u64) + Send + Sync>,
-    /// A request that had leave to run alone has ended, with the strike where the server died.
-    pub ended_alone: Box<dyn Fn(RequestId, Option<StrikeNews>) + Send + Sync>,
-    /// The server died with these fingerprints in flight.
-    pub died: Box<dyn Fn(Time, &[u64]) + Send + Sync>,
-    /// The strike of the server's last death against a request.
-    pub strike: Box<dyn Fn(Time, u64) -> Option<StrikeNews> + Send + Sync>,
-    /// A run of a request with this fingerprint, begun then, finished.
-    pub finished: Box<dyn Fn(u64, Time) + Send + Sync>,
-}
-
 /// How a server is owned.
 pub(crate) struct Options {
     pub slots: u32,
@@ -144,7 +110,7 @@
         if let Err(refusal) = self.may_take(now, &job) {
             return reply.refuse(refusal, Some(self.signal().to_bits()), job.retries);
         }
-        match (self.gate.suspicion)(now, job.fingerprint) {
+        match self.gate.suspicion(now, job.fingerprint) {
             Decision::Refuse(refusal) => {
                 reply.refuse(refusal, Some(self.signal().to_bits()), job.retries);
             }
@@ -158,7 +124,7 @@
         job.is_alone = true;
         let (id, fingerprint) = (job.reply.id(), job.fingerprint);
         self.lock().parked.insert(id, job);
-        (self.gate.ask_alone)(id, fingerprint);
+        self.gate.ask_alone(id, fingerprint);
     }
 
     /// A suspect has leave to run alone until then.
@@ -169,7 +135,7 @@
                 job.deadline = job.deadline.min(until);
                 self.offer(self.clock.now(), job);
             }
-            None => (self.gate.ended_alone)(id, None),
+            None => self.gate.ended_alone(id, None),
         }
     }
 
@@ -186,12 +152,12 @@
         if !self.health.is_up() {
             return Err(Refusal::not_run(Reason::NoServer));
         }
-        (self.gate.accept)(now)?;
-        (self.gate.check)(now, job)
+        self.gate.accept(now)?;
+        self.gate.check(now, job)
     }
 
     fn offer(&self, now: Time, job: Job) {
-        let rank = (self.gate.rank)(&job);
+        let rank = self.gate.rank(&job);
         let entry = Entry {
             key: job.reply.id(),
             workspace: job.workspace.unwrap_or_else(nobody),
@@ -289,7 +255,7 @@
         log::info!(event = "server-state", state = self.health.name(); "");
         if sight == Sight::Refuse {
             let in_flight: Vec<_> = self.lock().running.values().copied().collect();
-            (self.gate.died)(self.clock.now(), &in_flight);
+            self.gate.died(self.clock.now(), &in_flight);
         }
     }
 
@@ -318,7 +284,7 @@
                 }
                 Due::Refuse(job, refusal) => {
                     if job.is_alone {
-                        (self.gate.ended_alone)(job.reply.id(), None);
+                        self.gate.ended_alone(job.reply.id(), None);
                     }
                     let signal = Some(self.signal().to_bits());
                     job.reply.refuse(refusal, signal, job.retries);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -154,8 +154,8 @@
             drain_accept_ms: 2_000,
             drain_ms: 30_000,
             record_ms: 600_000,
-            roster_write_ms: 10_000,
-            roster_read_ms: 30_000,
+            roster_write_ms: 3_000,
+            roster_read_ms: 5_000,
             warm_up_ms: 0,
         }
     }
