--- a/crates/admit/examples/embed.rs
+++ b/crates/admit/examples/admit_embed.rs
@@ -1,5 +1,5 @@
 //! A program that limits the work it hands to one server by itself, without the daemon.
-//! `cargo run -p cassiashunt-admit --example embed`.
+//! `cargo run -p cassiashunt-admit --example admit_embed`.
 
 use std::time::Instant;
 
--- a/crates/fleet/examples/cost.rs
+++ b/crates/fleet/examples/fleet_cost.rs
@@ -6,7 +6,7 @@
 //! without IP and UDP headers.
 //!
 //! ```text
-//! cargo run --release -p cassiashunt-fleet --example cost [-- DOMAINS [NODES...]]
+//! cargo run --release -p cassiashunt-fleet --example fleet_cost [-- DOMAINS [NODES...]]
 //! ```
 
 use std::{
--- a/crates/member/examples/cost.rs
+++ b/crates/member/examples/member_cost.rs
@@ -4,7 +4,7 @@
 //! averages over the nodes, headers included; processor time is that spent in the membership alone.
 //!
 //! ```text
-//! cargo run --release -p cassiashunt-member --example cost [-- PERIOD_MS [MARK_SLOTS [NODES...]]]
+//! cargo run --release -p cassiashunt-member --example member_cost [-- PERIOD_MS [MARK_SLOTS [NODES...]]]
 //! ```
 
 #[path = "../tests/common/mod.rs"]
--- a/crates/once/examples/cost.rs
+++ b/crates/once/examples/once_cost.rs
@@ -1,6 +1,6 @@
 //! Messages, bytes, processor time and memory of requests that run at most once.
 //!
-//! `cargo run --release -p cassiashunt-once --example cost`
+//! `cargo run --release -p cassiashunt-once --example once_cost`
 
 #[path = "../tests/support/pair.rs"]
 mod pair;
--- a/crates/once/examples/embed.rs
+++ b/crates/once/examples/once_embed.rs
@@ -1,6 +1,6 @@
 //! Embeds a home, its backup and a client in one program, without the daemon.
 //!
-//! `cargo run -p cassiashunt-once --example embed`
+//! `cargo run -p cassiashunt-once --example once_embed`
 
 #[path = "../tests/support/pair.rs"]
 mod pair;
--- a/crates/route/examples/embed.rs
+++ b/crates/route/examples/route_embed.rs
@@ -1,5 +1,5 @@
 //! A client that chooses among three servers and retries within a chain's allowance, without the
-//! daemon. `cargo run -p cassiashunt-route --example embed`.
+//! daemon. `cargo run -p cassiashunt-route --example route_embed`.
 
 use std::time::Instant;
 
--- a/crates/suspect/examples/embed.rs
+++ b/crates/suspect/examples/suspect_embed.rs
@@ -1,5 +1,5 @@
 //! One process that contains a crashing request by itself, without other nodes.
-//! `cargo run -p cassiashunt-suspect --example embed`.
+//! `cargo run -p cassiashunt-suspect --example suspect_embed`.
 
 use std::time::Instant;
 
