Shed no sign-off at ingress, and hold one lost node against no request

Protected requests now always pass ingress; only an owner's queue may shed one. Only a second lost node in a row, without an answer between, is held against a request. - A node without a table answered unknown-route; it says not-in-touch now. - no-server always says when to come back.

--- a/crates/admit/src/ingress.rs
+++ b/crates/admit/src/ingress.rs
@@ -201,6 +201,9 @@
 
     /// Decides on a caller's request, once and at once.
     ///
+    /// Protected requests always pass: only an owner's queue, which has given up everything else
+    /// first, may shed one.
+    ///
     /// # Errors
     ///
     /// A not-run refusal with a jittered time to come back, when a service on the route's path
@@ -210,7 +213,8 @@
             .on_request(now, req.priority, req.workspace, req.weight);
         let services = self.services_on(req.route);
         let level = self.highest_level(now, &services);
-        if !self.is_shed(&req, level, rng) || self.is_probe(now, &services, level) {
+        let is_passed = req.priority.is_protected() || !self.is_shed(&req, level, rng);
+        if is_passed || self.is_probe(now, &services, level) {
             self.on_passed(now, &services);
             return Ok(());
         }
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -48,7 +48,9 @@
     }
     let parent = plan.parent.as_deref();
     let is_unwanted = || is_gone() || parent.is_some_and(Parent::is_cancelled);
-    let whole = Exchange::new(shared, &plan, &is_unwanted).run()?;
+    let ended = Exchange::new(shared, &plan, &is_unwanted).run();
+    let whole = ended.map_err(with_time_to_come_back)?;
+    shared.suspects.on_served(plan.fingerprint);
     shared.stats.served(&plan.binding);
     Ok(answer(whole))
 }
@@ -188,6 +190,7 @@
             runs_once: !plan.is_idempotent && !plan.idempotency_key.is_empty(),
             fingerprint: plan.fingerprint,
             is_suspect: self.is_suspect(),
+            priority: plan.priority.into(),
         }
     }
 
@@ -289,6 +292,14 @@
     }
 }
 
+/// Every refusal for want of a server says when to come back.
+fn with_time_to_come_back(refusal: Refusal) -> Refusal {
+    match (refusal.reason, refusal.retry_after) {
+        (Reason::NoServer, None) => refusal.retry_after(Duration::from_secs(1)),
+        _ => refusal,
+    }
+}
+
 /// Once an attempt may have run, no later refusal makes the request not-run.
 fn worse(before: Option<Refusal>, refusal: Refusal) -> Refusal {
     match before {
--- a/crates/node/src/ingress/plan.rs
+++ b/crates/node/src/ingress/plan.rs
@@ -20,6 +20,8 @@
     pub binding: Binding,
     pub class: Class,
     pub cell: Cell,
+    /// The highest priority along the chain so far.
+    pub priority: u8,
     pub is_idempotent: bool,
     pub workspace: Option<Workspace>,
     pub key: KeyId,
@@ -54,6 +56,9 @@
     let asked = req.headers.get(headers::TIMEOUT).map(str::to_owned);
     let key = strip::take_key(&mut req)?;
     let lookup = shared.config.lookup();
+    if lookup.revision() == Revision(0) {
+        return Err(Refusal::not_run(Reason::NotInTouch).retry_after(Duration::from_secs(1)));
+    }
     let binding = lookup.bind(&req.method, req.path());
     let binding = binding.ok_or(Refusal::not_run(Reason::UnknownRoute))?;
     let identity = identify(shared, &lookup, &binding, ticket, key)?;
@@ -66,6 +71,9 @@
     if !is_idempotent && parent.is_none() && idempotency_key.is_empty() {
         return Err(Refusal::not_run(Reason::KeyRequired));
     }
+    let priority = parent
+        .map_or(0, |parent| parent.priority)
+        .max(cell.priority);
     let deadline = deadline(now, asked.as_deref(), &cell, parent)?;
     let fingerprint = fingerprint(identity.workspace, &req);
     Ok(Plan {
@@ -80,6 +88,7 @@
         target: req.target,
         body: req.body,
         binding,
+        priority,
         class,
         cell,
         is_idempotent,
--- a/crates/node/src/owner/gate.rs
+++ b/crates/node/src/owner/gate.rs
@@ -40,7 +40,7 @@
         let lookup = shared.config.lookup();
         let cell = ingress::resolve(&lookup, job.workspace, job.route, job.class);
         Rank {
-            priority: Priority(cell.priority),
+            priority: Priority(cell.priority.max(job.priority)),
             weight: cell.weight,
         }
     }
--- a/crates/node/src/owner/job.rs
+++ b/crates/node/src/owner/job.rs
@@ -27,6 +27,8 @@
     /// Whether it is to run at most once.
     pub runs_once: bool,
     pub fingerprint: u64,
+    /// The priority of the chain.
+    pub priority: u8,
     /// Whether it runs, or is to run, beside no other.
     pub is_alone: bool,
     pub body: Bytes,
@@ -58,6 +60,7 @@
             idempotency_key: begin.idempotency_key,
             runs_once: begin.runs_once,
             fingerprint: begin.fingerprint,
+            priority: u8::try_from(begin.priority).unwrap_or(u8::MAX),
             is_alone: begin.is_suspect,
             body,
             reply,
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -1,6 +1,7 @@
 //! Requests suspected of crashing backend servers: this node's strikes, permits and suspects.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, OnceLock, PoisonError},
 };
@@ -18,6 +19,8 @@
 
 /// Peers that each round of news goes to.
 const FANOUT: usize = 3;
+/// Requests lost with a node that are remembered.
+const MAX_LOST: usize = 1_024;
 
 /// A message about suspected requests.
 #[derive(Clone, PartialEq, Message)]
@@ -55,6 +58,8 @@
     /// Deaths of the server beside this node.
     deaths: u32,
     live: Vec<NodeId>,
+    /// Requests whose last attempt was lost with a node, and that were not served since.
+    lost: HashMap<u64, NodeId>,
 }
 
 impl Suspects {
@@ -65,6 +70,7 @@
             holder: Holder::new(me, Default::default()),
             deaths: 0,
             live: Vec::new(),
+            lost: HashMap::new(),
         };
         Self {
             me,
@@ -119,10 +125,28 @@
         state.strikes.strike(now, Fingerprint(fingerprint), death)
     }
 
-    /// A request of this node was in flight at a node that was lost with its server.
+    /// A request of this node was in flight at a node that was lost.
+    ///
+    /// Nodes are lost for many reasons, and equal requests of one workspace share a fingerprint:
+    /// only a second node in a row is held against the request.
     pub(crate) fn on_node_lost(&self, now: Time, node: NodeId, fingerprint: u64) {
-        let fingerprint = Fingerprint(fingerprint);
-        self.lock().strikes.on_node_lost(now, node, &[fingerprint]);
+        let mut state = self.lock();
+        let before = state.lost.get(&fingerprint).copied();
+        if before.is_some_and(|before| before != node) {
+            let fingerprint = Fingerprint(fingerprint);
+            state.strikes.on_node_lost(now, node, &[fingerprint]);
+        }
+        if state.lost.len() < MAX_LOST {
+            state.lost.insert(fingerprint, node);
+        }
+    }
+
+    /// A request with this fingerprint was served.
+    pub(crate) fn on_served(&self, fingerprint: u64) {
+        let mut state = self.lock();
+        if !state.lost.is_empty() {
+            state.lost.remove(&fingerprint);
+        }
     }
 
     /// A run that began at `began` finished.
--- a/crates/node/src/ticket.rs
+++ b/crates/node/src/ticket.rs
@@ -53,6 +53,7 @@
     pub class: Class,
     pub key: KeyId,
     pub depth: u32,
+    pub priority: u8,
     pub deadline: Time,
     /// Retries left for its calls.
     pub allowance: Mutex<Allowance>,
@@ -69,6 +70,7 @@
             class: begin.class,
             key: begin.key,
             depth: begin.depth,
+            priority: begin.priority,
             deadline: begin.deadline,
             allowance: Mutex::new(allowance),
             visited: Mutex::default(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -91,6 +91,9 @@
     /// Whether the ingress node suspects the request of crashing servers.
     #[prost(bool, tag = "17")]
     pub is_suspect: bool,
+    /// The priority of the chain; a call is never shed before what it is a part of.
+    #[prost(uint32, tag = "18")]
+    pub priority: u32,
 }
 
 /// One HTTP header.
