--- a/crates/http/tests/kin.rs
+++ b/crates/http/tests/kin.rs
@@ -42,5 +42,8 @@
     serve.join().expect("the server does not panic");
     let text = String::from_utf8_lossy(&got);
     assert!(text.contains("Transfer-Encoding: chunked"), "{text}");
-    assert!(text.ends_with("0\r\n\r\n"), "the end mark of a whole body: {text}");
+    assert!(
+        text.ends_with("0\r\n\r\n"),
+        "the end mark of a whole body: {text}"
+    );
 }
