Begin stuck claims anew, draw grants before others lapse, split the node's large module

Ruled out by reading: the epoch check in begin_epoch, hand-over marks. A claim that does not get on for 15 s is dropped now, and a node that is named but does not act claims the next epoch, with the whole wait.

Grants last 0.75 s and others were only drawn after they had gone back, so that some requests in a hundred waited for a round trip. Others are drawn 100 ms earlier, and at half of the target instead of a quarter; the node draws 400 ms ahead.

--- a/crates/limit/src/holder.rs
+++ b/crates/limit/src/holder.rs
@@ -11,6 +11,8 @@
 
 /// Demand, in tokens a second, below which a key is forgotten.
 const IDLE_PER_SEC: f64 = 0.01;
+/// How long before tokens are handed back others are drawn in their place.
+const REFILL_LEAD: Duration = Duration::from_millis(100);
 /// Fewer tokens than this are not drawn ahead: one question for each request costs no more.
 const LEAST_DRAWN: u64 = 2;
 
@@ -263,6 +265,13 @@
         self.held.iter().map(Held::left).sum()
     }
 
+    /// Tokens left of grants that are not handed back soon.
+    fn lasting(&self, now: Time) -> u64 {
+        let soon = now + REFILL_LEAD;
+        let lasting = self.held.iter().filter(|held| soon < held.hand_back);
+        lasting.map(Held::left).sum()
+    }
+
     fn drop_lapsed(&mut self, now: Time) {
         self.held.retain(|held| now < held.lapses);
     }
@@ -302,10 +311,10 @@
         }
         let per_sec = self.demand.per_sec(now);
         let target = (per_sec * options.ahead.as_secs_f64()) as u64;
-        let left = self.left();
+        let lasting = self.lasting(now);
         let may_draw = target >= LEAST_DRAWN && now >= self.draw_after;
-        let want = match may_draw && left * 4 < target {
-            true => target - left,
+        let want = match may_draw && lasting * 2 < target {
+            true => target - lasting,
             false => 0,
         };
         if self.waiting == 0 && want == 0 {
--- a/crates/node/src/duty/accept.rs
+++ b/crates/node/src/duty/accept.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{event::Event, fetch};
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// How long the relays may take to know a change.
 const PATIENCE: Duration = Duration::from_secs(5);
--- a/crates/node/src/duty/fetch.rs
+++ b/crates/node/src/duty/fetch.rs
@@ -15,8 +15,8 @@
 use super::event::Event;
 use crate::{
     link::{Peer, chunks},
-    node::Shared,
     owner::Reply,
+    shared::Shared,
 };
 
 /// How long a peer may take for each piece.
--- a/crates/node/src/duty/freshness.rs
+++ b/crates/node/src/duty/freshness.rs
@@ -16,7 +16,7 @@
     message::Attested,
     platform::{Answer, ControlEdit, Request},
 };
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// The age of the platform's answer up to which a relay attests it.
 const PLATFORM_AGE: Duration = Duration::from_millis(1_500);
--- a/crates/node/src/duty/homes.rs
+++ b/crates/node/src/duty/homes.rs
@@ -13,7 +13,7 @@
 };
 use cassiashunt_types::prelude::*;
 
-use super::shards::{ClaimAsk, first, score};
+use super::shards::{CLAIM_PATIENCE, ClaimAsk, first, score};
 
 /// A home that is not in force yet.
 struct Pending {
@@ -25,6 +25,7 @@
     home: Option<Home>,
     /// The claim, once the records are copied.
     claim: Option<Claim>,
+    began: Time,
 }
 
 /// This node's part in keeping the records.
@@ -82,6 +83,7 @@
 
     /// Begins what falls to this node: first claims, successions and new backups.
     pub(super) fn look_over(&mut self, scene: &Scene<'_>) {
+        self.renew_stuck(scene);
         for id in (0..HOME_SHARDS).map(ShardId) {
             if !self.pending.contains_key(&id) {
                 match scene.control.shard(key(id)).copied() {
@@ -94,6 +96,21 @@
         }
     }
 
+    /// Begins anew what does not get on; records that are at hand go to another backup.
+    fn renew_stuck(&mut self, scene: &Scene<'_>) {
+        let is_stuck = |pending: &Pending| scene.now.since(pending.began) >= CLAIM_PATIENCE;
+        let stuck = self.pending.extract_if(.., |_, pending| is_stuck(pending));
+        for (id, pending) in stuck.collect::<Vec<_>>() {
+            log::warn!(event = "home-claim-stuck", shard = id.0; "");
+            let named = scene.control.shard(key(id));
+            let mine = named.filter(|shard| shard.primary == self.me);
+            let after = mine.map_or(pending.after, |shard| shard.epoch);
+            if let Some((home, backup)) = pending.home.zip(self.choose_backup(scene, id)) {
+                self.go_on(scene.now, id, after, backup, home.stop());
+            }
+        }
+    }
+
     /// Follows a control value: homes and copies of earlier epochs are dropped.
     pub(super) fn apply_control(&mut self, control: &Control) {
         for shard in control
@@ -208,6 +225,7 @@
             backup,
             home: None,
             claim: Some(claim),
+            began: scene.now,
         };
         self.pending.insert(id, pending);
     }
@@ -216,7 +234,8 @@
     fn mend_backup(&mut self, scene: &Scene<'_>, shard: Shard) {
         let id = shard.key.id;
         let Some(home) = self.acting.get(&id) else {
-            return;
+            // A claim that was written and did not get on: the records are lost.
+            return self.claim(scene, id, shard.epoch);
         };
         let has_gone = home.backup().is_some_and(|backup| is_gone(scene, backup));
         if !has_gone && !home.backup_is_lost(scene.now) {
@@ -227,7 +246,7 @@
         };
         if let Some(home) = self.acting.remove(&id) {
             log::info!(event = "home-backup-replaced", shard = id.0; "");
-            self.go_on(id, shard.epoch, backup, home.stop());
+            self.go_on(scene.now, id, shard.epoch, backup, home.stop());
         }
     }
 
@@ -243,7 +262,9 @@
             let start = held.and_then(|held| held.seal(scene.now, shard.epoch, shard.primary));
             log::warn!(event = "home-succeeds", shard = id.0, whole = start.is_some(); "");
             return match (start, backup) {
-                (Some(start), Some(backup)) => self.go_on(id, shard.epoch, backup, start),
+                (Some(start), Some(backup)) => {
+                    self.go_on(scene.now, id, shard.epoch, backup, start);
+                }
                 _ => self.claim(scene, id, shard.epoch),
             };
         }
@@ -256,13 +277,14 @@
     }
 
     /// Copies the records to the backup of the next epoch, which is claimed once it has them.
-    fn go_on(&mut self, id: ShardId, after: Epoch, backup: NodeId, start: Start) {
+    fn go_on(&mut self, now: Time, id: ShardId, after: Epoch, backup: NodeId, start: Start) {
         let home = Home::new(self.me, id, after.next(), Some(backup), start, self.options);
         let pending = Pending {
             after,
             backup: Some(backup),
             home: Some(home),
             claim: None,
+            began: now,
         };
         self.pending.insert(id, pending);
     }
--- a/crates/node/src/duty/membership.rs
+++ b/crates/node/src/duty/membership.rs
@@ -18,7 +18,7 @@
     net::Net,
     platform::{Answer, Request},
 };
-use crate::{fleet::Announced, node::Shared};
+use crate::{fleet::Announced, shared::Shared};
 
 /// Ticks between two looks at the other nodes' loads.
 const LOAD_TICKS: u32 = 3;
--- a/crates/node/src/duty/platform.rs
+++ b/crates/node/src/duty/platform.rs
@@ -12,7 +12,7 @@
 use cassiashunt_types::prelude::*;
 
 use super::event::Event;
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// The platform's key of the control value.
 const CONTROL_KEY: &str = "control/head";
--- a/crates/node/src/duty/repair.rs
+++ b/crates/node/src/duty/repair.rs
@@ -5,7 +5,7 @@
 use cassiashunt_table::commit::Commit;
 
 use super::accept;
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// The time between two repairs.
 const PAUSE: Duration = Duration::from_secs(1);
--- a/crates/node/src/duty/shards.rs
+++ b/crates/node/src/duty/shards.rs
@@ -9,6 +9,19 @@
 
 use crate::limits::LIMIT_SHARDS;
 
+/// How long a claim may take; many times the wait that belongs to it.
+pub(super) const CLAIM_PATIENCE: Duration = Duration::from_secs(15);
+
+/// Who holds the shards, and who is there.
+#[derive(Clone, Copy)]
+pub(super) struct View<'a> {
+    pub control: &'a Control,
+    /// Nodes that take work.
+    pub live: &'a [NodeId],
+    /// Holders that are surely gone or leaving.
+    pub gone: &'a [NodeId],
+}
+
 /// A shard that this node may act for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Won {
@@ -22,6 +35,8 @@
     domain: FailureDomain,
     options: ClaimOptions,
     claims: BTreeMap<ShardKey, Claim>,
+    /// When each open claim began.
+    began: BTreeMap<ShardKey, Time>,
 }
 
 impl Shards {
@@ -35,6 +50,7 @@
             domain,
             options,
             claims: BTreeMap::new(),
+            began: BTreeMap::new(),
         }
     }
 
@@ -42,11 +58,17 @@
     /// handed it over to this node.
     pub(super) fn look_over(
         &mut self,
-        control: &Control,
-        live: &[NodeId],
-        is_gone: impl Fn(NodeId) -> bool,
+        now: Time,
+        scene: &View<'_>,
         is_handed: impl Fn(ShardId, Epoch) -> bool,
+        acts: impl Fn(ShardId) -> bool,
     ) {
+        let View {
+            control,
+            live,
+            gone,
+        } = *scene;
+        self.drop_stuck(now);
         for key in keys() {
             let epoch = control.epoch(key);
             let holder = control.shard(key).map(|shard| shard.primary);
@@ -54,13 +76,29 @@
                 let claim = Claim::after_hand_over(self.me, self.domain, key, epoch, self.options);
                 self.claims.entry(key).or_insert(claim);
             }
-            let is_held = holder.is_some_and(|holder| !is_gone(holder));
-            if is_held || self.claims.contains_key(&key) || first(key, live) != Some(self.me) {
+            let is_idle = holder == Some(self.me) && !acts(key.id);
+            let is_held = holder.is_some_and(|holder| !gone.contains(&holder));
+            let is_due = is_idle || !is_held && first(key, live) == Some(self.me);
+            if !is_due || self.claims.contains_key(&key) {
                 continue;
             }
             let claim = Claim::new(self.me, self.domain, key, epoch, self.options);
             self.claims.insert(key, claim);
         }
+        for key in self.claims.keys() {
+            self.began.entry(*key).or_insert(now);
+        }
+        self.began.retain(|key, _| self.claims.contains_key(key));
+    }
+
+    /// Gives up claims that do not get on; the shard is claimed anew, under a further epoch.
+    fn drop_stuck(&mut self, now: Time) {
+        let began = &self.began;
+        self.claims.retain(|key, _| {
+            let began = began.get(key).copied().unwrap_or(now);
+            now.since(began) < CLAIM_PATIENCE
+        });
+        self.began.retain(|key, _| self.claims.contains_key(key));
     }
 
     pub(super) fn control_read(&mut self, now: Time, control: &Control) -> Vec<ClaimAsk> {
--- a/crates/node/src/duty/threads.rs
+++ b/crates/node/src/duty/threads.rs
@@ -26,7 +26,7 @@
     platform, udp,
     worker::{Rings, Worker},
 };
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// Events that may wait for the control thread.
 const EVENTS: usize = 4_096;
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -29,10 +29,10 @@
     missing::Missing,
     net::Net,
     platform::{Answer, ControlEdit, Request},
-    shards::{ClaimAsk, Shards, first},
+    shards::{ClaimAsk, Shards, View, first},
     spread::Spreading,
 };
-use crate::{link::Peer, node::Shared};
+use crate::{link::Peer, shared::Shared};
 
 /// Ticks between two looks at relays, shards and missing configuration.
 const SLOW_TICKS: u32 = 5;
@@ -423,11 +423,15 @@
         self.takers = live;
         let nodes: Vec<NodeId> = self.takers.iter().map(|member| member.node).collect();
         self.look_for_gone(shared);
-        let gone = &self.gone;
-        let handed = |id, epoch| shared.limits.is_handed(id, epoch);
-        let is_gone = |node| gone.contains(&node);
-        let control = self.freshness.control();
-        self.shards.look_over(control, &nodes, is_gone, handed);
+        let view = View {
+            control: self.freshness.control(),
+            live: &nodes,
+            gone: &self.gone,
+        };
+        let is_handed = |id, epoch| shared.limits.is_handed(id, epoch);
+        let acts = |id| shared.limits.is_authority(id);
+        let now = shared.clock.now();
+        self.shards.look_over(now, &view, is_handed, acts);
         let scene = Scene {
             now: shared.clock.now(),
             control: self.freshness.control(),
--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -14,7 +14,7 @@
 use cassiashunt_types::prelude::*;
 
 use super::{answer, serve};
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// Stack of a connection's thread, in bytes.
 const CONNECTION_STACK: usize = 512 * 1024;
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -20,9 +20,9 @@
 use crate::{
     fleet::{Chosen, Pool},
     headers,
-    node::Shared,
     owner::Reply,
     owner::nobody,
+    shared::Shared,
     ticket::Parent,
 };
 
--- a/crates/node/src/ingress/plan.rs
+++ b/crates/node/src/ingress/plan.rs
@@ -10,7 +10,7 @@
 use sha2::{Digest, Sha256};
 
 use super::strip::{self, Presented};
-use crate::{headers, node::Shared, ticket::Parent};
+use crate::{headers, shared::Shared, ticket::Parent};
 
 /// The longest idempotency key, in bytes.
 const IDEMPOTENCY_KEY_BYTES: usize = 128;
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -4,7 +4,7 @@
 use cassiashunt_types::prelude::*;
 
 use super::{Acceptor, answer, forward};
-use crate::node::Shared;
+use crate::shared::Shared;
 
 /// Serves a connection until either side is done with it.
 pub(crate) fn connection(acceptor: &Acceptor, shared: &Shared, mut connection: Connection) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,11 +16,14 @@
 mod operator;
 mod owner;
 pub mod settings;
+mod shared;
+mod start;
 mod stats;
 mod suspects;
 mod ticket;
 mod wiring;
 
-pub use node::{Addresses, Node, StartError, Stopped};
+pub use node::{Addresses, Node};
 pub use settings::Settings;
+pub use start::{StartError, Stopped};
 pub use wiring::{Cut, Wiring};
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -9,7 +9,7 @@
 
 use cassiashunt_control::{Control, ShardKey, ShardKind};
 use cassiashunt_limit::{
-    Attempt, Authority, Decision, Holder, Key, Limit, Start,
+    Attempt, Authority, Decision, Holder, Key, Limit, Start, holder,
     msg::{AuthorityFrame, HandOver, HolderFrame},
 };
 use cassiashunt_table::{Cell, Lookup, Scope};
@@ -17,7 +17,7 @@
 use cassiashunt_wire::Kind;
 use prost::{Message, Oneof};
 
-use crate::{duty::Net, node::Shared};
+use crate::{duty::Net, shared::Shared};
 
 /// Shards of workspaces, each with an authority of its own.
 pub(crate) const LIMIT_SHARDS: u64 = 8;
@@ -26,6 +26,8 @@
 const WAIT: Duration = Duration::from_millis(60);
 /// How long a waiting request sleeps at most before it looks again.
 const LOOK: Duration = Duration::from_millis(10);
+/// Demand for this long is drawn ahead, so that few requests wait for a grant.
+const DRAWN_AHEAD: Duration = Duration::from_millis(400);
 /// Minutes end so long after an epoch began, and each minute after.
 const MINUTE: Duration = Duration::from_secs(60);
 
@@ -77,7 +79,7 @@
     pub(crate) fn new(me: NodeId) -> Self {
         let shard = |_| {
             let state = State {
-                holder: Holder::new(me, Default::default()),
+                holder: Holder::new(me, holder_options()),
                 authority: None,
                 keys: BTreeSet::new(),
                 at_start: Arc::default(),
@@ -224,6 +226,14 @@
         })
     }
 
+    /// Whether this node acts as the shard's authority.
+    pub(crate) fn is_authority(&self, id: ShardId) -> bool {
+        let shard = usize::try_from(id.0)
+            .ok()
+            .and_then(|id| self.shards.get(id));
+        shard.is_some_and(|shard| shard.lock().authority.is_some())
+    }
+
     /// Stops being an authority and gives each shard to its successor, for a planned stop.
     pub(crate) fn hand_over(&self, shared: &Shared, successor: impl Fn(ShardId) -> Option<NodeId>) {
         for (id, shard) in self.shards.iter().enumerate() {
@@ -374,6 +384,13 @@
     }
 }
 
+fn holder_options() -> holder::Options {
+    holder::Options {
+        ahead: DRAWN_AHEAD,
+        ..Default::default()
+    }
+}
+
 /// What a request of this cell counts against.
 fn keys(workspace: Workspace, cell: &Cell, route: Route, class: Class) -> Vec<Key> {
     let mut keys = Vec::new();
--- a/crates/node/src/link/submit.rs
+++ b/crates/node/src/link/submit.rs
@@ -6,7 +6,7 @@
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Begin, Fetch};
 
-use crate::{duty, node::Shared, owner::Reply};
+use crate::{duty, owner::Reply, shared::Shared};
 
 /// Takes in what other nodes ask over their connections.
 pub(crate) struct Submit {
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -8,7 +8,7 @@
 use cassiashunt_wire::{Head, HeaderLine, Kind};
 use prost::Message as _;
 
-use crate::{duty::Net, node::Shared};
+use crate::{duty::Net, shared::Shared};
 
 /// How long a waiting request sleeps at most before it looks again.
 const LOOK: Duration = Duration::from_millis(20);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -18,7 +18,7 @@
 use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, StatusCode};
 
-use crate::{duty, node::Shared};
+use crate::{duty, shared::Shared};
 
 /// Threads that answer operators.
 const THREADS: usize = 4;
--- a/crates/node/src/owner/gate.rs
+++ b/crates/node/src/owner/gate.rs
@@ -8,7 +8,7 @@
 use cassiashunt_types::prelude::*;
 
 use super::Job;
-use crate::{ingress, node::Shared, once::Leave};
+use crate::{ingress, once::Leave, shared::Shared};
 
 /// A request's standing in the queue, by the table.
 #[derive(Debug, Clone, Copy)]
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -15,7 +15,7 @@
 use cassiashunt_wire::Kind;
 use prost::{Message, Oneof};
 
-use crate::{duty::Net, node::Shared};
+use crate::{duty::Net, shared::Shared};
 
 /// Peers that each round of news goes to.
 const FANOUT: usize = 3;
