--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -28,6 +31,13 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// How long the sockets of a node that has ended may take to close.
 const PORT_PATIENCE: Duration = Duration::from_secs(5);
+/// The first port that nodes are given, and how many there are.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+/// How far apart the ports of two processes begin.
+const PORT_STRIDE: u32 = 211;
+/// Counts the ports that were looked at.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 /// Tries to find a port that is free for TCP and UDP.
 const PORT_TRIES: usize = 100;
 
@@ -367,12 +377,15 @@
     }
 }
 
-/// A loopback address that was free for TCP and UDP a moment ago.
+/// A loopback address that is free for TCP and UDP, below the ports that outgoing connections take,
+/// so that a node that has ended finds its own free again.
 fn free_port() -> Result<SocketAddr> {
     for _ in 0..PORT_TRIES {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let addr = listener.local_addr()?;
-        if UdpSocket::bind(addr).is_ok() {
+        let step = u32::from(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let offset = (std::process::id().wrapping_mul(PORT_STRIDE) + step) % u32::from(PORTS);
+        let port = FIRST_PORT + u16::try_from(offset)?;
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return Ok(addr);
         }
     }
