--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -20,8 +20,7 @@
 use crate::{
     fleet::{Chosen, Pool},
     headers,
-    owner::Reply,
-    owner::nobody,
+    owner::{Reply, nobody},
     shared::Shared,
     ticket::Parent,
 };
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -189,10 +189,7 @@
 
     /// Begins to act as a shard's authority.
     pub(crate) fn begin_epoch(&self, shared: &Shared, id: ShardId, epoch: Epoch) {
-        let Some(shard) = usize::try_from(id.0)
-            .ok()
-            .and_then(|id| self.shards.get(id))
-        else {
+        let Some(shard) = self.shard(id) else {
             return;
         };
         let mut state = shard.lock();
@@ -214,9 +211,7 @@
 
     /// Whether the shard's authority under this epoch handed over to this node.
     pub(crate) fn is_handed(&self, id: ShardId, epoch: Epoch) -> bool {
-        let shard = usize::try_from(id.0)
-            .ok()
-            .and_then(|id| self.shards.get(id));
+        let shard = self.shard(id);
         shard.is_some_and(|shard| {
             let state = shard.lock();
             state
@@ -228,9 +223,7 @@
 
     /// Whether this node acts as the shard's authority.
     pub(crate) fn is_authority(&self, id: ShardId) -> bool {
-        let shard = usize::try_from(id.0)
-            .ok()
-            .and_then(|id| self.shards.get(id));
+        let shard = self.shard(id);
         shard.is_some_and(|shard| shard.lock().authority.is_some())
     }
 
@@ -284,6 +277,11 @@
         }
     }
 
+    fn shard(&self, id: ShardId) -> Option<&Shard> {
+        let id = usize::try_from(id.0).ok()?;
+        self.shards.get(id)
+    }
+
     fn flush(&self, shared: &Shared, id: usize, state: &mut State) {
         if let Some(frame) = state.holder.poll(shared.clock.now()) {
             self.deliver(shared, id, state, frame);
