--- a/cassiashunt/src/cmd/mod.rs
+++ b/cassiashunt/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod key;
 mod load;
 mod node;
+mod sidecar;
 mod standin;
 mod status;
 mod table;
@@ -23,6 +24,7 @@
 pub fn run(flags: Cassiashunt) -> Result<Exit> {
     match flags.subcommand {
         CassiashuntCmd::Node(flags) => node::run(flags),
+        CassiashuntCmd::Sidecar(flags) => sidecar::run(flags),
         CassiashuntCmd::Check(flags) => check::run(flags),
         CassiashuntCmd::Table(flags) => table::run(flags),
         CassiashuntCmd::Key(flags) => key::run(flags),
--- a/cassiashunt/src/flags.rs
+++ b/cassiashunt/src/flags.rs
@@ -11,6 +11,12 @@
             required settings: PathBuf
         }
 
+        /// Runs a node beside a backend server of the users' platform.
+        cmd sidecar {
+            /// The settings file (or CASSIASHUNT_BOOT).
+            optional settings: PathBuf
+        }
+
         /// Checks a settings file and prints the settings in effect.
         cmd check {
             /// The settings file.
--- a/cassiashunt/src/main.rs
+++ b/cassiashunt/src/main.rs
@@ -12,7 +12,10 @@
 
 fn main() -> ExitCode {
     let flags = flags::Cassiashunt::from_env_or_exit();
-    logging::init();
+    // The sidecar writes its logs to standard output itself, where its platform reads them.
+    if !matches!(flags.subcommand, flags::CassiashuntCmd::Sidecar(_)) {
+        logging::init();
+    }
     match cmd::run(flags) {
         Ok(exit) => exit.into(),
         Err(err) => {
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,18 @@
+//! What a node beside a backend server believes and decides, without sockets or clocks.
+//!
+//! Every part is told the time and what happened, and says what follows. The event loop of the
+//! `cassiashunt-sidecar` crate owns the sockets and asks these parts.
+
+mod allowance;
+mod announce;
+mod freshness;
+mod table;
+
+pub mod prelude;
+
+pub use allowance::{Allowance, Options as AllowanceOptions, Take, Transfer};
+pub use announce::{Announcement, Heartbeat, ServerState};
+pub use freshness::Freshness;
+pub use table::{
+    ClientLimits, InvalidTable, Repeat, RouteRow, SiteTable, Target, Unmatched, WorkspaceRow,
+};
--- /dev/null
+++ b/crates/sidecar/src/clock.rs
@@ -0,0 +1,13 @@
+//! The node's clock.
+
+use cassiashunt_types::Time;
+use rustix::time::{ClockId, clock_gettime};
+
+/// The time since the machine's start, which runs on while the machine is suspended: ages of what
+/// is known about others have to grow meanwhile.
+pub(crate) fn now() -> Time {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let micros = u64::try_from(time.tv_nsec / 1_000).unwrap_or_default();
+    Time::from_micros(seconds * 1_000_000 + micros)
+}
--- /dev/null
+++ b/crates/sidecar/src/control.rs
@@ -0,0 +1,138 @@
+//! The platform's question whether the node is ready, the backend server's heartbeats, metrics.
+
+use std::{rc::Rc, time::Duration};
+
+use cassiashunt_adapter::{Command, HEALTH_PATH, HEARTBEAT_ANSWER, READY_PATH, decode_command};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+use crate::{
+    http::{Connection, ReadError, RequestHead, reason_phrase},
+    node::Node,
+};
+
+/// The longest head and body of such a call; a heartbeat has a few hundred bytes.
+const MAX_BYTES: usize = 16 * 1024;
+/// How long a connection may be idle or a call incomplete.
+const IDLE: Duration = Duration::from_secs(15);
+/// The time between two probes of a server that has said nothing yet.
+const PROBE_EVERY: Duration = Duration::from_millis(400);
+/// Probes of a server that has said nothing; its heartbeats come every 1.5 s.
+const PROBES: u32 = 4;
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What a connection may ask for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Ready,
+    Heartbeats,
+}
+
+/// Takes connections in.
+pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, purpose));
+            }
+            Err(err) => {
+                log::warn!(reason:% = err; "accept-failed");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream, purpose: Purpose) {
+    let mut connection = Connection::new(stream);
+    loop {
+        let Ok(Ok((head, body))) = timeout(IDLE, read(&mut connection)).await else {
+            return;
+        };
+        let (status, answer) = match purpose {
+            Purpose::Ready => (ready(&node, &head), String::new()),
+            Purpose::Heartbeats => heartbeat(&node, &head, &body),
+        };
+        let text = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
+            reason_phrase(status),
+            answer.len()
+        );
+        if connection.write(text.as_bytes()).await.is_err() || !head.keep_alive {
+            return;
+        }
+    }
+}
+
+async fn read(connection: &mut Connection) -> Result<(RequestHead, bytes::Bytes), ReadError> {
+    connection.wait_for_message().await?;
+    let head = connection.read_request_head(MAX_BYTES).await?;
+    let body = connection.read_body(head.framing, MAX_BYTES).await?;
+    Ok((head, body))
+}
+
+fn ready(node: &Node, head: &RequestHead) -> u16 {
+    let path = head.target.split('?').next().unwrap_or_default();
+    if path != READY_PATH {
+        404
+    } else if node.is_stopping() || node.table.borrow().is_none() {
+        503
+    } else {
+        200
+    }
+}
+
+fn heartbeat(node: &Rc<Node>, head: &RequestHead, body: &[u8]) -> (u16, String) {
+    match decode_command(&head.method, &head.target, body) {
+        Some(Command::Beat(beat)) => {
+            node.owner.on_heartbeat(node, &beat);
+            (200, HEARTBEAT_ANSWER.into())
+        }
+        Some(Command::Leave(server)) => {
+            log::info!(server:% = server; "server-leaves");
+            node.owner.on_leave(node, &server);
+            (200, HEARTBEAT_ANSWER.into())
+        }
+        Some(Command::Unreadable(reason)) => {
+            log::warn!(reason:% = reason; "heartbeat-unreadable");
+            (400, String::new())
+        }
+        None => (404, String::new()),
+    }
+}
+
+/// Asks the server for its id where the node starts beside a running one, so that it need not wait
+/// for the next heartbeat.
+pub(crate) async fn probe_server(node: Rc<Node>) {
+    for _ in 0..PROBES {
+        if node.owner.service().is_some() {
+            return;
+        }
+        match timeout(PROBE_TIMEOUT, probe(&node)).await {
+            Ok(Some(())) => return,
+            Ok(None) | Err(_) => tokio::time::sleep(PROBE_EVERY).await,
+        }
+    }
+}
+
+async fn probe(node: &Rc<Node>) -> Option<()> {
+    let address = node.settings().addresses.server;
+    let stream = TcpStream::connect(address).await.ok()?;
+    let mut connection = Connection::new(stream);
+    let request =
+        format!("GET {HEALTH_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let exchanged = connection.exchange_head(request.as_bytes(), "GET").await;
+    let (head, _) = exchanged.ok()?;
+    let pairs = head
+        .headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()));
+    let facts = cassiashunt_adapter::read_server_facts(pairs);
+    let server = facts.server.filter(|_| head.status == 200)?;
+    log::info!(server:% = server, slots:? = facts.slots; "server-probed");
+    node.owner.on_probed(node, server, facts.slots);
+    Some(())
+}
--- /dev/null
+++ b/crates/sidecar/src/fleet.rs
@@ -0,0 +1,291 @@
+//! The live nodes as this one sees them, and the choice among their backend servers.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+
+use cassiashunt_mesh::prelude::*;
+use cassiashunt_route::{
+    Candidate, Chooser, Options as ChooserOptions, Outcome, Policy, Presence, ServerKey,
+};
+use cassiashunt_types::prelude::*;
+use tokio::task::AbortHandle;
+
+use crate::link::{Link, Load, keep_link};
+
+/// The time over which a cold server comes to its full share: the users' servers are slow for 3 s
+/// after their start.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// How a backend server is reached.
+#[derive(Debug, Clone)]
+pub(crate) enum Way {
+    /// It is beside this node.
+    Local,
+    /// Through its node.
+    Link(Rc<Link>),
+}
+
+/// A backend server that was chosen for a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Chosen {
+    pub(crate) service: Service,
+    pub(crate) key: ServerKey,
+    pub(crate) way: Way,
+}
+
+struct Peer {
+    announcement: Announcement,
+    link: Rc<Link>,
+    task: AbortHandle,
+    key: ServerKey,
+    /// When its entry disappeared from the store.
+    missing_since: Option<Time>,
+}
+
+/// The servers of one service.
+struct Group {
+    chooser: Chooser,
+    ways: HashMap<ServerKey, Way>,
+}
+
+/// The live nodes.
+pub(crate) struct Fleet {
+    domain: FailureDomain,
+    peers: HashMap<String, Peer>,
+    groups: HashMap<Service, Group>,
+    local: Option<(Service, ServerKey)>,
+}
+
+impl Fleet {
+    pub(crate) fn new(domain: FailureDomain) -> Self {
+        Self {
+            domain,
+            peers: HashMap::new(),
+            groups: HashMap::new(),
+            local: None,
+        }
+    }
+
+    /// Live nodes, this one included.
+    pub(crate) fn size(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Links to the peers that can be asked now.
+    pub(crate) fn links(&self) -> Vec<Rc<Link>> {
+        let up = self.peers.values().filter(|peer| peer.link.is_up());
+        up.map(|peer| Rc::clone(&peer.link)).collect()
+    }
+
+    /// Names of the known peers.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.peers.keys().cloned().collect()
+    }
+
+    /// Takes in what a peer announced.
+    pub(crate) fn on_announced(
+        &mut self,
+        node: &Rc<crate::node::Node>,
+        name: &str,
+        announcement: Announcement,
+    ) {
+        let now = crate::clock::now();
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.missing_since = None;
+            if peer.announcement == announcement {
+                return;
+            }
+            let is_same_start = peer.announcement.incarnation == announcement.incarnation;
+            if is_same_start && peer.announcement.service == announcement.service {
+                peer.announcement = announcement;
+                let (service, key) = (peer.announcement.service, peer.key);
+                if let Some(group) = self.groups.get_mut(&service) {
+                    group.chooser.set_slots(key, peer.announcement.slots);
+                }
+                return;
+            }
+        }
+        self.remove(name);
+        let Ok(address) = announcement.address.parse::<SocketAddr>() else {
+            log::warn!(peer:% = name, address:% = announcement.address; "odd-announcement");
+            return;
+        };
+        log::info!(peer:% = name, service:% = announcement.service, slots = announcement.slots;
+            "peer-seen");
+        let link = Rc::new(Link::default());
+        let key = self.add(now, &announcement, Way::Link(Rc::clone(&link)));
+        self.set_presence(announcement.service, key, Presence::Unreachable);
+        let run = keep_link(Rc::clone(node), name.to_owned(), address, Rc::clone(&link));
+        let task = tokio::task::spawn_local(run).abort_handle();
+        let peer = Peer {
+            announcement,
+            link,
+            task,
+            key,
+            missing_since: None,
+        };
+        self.peers.insert(name.to_owned(), peer);
+    }
+
+    /// Takes in that a peer's entry is missing. It stays for now, since entries lapse while the
+    /// store is away.
+    pub(crate) fn on_missing(&mut self, now: Time, name: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Drops the peers whose entry has been missing for `after`.
+    pub(crate) fn drop_missing(&mut self, now: Time, after: Duration) {
+        let is_gone = |peer: &Peer| {
+            let since = peer.missing_since;
+            since.is_some_and(|since| now.since(since) >= after)
+        };
+        let gone = self.peers.iter().filter(|(_, peer)| is_gone(peer));
+        let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
+        for name in gone {
+            log::info!(peer:% = name; "peer-gone");
+            self.remove(&name);
+        }
+    }
+
+    /// Takes in what this node's own server is ready for.
+    pub(crate) fn set_local(&mut self, now: Time, announcement: &Announcement) {
+        let is_other = |(service, _): &(Service, ServerKey)| *service != announcement.service;
+        if let Some((service, key)) = self.local.take_if(|local| is_other(local)) {
+            self.forget(service, key);
+        }
+        let (service, key) = match self.local {
+            Some(local) => local,
+            None => {
+                let local = (
+                    announcement.service,
+                    self.add(now, announcement, Way::Local),
+                );
+                self.local = Some(local);
+                local
+            }
+        };
+        if let Some(group) = self.groups.get_mut(&service) {
+            group.chooser.set_slots(key, announcement.slots);
+        }
+        let is_serving = announcement.state == ServerState::Ready && !announcement.is_stopping;
+        self.set_presence(service, key, presence(is_serving));
+    }
+
+    /// Takes in this node's own load.
+    pub(crate) fn on_local_load(&mut self, now: Time, load: u8) {
+        if let Some((service, key)) = self.local
+            && let Some(group) = self.groups.get_mut(&service)
+        {
+            group.chooser.on_load(now, key, load);
+        }
+    }
+
+    /// Takes in what a peer tells of its owner.
+    pub(crate) fn on_load(&mut self, now: Time, name: &str, load: &Load) {
+        let Some(peer) = self.peers.get(name) else {
+            return;
+        };
+        let (service, key) = (peer.announcement.service, peer.key);
+        if load.service != service.as_str() {
+            // Its entry in the store will say which service it has now.
+            self.set_presence(service, key, Presence::Unreachable);
+            return;
+        }
+        if let Some(group) = self.groups.get_mut(&service) {
+            let signal = cassiashunt_admit::Signal::from_bits(load.signal);
+            group.chooser.on_load(now, key, signal.load);
+            if load.slots > 0 {
+                group.chooser.set_slots(key, load.slots);
+            }
+        }
+        self.set_presence(service, key, presence(load.is_serving));
+    }
+
+    /// Takes in that a peer can't be asked now.
+    pub(crate) fn on_link_lost(&mut self, name: &str) {
+        if let Some(peer) = self.peers.get(name) {
+            let (service, key) = (peer.announcement.service, peer.key);
+            self.set_presence(service, key, Presence::Unreachable);
+        }
+    }
+
+    /// Chooses a server of a service that is not in `tried`.
+    pub(crate) fn choose(
+        &mut self,
+        now: Time,
+        service: Service,
+        tried: &[ServerKey],
+        rng: &mut fastrand::Rng,
+    ) -> Option<Chosen> {
+        let group = self.groups.get_mut(&service)?;
+        let key = group.chooser.choose(now, tried, rng)?;
+        let way = group.ways.get(&key)?.clone();
+        Some(Chosen { service, key, way })
+    }
+
+    /// Takes in how a request at a chosen server ended, with the load that came with it.
+    pub(crate) fn done(&mut self, now: Time, chosen: &Chosen, outcome: Outcome, load: Option<u8>) {
+        let Some(group) = self.groups.get_mut(&chosen.service) else {
+            return;
+        };
+        group.chooser.done(now, chosen.key, outcome);
+        if let Some(load) = load {
+            group.chooser.on_load(now, chosen.key, load);
+        }
+    }
+
+    fn add(&mut self, now: Time, announcement: &Announcement, way: Way) -> ServerKey {
+        let domain = self.domain;
+        let group = self.groups.entry(announcement.service).or_insert_with(|| {
+            let chooser = Chooser::new(ChooserOptions {
+                domain: Some(domain),
+                policy: Policy::Least,
+                warm_up: WARM_UP,
+                ..ChooserOptions::default()
+            });
+            let ways = HashMap::new();
+            Group { chooser, ways }
+        });
+        let key = group.chooser.add(
+            now,
+            Candidate {
+                owner: announcement.incarnation,
+                domain: announcement.domain,
+                slots: announcement.slots,
+                is_cold: announcement.is_cold,
+            },
+        );
+        group.ways.insert(key, way);
+        key
+    }
+
+    fn set_presence(&mut self, service: Service, key: ServerKey, presence: Presence) {
+        if let Some(group) = self.groups.get_mut(&service) {
+            group.chooser.set_presence(key, presence);
+        }
+    }
+
+    fn forget(&mut self, service: Service, key: ServerKey) {
+        if let Some(group) = self.groups.get_mut(&service) {
+            group.chooser.remove(key);
+            group.ways.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(peer) = self.peers.remove(name) {
+            peer.task.abort();
+            peer.link.lose_all();
+            self.forget(peer.announcement.service, peer.key);
+        }
+    }
+}
+
+fn presence(is_serving: bool) -> Presence {
+    if is_serving {
+        Presence::Serving
+    } else {
+        Presence::Draining
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/http/connection.rs
@@ -0,0 +1,321 @@
+//! One HTTP/1.1 connection.
+
+use std::io;
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+use super::{Framing, RequestHead, ResponseHead, head::Malformed};
+
+/// Room made for one read.
+const READ_BYTES: usize = 4 * 1024;
+/// The longest head of a response.
+const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// The longest line of a chunk's size.
+const MAX_CHUNK_LINE: usize = 256;
+/// Bytes of further requests that are taken in while one is being answered.
+const MAX_AHEAD: usize = 16 * 1024;
+/// How long the other side is given to close after the last answer.
+const LINGER: std::time::Duration = std::time::Duration::from_millis(500);
+/// Trailer lines that are passed over.
+const MAX_TRAILERS: usize = 32;
+
+/// Why a message could not be read.
+#[derive(Debug)]
+pub(crate) enum ReadError {
+    /// The connection ended before the first byte of a message.
+    Closed,
+    /// The connection ended within a message.
+    Truncated,
+    /// The bytes are no such message.
+    Malformed(&'static str),
+    /// The head is longer than the limit.
+    HeadTooLong,
+    /// The body is longer than the limit.
+    BodyTooLong,
+    /// The connection failed.
+    Io(io::Error),
+}
+
+impl From<io::Error> for ReadError {
+    fn from(err: io::Error) -> Self {
+        Self::Io(err)
+    }
+}
+
+impl From<Malformed> for ReadError {
+    fn from(err: Malformed) -> Self {
+        Self::Malformed(err.0)
+    }
+}
+
+/// A connection and what was read ahead on it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+impl Connection {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Waits for the first byte of the next message.
+    pub(crate) async fn wait_for_message(&mut self) -> Result<(), ReadError> {
+        if self.buf.is_empty() && self.fill().await? == 0 {
+            return Err(ReadError::Closed);
+        }
+        Ok(())
+    }
+
+    /// Reads the head of a request.
+    pub(crate) async fn read_request_head(&mut self, max: usize) -> Result<RequestHead, ReadError> {
+        let end = self.head_end(max).await?;
+        let head = self.buf.split_to(end);
+        Ok(RequestHead::parse(&head)?)
+    }
+
+    /// Reads the head of an answer to a request with this method.
+    pub(crate) async fn read_response_head(
+        &mut self,
+        method: &str,
+    ) -> Result<ResponseHead, ReadError> {
+        let end = self.head_end(MAX_RESPONSE_HEAD).await?;
+        let head = self.buf.split_to(end);
+        Ok(ResponseHead::parse(&head, method)?)
+    }
+
+    /// Reads a whole body.
+    pub(crate) async fn read_body(
+        &mut self,
+        framing: Framing,
+        max: usize,
+    ) -> Result<Bytes, ReadError> {
+        match framing {
+            Framing::Length(0) => Ok(Bytes::new()),
+            Framing::Length(length) if length > max => Err(ReadError::BodyTooLong),
+            Framing::Length(length) => {
+                self.fill_to(length).await?;
+                Ok(self.buf.split_to(length).freeze())
+            }
+            Framing::Chunked => self.read_chunks(max).await,
+            Framing::UntilClose => self.read_to_end(max).await,
+        }
+    }
+
+    /// Writes bytes out whole.
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Writes a request out while the head of its answer is awaited, since a server may answer
+    /// before it has read the whole request. Tells whether the request went out whole.
+    pub(crate) async fn exchange_head(
+        &mut self,
+        request: &[u8],
+        method: &str,
+    ) -> Result<(ResponseHead, bool), ReadError> {
+        let mut written = 0;
+        while written < request.len() {
+            self.stream.writable().await?;
+            match self.stream.try_write(&request[written..]) {
+                Ok(count) => written += count,
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                    let is_answered = tokio::select! {
+                        ready = self.stream.writable() => { ready?; false }
+                        ready = self.stream.readable() => { ready?; true }
+                    };
+                    if is_answered && self.has_input()? {
+                        break;
+                    }
+                }
+                Err(err) => return Err(err.into()),
+            }
+        }
+        let head = self.read_response_head(method).await?;
+        Ok((head, written == request.len()))
+    }
+
+    /// Resolves when the other side has closed. What it sends meanwhile is kept for later.
+    pub(crate) async fn wait_closed(&mut self) {
+        loop {
+            if self.buf.len() >= MAX_AHEAD {
+                return std::future::pending().await;
+            }
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Whether a kept connection is still open with nothing to read on it.
+    pub(crate) fn is_idle(&mut self) -> bool {
+        self.buf.is_empty() && matches!(self.has_input(), Ok(false))
+    }
+
+    /// Whether bytes are left over after a message.
+    pub(crate) fn has_leftover(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Lets the other side see the end before the connection is dropped.
+    pub(crate) async fn finish(mut self) {
+        // The other side may have gone already, and then there is nobody to see the end.
+        let _ = self.stream.shutdown().await;
+        // Bytes left unread would reset the connection before the answer is read.
+        let drained = async {
+            loop {
+                self.buf.clear();
+                if matches!(self.fill().await, Ok(0) | Err(_)) {
+                    return;
+                }
+            }
+        };
+        // A client that goes on sending is cut off.
+        let _ = tokio::time::timeout(LINGER, drained).await;
+    }
+
+    /// Takes in what is there without waiting; an end counts as input.
+    fn has_input(&mut self) -> io::Result<bool> {
+        self.buf.reserve(READ_BYTES);
+        match self.stream.try_read_buf(&mut self.buf) {
+            Ok(_) => Ok(true),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => Ok(false),
+            Err(err) => Err(err),
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        // Nothing is set aside for a connection that only waits.
+        self.stream.readable().await?;
+        self.buf.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.buf).await
+    }
+
+    async fn fill_to(&mut self, length: usize) -> Result<(), ReadError> {
+        while self.buf.len() < length {
+            if self.fill().await? == 0 {
+                return Err(ReadError::Truncated);
+            }
+        }
+        Ok(())
+    }
+
+    async fn head_end(&mut self, max: usize) -> Result<usize, ReadError> {
+        let mut searched = 0_usize;
+        loop {
+            // Empty lines before a message are passed over, as RFC 9112 section 2.2 asks.
+            while searched == 0 && self.buf.starts_with(b"\r\n") {
+                self.buf.advance(2);
+            }
+            let from = searched.saturating_sub(3);
+            if let Some(at) = find(&self.buf[from..], b"\r\n\r\n") {
+                let end = from + at + 4;
+                return if end > max {
+                    Err(ReadError::HeadTooLong)
+                } else {
+                    Ok(end)
+                };
+            }
+            if find(&self.buf[from..], b"\n\n").is_some() {
+                return Err(ReadError::Malformed("line end"));
+            }
+            searched = self.buf.len();
+            if searched > max {
+                return Err(ReadError::HeadTooLong);
+            }
+            if self.fill().await? == 0 {
+                return Err(if self.buf.is_empty() {
+                    ReadError::Closed
+                } else {
+                    ReadError::Truncated
+                });
+            }
+        }
+    }
+
+    async fn read_chunks(&mut self, max: usize) -> Result<Bytes, ReadError> {
+        let mut body = BytesMut::new();
+        loop {
+            let line = self.read_line().await?;
+            let size = chunk_size(&line)?;
+            if size == 0 {
+                self.skip_trailers().await?;
+                return Ok(body.freeze());
+            }
+            if body.len() + size > max {
+                return Err(ReadError::BodyTooLong);
+            }
+            self.fill_to(size + 2).await?;
+            body.extend_from_slice(&self.buf[..size]);
+            if &self.buf[size..size + 2] != b"\r\n" {
+                return Err(ReadError::Malformed("end of a chunk"));
+            }
+            self.buf.advance(size + 2);
+        }
+    }
+
+    async fn skip_trailers(&mut self) -> Result<(), ReadError> {
+        for _ in 0..MAX_TRAILERS {
+            if self.read_line().await?.is_empty() {
+                return Ok(());
+            }
+        }
+        Err(ReadError::Malformed("trailers"))
+    }
+
+    /// Reads a line without its end.
+    async fn read_line(&mut self) -> Result<BytesMut, ReadError> {
+        loop {
+            if let Some(at) = find(&self.buf, b"\n") {
+                if at == 0 || self.buf[at - 1] != b'\r' || at > MAX_CHUNK_LINE {
+                    return Err(ReadError::Malformed("line of a chunk"));
+                }
+                let mut line = self.buf.split_to(at + 1);
+                line.truncate(at - 1);
+                return Ok(line);
+            }
+            if self.buf.len() > MAX_CHUNK_LINE {
+                return Err(ReadError::Malformed("line of a chunk"));
+            }
+            if self.fill().await? == 0 {
+                return Err(ReadError::Truncated);
+            }
+        }
+    }
+
+    /// A reset before the end is an error, so that a body cut short does not look whole.
+    async fn read_to_end(&mut self, max: usize) -> Result<Bytes, ReadError> {
+        while self.fill().await? > 0 {
+            if self.buf.len() > max {
+                return Err(ReadError::BodyTooLong);
+            }
+        }
+        Ok(self.buf.split().freeze())
+    }
+}
+
+fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    let mut windows = haystack.windows(needle.len());
+    windows.position(|window| window == needle)
+}
+
+/// The size on a chunk's first line; extensions are passed over.
+fn chunk_size(line: &[u8]) -> Result<usize, ReadError> {
+    let malformed = ReadError::Malformed("size of a chunk");
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let is_hex = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+    if !is_hex || digits.len() > 8 {
+        return Err(malformed);
+    }
+    let text = std::str::from_utf8(digits).unwrap_or_default();
+    usize::from_str_radix(text, 16).map_err(|_| malformed)
+}
--- /dev/null
+++ b/crates/sidecar/src/http/head.rs
@@ -0,0 +1,168 @@
+//! Heads of requests and responses.
+
+/// Header fields in the order in which they came.
+pub(crate) type Headers = Vec<(String, String)>;
+
+/// The most header fields of one message.
+const MAX_FIELDS: usize = 96;
+
+/// How long a body is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// So many bytes; zero for no body.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+    /// To the end of the connection; responses only.
+    UntilClose,
+}
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestHead {
+    pub(crate) method: String,
+    /// Path and query.
+    pub(crate) target: String,
+    pub(crate) headers: Headers,
+    pub(crate) framing: Framing,
+    pub(crate) keep_alive: bool,
+}
+
+/// The head of a response.
+#[derive(Debug, Clone)]
+pub(crate) struct ResponseHead {
+    pub(crate) status: u16,
+    pub(crate) headers: Headers,
+    pub(crate) framing: Framing,
+    pub(crate) keep_alive: bool,
+}
+
+/// The bytes are no head of such a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Malformed(pub(crate) &'static str);
+
+/// The first value of a header.
+pub(crate) fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let mut found = headers
+        .iter()
+        .filter(|(it, _)| it.eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.as_str())
+}
+
+/// Whether a header has a token in its list of values.
+pub(crate) fn has_token(headers: &[(String, String)], name: &str, token: &str) -> bool {
+    let found = headers
+        .iter()
+        .filter(|(it, _)| it.eq_ignore_ascii_case(name));
+    let mut tokens = found.flat_map(|(_, value)| value.split(','));
+    tokens.any(|it| it.trim().eq_ignore_ascii_case(token))
+}
+
+impl RequestHead {
+    /// Parses a whole head, its empty line included.
+    pub(crate) fn parse(bytes: &[u8]) -> Result<Self, Malformed> {
+        check_line_ends(bytes)?;
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut req = httparse::Request::new(&mut fields);
+        let status = req.parse(bytes).map_err(|_| Malformed("head"))?;
+        if status.is_partial() {
+            return Err(Malformed("head"));
+        }
+        let headers = owned(req.headers)?;
+        let framing = framing(&headers)?.unwrap_or(Framing::Length(0));
+        let is_new = req.version == Some(1);
+        if is_new && count(&headers, "host") != 1 {
+            return Err(Malformed("host"));
+        }
+        Ok(Self {
+            method: req.method.unwrap_or_default().to_owned(),
+            target: req.path.unwrap_or_default().to_owned(),
+            keep_alive: is_new && !has_token(&headers, "connection", "close"),
+            headers,
+            framing,
+        })
+    }
+}
+
+impl ResponseHead {
+    /// Parses a whole head of an answer to a request with this method.
+    pub(crate) fn parse(bytes: &[u8], method: &str) -> Result<Self, Malformed> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut res = httparse::Response::new(&mut fields);
+        let parsed = res.parse(bytes).map_err(|_| Malformed("head"))?;
+        if parsed.is_partial() {
+            return Err(Malformed("head"));
+        }
+        let status = res.code.unwrap_or_default();
+        let headers = owned(res.headers)?;
+        let has_no_body = method == "HEAD" || status < 200 || status == 204 || status == 304;
+        let framing = if has_no_body {
+            Framing::Length(0)
+        } else {
+            framing(&headers)?.unwrap_or(Framing::UntilClose)
+        };
+        let is_new = res.version == Some(1);
+        Ok(Self {
+            status,
+            keep_alive: is_new
+                && framing != Framing::UntilClose
+                && !has_token(&headers, "connection", "close"),
+            headers,
+            framing,
+        })
+    }
+}
+
+/// A line feed without a carriage return is read differently by different parsers.
+fn check_line_ends(bytes: &[u8]) -> Result<(), Malformed> {
+    let mut before = b'\n';
+    for byte in bytes {
+        if *byte == b'\n' && before != b'\r' {
+            return Err(Malformed("line end"));
+        }
+        before = *byte;
+    }
+    Ok(())
+}
+
+fn owned(fields: &[httparse::Header<'_>]) -> Result<Headers, Malformed> {
+    let mut headers = Headers::with_capacity(fields.len());
+    for field in fields {
+        let value = std::str::from_utf8(field.value).map_err(|_| Malformed("header value"))?;
+        headers.push((field.name.to_owned(), value.to_owned()));
+    }
+    Ok(headers)
+}
+
+fn count(headers: &[(String, String)], name: &str) -> usize {
+    let found = headers
+        .iter()
+        .filter(|(it, _)| it.eq_ignore_ascii_case(name));
+    found.count()
+}
+
+/// How the body is framed; nothing where the head does not say.
+fn framing(headers: &[(String, String)]) -> Result<Option<Framing>, Malformed> {
+    let lengths = count(headers, "content-length");
+    let encodings = count(headers, "transfer-encoding");
+    match (lengths, encodings) {
+        (0, 0) => Ok(None),
+        (1, 0) => {
+            let text = header(headers, "content-length").unwrap_or_default();
+            let is_plain = !text.is_empty() && text.bytes().all(|it| it.is_ascii_digit());
+            let length = text.parse().ok().filter(|_| is_plain);
+            length
+                .map(|it| Some(Framing::Length(it)))
+                .ok_or(Malformed("content length"))
+        }
+        (0, 1) => {
+            let text = header(headers, "transfer-encoding").unwrap_or_default();
+            if text.eq_ignore_ascii_case("chunked") {
+                Ok(Some(Framing::Chunked))
+            } else {
+                Err(Malformed("transfer encoding"))
+            }
+        }
+        _ => Err(Malformed("two framings")),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -0,0 +1,141 @@
+//! One connection of a client or of the backend server.
+
+use std::{net::IpAddr, rc::Rc};
+
+use bytes::Bytes;
+use cassiashunt_mesh::ClientLimits;
+use cassiashunt_types::prelude::*;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+use super::{
+    reply::Reply,
+    request::{Incoming, handle},
+};
+use crate::{
+    clock,
+    http::{Connection, ReadError, RequestHead, has_token},
+    node::Node,
+};
+
+/// A pause after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a client may take to read an answer.
+const READ_ANSWER: Duration = Duration::from_secs(30);
+
+/// Takes connections in.
+pub(crate) async fn accept_clients(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, peer.ip()));
+            }
+            Err(err) => {
+                log::warn!(reason:% = err; "accept-failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts a request as open until it is dropped.
+struct Open<'a>(&'a Node);
+
+impl<'a> Open<'a> {
+    fn new(node: &'a Node) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self(node)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream, peer: IpAddr) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::info!(reason:% = err; "client-gone");
+        return;
+    }
+    let mut connection = Connection::new(stream);
+    loop {
+        let limits = node
+            .table()
+            .map_or_else(ClientLimits::default, |table| table.limits);
+        match timeout(limits.idle_timeout, connection.wait_for_message()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return,
+        }
+        let open = Open::new(&node);
+        let read = read_request(&mut connection, limits).await;
+        let (reply, is_head) = match read {
+            Ok((head, body)) => {
+                let closes = !head.keep_alive;
+                let is_head = head.method == "HEAD";
+                let incoming = Incoming {
+                    head,
+                    body,
+                    peer,
+                    received: clock::now(),
+                };
+                let reply = tokio::select! {
+                    reply = handle(&node, incoming) => reply,
+                    () = connection.wait_closed() => return,
+                };
+                let closes = closes || reply.closes;
+                (Reply { closes, ..reply }, is_head)
+            }
+            Err(Some(reply)) => (reply, false),
+            Err(None) => return,
+        };
+        let closes = reply.closes || node.is_stopping();
+        let bytes = reply.encode(is_head, closes);
+        let written = timeout(READ_ANSWER, connection.write(&bytes)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return;
+        }
+        drop(open);
+        if closes {
+            connection.finish().await;
+            return;
+        }
+    }
+}
+
+/// Reads one request whole. The answer to one that can't be read; none where nobody waits for it.
+async fn read_request(
+    connection: &mut Connection,
+    limits: ClientLimits,
+) -> Result<(RequestHead, Bytes), Option<Reply>> {
+    let head = timeout(
+        limits.header_timeout,
+        connection.read_request_head(limits.header_bytes),
+    );
+    let head = head.await.map_err(|_| Some(Reply::closing(408)))?;
+    let head = head.map_err(|err| reply_to(&err))?;
+    if has_token(&head.headers, "expect", "100-continue") {
+        let go_on = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        go_on.map_err(|_| None)?;
+    }
+    let body = connection.read_body(head.framing, limits.body_bytes);
+    let body = timeout(limits.idle_timeout, body).await;
+    let body = body.map_err(|_| Some(Reply::closing(408)))?;
+    let body = body.map_err(|err| reply_to(&err))?;
+    Ok((head, body))
+}
+
+fn reply_to(err: &ReadError) -> Option<Reply> {
+    match err {
+        ReadError::Malformed(what) => {
+            log::warn!(what:% = what; "request-malformed");
+            Some(Reply::closing(400))
+        }
+        ReadError::HeadTooLong => Some(Reply::closing(431)),
+        ReadError::BodyTooLong => Some(Reply::closing(413)),
+        ReadError::Closed | ReadError::Truncated | ReadError::Io(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -0,0 +1,201 @@
+//! The way of a request to an owner, and to another where the first did not run it.
+
+use std::rc::Rc;
+
+use cassiashunt_admit::Signal;
+use cassiashunt_mesh::{Repeat, RouteRow};
+use cassiashunt_route::{Outcome as Seen, ServerKey};
+use cassiashunt_types::prelude::*;
+use tokio::time::timeout;
+
+use crate::{
+    clock,
+    fleet::{Chosen, Way},
+    link::{Link, Outcome, WorkRequest},
+    node::Node,
+};
+
+/// How long after the deadline the owner's word is waited for: it alone knows whether a waiting
+/// request ran.
+const LAST_WORD: Duration = Duration::from_millis(60);
+/// Owners that may refuse a request before it is refused to the client.
+const MAX_REFUSALS: usize = 3;
+
+/// A request and what bounds it.
+#[derive(Debug)]
+pub(crate) struct Work<'a> {
+    pub(crate) request: WorkRequest,
+    pub(crate) route: &'a RouteRow,
+    pub(crate) received: Time,
+    pub(crate) deadline: Time,
+    pub(crate) objective: Duration,
+}
+
+/// How a request ended, and on which way.
+#[derive(Debug)]
+pub(crate) struct Forwarded {
+    pub(crate) outcome: Outcome,
+    pub(crate) service: Option<Service>,
+    pub(crate) tries: usize,
+}
+
+/// Forwards a request until it has run, or may have, or nobody takes it.
+pub(crate) async fn forward(node: &Rc<Node>, mut work: Work<'_>) -> Forwarded {
+    let service = node.splits.next(work.route, &mut node.rng.borrow_mut());
+    let Some(service) = service else {
+        return Forwarded {
+            outcome: Outcome::Refused(Refusal::not_run(Reason::NoServer)),
+            service: None,
+            tries: 0,
+        };
+    };
+    work.request.service = service.as_str().into();
+    node.budgets.on_first_try(clock::now(), service);
+    let mut tried: Vec<ServerKey> = Vec::new();
+    let mut sent_to_servers = 0;
+    let mut last = Refusal::not_run(Reason::NoServer);
+    let outcome = loop {
+        let now = clock::now();
+        let left = work.deadline.since(now);
+        if left.is_zero() {
+            break Outcome::Refused(Refusal {
+                reason: Reason::Deadline,
+                ..last
+            });
+        }
+        let chosen = {
+            let mut rng = node.rng.borrow_mut();
+            node.fleet
+                .borrow_mut()
+                .choose(now, service, &tried, &mut rng)
+        };
+        let Some(chosen) = chosen else {
+            break Outcome::Refused(last);
+        };
+        tried.push(chosen.key);
+        let outcome = try_once(node, &work, &chosen, left).await;
+        let refusal = match outcome {
+            Outcome::Answered(_) => break outcome,
+            Outcome::Refused(refusal) => refusal,
+        };
+        sent_to_servers += usize::from(has_reached_server(&refusal));
+        last = refusal;
+        if !may_go_on(node, &work, service, &refusal, tried.len(), sent_to_servers) {
+            break Outcome::Refused(refusal);
+        }
+    };
+    Forwarded {
+        outcome,
+        service: Some(service),
+        tries: tried.len(),
+    }
+}
+
+/// Whether a backend server has seen a request that was refused or failed so.
+fn has_reached_server(refusal: &Refusal) -> bool {
+    refusal.verdict == Verdict::MayHaveRun || refusal.reason == Reason::ServerRefused
+}
+
+fn may_go_on(
+    node: &Node,
+    work: &Work<'_>,
+    service: Service,
+    refusal: &Refusal,
+    tries: usize,
+    sent_to_servers: usize,
+) -> bool {
+    let may_repeat = refusal.verdict == Verdict::NotRun || work.route.repeat == Repeat::Idempotent;
+    if !may_repeat || tries >= MAX_REFUSALS {
+        return false;
+    }
+    if !has_reached_server(refusal) {
+        return true;
+    }
+    let most = usize::try_from(work.route.max_attempts).unwrap_or(usize::MAX);
+    sent_to_servers < most && node.budgets.take_retry(clock::now(), service)
+}
+
+/// A request on its way; given up where it is dropped before its end.
+struct InFlight<'a> {
+    node: &'a Rc<Node>,
+    chosen: &'a Chosen,
+    ticket: Option<Ticket>,
+}
+
+enum Ticket {
+    Local(RequestId),
+    Link(Rc<Link>, u64),
+}
+
+impl InFlight<'_> {
+    fn end(&mut self, seen: Seen, load: Option<u8>) {
+        self.ticket = None;
+        let now = clock::now();
+        self.node
+            .fleet
+            .borrow_mut()
+            .done(now, self.chosen, seen, load);
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
+        match ticket {
+            Ticket::Local(id) => self.node.owner.cancel(self.node, id),
+            Ticket::Link(link, id) => link.cancel(id),
+        }
+        let now = clock::now();
+        let mut fleet = self.node.fleet.borrow_mut();
+        fleet.done(now, self.chosen, Seen::Cancelled, None);
+    }
+}
+
+async fn try_once(node: &Rc<Node>, work: &Work<'_>, chosen: &Chosen, left: Duration) -> Outcome {
+    let mut request = work.request.clone();
+    request.left_us = u64::try_from(left.as_micros()).unwrap_or(u64::MAX);
+    let mut in_flight = InFlight {
+        node,
+        chosen,
+        ticket: None,
+    };
+    let limit = left + LAST_WORD;
+    let ended = match &chosen.way {
+        Way::Local => {
+            let (id, outcome) = node.owner.submit(node, request);
+            in_flight.ticket = Some(Ticket::Local(id));
+            let outcome = timeout(limit, outcome).await;
+            outcome.map(|it| it.ok().map(|outcome| (outcome, Some(node.owner.signal()))))
+        }
+        Way::Link(link) => {
+            let Some((id, outcome)) = link.request(request) else {
+                in_flight.end(Seen::Refused, None);
+                return Outcome::Refused(Refusal::not_run(Reason::NoServer));
+            };
+            in_flight.ticket = Some(Ticket::Link(Rc::clone(link), id));
+            timeout(limit, outcome).await.map(Result::ok)
+        }
+    };
+    let Ok(ended) = ended else {
+        // The owner has not said a word: dropping the guard gives the request up there.
+        return Outcome::Refused(Refusal::may_have_run(Reason::Deadline));
+    };
+    let lost = || (Outcome::Refused(Refusal::may_have_run(Reason::Lost)), None);
+    let (outcome, signal) = ended.unwrap_or_else(lost);
+    in_flight.end(seen(&outcome), signal.map(|signal: Signal| signal.load));
+    outcome
+}
+
+/// What an outcome says of the server's soundness.
+fn seen(outcome: &Outcome) -> Seen {
+    match outcome {
+        Outcome::Answered(_) => Seen::Served,
+        Outcome::Refused(refusal) => match (refusal.verdict, refusal.reason) {
+            (Verdict::MayHaveRun, Reason::Lost) => Seen::Failed,
+            (Verdict::NotRun, Reason::ServerRefused | Reason::NoServer) => Seen::Failed,
+            _ => Seen::Refused,
+        },
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/ingress/mod.rs
@@ -0,0 +1,10 @@
+//! Requests of clients and of the backend server: read, checked, forwarded, answered.
+
+mod connection;
+mod forward;
+mod reply;
+mod request;
+mod split;
+
+pub(crate) use connection::accept_clients;
+pub(crate) use split::Splits;
--- /dev/null
+++ b/crates/sidecar/src/ingress/reply.rs
@@ -0,0 +1,102 @@
+//! Answers to clients.
+
+use bytes::Bytes;
+use cassiashunt_types::prelude::*;
+
+use crate::{
+    http::reason_phrase,
+    link::{Answer, Field},
+};
+
+/// An answer to one request.
+#[derive(Debug, Clone)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<Field>,
+    pub(crate) body: Bytes,
+    /// Whether the connection is closed after it.
+    pub(crate) closes: bool,
+}
+
+impl Reply {
+    /// An answer of this system without a body.
+    pub(crate) fn of_status(status: u16) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body: Bytes::new(),
+            closes: false,
+        }
+    }
+
+    /// An answer of this system after which the connection is closed.
+    pub(crate) fn closing(status: u16) -> Self {
+        Self {
+            closes: true,
+            ..Self::of_status(status)
+        }
+    }
+
+    /// The backend server's answer.
+    pub(crate) fn of_answer(answer: Answer) -> Self {
+        Self {
+            status: u16::try_from(answer.status).unwrap_or(502),
+            headers: answer.headers,
+            body: answer.body,
+            closes: false,
+        }
+    }
+
+    /// The answer that stands for a refusal. Only a request that did not run is told that it may
+    /// come back.
+    pub(crate) fn of_refusal(refusal: Refusal) -> Self {
+        let status = match (refusal.verdict, refusal.reason) {
+            (Verdict::NotRun, Reason::OverLimit) => 429,
+            (Verdict::NotRun, Reason::BadRequest) => 400,
+            (Verdict::NotRun, Reason::BadKey) => 401,
+            (Verdict::NotRun, Reason::UnknownRoute) => 404,
+            (Verdict::NotRun, _) => 503,
+            (Verdict::MayHaveRun, Reason::Deadline) => 504,
+            (Verdict::MayHaveRun, _) => 502,
+        };
+        let mut reply = Self::of_status(status);
+        if let Some(after) = refusal.retry_after {
+            let (name, value) = cassiashunt_adapter::retry_after(after);
+            let name = name.to_owned();
+            reply.headers.push(Field { name, value });
+        }
+        reply
+    }
+
+    /// The bytes of the answer.
+    pub(crate) fn encode(&self, is_head: bool, closes: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(256 + self.body.len());
+        let mut line = |parts: [&str; 3]| {
+            for part in parts {
+                out.extend_from_slice(part.as_bytes());
+            }
+            out.extend_from_slice(b"\r\n");
+        };
+        let status = self.status.to_string();
+        line([
+            "HTTP/1.1 ",
+            &status,
+            &format!(" {}", reason_phrase(self.status)),
+        ]);
+        for field in &self.headers {
+            line([&field.name, ": ", &field.value]);
+        }
+        let has_length = self.status != 204 && self.status != 304 && self.status >= 200;
+        if has_length && !is_head {
+            line(["Content-Length", ": ", &self.body.len().to_string()]);
+        }
+        if closes {
+            line(["Connection", ": ", "close"]);
+        }
+        line(["", "", ""]);
+        if !is_head {
+            out.extend_from_slice(&self.body);
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/ingress/request.rs
@@ -0,0 +1,265 @@
+//! One request: whose it is, whether it is allowed, and what is answered.
+
+use std::{net::IpAddr, rc::Rc};
+
+use bytes::Bytes;
+use cassiashunt_adapter::{Facts, Prepared, prepare, read_facts};
+use cassiashunt_mesh::{RouteRow, SiteTable, WorkspaceRow};
+use cassiashunt_types::prelude::*;
+
+use super::{
+    forward::{Forwarded, Work, forward},
+    reply::Reply,
+};
+use crate::{
+    clock,
+    http::{RequestHead, header},
+    link::{Field, Outcome, WorkRequest},
+    node::Node,
+    quota,
+};
+
+/// How long a client waits where it does not say.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+/// The priority of the least urgent request of a client; each rank adds to it.
+const BASE_PRIORITY: u8 = 20;
+/// What a rank of a workspace weighs against the ranks of routes.
+const WORKSPACE_STEP: u8 = 20;
+/// What a rank of a route weighs.
+const ROUTE_STEP: u8 = 2;
+/// The least urgent rank that is told apart.
+const MAX_RANK: u8 = 9;
+/// The priority of backend servers' own calls: work was already spent on what they belong to.
+const CALL_PRIORITY: u8 = 250;
+
+/// A request as it was read.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) peer: IpAddr,
+    pub(crate) received: Time,
+}
+
+/// What became of a request, for its log line.
+#[derive(Debug, Default)]
+struct Trace {
+    attempt: String,
+    route: Option<Route>,
+    workspace: Option<Workspace>,
+    forwarded: Option<Forwarded>,
+}
+
+/// Answers one request.
+pub(crate) async fn handle(node: &Rc<Node>, incoming: Incoming) -> Reply {
+    let received = incoming.received;
+    let mut trace = Trace::default();
+    let outcome = answer(node, incoming, &mut trace).await;
+    log_end(node, &trace, &outcome, clock::now().since(received));
+    match outcome {
+        Outcome::Answered(answer) => Reply::of_answer(answer),
+        Outcome::Refused(refusal) => Reply::of_refusal(refusal),
+    }
+}
+
+async fn answer(node: &Rc<Node>, incoming: Incoming, trace: &mut Trace) -> Outcome {
+    let Incoming {
+        head,
+        body,
+        peer,
+        received,
+    } = incoming;
+    let facts = read_facts(pairs(&head));
+    trace.attempt = facts.attempt.clone().unwrap_or_default();
+    let Some(table) = node.table() else {
+        return Outcome::Refused(come_back(node, Reason::NotInTouch, &facts, received));
+    };
+    let host = header(&head.headers, "host").unwrap_or_default();
+    let path = head.target.split('?').next().unwrap_or_default();
+    let Some(route) = table.route(host, path) else {
+        // A newer table may have the route where this one may be out of date.
+        let refusal = if node.is_fresh() {
+            Refusal::not_run(Reason::UnknownRoute)
+        } else {
+            come_back(node, Reason::NotInTouch, &facts, received)
+        };
+        return Outcome::Refused(refusal);
+    };
+    trace.route = Some(route.name);
+    let is_call = is_from_server(node, peer) && facts.key.is_none();
+    let workspace = match workspace(node, &table, route, &facts, is_call) {
+        Ok(workspace) => workspace,
+        Err(Reason::NotInTouch) => {
+            return Outcome::Refused(come_back(node, Reason::NotInTouch, &facts, received));
+        }
+        Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
+    };
+    trace.workspace = workspace.map(|row| row.name);
+    if let Some(row) = workspace
+        && !quota::admit(node, row.name).await
+    {
+        return Outcome::Refused(come_back(node, Reason::OverLimit, &facts, received));
+    }
+    let waits = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let request = WorkRequest {
+        id: 0,
+        attempt: trace.attempt.clone(),
+        method: head.method,
+        target: head.target,
+        headers: passed_headers(node, head.headers, trace.workspace),
+        body,
+        left_us: 0,
+        priority: u32::from(priority(route, workspace, is_call)),
+        depth: u32::from(is_call),
+        route: route.name.as_str().into(),
+        workspace: trace
+            .workspace
+            .map_or_else(String::new, |it| it.as_str().into()),
+        service: String::new(),
+    };
+    let work = Work {
+        request,
+        route,
+        received,
+        deadline: received + waits,
+        objective: route.objective,
+    };
+    let forwarded = forward(node, work).await;
+    let outcome = with_time_to_come_back(node, forwarded.outcome.clone(), &facts, received);
+    trace.forwarded = Some(forwarded);
+    outcome
+}
+
+/// Whether the backend server beside this node sent the request.
+fn is_from_server(node: &Node, peer: IpAddr) -> bool {
+    peer == node.settings().addresses.server.ip() || peer.is_loopback()
+}
+
+/// The workspace whose key came with the request; none on a route that is open to all, and for
+/// calls of the backend server.
+fn workspace<'a>(
+    node: &Node,
+    table: &'a SiteTable,
+    route: &RouteRow,
+    facts: &Facts,
+    is_call: bool,
+) -> Result<Option<&'a WorkspaceRow>, Reason> {
+    if !table.has_workspaces() || route.is_public || is_call {
+        return Ok(None);
+    }
+    let key = facts.key.as_deref();
+    let found = key.and_then(|key| table.workspace_of_key(key));
+    if !node.is_fresh() {
+        Err(Reason::NotInTouch)
+    } else {
+        found.map(Some).ok_or(Reason::BadKey)
+    }
+}
+
+/// The order in which requests are served and shed: by the workspace's rank, then the route's.
+fn priority(route: &RouteRow, workspace: Option<&WorkspaceRow>, is_call: bool) -> u8 {
+    if is_call {
+        return CALL_PRIORITY;
+    }
+    let urgency = |rank: u8| MAX_RANK - rank.min(MAX_RANK);
+    let of_workspace = urgency(workspace.map_or(0, |row| row.rank));
+    BASE_PRIORITY + of_workspace * WORKSPACE_STEP + urgency(route.rank) * ROUTE_STEP
+}
+
+fn pairs(head: &RequestHead) -> impl Iterator<Item = (&str, &str)> {
+    head.headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()))
+}
+
+/// Fields that concern one connection only, or that are set anew towards the backend server.
+const PER_CONNECTION: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+    "expect",
+    "proxy-authorization",
+];
+
+fn passed_headers(
+    node: &Node,
+    headers: Vec<(String, String)>,
+    workspace: Option<Workspace>,
+) -> Vec<Field> {
+    let named: Vec<String> = headers
+        .iter()
+        .filter(|(name, _)| name.eq_ignore_ascii_case("connection"))
+        .flat_map(|(_, value)| value.split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .collect();
+    let is_kept = |name: &str| {
+        !PER_CONNECTION
+            .iter()
+            .any(|it| name.eq_ignore_ascii_case(it))
+            && !named.iter().any(|it| name.eq_ignore_ascii_case(it))
+    };
+    let kept = headers.into_iter().filter(|(name, _)| is_kept(name));
+    let service = node.service();
+    let from = Prepared {
+        caller: service.as_str(),
+        workspace,
+    };
+    let passed = prepare(kept, from).into_iter();
+    passed.map(|(name, value)| Field { name, value }).collect()
+}
+
+/// The least and most parts of a client's time left after which it is told to come back. Clients
+/// wait as told for up to a third of it.
+const COME_BACK: (f64, f64) = (0.08, 0.3);
+/// The shortest time to come back after: under it the cause has hardly changed.
+const MIN_COME_BACK: Duration = Duration::from_millis(100);
+/// The longest.
+const MAX_COME_BACK: Duration = Duration::from_millis(1_500);
+
+/// A refusal of a request that did not run, with a time to come back that is spread so that
+/// clients do not come together.
+fn come_back(node: &Node, reason: Reason, facts: &Facts, received: Time) -> Refusal {
+    let waits = facts.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let left = waits.saturating_sub(clock::now().since(received));
+    let (least, most) = COME_BACK;
+    let part = least + (most - least) * node.rng.borrow_mut().f64();
+    let after = left.mul_f64(part).clamp(MIN_COME_BACK, MAX_COME_BACK);
+    Refusal::not_run(reason).retry_after(after)
+}
+
+fn with_time_to_come_back(node: &Node, outcome: Outcome, facts: &Facts, received: Time) -> Outcome {
+    match outcome {
+        Outcome::Refused(refusal) if refusal.verdict == Verdict::NotRun => {
+            Outcome::Refused(come_back(node, refusal.reason, facts, received))
+        }
+        other => other,
+    }
+}
+
+fn log_end(node: &Node, trace: &Trace, outcome: &Outcome, spent: Duration) {
+    let (status, reason) = match outcome {
+        Outcome::Answered(answer) => (answer.status, "answered"),
+        Outcome::Refused(refusal) => (
+            u32::from(Reply::of_refusal(*refusal).status),
+            refusal.reason.code(),
+        ),
+    };
+    let route = trace.route.map_or_else(String::new, |it| it.to_string());
+    let workspace = trace
+        .workspace
+        .map_or_else(String::new, |it| it.to_string());
+    let forwarded = trace.forwarded.as_ref();
+    log::info!(
+        request:% = trace.attempt, status = status, reason:% = reason, route:% = route,
+        workspace:% = workspace, tries = forwarded.map_or(0, |it| it.tries),
+        service:? = forwarded.and_then(|it| it.service),
+        spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX),
+        table_version = node.table().map_or(0, |table| table.version);
+        "request-ended"
+    );
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,24 @@
+//! The node beside a backend server on the users' platform.
+//!
+//! One event loop on one thread owns the sockets and timers. What it believes and decides is kept
+//! in the pure parts of `cassiashunt-mesh`, `cassiashunt-admit` and `cassiashunt-route`; what the
+//! platform's bytes mean is kept in `cassiashunt-adapter`.
+
+mod budget;
+mod clock;
+mod control;
+mod fleet;
+mod http;
+mod ingress;
+mod link;
+mod logs;
+mod node;
+mod owner;
+mod quota;
+mod run;
+mod settings;
+mod stop;
+mod store;
+
+pub use run::run;
+pub use settings::{Settings, SettingsError};
--- /dev/null
+++ b/crates/sidecar/src/link/accept.rs
@@ -0,0 +1,105 @@
+//! The accepting side: peers' requests to this node's backend server.
+
+use std::{cell::RefCell, collections::HashMap, io, rc::Rc};
+
+use cassiashunt_types::prelude::*;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+use super::{
+    Frame, Kind, Outcome,
+    socket::{self, Reader, Sender},
+};
+use crate::node::Node;
+
+/// A dialler that has said nothing for so long is gone; it says something every second.
+const SILENCE: Duration = Duration::from_secs(4);
+/// A pause after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The jobs of one peer by its ids.
+type Jobs = Rc<RefCell<HashMap<u64, RequestId>>>;
+
+/// Takes peers' connections in.
+pub(crate) async fn accept_peers(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_peer(Rc::clone(&node), stream));
+            }
+            Err(err) => {
+                log::warn!(reason:% = err; "accept-failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(node: Rc<Node>, stream: TcpStream) {
+    if let Err(err) = socket::prepare(&stream) {
+        log::warn!(reason:% = err; "peer-socket");
+        return;
+    }
+    let (reader, tx) = socket::split(stream);
+    let jobs = Jobs::default();
+    node.listeners.borrow_mut().push(tx.clone());
+    // The peer learns at once what this node is ready for.
+    let _ = tx.try_send(Kind::Load(node.load()).into());
+    let end = read_frames(&node, reader, &tx, &jobs).await;
+    if let Err(err) = end {
+        log::info!(reason:% = err; "peer-lost");
+    }
+    // The peer can't take an outcome any more, so its work is of no use.
+    let left: Vec<_> = jobs.borrow_mut().drain().map(|(_, job)| job).collect();
+    for job in left {
+        node.owner.cancel(&node, job);
+    }
+}
+
+async fn read_frames(
+    node: &Rc<Node>,
+    mut reader: Reader,
+    tx: &Sender,
+    jobs: &Jobs,
+) -> io::Result<()> {
+    loop {
+        let frame = timeout(SILENCE, reader.next()).await;
+        let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let Some(Frame { kind }) = frame else {
+            return Ok(());
+        };
+        match kind {
+            Some(Kind::Hello(_) | Kind::Ping(_)) => {}
+            Some(Kind::Request(request)) => {
+                let id = request.id;
+                let (job, outcome) = node.owner.submit(node, request);
+                jobs.borrow_mut().insert(id, job);
+                let (node, tx, jobs) = (Rc::clone(node), tx.clone(), Rc::clone(jobs));
+                tokio::task::spawn_local(async move {
+                    let lost = Outcome::Refused(Refusal::may_have_run(Reason::Lost));
+                    let outcome = outcome.await.unwrap_or(lost);
+                    let is_wanted = jobs.borrow_mut().remove(&id).is_some();
+                    if is_wanted {
+                        let ended = outcome.into_ended(id, node.owner.signal().to_bits());
+                        // A peer that reads nothing is found by its silence.
+                        let _ = tx.send(Kind::Ended(ended).into()).await;
+                    }
+                });
+            }
+            Some(Kind::Cancel(id)) => {
+                let job = jobs.borrow_mut().remove(&id);
+                if let Some(job) = job {
+                    node.owner.cancel(node, job);
+                }
+            }
+            Some(Kind::AskTokens(ask)) => {
+                let given = node.quotas.give(crate::clock::now(), &ask);
+                // The tokens are gone where the queue is full, which is the safe side.
+                let _ = tx.try_send(Kind::GiveTokens(given).into());
+            }
+            other => log::warn!(frame:? = other; "odd-frame"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/link/dial.rs
@@ -0,0 +1,157 @@
+//! The dialling side: requests to a peer's backend server.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use cassiashunt_admit::Signal;
+use cassiashunt_types::prelude::*;
+use tokio::{sync::oneshot, time::timeout};
+
+use super::{
+    AskTokens, Frame, Hello, Kind, Outcome, WorkRequest,
+    socket::{self, Reader, Sender},
+};
+use crate::node::Node;
+
+/// A peer that has said nothing for so long is asked nothing more; it tells its load several times
+/// a second.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// The time between two tries to connect, up to twice as long.
+const REDIAL: Duration = Duration::from_millis(150);
+/// The time between two signs of life of the dialling side.
+const PING: Duration = Duration::from_secs(1);
+
+/// A connection to one peer, and the requests on it.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    tx: RefCell<Option<Sender>>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<(Outcome, Option<Signal>)>>>,
+    last: Cell<u64>,
+}
+
+impl Link {
+    /// Whether the peer can be asked.
+    pub(crate) fn is_up(&self) -> bool {
+        self.tx.borrow().is_some()
+    }
+
+    /// Sends a request; nothing where the connection is down or its queue is full, and then the
+    /// peer never sees it.
+    pub(crate) fn request(
+        &self,
+        mut request: WorkRequest,
+    ) -> Option<(u64, oneshot::Receiver<(Outcome, Option<Signal>)>)> {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        request.id = id;
+        let (tx, rx) = oneshot::channel();
+        self.pending.borrow_mut().insert(id, tx);
+        if self.send(Kind::Request(request)) {
+            return Some((id, rx));
+        }
+        self.pending.borrow_mut().remove(&id);
+        None
+    }
+
+    /// Tells the peer that a request is of no use any more.
+    pub(crate) fn cancel(&self, id: u64) {
+        if self.pending.borrow_mut().remove(&id).is_some() {
+            self.send(Kind::Cancel(id));
+        }
+    }
+
+    /// Asks the peer for tokens.
+    pub(crate) fn ask_tokens(&self, ask: AskTokens) -> bool {
+        self.send(Kind::AskTokens(ask))
+    }
+
+    fn send(&self, kind: Kind) -> bool {
+        let tx = self.tx.borrow();
+        tx.as_ref()
+            .is_some_and(|tx| tx.try_send(Frame::from(kind)).is_ok())
+    }
+
+    fn end(&self, id: u64, outcome: Outcome, signal: Signal) {
+        if let Some(tx) = self.pending.borrow_mut().remove(&id) {
+            // Nobody waits where the request was given up at this moment.
+            let _ = tx.send((outcome, Some(signal)));
+        }
+    }
+
+    /// Requests on a lost connection may have run.
+    pub(crate) fn lose_all(&self) {
+        *self.tx.borrow_mut() = None;
+        let lost = std::mem::take(&mut *self.pending.borrow_mut());
+        for (_, tx) in lost {
+            // Nobody waits where the request was given up at this moment.
+            let _ = tx.send((Outcome::Refused(Refusal::may_have_run(Reason::Lost)), None));
+        }
+    }
+}
+
+/// Keeps a connection to a peer until it is dropped.
+pub(crate) async fn keep_link(node: Rc<Node>, name: String, address: SocketAddr, link: Rc<Link>) {
+    let mut was_up = false;
+    loop {
+        match socket::connect(address).await {
+            Ok(stream) => {
+                let (reader, tx) = socket::split(stream);
+                let hello = Kind::Hello(Hello {
+                    incarnation: node.incarnation.0,
+                    name: node.settings().name.clone(),
+                });
+                // The queue is new and has room.
+                let _ = tx.try_send(hello.into());
+                *link.tx.borrow_mut() = Some(tx);
+                was_up = true;
+                log::info!(peer:% = name; "link-up");
+                let err = read_frames(&node, &name, reader, &link).await.err();
+                log::warn!(peer:% = name, reason:? = err; "link-lost");
+            }
+            Err(err) if was_up => {
+                was_up = false;
+                log::warn!(peer:% = name, reason:% = err; "link-refused");
+            }
+            Err(_) => {}
+        }
+        link.lose_all();
+        node.fleet.borrow_mut().on_link_lost(&name);
+        let jitter = node.rng.borrow_mut().f64();
+        tokio::time::sleep(REDIAL.mul_f64(1.0 + jitter)).await;
+    }
+}
+
+async fn read_frames(
+    node: &Rc<Node>,
+    name: &str,
+    mut reader: Reader,
+    link: &Rc<Link>,
+) -> io::Result<()> {
+    let mut pinged = crate::clock::now();
+    loop {
+        let frame = timeout(SILENCE, reader.next()).await;
+        let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let Some(Frame { kind }) = frame else {
+            return Ok(());
+        };
+        let now = crate::clock::now();
+        if now.since(pinged) >= PING {
+            pinged = now;
+            link.send(Kind::Ping(true));
+        }
+        match kind {
+            Some(Kind::Ended(ended)) => {
+                let signal = Signal::from_bits(ended.signal);
+                link.end(ended.id, Outcome::from_ended(ended), signal);
+            }
+            Some(Kind::Load(load)) => node.fleet.borrow_mut().on_load(now, name, &load),
+            Some(Kind::GiveTokens(given)) => node.quotas.receive(now, &given),
+            other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/link/frame.rs
@@ -0,0 +1,216 @@
+//! The messages between nodes.
+
+use bytes::Bytes;
+use cassiashunt_types::prelude::*;
+
+/// One message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Frame {
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    pub(crate) kind: Option<Kind>,
+}
+
+/// What a message says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum Kind {
+    /// Who dialled; the first message on a connection.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// A request for the owner's backend server.
+    #[prost(message, tag = "2")]
+    Request(WorkRequest),
+    /// The request with this id is of no use any more.
+    #[prost(uint64, tag = "3")]
+    Cancel(u64),
+    /// How a request ended.
+    #[prost(message, tag = "4")]
+    Ended(Ended),
+    /// How loaded the owner is.
+    #[prost(message, tag = "5")]
+    Load(Load),
+    /// A node is short of tokens of a workspace.
+    #[prost(message, tag = "6")]
+    AskTokens(AskTokens),
+    /// Tokens handed over.
+    #[prost(message, tag = "7")]
+    GiveTokens(GiveTokens),
+    /// The dialler is still there.
+    #[prost(bool, tag = "8")]
+    Ping(bool),
+}
+
+impl From<Kind> for Frame {
+    fn from(kind: Kind) -> Self {
+        Self { kind: Some(kind) }
+    }
+}
+
+/// Who dialled.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Hello {
+    #[prost(uint64, tag = "1")]
+    pub(crate) incarnation: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) name: String,
+}
+
+/// A header field.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Field {
+    #[prost(string, tag = "1")]
+    pub(crate) name: String,
+    #[prost(string, tag = "2")]
+    pub(crate) value: String,
+}
+
+/// A request for the owner's backend server.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct WorkRequest {
+    /// Unique on its connection.
+    #[prost(uint64, tag = "1")]
+    pub(crate) id: u64,
+    /// The client's id of this attempt, for logs and to tell answers apart.
+    #[prost(string, tag = "2")]
+    pub(crate) attempt: String,
+    #[prost(string, tag = "3")]
+    pub(crate) method: String,
+    #[prost(string, tag = "4")]
+    pub(crate) target: String,
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) headers: Vec<Field>,
+    #[prost(bytes = "bytes", tag = "6")]
+    pub(crate) body: Bytes,
+    /// What is left of the deadline, in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub(crate) left_us: u64,
+    /// A higher one is shed later.
+    #[prost(uint32, tag = "8")]
+    pub(crate) priority: u32,
+    /// Zero for a client's request, one for a backend server's own call.
+    #[prost(uint32, tag = "9")]
+    pub(crate) depth: u32,
+    #[prost(string, tag = "10")]
+    pub(crate) route: String,
+    /// Empty for none.
+    #[prost(string, tag = "11")]
+    pub(crate) workspace: String,
+    /// The service that the request is for.
+    #[prost(string, tag = "12")]
+    pub(crate) service: String,
+}
+
+/// How a request ended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Ended {
+    #[prost(uint64, tag = "1")]
+    pub(crate) id: u64,
+    #[prost(message, optional, tag = "2")]
+    pub(crate) answer: Option<Answer>,
+    /// The number of the reason, where there is no answer.
+    #[prost(uint32, tag = "3")]
+    pub(crate) reason: u32,
+    #[prost(bool, tag = "4")]
+    pub(crate) may_have_run: bool,
+    #[prost(uint64, tag = "5")]
+    pub(crate) retry_after_us: u64,
+    /// The owner's shedding level and load.
+    #[prost(uint32, tag = "6")]
+    pub(crate) signal: u32,
+}
+
+/// The backend server's answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Answer {
+    #[prost(uint32, tag = "1")]
+    pub(crate) status: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) headers: Vec<Field>,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub(crate) body: Bytes,
+}
+
+/// How loaded an owner is, and what its backend server is ready for.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Load {
+    #[prost(uint32, tag = "1")]
+    pub(crate) signal: u32,
+    /// Whether the owner takes new work.
+    #[prost(bool, tag = "2")]
+    pub(crate) is_serving: bool,
+    #[prost(string, tag = "3")]
+    pub(crate) service: String,
+    #[prost(uint32, tag = "4")]
+    pub(crate) slots: u32,
+}
+
+/// A node is short of tokens.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct AskTokens {
+    #[prost(string, tag = "1")]
+    pub(crate) workspace: String,
+    #[prost(uint32, tag = "2")]
+    pub(crate) wanted: u32,
+}
+
+/// Tokens handed over; none where the giver has none to spare.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct GiveTokens {
+    #[prost(string, tag = "1")]
+    pub(crate) workspace: String,
+    #[prost(uint32, tag = "2")]
+    pub(crate) tokens: u32,
+}
+
+/// How a request ended, at its owner.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Outcome {
+    /// The backend server's answer.
+    Answered(Answer),
+    /// It got none; the refusal tells whether the request may have run.
+    Refused(Refusal),
+}
+
+impl Outcome {
+    /// The message about the request with this id.
+    pub(crate) fn into_ended(self, id: u64, signal: u32) -> Ended {
+        match self {
+            Self::Answered(answer) => Ended {
+                id,
+                answer: Some(answer),
+                signal,
+                ..Ended::default()
+            },
+            Self::Refused(refusal) => Ended {
+                id,
+                reason: refusal.reason.number(),
+                may_have_run: refusal.verdict == Verdict::MayHaveRun,
+                retry_after_us: refusal.retry_after.map_or(0, micros),
+                signal,
+                ..Ended::default()
+            },
+        }
+    }
+
+    /// What the message says. A reason that isn't known counts as lost.
+    pub(crate) fn from_ended(ended: Ended) -> Self {
+        if let Some(answer) = ended.answer {
+            return Self::Answered(answer);
+        }
+        let reason = Reason::from_number(ended.reason).unwrap_or(Reason::Lost);
+        let refusal = if ended.may_have_run {
+            Refusal::may_have_run(reason)
+        } else {
+            Refusal::not_run(reason)
+        };
+        let after = Duration::from_micros(ended.retry_after_us);
+        Self::Refused(if after.is_zero() {
+            refusal
+        } else {
+            refusal.retry_after(after)
+        })
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/sidecar/src/node.rs
@@ -0,0 +1,165 @@
+//! What the tasks of one node share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use cassiashunt_mesh::prelude::*;
+use cassiashunt_types::prelude::*;
+
+use crate::{
+    budget::Budgets,
+    fleet::Fleet,
+    ingress::Splits,
+    link::{Frame, Load},
+    owner::Owner,
+    quota::Quotas,
+    settings::Settings,
+};
+
+/// One node. Everything runs on one thread, so the cells are never borrowed across an `await`.
+pub(crate) struct Node {
+    settings: RefCell<Rc<Settings>>,
+    /// This start of the process.
+    pub(crate) incarnation: NodeId,
+    /// The table in force; none before the first.
+    pub(crate) table: RefCell<Option<Rc<SiteTable>>>,
+    /// The store's revision of the newest table that was read, in force or not.
+    pub(crate) table_revision: Cell<Revision>,
+    pub(crate) freshness: RefCell<Freshness>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) owner: Owner,
+    pub(crate) quotas: Quotas,
+    pub(crate) budgets: Budgets,
+    pub(crate) splits: Splits,
+    pub(crate) rng: RefCell<fastrand::Rng>,
+    /// Peers that are told this node's load.
+    pub(crate) listeners: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
+    /// When the process was asked to stop.
+    pub(crate) stopping: Cell<Option<Time>>,
+    /// Requests of clients and of the backend server that have no answer yet.
+    pub(crate) open_requests: Cell<usize>,
+    /// The lease of this node's entry in the store.
+    pub(crate) lease: Cell<Option<u64>>,
+    /// Wakes the task that announces this node.
+    pub(crate) announce: tokio::sync::Notify,
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings) -> Self {
+        let bound = Duration::from_millis(settings.bounds.key_withdrawal_ms);
+        let domain = settings.domain;
+        let ratio = settings.bounds.retry_ratio;
+        let window = Duration::from_secs_f64(settings.bounds.retry_window_s);
+        Self {
+            settings: RefCell::new(Rc::new(settings)),
+            incarnation: NodeId::random(),
+            table: RefCell::new(None),
+            table_revision: Cell::new(Revision(0)),
+            freshness: RefCell::new(Freshness::new(bound)),
+            fleet: RefCell::new(Fleet::new(domain)),
+            owner: Owner::new(crate::clock::now()),
+            quotas: Quotas::default(),
+            budgets: Budgets::new(ratio, window),
+            splits: Splits::default(),
+            rng: RefCell::new(fastrand::Rng::new()),
+            listeners: RefCell::new(Vec::new()),
+            stopping: Cell::new(None),
+            open_requests: Cell::new(0),
+            lease: Cell::new(None),
+            announce: tokio::sync::Notify::new(),
+        }
+    }
+
+    pub(crate) fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes in changed settings; addresses stay as they were bound.
+    pub(crate) fn set_settings(&self, settings: Settings) {
+        let bound = self.settings();
+        *self.settings.borrow_mut() = Rc::new(Settings {
+            addresses: bound.addresses.clone(),
+            store: bound.store.clone(),
+            name: bound.name.clone(),
+            ..settings
+        });
+    }
+
+    pub(crate) fn table(&self) -> Option<Rc<SiteTable>> {
+        self.table.borrow().clone()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Divides the limits of the table in force among the live nodes.
+    pub(crate) fn set_limits(&self) {
+        if let Some(table) = self.table() {
+            let nodes = self.fleet.borrow().size();
+            self.quotas
+                .set_limits(crate::clock::now(), table.workspaces(), nodes);
+        }
+    }
+
+    /// Whether keys of the table in force may be accepted now.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.freshness.borrow().holds(crate::clock::now())
+    }
+
+    /// The service of the machine.
+    pub(crate) fn service(&self) -> Service {
+        self.owner.service().unwrap_or(self.settings().service)
+    }
+
+    /// What peers are told of the owner.
+    pub(crate) fn load(&self) -> Load {
+        Load {
+            signal: self.owner.signal().to_bits(),
+            is_serving: self.owner.is_serving() && !self.is_stopping(),
+            service: self.service().as_str().into(),
+            slots: self.owner.slots(),
+        }
+    }
+
+    /// Tells all peers this node's load, and forgets those that are gone.
+    pub(crate) fn tell_load(&self) {
+        let frame = Frame::from(crate::link::Kind::Load(self.load()));
+        let load = self.owner.signal().load;
+        self.fleet
+            .borrow_mut()
+            .on_local_load(crate::clock::now(), load);
+        let mut listeners = self.listeners.borrow_mut();
+        listeners.retain(|tx| !tx.is_closed());
+        for tx in listeners.iter() {
+            // A full queue means that the peer reads nothing; the next load will do.
+            let _ = tx.try_send(frame.clone());
+        }
+    }
+
+    /// Takes in a change of what the backend server is ready for.
+    pub(crate) fn on_server_changed(&self) {
+        let now = crate::clock::now();
+        let announcement = self.announcement();
+        self.fleet.borrow_mut().set_local(now, &announcement);
+        self.tell_load();
+        self.announce.notify_one();
+    }
+
+    /// What the fleet is told of this node.
+    pub(crate) fn announcement(&self) -> Announcement {
+        let settings = self.settings();
+        Announcement {
+            incarnation: self.incarnation,
+            address: settings.addresses.peers.to_string(),
+            domain: settings.domain,
+            service: self.service(),
+            slots: self.owner.slots(),
+            state: self.owner.state(),
+            is_cold: self.owner.is_cold(crate::clock::now()),
+            is_stopping: self.is_stopping(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -0,0 +1,182 @@
+//! One request to the backend server and its answer.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cassiashunt_adapter::{ServerFacts, is_not_executed, read_server_facts, server_headers};
+use cassiashunt_types::prelude::*;
+
+use super::pool::{self, Pool};
+use crate::{
+    http::{Connection, Framing, ReadError, ResponseHead, header},
+    link::{Answer, Field, WorkRequest},
+};
+
+/// The longest answer that is taken in.
+const MAX_ANSWER: usize = 64 << 20;
+/// Answers to earlier requests that are passed over before the one that is awaited.
+const MAX_STALE_ANSWERS: usize = 4;
+
+/// How an exchange failed.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// No connection: the server never saw the request.
+    Unreachable(std::io::Error),
+    /// The server says that it did not run the request; its status.
+    NotExecuted(u16),
+    /// The connection ended or broke before the whole answer was in.
+    Lost(ReadError),
+    /// The answer is not the server's whole answer to this request; why.
+    Spoiled(&'static str),
+}
+
+impl Failure {
+    /// The refusal that stands for the failure.
+    pub(crate) fn refusal(&self) -> Refusal {
+        match self {
+            Self::Unreachable(_) => Refusal::not_run(Reason::NoServer),
+            Self::NotExecuted(_) => Refusal::not_run(Reason::ServerRefused),
+            Self::Lost(_) | Self::Spoiled(_) => Refusal::may_have_run(Reason::Lost),
+        }
+    }
+}
+
+/// Sends the request and takes the whole answer in.
+pub(crate) async fn exchange(
+    pool: &Pool,
+    address: SocketAddr,
+    server: &str,
+    request: &WorkRequest,
+    left: Duration,
+) -> Result<Answer, Failure> {
+    let kept = pool.take(crate::clock::now());
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => pool::connect(address).await.map_err(Failure::Unreachable)?,
+    };
+    let bytes = encode(request, server, left);
+    let method = request.method.as_str();
+    let (mut head, is_sent) = connection
+        .exchange_head(&bytes, method)
+        .await
+        .map_err(Failure::Lost)?;
+    for _ in 0..MAX_STALE_ANSWERS {
+        if (100..200).contains(&head.status) {
+            head = next_head(&mut connection, method).await?;
+            continue;
+        }
+        let facts = read_server_facts(pairs(&head));
+        let is_stale = facts
+            .attempt
+            .as_ref()
+            .is_some_and(|it| *it != request.attempt);
+        if !is_stale {
+            return finish(pool, connection, head, &facts, is_sent).await;
+        }
+        if head.framing == Framing::UntilClose {
+            return Err(Failure::Spoiled("answer to another request"));
+        }
+        read_body(&mut connection, head.framing).await?;
+        head = next_head(&mut connection, method).await?;
+    }
+    Err(Failure::Spoiled("answers to other requests"))
+}
+
+async fn next_head(connection: &mut Connection, method: &str) -> Result<ResponseHead, Failure> {
+    let head = connection.read_response_head(method).await;
+    head.map_err(Failure::Lost)
+}
+
+async fn read_body(connection: &mut Connection, framing: Framing) -> Result<Bytes, Failure> {
+    let body = connection.read_body(framing, MAX_ANSWER).await;
+    body.map_err(Failure::Lost)
+}
+
+async fn finish(
+    pool: &Pool,
+    mut connection: Connection,
+    head: ResponseHead,
+    facts: &ServerFacts,
+    is_sent: bool,
+) -> Result<Answer, Failure> {
+    if is_not_executed(head.status, facts) {
+        return Err(Failure::NotExecuted(head.status));
+    }
+    check(&head, facts)?;
+    let body = read_body(&mut connection, head.framing).await?;
+    let is_reusable = head.keep_alive && is_sent && !connection.has_leftover();
+    if is_reusable {
+        pool.put(crate::clock::now(), connection, &head);
+    }
+    Ok(Answer {
+        status: u32::from(head.status),
+        headers: end_to_end(head.headers),
+        body,
+    })
+}
+
+/// Whether the head can be the server's answer to this request.
+fn check(head: &ResponseHead, facts: &ServerFacts) -> Result<(), Failure> {
+    let is_success = (200..300).contains(&head.status);
+    if facts.attempt.is_none() {
+        return Err(Failure::Spoiled("no id of the attempt"));
+    }
+    if is_success && !facts.is_signed {
+        return Err(Failure::Spoiled("no signature"));
+    }
+    if header(&head.headers, "content-encoding").is_some() {
+        return Err(Failure::Spoiled("an encoding that nobody asked for"));
+    }
+    Ok(())
+}
+
+fn pairs(head: &ResponseHead) -> impl Iterator<Item = (&str, &str)> {
+    head.headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()))
+}
+
+/// Fields that concern one connection only, or that the ingress node sets.
+const PER_CONNECTION: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+];
+
+fn end_to_end(headers: Vec<(String, String)>) -> Vec<Field> {
+    let is_kept = |name: &str| {
+        !PER_CONNECTION
+            .iter()
+            .any(|it| name.eq_ignore_ascii_case(it))
+    };
+    let kept = headers.into_iter().filter(|(name, _)| is_kept(name));
+    kept.map(|(name, value)| Field { name, value }).collect()
+}
+
+fn encode(request: &WorkRequest, server: &str, left: Duration) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512 + request.body.len());
+    let mut line = |parts: [&str; 4]| {
+        for part in parts {
+            out.extend_from_slice(part.as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+    };
+    line([&request.method, " ", &request.target, " HTTP/1.1"]);
+    for field in &request.headers {
+        line([&field.name, ": ", &field.value, ""]);
+    }
+    for (name, value) in server_headers(server, left) {
+        line([name, ": ", &value, ""]);
+    }
+    let has_body = !request.body.is_empty() || !matches!(&*request.method, "GET" | "HEAD");
+    if has_body {
+        line(["Content-Length: ", &request.body.len().to_string(), "", ""]);
+    }
+    line(["", "", "", ""]);
+    out.extend_from_slice(&request.body);
+    out
+}
--- /dev/null
+++ b/crates/sidecar/src/owner/owner.rs
@@ -0,0 +1,365 @@
+//! Requests for the backend server beside this node: which start, and how they end.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Signal};
+use cassiashunt_mesh::prelude::*;
+use cassiashunt_types::prelude::*;
+use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
+
+use super::{
+    exchange::{Failure, exchange},
+    pool::Pool,
+    server::{Change, Server},
+};
+use crate::{
+    clock,
+    link::{Outcome, WorkRequest},
+    node::Node,
+};
+
+/// Where the outcome of a request goes.
+type Reply = oneshot::Sender<Outcome>;
+
+enum Work {
+    Waiting(WorkRequest, Time, Reply),
+    Running(AbortHandle),
+}
+
+/// The way to the backend server.
+pub(crate) struct Owner {
+    inner: RefCell<Inner>,
+    pool: Pool,
+}
+
+struct Inner {
+    server: Option<Server>,
+    /// The server's connections are refused; until the next heartbeat.
+    is_down: bool,
+    admission: Admission,
+    work: HashMap<RequestId, Work>,
+    last: RequestId,
+}
+
+impl Owner {
+    pub(crate) fn new(now: Time) -> Self {
+        Self {
+            inner: RefCell::new(Inner {
+                server: None,
+                is_down: false,
+                admission: Admission::new(now, options(0, Duration::ZERO)),
+                work: HashMap::new(),
+                last: RequestId(0),
+            }),
+            pool: Pool::default(),
+        }
+    }
+
+    pub(crate) fn service(&self) -> Option<Service> {
+        self.inner
+            .borrow()
+            .server
+            .as_ref()
+            .map(|server| server.service)
+    }
+
+    pub(crate) fn slots(&self) -> u32 {
+        let inner = self.inner.borrow();
+        inner.server.as_ref().map_or(0, |server| server.slots)
+    }
+
+    pub(crate) fn state(&self) -> ServerState {
+        let inner = self.inner.borrow();
+        match &inner.server {
+            Some(server) if !inner.is_down => server.state,
+            _ => ServerState::Absent,
+        }
+    }
+
+    pub(crate) fn is_serving(&self) -> bool {
+        self.state() == ServerState::Ready
+    }
+
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        let inner = self.inner.borrow();
+        inner
+            .server
+            .as_ref()
+            .is_some_and(|server| server.warm_at > now)
+    }
+
+    pub(crate) fn signal(&self) -> Signal {
+        self.inner.borrow().admission.signal(clock::now())
+    }
+
+    /// Requests that wait or run.
+    pub(crate) fn busy(&self) -> usize {
+        self.inner.borrow().work.len()
+    }
+
+    /// Takes in a request; its outcome comes through the receiver.
+    pub(crate) fn submit(
+        &self,
+        node: &Rc<Node>,
+        request: WorkRequest,
+    ) -> (RequestId, oneshot::Receiver<Outcome>) {
+        let now = clock::now();
+        let (tx, rx) = oneshot::channel();
+        let mut inner = self.inner.borrow_mut();
+        let id = inner.last.next();
+        inner.last = id;
+        if let Some(reason) = inner.refuses(node, &request) {
+            // The receiver is in our hands.
+            let _ = tx.send(Outcome::Refused(Refusal::not_run(reason)));
+            return (id, rx);
+        }
+        let Some(job) = job(id, now, &request) else {
+            // The receiver is in our hands.
+            let _ = tx.send(Outcome::Refused(Refusal::not_run(Reason::BadRequest)));
+            return (id, rx);
+        };
+        inner
+            .work
+            .insert(id, Work::Waiting(request, job.deadline, tx));
+        let actions = inner.admission.offer(now, job);
+        drop(inner);
+        self.apply(node, actions);
+        (id, rx)
+    }
+
+    /// Gives a request up: a waiting one never runs, and the connection of a running one is closed.
+    pub(crate) fn cancel(&self, node: &Rc<Node>, id: RequestId) {
+        let now = clock::now();
+        let mut inner = self.inner.borrow_mut();
+        let actions = match inner.work.remove(&id) {
+            Some(Work::Waiting(..)) => inner.admission.cancel(now, id),
+            Some(Work::Running(task)) => {
+                task.abort();
+                inner.admission.done(now, id, Duration::ZERO, false)
+            }
+            None => return,
+        };
+        drop(inner);
+        self.apply(node, actions);
+    }
+
+    /// Refuses waiting requests that can't finish in time any more.
+    pub(crate) fn tick(&self, node: &Rc<Node>) {
+        let now = clock::now();
+        self.pool.expire(now);
+        let actions = self.inner.borrow_mut().admission.tick(now);
+        self.apply(node, actions);
+    }
+
+    /// Takes in a server's answer to a probe, unless a heartbeat has come meanwhile.
+    pub(crate) fn on_probed(&self, node: &Rc<Node>, id: String, slots: Option<u32>) {
+        let now = clock::now();
+        if self.inner.borrow().server.is_some() {
+            return;
+        }
+        let service = node.settings().service;
+        self.replace(node, Server::probed(id, service, slots, now));
+    }
+
+    /// Takes in a heartbeat.
+    pub(crate) fn on_heartbeat(&self, node: &Rc<Node>, beat: &Heartbeat) {
+        let now = clock::now();
+        let change = {
+            let inner = self.inner.borrow();
+            let known = inner.server.as_ref();
+            known.map_or(Change::Restart, |server| server.compare(beat))
+        };
+        match change {
+            Change::Stale => log::info!(server:% = beat.server, sequence = beat.sequence;
+                "heartbeat-stale"),
+            Change::Restart => self.replace(node, Server::announced(beat, now)),
+            Change::None | Change::State => self.refresh(node, beat, change),
+        }
+    }
+
+    /// Takes in that the server with this id leaves.
+    pub(crate) fn on_leave(&self, node: &Rc<Node>, id: &str) {
+        let is_ours = {
+            let mut inner = self.inner.borrow_mut();
+            let server = inner.server.as_mut().filter(|server| server.id == id);
+            server
+                .map(|server| server.state = ServerState::Draining)
+                .is_some()
+        };
+        if is_ours {
+            self.drain(node);
+        }
+    }
+
+    /// Refuses everything that waits and all new work.
+    pub(crate) fn drain(&self, node: &Rc<Node>) {
+        let actions = self.inner.borrow_mut().admission.drain();
+        log::info!(server:? = self.server_id(); "server-draining");
+        self.apply(node, actions);
+        node.on_server_changed();
+    }
+
+    fn server_id(&self) -> Option<String> {
+        let inner = self.inner.borrow();
+        inner.server.as_ref().map(|server| server.id.clone())
+    }
+
+    fn refresh(&self, node: &Rc<Node>, beat: &Heartbeat, change: Change) {
+        let now = clock::now();
+        let (was_down, is_draining, actions) = {
+            let mut inner = self.inner.borrow_mut();
+            let was_down = std::mem::take(&mut inner.is_down);
+            let Some(server) = inner.server.as_mut() else {
+                return;
+            };
+            server.take_in(beat, now);
+            let (slots, state) = (server.slots, server.state);
+            let actions = inner.admission.set_slots(now, slots);
+            (was_down, state == ServerState::Draining, actions)
+        };
+        self.apply(node, actions);
+        if change == Change::State && is_draining {
+            self.drain(node);
+        } else if was_down || change == Change::State {
+            node.on_server_changed();
+        }
+    }
+
+    /// Another start of the server takes the place of the known one.
+    fn replace(&self, node: &Rc<Node>, server: Server) {
+        let now = clock::now();
+        log::info!(server:% = server.id, service:% = server.service, slots = server.slots,
+            state:? = server.state; "server-seen");
+        self.pool.clear();
+        let old = self.inner.borrow_mut().admission.drain();
+        self.apply(node, old);
+        {
+            let mut inner = self.inner.borrow_mut();
+            let warm_up = server.warm_at.since(now);
+            inner.admission = Admission::new(now, options(server.slots, warm_up));
+            inner.is_down = false;
+            if server.state == ServerState::Draining {
+                inner.admission.drain();
+            }
+            inner.server = Some(server);
+        }
+        node.on_server_changed();
+    }
+
+    /// Carries out what the admission decided.
+    fn apply(&self, node: &Rc<Node>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id) => self.start(node, id),
+                Action::Refuse(id, refusal) => {
+                    let work = self.inner.borrow_mut().work.remove(&id);
+                    if let Some(Work::Waiting(_, _, reply)) = work {
+                        // Nobody waits where the request was given up at this moment.
+                        let _ = reply.send(Outcome::Refused(refusal));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&self, node: &Rc<Node>, id: RequestId) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(Work::Waiting(request, deadline, reply)) = inner.work.remove(&id) else {
+            return;
+        };
+        let run = run(Rc::clone(node), id, request, deadline, reply);
+        let task = tokio::task::spawn_local(run).abort_handle();
+        inner.work.insert(id, Work::Running(task));
+    }
+
+    /// Takes in how a running request ended.
+    fn finish(&self, node: &Rc<Node>, id: RequestId, spent: Duration, is_ok: bool, is_down: bool) {
+        let actions = {
+            let mut inner = self.inner.borrow_mut();
+            if inner.work.remove(&id).is_none() {
+                return;
+            }
+            inner.admission.done(clock::now(), id, spent, is_ok)
+        };
+        self.apply(node, actions);
+        if is_down && !std::mem::replace(&mut self.inner.borrow_mut().is_down, true) {
+            log::warn!(server:? = self.server_id(); "server-down");
+            self.pool.clear();
+            node.on_server_changed();
+        }
+    }
+}
+
+impl Inner {
+    /// Why a request is refused before admission looks at it.
+    fn refuses(&self, node: &Node, request: &WorkRequest) -> Option<Reason> {
+        let server = self.server.as_ref()?;
+        if node.is_stopping() {
+            Some(Reason::Draining)
+        } else if self.is_down || server.service.as_str() != request.service {
+            Some(Reason::NoServer)
+        } else {
+            None
+        }
+    }
+}
+
+/// Runs one request at the server, to its deadline.
+async fn run(node: Rc<Node>, id: RequestId, request: WorkRequest, deadline: Time, reply: Reply) {
+    let owner = &node.owner;
+    let began = clock::now();
+    let left = deadline.since(began);
+    let address = node.settings().addresses.server;
+    let server = owner.server_id().unwrap_or_default();
+    let ended = timeout(
+        left,
+        exchange(&owner.pool, address, &server, &request, left),
+    )
+    .await;
+    let spent = clock::now().since(began);
+    let mut is_down = false;
+    let outcome = match ended {
+        Ok(Ok(answer)) => Outcome::Answered(answer),
+        Ok(Err(failure)) => {
+            is_down = matches!(failure, Failure::Unreachable(_));
+            log::warn!(request:% = request.attempt, failure:? = failure, server:% = server,
+                spent_ms = millis(spent); "server-failed");
+            Outcome::Refused(failure.refusal())
+        }
+        Err(_) => Outcome::Refused(Refusal::may_have_run(Reason::Deadline)),
+    };
+    let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
+    // Nobody waits where the request was given up at this moment.
+    let _ = reply.send(outcome);
+    owner.finish(&node, id, spent, is_ok, is_down);
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn options(slots: u32, warm_up: Duration) -> Options {
+    Options {
+        slots,
+        warm_up,
+        ..Options::default()
+    }
+}
+
+/// The request as admission sees it; nothing where a name is none.
+fn job(id: RequestId, now: Time, request: &WorkRequest) -> Option<Job> {
+    let workspace = if request.workspace.is_empty() {
+        "-"
+    } else {
+        &request.workspace
+    };
+    Some(Job {
+        key: id,
+        workspace: workspace.parse().ok()?,
+        weight: 1,
+        priority: Priority(u8::try_from(request.priority).unwrap_or(u8::MAX)),
+        depth: u8::try_from(request.depth).unwrap_or(u8::MAX),
+        deadline: now + Duration::from_micros(request.left_us),
+        route: request.route.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/sidecar/src/run.rs
@@ -0,0 +1,126 @@
+//! Starts the tasks of a node and waits for its end.
+
+use std::{cell::Cell, path::Path, rc::Rc, time::Duration};
+
+use cassiashunt_types::Revision;
+use eyre::WrapErr as _;
+use tokio::{net::TcpListener, task::LocalSet};
+
+use crate::{
+    control::{self, Purpose},
+    ingress::accept_clients,
+    link::accept_peers,
+    logs,
+    node::Node,
+    settings::Settings,
+    stop,
+    store::{self, StoreClient},
+};
+
+/// The time between two steps of the owner's queue.
+const QUEUE_TICK: Duration = Duration::from_millis(25);
+/// The time between two words to the peers about this node's load, for each ten nodes.
+const LOAD_EVERY: Duration = Duration::from_millis(100);
+/// The time between two looks for peers that are gone.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+
+/// Runs a node until it is asked to stop.
+///
+/// # Errors
+///
+/// Where the settings can't be used or an address can't be listened on.
+pub fn run(path: &Path) -> eyre::Result<()> {
+    let settings = Settings::read(path)?;
+    logs::init(&settings.name)?;
+    log::info!(settings:% = path.display(), version:% = env!("CARGO_PKG_VERSION"); "node-start");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let tasks = LocalSet::new();
+    let ended = tasks.block_on(&runtime, serve(settings, path));
+    match &ended {
+        Ok(()) => log::info!("node-stop"),
+        Err(err) => log::error!(reason:% = format!("{err:#}"); "node-failed"),
+    }
+    logs::flush();
+    std::thread::sleep(logs::LAST_WRITE);
+    ended
+}
+
+async fn serve(settings: Settings, path: &Path) -> eyre::Result<()> {
+    let addresses = settings.addresses.clone();
+    let store = Rc::new(StoreClient::new(settings.store.address));
+    let node = Rc::new(Node::new(settings));
+    let requests = listen(addresses.requests).await?;
+    let peers = listen(addresses.peers).await?;
+    let ready = listen(addresses.ready).await?;
+    let heartbeats = listen(addresses.heartbeats).await?;
+    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    let tasks: Vec<std::pin::Pin<Box<dyn Future<Output = ()>>>> = vec![
+        Box::pin(accept_clients(Rc::clone(&node), requests)),
+        Box::pin(accept_peers(Rc::clone(&node), peers)),
+        Box::pin(control::accept(Rc::clone(&node), ready, Purpose::Ready)),
+        Box::pin(control::accept(
+            Rc::clone(&node),
+            heartbeats,
+            Purpose::Heartbeats,
+        )),
+        Box::pin(control::probe_server(Rc::clone(&node))),
+        Box::pin(store::follow_config(
+            Rc::clone(&node),
+            Rc::clone(&store),
+            Rc::new(Cell::new(Revision(0))),
+        )),
+        Box::pin(store::prove_config(Rc::clone(&node), Rc::clone(&store))),
+        Box::pin(store::follow_directory(Rc::clone(&node), Rc::clone(&store))),
+        Box::pin(store::announce(Rc::clone(&node), Rc::clone(&store))),
+        Box::pin(tick_queue(Rc::clone(&node))),
+        Box::pin(tell_load(Rc::clone(&node))),
+        Box::pin(sweep(Rc::clone(&node))),
+        Box::pin(flush_logs()),
+    ];
+    for task in tasks {
+        spawn(task);
+    }
+    stop::wait(&node, &store, path).await
+}
+
+async fn listen(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    let bound = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
+    bound.wrap_err_with(|| format!("can't listen on {address}"))
+}
+
+/// Connections that may wait to be accepted; a full queue makes clients wait for seconds.
+const BACKLOG: u32 = 1_024;
+
+async fn tick_queue(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(QUEUE_TICK).await;
+        node.owner.tick(&node);
+    }
+}
+
+/// Tells the load more rarely in a larger fleet, so that what a node spends on it stays the same.
+async fn tell_load(node: Rc<Node>) {
+    loop {
+        let tens = u32::try_from(node.fleet.borrow().size().div_ceil(10)).unwrap_or(1);
+        tokio::time::sleep(LOAD_EVERY * tens).await;
+        node.tell_load();
+    }
+}
+
+async fn sweep(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        store::drop_missing(&node);
+    }
+}
+
+async fn flush_logs() {
+    loop {
+        tokio::time::sleep(logs::FLUSH_EVERY).await;
+        logs::flush();
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/stop.rs
@@ -0,0 +1,72 @@
+//! Signals: a planned stop that cuts nothing off, and changed settings.
+
+use std::{path::Path, rc::Rc, time::Duration};
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{
+    clock,
+    node::Node,
+    settings::Settings,
+    store::{StoreClient, withdraw},
+};
+
+/// How long clients are given to see that the node is not ready: it is asked once a second, and
+/// two misses take it out.
+const NOTICE: Duration = Duration::from_millis(2_600);
+/// The part of the grace period that the work in hand may take.
+const USED_GRACE: f64 = 0.93;
+/// The time between two looks whether all work is done.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Waits for the signal to stop, and then for the end of the work in hand.
+pub(crate) async fn wait(node: &Rc<Node>, store: &StoreClient, path: &Path) -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hup.recv() => reload(node, path),
+        }
+    }
+    drain(node, store).await;
+    Ok(())
+}
+
+async fn drain(node: &Rc<Node>, store: &StoreClient) {
+    let began = clock::now();
+    node.stopping.set(Some(began));
+    log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopping");
+    node.owner.drain(node);
+    let grace = Duration::from_secs_f64(node.settings().bounds.grace_s).mul_f64(USED_GRACE);
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        let spent = clock::now().since(began);
+        let is_done = node.open_requests.get() == 0 && node.owner.busy() == 0;
+        if spent >= grace || (is_done && spent >= NOTICE) {
+            break;
+        }
+    }
+    if let Some(lease) = node.lease.get()
+        && let Err(err) = withdraw(store, lease).await
+    {
+        log::info!(reason:% = err; "entry-left-to-lapse");
+    }
+    log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopped");
+}
+
+/// Takes in settings that can change while the node runs; what can't is logged.
+fn reload(node: &Node, path: &Path) {
+    match Settings::read(path) {
+        Ok(settings) => {
+            let needs_restart = settings.addresses != node.settings().addresses
+                || settings.store != node.settings().store
+                || settings.name != node.settings().name;
+            log::info!(needs_restart = needs_restart; "settings-reloaded");
+            node.set_settings(settings);
+        }
+        Err(err) => log::error!(reason:% = err; "settings-refused"),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/store/client.rs
@@ -0,0 +1,112 @@
+//! Calls to the platform's store.
+
+use std::{cell::RefCell, fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use cassiashunt_adapter::{Call, StoreError};
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::http::{Connection, ReadError};
+
+/// The longest answer: a page of items, or a value at its limit.
+const MAX_ANSWER: usize = 4 << 20;
+/// Connections kept for the next call: one for calls and one for each watch.
+const MAX_IDLE: usize = 3;
+
+/// Why a call gave nothing that can be used.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// No answer came in time; the call may have been carried out, or may be yet.
+    Silent,
+    /// The connection could not be opened.
+    Unreachable(std::io::Error),
+    /// The connection ended before the answer was in; the call may have been carried out.
+    Lost(ReadError),
+    /// The answer is an error, or can't be read.
+    Answer(StoreError),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Silent => f.write_str("no answer in time"),
+            Self::Unreachable(err) => write!(f, "unreachable: {err}"),
+            Self::Lost(err) => write!(f, "connection lost: {err:?}"),
+            Self::Answer(err) => err.fmt(f),
+        }
+    }
+}
+
+impl From<StoreError> for CallError {
+    fn from(err: StoreError) -> Self {
+        Self::Answer(err)
+    }
+}
+
+/// A client of the store.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Makes one call and returns status and body. A connection without an answer in time is
+    /// dropped, since nothing more comes on it.
+    pub(crate) async fn call(
+        &self,
+        call: &Call,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), CallError> {
+        let exchanged = timeout(limit, self.exchange(call)).await;
+        exchanged.map_err(|_| CallError::Silent)?
+    }
+
+    async fn exchange(&self, call: &Call) -> Result<(u16, Bytes), CallError> {
+        let mut connection = self.connection().await?;
+        let request = self.encode(call);
+        let exchanged = connection.exchange_head(&request, call.method).await;
+        let (head, _) = exchanged.map_err(CallError::Lost)?;
+        let body = connection.read_body(head.framing, MAX_ANSWER).await;
+        let body = body.map_err(CallError::Lost)?;
+        let mut idle = self.idle.borrow_mut();
+        if head.keep_alive && !connection.has_leftover() && idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+        Ok((head.status, body))
+    }
+
+    async fn connection(&self) -> Result<Connection, CallError> {
+        loop {
+            let kept = self.idle.borrow_mut().pop();
+            let Some(mut kept) = kept else { break };
+            if kept.is_idle() {
+                return Ok(kept);
+            }
+        }
+        let stream = TcpStream::connect(self.address).await;
+        let stream = stream.map_err(CallError::Unreachable)?;
+        stream.set_nodelay(true).map_err(CallError::Unreachable)?;
+        Ok(Connection::new(stream))
+    }
+
+    fn encode(&self, call: &Call) -> Vec<u8> {
+        let (method, target, host) = (call.method, &call.target, self.address);
+        let mut out = format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n").into_bytes();
+        if !call.body.is_empty() || method == "POST" {
+            let length = call.body.len();
+            let fields = format!("Content-Type: application/json\r\nContent-Length: {length}\r\n");
+            out.extend_from_slice(fields.as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&call.body);
+        out
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/store/directory.rs
@@ -0,0 +1,116 @@
+//! The live nodes, by their entries in the store.
+
+use std::{collections::HashSet, rc::Rc};
+
+use cassiashunt_adapter::{Change, Item, decode_listing, decode_watch, node_prefix, range, watch};
+use cassiashunt_mesh::prelude::*;
+use cassiashunt_types::prelude::*;
+
+use super::{CALL_TIMEOUT, RETRY, StoreClient, client::CallError};
+use crate::{clock, node::Node};
+
+/// How long a watch waits for a change.
+const WATCH: Duration = Duration::from_secs(8);
+/// Entries lapse while the store is away; a server that lives has its entry back in this time.
+const MISSING: Duration = Duration::from_millis(2_500);
+/// After changes, how long the next watch is held back so that many changes come in one answer.
+const GATHER: Duration = Duration::from_millis(250);
+
+/// Follows the entries.
+pub(crate) async fn follow_directory(node: Rc<Node>, store: Rc<StoreClient>) {
+    loop {
+        match read_all(&node, &store).await {
+            Ok(mut at) => {
+                while let Ok(next) = watch_once(&node, &store, at).await {
+                    let has_changed = next > at;
+                    at = next;
+                    if has_changed {
+                        tokio::time::sleep(GATHER).await;
+                    }
+                }
+            }
+            Err(err) => log::warn!(reason:% = err; "directory-unread"),
+        }
+        let jitter = node.rng.borrow_mut().f64();
+        tokio::time::sleep(RETRY.mul_f64(1.0 + jitter)).await;
+    }
+}
+
+/// Drops the peers whose entries have been missing for long.
+pub(crate) fn drop_missing(node: &Node) {
+    node.fleet.borrow_mut().drop_missing(clock::now(), MISSING);
+    node.set_limits();
+}
+
+async fn read_all(node: &Rc<Node>, store: &StoreClient) -> Result<Revision, CallError> {
+    let mut seen = HashSet::new();
+    let mut after: Option<String> = None;
+    let mut first_at = None;
+    loop {
+        let call = range(node_prefix(), after.as_deref());
+        let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
+        let page = decode_listing(status, &body)?;
+        // Pages are no snapshot: what changes while they are read is seen by a watch from the
+        // first page's revision on.
+        first_at.get_or_insert(page.at);
+        after = page.items.last().map(|item| item.key.clone());
+        for item in &page.items {
+            seen.extend(take_in(node, item));
+        }
+        if !page.has_more || after.is_none() {
+            break;
+        }
+    }
+    let known = node.fleet.borrow().names();
+    let now = clock::now();
+    for name in known.iter().filter(|name| !seen.contains(*name)) {
+        node.fleet.borrow_mut().on_missing(now, name);
+    }
+    node.set_limits();
+    Ok(first_at.unwrap_or_default())
+}
+
+async fn watch_once(
+    node: &Rc<Node>,
+    store: &StoreClient,
+    after: Revision,
+) -> Result<Revision, CallError> {
+    let call = watch(node_prefix(), after, WATCH);
+    let (status, body) = store.call(&call, WATCH + CALL_TIMEOUT).await?;
+    let (changes, at) = decode_watch(status, &body)?;
+    for change in &changes {
+        match change {
+            Change::Put(item) => {
+                take_in(node, item);
+            }
+            Change::Gone(key, _) => {
+                let name = key.strip_prefix(node_prefix()).unwrap_or(key);
+                if name == node.settings().name {
+                    node.announce.notify_one();
+                } else {
+                    node.fleet.borrow_mut().on_missing(clock::now(), name);
+                }
+            }
+        }
+    }
+    node.set_limits();
+    Ok(at)
+}
+
+/// Takes an entry in, and returns its node's name. An entry that can't be read names nobody.
+fn take_in(node: &Rc<Node>, item: &Item) -> Option<String> {
+    let name = item.key.strip_prefix(node_prefix())?;
+    if name == node.settings().name {
+        return None;
+    }
+    let announcement: Announcement = match serde_json::from_slice(&item.value) {
+        Ok(announcement) => announcement,
+        Err(err) => {
+            log::warn!(key:% = item.key, reason:% = err; "entry-unreadable");
+            return None;
+        }
+    };
+    let mut fleet = node.fleet.borrow_mut();
+    fleet.on_announced(node, name, announcement);
+    Some(name.to_owned())
+}
