--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -67,13 +67,15 @@
         }
     }
 
-    /// Takes in a changed limit or number of nodes.
-    pub fn set_options(&mut self, now: Time, opts: Options) {
+    /// Takes in a changed limit or number of nodes. Tells whether the limit itself changed.
+    pub fn set_options(&mut self, now: Time, opts: Options) -> bool {
         self.fill(now);
+        let is_changed = (opts.rate, opts.burst) != (self.opts.rate, self.opts.burst);
         if opts != self.opts {
             self.opts = opts;
             self.tokens = self.tokens.min(self.cap());
         }
+        is_changed
     }
 
     /// Takes one token for a request.
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -45,17 +45,23 @@
                 burst: row.burst,
                 nodes,
             };
-            entries
-                .entry(row.name)
-                .or_insert_with(|| Entry {
-                    allowance: Allowance::new(now, opts),
-                    arrived: Rc::new(Notify::new()),
-                    asked: 0,
-                    asked_at: now,
-                    dry_until: now,
-                })
-                .allowance
-                .set_options(now, opts);
+            let entry = entries.entry(row.name).or_insert_with(|| Entry {
+                allowance: Allowance::new(
+                    now,
+                    AllowanceOptions {
+                        nodes,
+                        ..Default::default()
+                    },
+                ),
+                arrived: Rc::new(Notify::new()),
+                asked: 0,
+                asked_at: now,
+                dry_until: now,
+            });
+            if entry.allowance.set_options(now, opts) {
+                log::info!(workspace:% = row.name, rate = row.rate, burst = row.burst,
+                    nodes = nodes; "limit-in-force");
+            }
         }
     }
 
