Shed before chains start, by what all clients ask of the scarcest service

Tokens of requests that did not run are given back. Ruled out: owners' queues alone (they see a chain only when it is half done).

--- /dev/null
+++ b/crates/admit/src/chain.rs
@@ -0,0 +1,126 @@
+//! What a client's request costs at each service that its chain of calls reaches.
+//!
+//! Each owner tells how long a run of each route holds one of its server's slots, and which calls
+//! a run makes. The cost of a route at a service is the slot time of its runs there plus the costs
+//! of the calls that they make.
+
+use std::collections::{BTreeMap, HashMap};
+
+use cassiashunt_types::prelude::*;
+
+/// The deepest chain that is followed.
+const MAX_DEPTH: usize = 6;
+/// How long an owner's word counts.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
+/// What an owner tells of the runs of one route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteUse {
+    /// What runs.
+    pub route: Route,
+    /// Runs a second.
+    pub runs_per_s: f64,
+    /// How long a run holds a slot, in seconds.
+    pub slot_s: f64,
+    /// What a run calls, and how often.
+    pub calls: Vec<(Route, f64)>,
+}
+
+/// The slot time, in seconds, that a request takes at each service.
+pub type Cost = Vec<(Service, f64)>;
+
+/// What is known of the chains.
+#[derive(Debug, Default)]
+pub struct Chains {
+    reports: HashMap<String, Report>,
+    costs: HashMap<Route, Cost>,
+}
+
+#[derive(Debug)]
+struct Report {
+    received: Time,
+    service: Service,
+    uses: Vec<RouteUse>,
+}
+
+/// A route's runs at one service, over all owners.
+#[derive(Debug, Default)]
+struct Runs {
+    rate: f64,
+    slot_s: f64,
+    calls: BTreeMap<Route, f64>,
+}
+
+impl Chains {
+    /// Takes in an owner's word, under its node's name.
+    pub fn on_report(&mut self, now: Time, owner: &str, service: Service, uses: Vec<RouteUse>) {
+        let report = Report {
+            received: now,
+            service,
+            uses,
+        };
+        self.reports.insert(owner.to_owned(), report);
+    }
+
+    /// Works the costs out anew; to be called about once a second.
+    pub fn update(&mut self, now: Time) {
+        self.reports
+            .retain(|_, report| now.since(report.received) <= MAX_AGE);
+        let runs = self.runs();
+        let routes: Vec<_> = runs.keys().copied().collect();
+        let costs = routes.into_iter().map(|route| {
+            let mut cost = BTreeMap::new();
+            add_cost(&runs, route, 1.0, 0, &mut cost);
+            (route, cost.into_iter().collect())
+        });
+        self.costs = costs.collect();
+    }
+
+    /// What a request of this route costs; nothing where no run was seen yet.
+    #[must_use]
+    pub fn cost(&self, route: Route) -> &[(Service, f64)] {
+        self.costs.get(&route).map_or(&[], Vec::as_slice)
+    }
+
+    /// The mean of the owners' words, weighted by their runs.
+    fn runs(&self) -> HashMap<Route, BTreeMap<Service, Runs>> {
+        let mut runs: HashMap<Route, BTreeMap<Service, Runs>> = HashMap::new();
+        for report in self.reports.values() {
+            for told in &report.uses {
+                let services = runs.entry(told.route).or_default();
+                let sum = services.entry(report.service).or_default();
+                sum.rate += told.runs_per_s;
+                sum.slot_s += told.runs_per_s * told.slot_s;
+                for (call, count) in &told.calls {
+                    *sum.calls.entry(*call).or_default() += told.runs_per_s * count;
+                }
+            }
+        }
+        for sum in runs.values_mut().flat_map(BTreeMap::values_mut) {
+            let rate = sum.rate.max(f64::MIN_POSITIVE);
+            sum.slot_s /= rate;
+            sum.calls.values_mut().for_each(|count| *count /= rate);
+        }
+        runs
+    }
+}
+
+fn add_cost(
+    runs: &HashMap<Route, BTreeMap<Service, Runs>>,
+    route: Route,
+    times: f64,
+    depth: usize,
+    cost: &mut BTreeMap<Service, f64>,
+) {
+    let Some(services) = runs.get(&route).filter(|_| depth < MAX_DEPTH) else {
+        return;
+    };
+    let total: f64 = services.values().map(|runs| runs.rate).sum();
+    for (service, at) in services {
+        let times = times * at.rate / total.max(f64::MIN_POSITIVE);
+        *cost.entry(*service).or_default() += times * at.slot_s;
+        for (call, count) in &at.calls {
+            add_cost(runs, *call, times * count, depth + 1, cost);
+        }
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,15 +5,20 @@
 //! starts. Both are pure: the time is handed in, and what is to be done comes back.
 
 mod admission;
+pub mod chain;
 mod demand;
 mod estimate;
+pub mod fanout;
 pub mod ingress;
 mod job;
 mod limiter;
 mod meter;
 mod queue;
+pub mod root;
 mod signal;
+mod usage;
 
 pub use admission::{Action, Admission, Options};
 pub use job::{Job, Priority};
 pub use signal::{Level, Signal};
+pub use usage::Usage;
--- /dev/null
+++ b/crates/admit/src/root.rs
@@ -0,0 +1,219 @@
+//! Decides on clients' requests before their chains start, by what all of them ask for.
+//!
+//! Every node tells what its clients ask for: slots of each service at each priority. Each node
+//! works out from the sum which part of each priority fits: the more urgent first, and of the
+//! first that does not fit whole an equal part at every node. Calls of admitted requests then find
+//! room, and no work is spent on chains that break off. A slow correction follows what the owners
+//! see, since costs are estimates.
+
+use std::collections::{BTreeMap, HashMap};
+
+use cassiashunt_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::Priority;
+
+/// Settings of the decision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Options {
+    /// The part of a service's slots that is given out; the rest takes up the randomness of
+    /// arrivals, which would otherwise fill the owners' queues.
+    pub target: f64,
+    /// The time over which demand is averaged.
+    pub demand_time: Duration,
+    /// The age at which a node's word is no longer used.
+    pub max_age: Duration,
+    /// Running and waiting requests over slots above which less is given out.
+    pub high_load: f64,
+    /// The load below which more is given out again.
+    pub low_load: f64,
+    /// The relative step of the correction, a tenth of a second.
+    pub step: f64,
+    /// The least and the most of the correction.
+    pub bounds: (f64, f64),
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            target: 0.9,
+            demand_time: Duration::from_millis(600),
+            max_age: Duration::from_secs(2),
+            high_load: 1.0,
+            low_load: 0.85,
+            step: 0.02,
+            bounds: (0.4, 1.3),
+        }
+    }
+}
+
+/// The least part of a priority that is let pass, so that its costs stay known.
+const LEAST_PART: f64 = 0.01;
+/// A cost, in slot seconds, that does not make a request depend on a service.
+const NEGLIGIBLE_S: f64 = 0.002;
+/// The step for which [`Options::step`] is given.
+const STEP: Duration = Duration::from_millis(100);
+
+/// What clients ask of a service at a priority, in slots.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// The priority.
+    pub priority: Priority,
+    /// The service.
+    pub service: Service,
+    /// Slots that would be in use if all of it were admitted.
+    pub slots: f64,
+}
+
+/// What a service has and does, over all its owners.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Capacity {
+    /// Requests that may run at once.
+    pub slots: f64,
+    /// Requests that run or wait.
+    pub busy: f64,
+}
+
+/// The decision at one node.
+#[derive(Debug)]
+pub struct Root {
+    opts: Options,
+    asked: BTreeMap<(Priority, Service), f64>,
+    local: BTreeMap<(Priority, Service), f64>,
+    peers: HashMap<String, (Time, Vec<Demand>)>,
+    corrections: BTreeMap<Service, f64>,
+    parts: BTreeMap<(Priority, Service), f64>,
+    credits: HashMap<Route, f64>,
+    stepped: Option<Time>,
+}
+
+impl Root {
+    /// A decision that knows of no demand.
+    #[must_use]
+    pub fn new(opts: Options) -> Self {
+        Self {
+            opts,
+            asked: BTreeMap::new(),
+            local: BTreeMap::new(),
+            peers: HashMap::new(),
+            corrections: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            credits: HashMap::new(),
+            stepped: None,
+        }
+    }
+
+    /// Takes in another node's demand, under its name.
+    pub fn on_demand(&mut self, now: Time, node: &str, demand: Vec<Demand>) {
+        self.peers.insert(node.to_owned(), (now, demand));
+    }
+
+    /// This node's demand, for the others.
+    #[must_use]
+    pub fn demand(&self) -> Vec<Demand> {
+        let told = self.local.iter().filter(|(_, slots)| **slots > 0.01);
+        told.map(|((priority, service), slots)| Demand {
+            priority: *priority,
+            service: *service,
+            slots: *slots,
+        })
+        .collect()
+    }
+
+    /// Works out which part of each priority fits; to be called about ten times a second.
+    pub fn step(&mut self, now: Time, capacities: &BTreeMap<Service, Capacity>) {
+        let spent = self
+            .stepped
+            .map_or(Duration::ZERO, |stepped| now.since(stepped));
+        self.stepped = Some(now);
+        if spent.is_zero() {
+            return;
+        }
+        self.average(spent);
+        self.correct(spent, capacities);
+        self.divide(now, capacities);
+    }
+
+    /// Decides on one request. It counts as demand whatever the decision.
+    pub fn admit(&mut self, route: Route, priority: Priority, cost: &[(Service, f64)]) -> bool {
+        let mut part: f64 = 1.0;
+        for (service, slot_s) in cost {
+            *self.asked.entry((priority, *service)).or_default() += slot_s;
+            if *slot_s >= NEGLIGIBLE_S {
+                let fits = self.parts.get(&(priority, *service)).copied();
+                part = part.min(fits.unwrap_or(1.0));
+            }
+        }
+        if part >= 1.0 {
+            return true;
+        }
+        let credit = self.credits.entry(route).or_insert(0.5);
+        *credit += part;
+        let passes = *credit >= 1.0;
+        if passes {
+            *credit -= 1.0;
+        }
+        passes
+    }
+
+    /// The part of a priority that fits at a service.
+    #[must_use]
+    pub fn part(&self, priority: Priority, service: Service) -> f64 {
+        self.parts.get(&(priority, service)).copied().unwrap_or(1.0)
+    }
+
+    fn average(&mut self, spent: Duration) {
+        let gain = (spent.as_secs_f64() / self.opts.demand_time.as_secs_f64()).min(1.0);
+        for slots in self.local.values_mut() {
+            *slots *= 1.0 - gain;
+        }
+        for (key, slot_s) in std::mem::take(&mut self.asked) {
+            let rate = slot_s / spent.as_secs_f64();
+            *self.local.entry(key).or_default() += gain * rate;
+        }
+    }
+
+    /// Gives less out where owners are over their slots, and more again where they are well below
+    /// them although requests are refused.
+    fn correct(&mut self, spent: Duration, capacities: &BTreeMap<Service, Capacity>) {
+        let steps = spent.as_secs_f64() / STEP.as_secs_f64();
+        let (least, most) = self.opts.bounds;
+        for (service, capacity) in capacities {
+            let load = capacity.busy / capacity.slots.max(1.0);
+            let is_refusing = self
+                .parts
+                .iter()
+                .any(|((_, it), part)| it == service && *part < 1.0);
+            let correction = self.corrections.entry(*service).or_insert(1.0);
+            if load > self.opts.high_load {
+                *correction *= 1.0 - (self.opts.step * steps).min(0.5);
+            } else if load < self.opts.low_load && (is_refusing || *correction < 1.0) {
+                *correction *= 1.0 + self.opts.step * steps;
+            }
+            *correction = correction.clamp(least, most);
+        }
+    }
+
+    fn divide(&mut self, now: Time, capacities: &BTreeMap<Service, Capacity>) {
+        let max_age = self.opts.max_age;
+        self.peers
+            .retain(|_, (received, _)| now.since(*received) <= max_age);
+        let mut total = self.local.clone();
+        for demand in self.peers.values().flat_map(|(_, demand)| demand) {
+            *total.entry((demand.priority, demand.service)).or_default() += demand.slots;
+        }
+        self.parts.clear();
+        for (service, capacity) in capacities {
+            let correction = self.corrections.get(service).copied().unwrap_or(1.0);
+            let mut left = capacity.slots * self.opts.target * correction;
+            // The most urgent first.
+            let asked = total.iter().rev().filter(|((_, it), _)| it == service);
+            for ((priority, service), slots) in asked {
+                let part = (left / slots.max(f64::MIN_POSITIVE)).clamp(LEAST_PART, 1.0);
+                left = (left - slots * part).max(0.0);
+                self.parts.insert((*priority, *service), part);
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -1,7 +1,12 @@
 //! The live nodes as this one sees them, and the choice among their backend servers.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
 
+use cassiashunt_admit::root::Capacity;
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_route::{
     Candidate, Chooser, Options as ChooserOptions, Outcome, Policy, Presence, ServerKey,
@@ -45,6 +50,34 @@
 struct Group {
     chooser: Chooser,
     ways: HashMap<ServerKey, Way>,
+    /// What owners that take work told last.
+    capacities: HashMap<ServerKey, Capacity>,
+}
+
+impl Group {
+    fn on_load(&mut self, now: Time, key: ServerKey, load: &Load) {
+        let signal = cassiashunt_admit::Signal::from_bits(load.signal);
+        self.chooser.on_load(now, key, signal.load);
+        if load.slots > 0 {
+            self.chooser.set_slots(key, load.slots);
+        }
+        if load.is_serving {
+            let capacity = Capacity {
+                slots: f64::from(load.slots),
+                busy: f64::from(load.busy),
+            };
+            self.capacities.insert(key, capacity);
+        }
+    }
+
+    fn capacity(&self) -> Capacity {
+        let mut sum = Capacity::default();
+        for capacity in self.capacities.values() {
+            sum.slots += capacity.slots;
+            sum.busy += capacity.busy;
+        }
+        sum
+    }
 }
 
 /// The live nodes.
@@ -173,14 +206,22 @@
     }
 
     /// Takes in this node's own load.
-    pub(crate) fn on_local_load(&mut self, now: Time, load: u8) {
+    pub(crate) fn on_local_load(&mut self, now: Time, load: &Load) {
         if let Some((service, key)) = self.local
             && let Some(group) = self.groups.get_mut(&service)
         {
-            group.chooser.on_load(now, key, load);
+            group.on_load(now, key, load);
         }
     }
 
+    /// What each service has and does.
+    pub(crate) fn capacities(&self) -> BTreeMap<Service, Capacity> {
+        let groups = self.groups.iter();
+        groups
+            .map(|(service, group)| (*service, group.capacity()))
+            .collect()
+    }
+
     /// Takes in what a peer tells of its owner.
     pub(crate) fn on_load(&mut self, now: Time, name: &str, load: &Load) {
         let Some(peer) = self.peers.get(name) else {
@@ -193,11 +234,7 @@
             return;
         }
         if let Some(group) = self.groups.get_mut(&service) {
-            let signal = cassiashunt_admit::Signal::from_bits(load.signal);
-            group.chooser.on_load(now, key, signal.load);
-            if load.slots > 0 {
-                group.chooser.set_slots(key, load.slots);
-            }
+            group.on_load(now, key, load);
         }
         self.set_presence(service, key, presence(load.is_serving));
     }
@@ -244,8 +281,11 @@
                 warm_up: WARM_UP,
                 ..ChooserOptions::default()
             });
-            let ways = HashMap::new();
-            Group { chooser, ways }
+            Group {
+                chooser,
+                ways: HashMap::new(),
+                capacities: HashMap::new(),
+            }
         });
         let key = group.chooser.add(
             now,
@@ -262,6 +302,9 @@
 
     fn set_presence(&mut self, service: Service, key: ServerKey, presence: Presence) {
         if let Some(group) = self.groups.get_mut(&service) {
+            if presence != Presence::Serving {
+                group.capacities.remove(&key);
+            }
             group.chooser.set_presence(key, presence);
         }
     }
@@ -270,6 +313,7 @@
         if let Some(group) = self.groups.get_mut(&service) {
             group.chooser.remove(key);
             group.ways.remove(&key);
+            group.capacities.remove(&key);
         }
     }
 
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of a client or of the backend server.
 
-use std::{net::IpAddr, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use cassiashunt_mesh::ClientLimits;
@@ -29,8 +29,8 @@
 pub(crate) async fn accept_clients(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, peer)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream, peer.ip()));
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
             }
             Err(err) => {
                 log::warn!(reason:% = err; "accept-failed");
@@ -56,7 +56,7 @@
     }
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream, peer: IpAddr) {
+async fn serve(node: Rc<Node>, stream: TcpStream) {
     if let Err(err) = stream.set_nodelay(true) {
         log::info!(reason:% = err; "client-gone");
         return;
@@ -79,7 +79,6 @@
                 let incoming = Incoming {
                     head,
                     body,
-                    peer,
                     received: clock::now(),
                 };
                 let reply = tokio::select! {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -1,6 +1,6 @@
 //! One request: whose it is, whether it is allowed, and what is answered.
 
-use std::{net::IpAddr, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use cassiashunt_adapter::{Facts, Prepared, prepare, read_facts};
@@ -37,7 +37,6 @@
 pub(crate) struct Incoming {
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
-    pub(crate) peer: IpAddr,
     pub(crate) received: Time,
 }
 
@@ -48,6 +47,8 @@
     route: Option<Route>,
     workspace: Option<Workspace>,
     forwarded: Option<Forwarded>,
+    /// The part of its priority that fitted when it was shed.
+    part: f64,
 }
 
 /// Answers one request.
@@ -66,7 +67,6 @@
     let Incoming {
         head,
         body,
-        peer,
         received,
     } = incoming;
     let facts = read_facts(pairs(&head));
@@ -86,7 +86,7 @@
         return Outcome::Refused(refusal);
     };
     trace.route = Some(route.name);
-    let is_call = is_from_server(node, peer) && facts.key.is_none();
+    let is_call = route.is_public && facts.key.is_none();
     let workspace = match workspace(node, &table, route, &facts, is_call) {
         Ok(workspace) => workspace,
         Err(Reason::NotInTouch) => {
@@ -95,6 +95,13 @@
         Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
     };
     trace.workspace = workspace.map(|row| row.name);
+    let priority = priority(route, workspace, is_call);
+    if is_call {
+        node.owner.on_call(route.name);
+    } else if !node.shedding.admit(route.name, priority) {
+        trace.part = node.shedding.part(route.name, priority);
+        return Outcome::Refused(come_back(node, Reason::Shed, &facts, received));
+    }
     if let Some(row) = workspace
         && !quota::admit(node, row.name).await
     {
@@ -109,7 +116,7 @@
         headers: passed_headers(node, head.headers, trace.workspace),
         body,
         left_us: 0,
-        priority: u32::from(priority(route, workspace, is_call)),
+        priority: u32::from(priority),
         depth: u32::from(is_call),
         route: route.name.as_str().into(),
         workspace: trace
@@ -125,16 +132,16 @@
         objective: route.objective,
     };
     let forwarded = forward(node, work).await;
+    if let (Some(row), Outcome::Refused(refusal)) = (workspace, &forwarded.outcome)
+        && refusal.verdict == Verdict::NotRun
+    {
+        node.quotas.refund(clock::now(), row.name);
+    }
     let outcome = with_time_to_come_back(node, forwarded.outcome.clone(), &facts, received);
     trace.forwarded = Some(forwarded);
     outcome
 }
 
-/// Whether the backend server beside this node sent the request.
-fn is_from_server(node: &Node, peer: IpAddr) -> bool {
-    peer == node.settings().addresses.server.ip() || peer.is_loopback()
-}
-
 /// The workspace whose key came with the request; none on a route that is open to all, and for
 /// calls of the backend server.
 fn workspace<'a>(
@@ -257,7 +264,7 @@
     log::info!(
         request:% = trace.attempt, status = status, reason:% = reason, route:% = route,
         workspace:% = workspace, tries = forwarded.map_or(0, |it| it.tries),
-        service:? = forwarded.and_then(|it| it.service),
+        part = trace.part, service:? = forwarded.and_then(|it| it.service),
         spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX),
         table_version = node.table().map_or(0, |table| table.version);
         "request-ended"
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 mod quota;
 mod run;
 mod settings;
+mod shed;
 mod stop;
 mod store;
 
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -149,7 +149,15 @@
                 let signal = Signal::from_bits(ended.signal);
                 link.end(ended.id, Outcome::from_ended(ended), signal);
             }
-            Some(Kind::Load(load)) => node.fleet.borrow_mut().on_load(now, name, &load),
+            Some(Kind::Load(load)) => {
+                node.shedding.on_demand(now, name, &load.demand);
+                if let Ok(service) = load.service.parse()
+                    && !load.uses.is_empty()
+                {
+                    node.shedding.on_uses(now, name, service, &load.uses);
+                }
+                node.fleet.borrow_mut().on_load(now, name, &load);
+            }
             Some(Kind::GiveTokens(given)) => node.quotas.receive(now, &given),
             other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
         }
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -141,6 +141,48 @@
     pub(crate) service: String,
     #[prost(uint32, tag = "4")]
     pub(crate) slots: u32,
+    /// Requests that run or wait.
+    #[prost(uint32, tag = "5")]
+    pub(crate) busy: u32,
+    /// What the node's clients ask for.
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) demand: Vec<DemandEntry>,
+    /// What the server's runs take and call; only in one of several messages.
+    #[prost(message, repeated, tag = "7")]
+    pub(crate) uses: Vec<RunUse>,
+}
+
+/// What clients ask of a service at a priority.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct DemandEntry {
+    #[prost(uint32, tag = "1")]
+    pub(crate) priority: u32,
+    #[prost(string, tag = "2")]
+    pub(crate) service: String,
+    #[prost(float, tag = "3")]
+    pub(crate) slots: f32,
+}
+
+/// What the runs of a route take and call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct RunUse {
+    #[prost(string, tag = "1")]
+    pub(crate) route: String,
+    #[prost(float, tag = "2")]
+    pub(crate) runs_per_s: f32,
+    #[prost(float, tag = "3")]
+    pub(crate) slot_s: f32,
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) calls: Vec<CallCount>,
+}
+
+/// How often a run calls a route.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct CallCount {
+    #[prost(string, tag = "1")]
+    pub(crate) route: String,
+    #[prost(float, tag = "2")]
+    pub(crate) per_run: f32,
 }
 
 /// A node is short of tokens.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,6 +16,7 @@
     owner::Owner,
     quota::Quotas,
     settings::Settings,
+    shed::{self, Shedding},
 };
 
 /// One node. Everything runs on one thread, so the cells are never borrowed across an `await`.
@@ -33,6 +34,7 @@
     pub(crate) quotas: Quotas,
     pub(crate) budgets: Budgets,
     pub(crate) splits: Splits,
+    pub(crate) shedding: Shedding,
     pub(crate) rng: RefCell<fastrand::Rng>,
     /// Peers that are told this node's load.
     pub(crate) listeners: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
@@ -63,6 +65,7 @@
             quotas: Quotas::default(),
             budgets: Budgets::new(ratio, window),
             splits: Splits::default(),
+            shedding: Shedding::default(),
             rng: RefCell::new(fastrand::Rng::new()),
             listeners: RefCell::new(Vec::new()),
             stopping: Cell::new(None),
@@ -120,17 +123,42 @@
             signal: self.owner.signal().to_bits(),
             is_serving: self.owner.is_serving() && !self.is_stopping(),
             service: self.service().as_str().into(),
-            slots: self.owner.slots(),
+            slots: self.owner.limit(),
+            busy: self.owner.busy_slots(),
+            demand: self.shedding.demand(),
+            uses: Vec::new(),
         }
     }
 
+    /// Takes in what this node knows of itself, and decides anew what fits.
+    pub(crate) fn step_shedding(&self) {
+        let now = crate::clock::now();
+        let capacities = self.fleet.borrow().capacities();
+        self.shedding.step(now, &capacities);
+    }
+
     /// Tells all peers this node's load, and forgets those that are gone.
     pub(crate) fn tell_load(&self) {
-        let frame = Frame::from(crate::link::Kind::Load(self.load()));
-        let load = self.owner.signal().load;
-        self.fleet
-            .borrow_mut()
-            .on_local_load(crate::clock::now(), load);
+        self.tell(self.load());
+    }
+
+    /// Tells all peers this node's load, and what its server's runs take and call.
+    pub(crate) fn tell_uses(&self) {
+        let now = crate::clock::now();
+        let uses = shed::to_wire(self.owner.report(now));
+        let settings = self.settings();
+        self.shedding
+            .on_uses(now, &settings.name, self.service(), &uses);
+        self.tell(Load {
+            uses,
+            ..self.load()
+        });
+    }
+
+    fn tell(&self, load: Load) {
+        let now = crate::clock::now();
+        self.fleet.borrow_mut().on_local_load(now, &load);
+        let frame = Frame::from(crate::link::Kind::Load(load));
         let mut listeners = self.listeners.borrow_mut();
         listeners.retain(|tx| !tx.is_closed());
         for tx in listeners.iter() {
--- a/crates/sidecar/src/owner/owner.rs
+++ b/crates/sidecar/src/owner/owner.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Signal};
+use cassiashunt_admit::{
+    Action, Admission, Job, Options, Priority, Signal, Usage, chain::RouteUse,
+};
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
@@ -18,6 +20,10 @@
     node::Node,
 };
 
+/// The longest queue, as a share of the slots. Calls within chains go first in it and wait rather
+/// than break their chain off; what waits too long for its deadline leaves it.
+const QUEUE_SHARE: f64 = 2.0;
+
 /// Where the outcome of a request goes.
 type Reply = oneshot::Sender<Outcome>;
 
@@ -39,6 +45,7 @@
     admission: Admission,
     work: HashMap<RequestId, Work>,
     last: RequestId,
+    usage: Usage,
 }
 
 impl Owner {
@@ -50,6 +57,7 @@
                 admission: Admission::new(now, options(0, Duration::ZERO)),
                 work: HashMap::new(),
                 last: RequestId(0),
+                usage: Usage::default(),
             }),
             pool: Pool::default(),
         }
@@ -97,6 +105,27 @@
         self.inner.borrow().work.len()
     }
 
+    /// Requests that wait or run at the present server.
+    pub(crate) fn busy_slots(&self) -> u32 {
+        let inner = self.inner.borrow();
+        inner.admission.in_flight() + inner.admission.queued()
+    }
+
+    /// Requests that may run at once now.
+    pub(crate) fn limit(&self) -> u32 {
+        self.inner.borrow().admission.limit(clock::now())
+    }
+
+    /// Takes in a call that the server makes.
+    pub(crate) fn on_call(&self, route: Route) {
+        self.inner.borrow_mut().usage.on_call(clock::now(), route);
+    }
+
+    /// What the server's runs take and call.
+    pub(crate) fn report(&self, now: Time) -> Vec<RouteUse> {
+        self.inner.borrow_mut().usage.report(now)
+    }
+
     /// Takes in a request; its outcome comes through the receiver.
     pub(crate) fn submit(
         &self,
@@ -267,22 +296,29 @@
         let Some(Work::Waiting(request, deadline, reply)) = inner.work.remove(&id) else {
             return;
         };
+        if let Ok(route) = request.route.parse() {
+            inner.usage.on_start(clock::now(), route);
+        }
         let run = run(Rc::clone(node), id, request, deadline, reply);
         let task = tokio::task::spawn_local(run).abort_handle();
         inner.work.insert(id, Work::Running(task));
     }
 
     /// Takes in how a running request ended.
-    fn finish(&self, node: &Rc<Node>, id: RequestId, spent: Duration, is_ok: bool, is_down: bool) {
+    fn finish(&self, node: &Rc<Node>, id: RequestId, end: &End) {
+        let now = clock::now();
         let actions = {
             let mut inner = self.inner.borrow_mut();
             if inner.work.remove(&id).is_none() {
                 return;
             }
-            inner.admission.done(clock::now(), id, spent, is_ok)
+            if let Some(route) = end.route {
+                inner.usage.on_end(now, route, end.spent, end.is_ok);
+            }
+            inner.admission.done(now, id, end.spent, end.is_ok)
         };
         self.apply(node, actions);
-        if is_down && !std::mem::replace(&mut self.inner.borrow_mut().is_down, true) {
+        if end.is_down && !std::mem::replace(&mut self.inner.borrow_mut().is_down, true) {
             log::warn!(server:? = self.server_id(); "server-down");
             self.pool.clear();
             node.on_server_changed();
@@ -304,6 +340,16 @@
     }
 }
 
+/// How a running request ended.
+struct End {
+    route: Option<Route>,
+    spent: Duration,
+    /// The server did the whole work.
+    is_ok: bool,
+    /// The server refused the connection.
+    is_down: bool,
+}
+
 /// Runs one request at the server, to its deadline.
 async fn run(node: Rc<Node>, id: RequestId, request: WorkRequest, deadline: Time, reply: Reply) {
     let owner = &node.owner;
@@ -331,7 +377,14 @@
     let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
     // Nobody waits where the request was given up at this moment.
     let _ = reply.send(outcome);
-    owner.finish(&node, id, spent, is_ok, is_down);
+    let route = request.route.parse().ok();
+    let end = End {
+        route,
+        spent,
+        is_ok,
+        is_down,
+    };
+    owner.finish(&node, id, &end);
 }
 
 fn millis(span: Duration) -> u64 {
@@ -342,6 +395,7 @@
     Options {
         slots,
         warm_up,
+        queue_share: QUEUE_SHARE,
         ..Options::default()
     }
 }
--- a/crates/sidecar/src/owner/pool.rs
+++ b/crates/sidecar/src/owner/pool.rs
@@ -15,7 +15,7 @@
 /// cross the server's close.
 const USED_SHARE: f64 = 0.6;
 /// Idle connections kept at the most.
-const MAX_IDLE: usize = 64;
+const MAX_IDLE: usize = 512;
 
 #[derive(Debug)]
 struct Idle {
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -59,7 +59,7 @@
                 dry_until: now,
             });
             if entry.allowance.set_options(now, opts) {
-                log::info!(workspace:% = row.name, rate = row.rate, burst = row.burst,
+                log::info!(workspace:% = row.name, rank = row.rank, rate = row.rate, burst = row.burst,
                     nodes = nodes; "limit-in-force");
             }
         }
@@ -93,6 +93,13 @@
         entry.arrived.notify_waiters();
     }
 
+    /// Gives back the token of a request that did not run.
+    pub(crate) fn refund(&self, now: Time, workspace: Workspace) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&workspace) {
+            entry.allowance.receive(now, Transfer { tokens: 1 });
+        }
+    }
+
     fn take(&self, now: Time, workspace: Workspace) -> Take {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.get_mut(&workspace);
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -7,6 +7,7 @@
 use tokio::{net::TcpListener, task::LocalSet};
 
 use crate::{
+    clock,
     control::{self, Purpose},
     ingress::accept_clients,
     link::accept_peers,
@@ -21,6 +22,10 @@
 const QUEUE_TICK: Duration = Duration::from_millis(25);
 /// The time between two words to the peers about this node's load, for each ten nodes.
 const LOAD_EVERY: Duration = Duration::from_millis(100);
+/// The time between two words about what the server's runs take and call.
+const USES_EVERY: Duration = Duration::from_secs(1);
+/// The time between two steps of the shedding before chains start.
+const SHED_STEP: Duration = Duration::from_millis(100);
 /// The time between two looks for peers that are gone.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
@@ -76,6 +81,7 @@
         Box::pin(store::announce(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(tick_queue(Rc::clone(&node))),
         Box::pin(tell_load(Rc::clone(&node))),
+        Box::pin(step_shedding(Rc::clone(&node))),
         Box::pin(sweep(Rc::clone(&node))),
         Box::pin(flush_logs()),
     ];
@@ -104,10 +110,25 @@
 
 /// Tells the load more rarely in a larger fleet, so that what a node spends on it stays the same.
 async fn tell_load(node: Rc<Node>) {
+    let mut uses_told = clock::now();
     loop {
         let tens = u32::try_from(node.fleet.borrow().size().div_ceil(10)).unwrap_or(1);
         tokio::time::sleep(LOAD_EVERY * tens).await;
-        node.tell_load();
+        let now = clock::now();
+        if now.since(uses_told) >= USES_EVERY {
+            uses_told = now;
+            node.tell_uses();
+        } else {
+            node.tell_load();
+        }
+    }
+}
+
+/// Works out anew what fits of the clients' demand.
+async fn step_shedding(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(SHED_STEP).await;
+        node.step_shedding();
     }
 }
 
--- /dev/null
+++ b/crates/sidecar/src/shed.rs
@@ -0,0 +1,134 @@
+//! What clients ask for and what services have, over all nodes, for the decision before a chain
+//! starts.
+
+use std::{cell::RefCell, collections::BTreeMap};
+
+use cassiashunt_admit::{
+    Priority,
+    chain::{Chains, RouteUse},
+    root::{Capacity, Demand, Options, Root},
+};
+use cassiashunt_types::prelude::*;
+
+use crate::link::{CallCount, DemandEntry, RunUse};
+
+/// The time between two looks at the costs of chains.
+const UPDATE_EVERY: Duration = Duration::from_millis(500);
+
+struct Inner {
+    root: Root,
+    chains: Chains,
+    updated: Time,
+}
+
+/// The decision before a chain starts, and what it is made from.
+pub(crate) struct Shedding {
+    inner: RefCell<Inner>,
+}
+
+impl Default for Shedding {
+    fn default() -> Self {
+        Self {
+            inner: RefCell::new(Inner {
+                root: Root::new(Options::default()),
+                chains: Chains::default(),
+                updated: Time::ZERO,
+            }),
+        }
+    }
+}
+
+impl Shedding {
+    /// Decides on a client's request.
+    pub(crate) fn admit(&self, route: Route, priority: u8) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        let Inner { root, chains, .. } = &mut *inner;
+        root.admit(route, Priority(priority), chains.cost(route))
+    }
+
+    /// Takes in a node's demand.
+    pub(crate) fn on_demand(&self, now: Time, node: &str, told: &[DemandEntry]) {
+        let demand = told.iter().filter_map(|entry| {
+            Some(Demand {
+                priority: Priority(u8::try_from(entry.priority).ok()?),
+                service: entry.service.parse().ok()?,
+                slots: f64::from(entry.slots),
+            })
+        });
+        let demand = demand.collect();
+        self.inner.borrow_mut().root.on_demand(now, node, demand);
+    }
+
+    /// Takes in what an owner tells of its runs.
+    pub(crate) fn on_uses(&self, now: Time, node: &str, service: Service, uses: &[RunUse]) {
+        let uses = uses.iter().filter_map(from_wire).collect();
+        self.inner
+            .borrow_mut()
+            .chains
+            .on_report(now, node, service, uses);
+    }
+
+    /// This node's demand, for the others.
+    pub(crate) fn demand(&self) -> Vec<DemandEntry> {
+        let demand = self.inner.borrow().root.demand().into_iter();
+        demand
+            .map(|entry| DemandEntry {
+                priority: u32::from(entry.priority.0),
+                service: entry.service.as_str().into(),
+                slots: entry.slots as f32,
+            })
+            .collect()
+    }
+
+    /// Works the decision out anew.
+    pub(crate) fn step(&self, now: Time, capacities: &BTreeMap<Service, Capacity>) {
+        let mut inner = self.inner.borrow_mut();
+        if now.since(inner.updated) >= UPDATE_EVERY {
+            inner.updated = now;
+            inner.chains.update(now);
+        }
+        inner.root.step(now, capacities);
+    }
+
+    /// The least part of a priority that fits, for the log line of a refusal.
+    pub(crate) fn part(&self, route: Route, priority: u8) -> f64 {
+        let inner = self.inner.borrow();
+        let cost = inner.chains.cost(route);
+        let parts = cost
+            .iter()
+            .map(|(service, _)| inner.root.part(Priority(priority), *service));
+        parts.fold(1.0, f64::min)
+    }
+}
+
+fn from_wire(told: &RunUse) -> Option<RouteUse> {
+    let calls = told.calls.iter().filter_map(|call| {
+        let route = call.route.parse().ok()?;
+        Some((route, f64::from(call.per_run)))
+    });
+    Some(RouteUse {
+        route: told.route.parse().ok()?,
+        runs_per_s: f64::from(told.runs_per_s),
+        slot_s: f64::from(told.slot_s),
+        calls: calls.collect(),
+    })
+}
+
+/// What an owner tells of its runs, as a message.
+pub(crate) fn to_wire(uses: Vec<RouteUse>) -> Vec<RunUse> {
+    let uses = uses.into_iter();
+    uses.map(|told| RunUse {
+        route: told.route.as_str().into(),
+        runs_per_s: told.runs_per_s as f32,
+        slot_s: told.slot_s as f32,
+        calls: told
+            .calls
+            .iter()
+            .map(|(route, per_run)| CallCount {
+                route: route.as_str().into(),
+                per_run: *per_run as f32,
+            })
+            .collect(),
+    })
+    .collect()
+}
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -20,7 +20,11 @@
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// Waits for the signal to stop, and then for the end of the work in hand.
-pub(crate) async fn wait(node: &Rc<Node>, store: &StoreClient, path: &Path) -> eyre::Result<()> {
+pub(crate) async fn wait(
+    node: &Rc<Node>,
+    store: &Rc<StoreClient>,
+    path: &Path,
+) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
@@ -35,12 +39,15 @@
     Ok(())
 }
 
-async fn drain(node: &Rc<Node>, store: &StoreClient) {
+/// Finishes the work in hand. Nothing is awaited between the last look and the end, so that no
+/// request is read that would not be answered.
+async fn drain(node: &Rc<Node>, store: &Rc<StoreClient>) {
     let began = clock::now();
     node.stopping.set(Some(began));
     log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopping");
     node.owner.drain(node);
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s).mul_f64(USED_GRACE);
+    tokio::task::spawn_local(withdraw_entry(Rc::clone(node), Rc::clone(store)));
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let spent = clock::now().since(began);
@@ -49,12 +56,18 @@
             break;
         }
     }
-    if let Some(lease) = node.lease.get()
-        && let Err(err) = withdraw(store, lease).await
-    {
+    log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopped");
+}
+
+/// Takes the entry back once peers have heard of the stop from this node itself.
+async fn withdraw_entry(node: Rc<Node>, store: Rc<StoreClient>) {
+    tokio::time::sleep(NOTICE / 2).await;
+    let Some(lease) = node.lease.take() else {
+        return;
+    };
+    if let Err(err) = withdraw(&store, lease).await {
         log::info!(reason:% = err; "entry-left-to-lapse");
     }
-    log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopped");
 }
 
 /// Takes in settings that can change while the node runs; what can't is logged.
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -55,6 +55,9 @@
 }
 
 async fn keep(node: &Rc<Node>, store: &StoreClient, entry: &mut Entry) -> Result<(), CallError> {
+    if node.is_stopping() && node.lease.get().is_none() {
+        return Ok(());
+    }
     let lease = match entry.lease {
         Some(lease) if renew(store, lease).await? => lease,
         _ => {
