--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -66,6 +66,9 @@
     running: HashMap<RequestId, Route>,
     /// Requests that run beside no other, waiting or running.
     alone: HashSet<RequestId>,
+    /// When waiting requests are refused that have not started, where it is before they could no
+    /// longer finish.
+    start_by: HashMap<RequestId, Time>,
     estimates: Estimates,
     meter: Meter,
     is_draining: bool,
@@ -81,6 +84,7 @@
             queue: Queue::default(),
             running: HashMap::new(),
             alone: HashSet::new(),
+            start_by: HashMap::new(),
             estimates: Estimates::default(),
             meter: Meter::default(),
             is_draining: false,
@@ -116,6 +120,15 @@
         self.offer(now, job)
     }
 
+    /// Takes in a request that is refused unless it starts by `start_by`, and at once where the
+    /// requests before it are expected to take longer.
+    pub fn offer_until(&mut self, now: Time, job: Job, start_by: Time) -> Vec<Action> {
+        if !self.running.contains_key(&job.key) && !self.queue.contains(job.key) {
+            self.start_by.insert(job.key, start_by);
+        }
+        self.offer(now, job)
+    }
+
     /// Takes in the end of a running request; `is_ok` is false where the server did not do the
     /// whole work, so that the latency says nothing of it.
     pub fn done(
@@ -225,6 +238,7 @@
         self.expire(now, actions);
         self.shed(now, actions);
         self.forget_alone();
+        self.forget_start_by();
         self.meter.observe(now, self.load(now));
     }
 
@@ -263,11 +277,18 @@
             .retain(|id| running.contains_key(id) || queue.contains(*id));
     }
 
+    fn forget_start_by(&mut self) {
+        let queue = &self.queue;
+        self.start_by.retain(|id, _| queue.contains(*id));
+    }
+
     fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let running = &self.running;
+        let (running, start_by) = (&self.running, &self.start_by);
         let (estimates, age) = (&self.estimates, self.opts.estimate_age);
         let late = self.queue.extract(|job| {
-            now + least_service(estimates, running, now, job.route, age) >= job.deadline
+            let has_waited_long = start_by.get(&job.key).is_some_and(|by| now >= *by);
+            has_waited_long
+                || now + least_service(estimates, running, now, job.route, age) >= job.deadline
         });
         for job in &late {
             self.meter.on_refusal();
@@ -305,7 +326,9 @@
         if self.in_flight() < self.limiter.limit(now) || ahead == 0 {
             return self.can_finish(now, job);
         }
-        self.can_finish_from(now, now + self.wait_behind(now, ahead), job)
+        let start = now + self.wait_behind(now, ahead);
+        let is_too_late = self.start_by.get(&job.key).is_some_and(|by| start > *by);
+        !is_too_late && self.can_finish_from(now, start, job)
     }
 
     /// The time in which `ahead` waiting requests start, at the mean service time.
--- a/crates/admit/src/fanout.rs
+++ b/crates/admit/src/fanout.rs
@@ -1,8 +1,10 @@
 //! Learns which calls the runs of one backend server make.
 //!
-//! A call does not say which run it belongs to, so the calls of each route are explained by the
-//! runs of each route in the same stretch of time: weighted non-negative least squares with a
-//! small ridge, solved by coordinate descent (Friedman, Hastie and Tibshirani, 2010).
+//! Where calls can be told apart by the run that they belong to, they are counted. Otherwise the
+//! calls of each route are explained by the runs of each route in the same stretch of time:
+//! weighted non-negative least squares with a small ridge, solved by coordinate descent (Friedman,
+//! Hastie and Tibshirani, 2010). Its error is large for a route that runs rarely beside one that
+//! calls often.
 
 use std::collections::HashMap;
 
@@ -31,6 +33,9 @@
     pub calls: Vec<(Route, f64)>,
 }
 
+/// The share of calls whose run is known above which counting is used.
+const KNOWN_SHARE: f64 = 0.8;
+
 /// Counts runs and calls at one backend server.
 #[derive(Debug, Default)]
 pub struct FanOut {
@@ -43,6 +48,10 @@
     run_counts: HashMap<usize, f64>,
     call_counts: HashMap<usize, f64>,
     began: Option<Time>,
+    /// Weighted runs, calls by the run that they belong to, and all calls.
+    run_sums: HashMap<usize, f64>,
+    known_sums: HashMap<(usize, usize), f64>,
+    call_sum: f64,
 }
 
 impl FanOut {
@@ -52,14 +61,21 @@
         self.step(now);
         if let Some(at) = index(&mut self.runs, route) {
             *self.run_counts.entry(at).or_default() += 0.5;
+            *self.run_sums.entry(at).or_default() += 0.5;
         }
     }
 
-    /// Takes in a call that the server makes.
-    pub fn on_call(&mut self, now: Time, route: Route) {
+    /// Takes in a call that the server makes, and the route of the run that it belongs to where
+    /// that is known.
+    pub fn on_call(&mut self, now: Time, route: Route, run: Option<Route>) {
         self.step(now);
-        if let Some(at) = index(&mut self.calls, route) {
-            *self.call_counts.entry(at).or_default() += 1.0;
+        let Some(call) = index(&mut self.calls, route) else {
+            return;
+        };
+        *self.call_counts.entry(call).or_default() += 1.0;
+        self.call_sum += 1.0;
+        if let Some(run) = run.and_then(|run| index(&mut self.runs, run)) {
+            *self.known_sums.entry((run, call)).or_default() += 1.0;
         }
     }
 
@@ -75,7 +91,11 @@
             })
             .collect();
         for (call, route) in self.calls.iter().enumerate() {
-            let solved = self.solve(call);
+            let solved = if self.is_known() {
+                self.count(call)
+            } else {
+                self.solve(call)
+            };
             for (run, per_run) in solved.into_iter().enumerate() {
                 if per_run >= LEAST_CALLS {
                     out[run].calls.push((*route, per_run));
@@ -85,6 +105,24 @@
         out
     }
 
+    fn is_known(&self) -> bool {
+        let known: f64 = self.known_sums.values().sum();
+        known >= KNOWN_SHARE * self.call_sum
+    }
+
+    fn count(&self, call: usize) -> Vec<f64> {
+        let per_run = |run: usize| {
+            let runs = self.run_sums.get(&run).copied().unwrap_or_default();
+            let calls = self
+                .known_sums
+                .get(&(run, call))
+                .copied()
+                .unwrap_or_default();
+            calls / runs.max(1.0)
+        };
+        (0..self.runs.len()).map(per_run).collect()
+    }
+
     fn solve(&self, call: usize) -> Vec<f64> {
         let width = self.runs.len();
         let mut solved = vec![0.0; width];
@@ -117,6 +155,9 @@
         }
         self.gram.values_mut().for_each(|sum| *sum *= DECAY);
         self.cross.values_mut().for_each(|sum| *sum *= DECAY);
+        self.run_sums.values_mut().for_each(|sum| *sum *= DECAY);
+        self.known_sums.values_mut().for_each(|sum| *sum *= DECAY);
+        self.call_sum *= DECAY;
         for (run, count) in &runs {
             for (other, other_count) in &runs {
                 *self.gram.entry((*run, *other)).or_default() += count * other_count;
--- a/crates/admit/src/root.rs
+++ b/crates/admit/src/root.rs
@@ -37,11 +37,11 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            target: 0.9,
+            target: 0.95,
             demand_time: Duration::from_millis(600),
             max_age: Duration::from_secs(2),
-            high_load: 1.0,
-            low_load: 0.85,
+            high_load: 1.05,
+            low_load: 0.95,
             step: 0.02,
             bounds: (0.4, 1.3),
         }
@@ -157,10 +157,17 @@
         passes
     }
 
-    /// The part of a priority that fits at a service.
+    /// The service that a request with this cost finds scarcest, and the part of its priority that
+    /// fits there; nothing where all of it fits.
     #[must_use]
-    pub fn part(&self, priority: Priority, service: Service) -> f64 {
-        self.parts.get(&(priority, service)).copied().unwrap_or(1.0)
+    pub fn scarcest(&self, priority: Priority, cost: &[(Service, f64)]) -> Option<(Service, f64)> {
+        let needed = cost.iter().filter(|(_, slot_s)| *slot_s >= NEGLIGIBLE_S);
+        let parts = needed.filter_map(|(service, _)| {
+            let part = self.parts.get(&(priority, *service))?;
+            Some((*service, *part))
+        });
+        let scarcest = parts.min_by(|(_, a), (_, b)| a.total_cmp(b));
+        scarcest.filter(|(_, part)| *part < 1.0)
     }
 
     fn average(&mut self, spent: Duration) {
--- a/crates/admit/src/usage.rs
+++ b/crates/admit/src/usage.rs
@@ -51,9 +51,10 @@
         }
     }
 
-    /// Takes in a call that the server makes.
-    pub fn on_call(&mut self, now: Time, route: Route) {
-        self.fan_out.on_call(now, route);
+    /// Takes in a call that the server makes, and the route of the run that it belongs to where
+    /// that is known.
+    pub fn on_call(&mut self, now: Time, route: Route, run: Option<Route>) {
+        self.fan_out.on_call(now, route, run);
     }
 
     /// What the others are to know; to be called about once a second.
--- a/crates/mesh/src/table.rs
+++ b/crates/mesh/src/table.rs
@@ -207,6 +207,13 @@
         &self.workspaces
     }
 
+    /// The rank of the most urgent workspace; zero where there is none.
+    #[must_use]
+    pub fn most_urgent_rank(&self) -> u8 {
+        let ranks = self.workspaces.iter().map(|row| row.rank);
+        ranks.min().unwrap_or(0)
+    }
+
     /// All routes.
     #[must_use]
     pub fn routes(&self) -> &[RouteRow] {
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -5,48 +5,84 @@
 use cassiashunt_route::retry::{Budget, budget::Options as BudgetOptions};
 use cassiashunt_types::prelude::*;
 
-/// The part of the operators' ratio that is used: calls of a retried request count as retries too,
-/// and requests that never reach a server do not count as requests everywhere.
-const USED_RATIO: f64 = 0.4;
+/// The part of the operators' ratio that retries of requests may use whose servers call others:
+/// all calls of a retried run count as retries where they arrive.
+const CHAIN_RATIO: f64 = 0.15;
+/// The part of the ratio that retries of other requests may use.
+const LEAF_RATIO: f64 = 0.7;
+/// The part of the budget that calls within chains leave to clients' own requests: a chain of
+/// several calls is saved only if all of them are.
+const CALLS_SHARE: f64 = 0.5;
+
+/// What a retry would repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Kind {
+    /// A request whose server calls others.
+    Chain,
+    /// A client's request whose server calls nobody.
+    Leaf,
+    /// A call within a chain whose server calls nobody.
+    LeafCall,
+}
+
+impl Kind {
+    fn ratio(self) -> f64 {
+        match self {
+            Self::Chain => CHAIN_RATIO,
+            Self::Leaf => LEAF_RATIO,
+            Self::LeafCall => LEAF_RATIO * CALLS_SHARE,
+        }
+    }
+}
 
 /// Retry budgets by service.
 pub(crate) struct Budgets {
-    opts: BudgetOptions,
-    by_service: RefCell<HashMap<Service, Budget>>,
+    ratio: f64,
+    window: Duration,
+    by_service: RefCell<HashMap<(Service, Kind), Budget>>,
 }
 
 impl Budgets {
     /// Budgets of a fleet-wide ratio over a window.
     pub(crate) fn new(ratio: f64, window: Duration) -> Self {
         Self {
-            opts: BudgetOptions {
-                ratio: ratio * USED_RATIO,
-                floor: 1,
-                window,
-            },
+            ratio,
+            window,
             by_service: RefCell::new(HashMap::new()),
         }
     }
 
-    /// Takes in a first try.
-    pub(crate) fn on_first_try(&self, now: Time, service: Service) {
-        self.with(service, |budget| budget.on_first_try(now));
+    /// Takes in a first try; clients' requests have what calls leave of their service's budget.
+    pub(crate) fn on_first_try(&self, now: Time, service: Service, kind: Kind) {
+        self.with(service, kind, |budget| budget.on_first_try(now));
+        if kind == Kind::LeafCall {
+            self.with(service, Kind::Leaf, |budget| budget.on_first_try(now));
+        }
     }
 
     /// Takes one retry out of the budget, if there is room.
-    pub(crate) fn take_retry(&self, now: Time, service: Service) -> bool {
-        self.with(service, |budget| {
-            let has_room = budget.has_room(now);
-            if has_room {
-                budget.on_retry(now);
+    pub(crate) fn take_retry(&self, now: Time, service: Service, kind: Kind) -> bool {
+        let has_room = self.with(service, kind, |budget| budget.has_room(now))
+            && (kind != Kind::LeafCall
+                || self.with(service, Kind::Leaf, |budget| budget.has_room(now)));
+        if has_room {
+            self.with(service, kind, |budget| budget.on_retry(now));
+            if kind == Kind::LeafCall {
+                self.with(service, Kind::Leaf, |budget| budget.on_retry(now));
             }
-            has_room
-        })
+        }
+        has_room
     }
 
-    fn with<T>(&self, service: Service, f: impl FnOnce(&mut Budget) -> T) -> T {
+    fn with<T>(&self, service: Service, kind: Kind, f: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.by_service.borrow_mut();
-        let budget = budgets.entry(service);
-        f(budget.or_insert_with(|| Budget::new(self.opts.clone())))
+        let budget = budgets.entry((service, kind)).or_insert_with(|| {
+            Budget::new(BudgetOptions {
+                ratio: self.ratio * kind.ratio(),
+                floor: 1,
+                window: self.window,
+            })
+        });
+        f(budget)
     }
 }
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    budget::Kind,
     clock,
     fleet::{Chosen, Way},
     link::{Link, Outcome, WorkRequest},
@@ -26,9 +27,11 @@
 pub(crate) struct Work<'a> {
     pub(crate) request: WorkRequest,
     pub(crate) route: &'a RouteRow,
-    pub(crate) received: Time,
     pub(crate) deadline: Time,
-    pub(crate) objective: Duration,
+    /// By when it starts or is refused, where that is before its deadline.
+    pub(crate) start_by: Option<Time>,
+    /// What a retry would repeat.
+    pub(crate) kind: Kind,
 }
 
 /// How a request ended, and on which way.
@@ -50,18 +53,16 @@
         };
     };
     work.request.service = service.as_str().into();
-    node.budgets.on_first_try(clock::now(), service);
+    node.budgets.on_first_try(clock::now(), service, work.kind);
     let mut tried: Vec<ServerKey> = Vec::new();
     let mut sent_to_servers = 0;
     let mut last = Refusal::not_run(Reason::NoServer);
     let outcome = loop {
         let now = clock::now();
         let left = work.deadline.since(now);
-        if left.is_zero() {
-            break Outcome::Refused(Refusal {
-                reason: Reason::Deadline,
-                ..last
-            });
+        let is_late = work.start_by.is_some_and(|by| now >= by) && !tried.is_empty();
+        if left.is_zero() || is_late {
+            break Outcome::Refused(last);
         }
         let chosen = {
             let mut rng = node.rng.borrow_mut();
@@ -112,7 +113,7 @@
         return true;
     }
     let most = usize::try_from(work.route.max_attempts).unwrap_or(usize::MAX);
-    sent_to_servers < most && node.budgets.take_retry(clock::now(), service)
+    sent_to_servers < most && node.budgets.take_retry(clock::now(), service, work.kind)
 }
 
 /// A request on its way; given up where it is dropped before its end.
@@ -155,7 +156,9 @@
 
 async fn try_once(node: &Rc<Node>, work: &Work<'_>, chosen: &Chosen, left: Duration) -> Outcome {
     let mut request = work.request.clone();
-    request.left_us = u64::try_from(left.as_micros()).unwrap_or(u64::MAX);
+    request.left_us = micros(left);
+    let now = clock::now();
+    request.start_left_us = work.start_by.map_or(0, |by| micros(by.since(now)).max(1));
     let mut in_flight = InFlight {
         node,
         chosen,
@@ -188,6 +191,10 @@
     outcome
 }
 
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// What an outcome says of the server's soundness.
 fn seen(outcome: &Outcome) -> Seen {
     match outcome {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -12,6 +12,7 @@
     reply::Reply,
 };
 use crate::{
+    budget::Kind,
     clock,
     http::{RequestHead, header},
     link::{Field, Outcome, WorkRequest},
@@ -29,8 +30,6 @@
 const ROUTE_STEP: u8 = 2;
 /// The least urgent rank that is told apart.
 const MAX_RANK: u8 = 9;
-/// The priority of backend servers' own calls: work was already spent on what they belong to.
-const CALL_PRIORITY: u8 = 250;
 
 /// A request as it was read.
 #[derive(Debug)]
@@ -47,8 +46,10 @@
     route: Option<Route>,
     workspace: Option<Workspace>,
     forwarded: Option<Forwarded>,
-    /// The part of its priority that fitted when it was shed.
-    part: f64,
+    /// Where it was shed: the scarcest service, and the part of its priority that fitted there.
+    scarcest: Option<(Service, f64)>,
+    /// What it was expected to take at each service.
+    cost: String,
 }
 
 /// Answers one request.
@@ -95,11 +96,18 @@
         Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
     };
     trace.workspace = workspace.map(|row| row.name);
-    let priority = priority(route, workspace, is_call);
+    let mut priority = priority(&table, route, workspace);
+    let mut depth = 0;
     if is_call {
-        node.owner.on_call(route.name);
+        depth = 1;
+        // A call is as urgent as what it is part of.
+        if let Some(run) = node.owner.on_call(route.name, &trace.attempt) {
+            priority = run.priority;
+            depth = run.depth.saturating_add(1);
+        }
     } else if !node.shedding.admit(route.name, priority) {
-        trace.part = node.shedding.part(route.name, priority);
+        trace.scarcest = node.shedding.scarcest(route.name, priority);
+        trace.cost = node.shedding.cost(route.name);
         return Outcome::Refused(come_back(node, Reason::Shed, &facts, received));
     }
     if let Some(row) = workspace
@@ -117,19 +125,24 @@
         body,
         left_us: 0,
         priority: u32::from(priority),
-        depth: u32::from(is_call),
+        depth: u32::from(depth),
         route: route.name.as_str().into(),
         workspace: trace
             .workspace
             .map_or_else(String::new, |it| it.as_str().into()),
         service: String::new(),
+        start_left_us: 0,
     };
     let work = Work {
         request,
         route,
-        received,
         deadline: received + waits,
-        objective: route.objective,
+        kind: match (node.shedding.is_chain(route.name), is_call) {
+            (true, _) => Kind::Chain,
+            (false, true) => Kind::LeafCall,
+            (false, false) => Kind::Leaf,
+        },
+        start_by: (!is_call).then(|| received + longest_wait(route)),
     };
     let forwarded = forward(node, work).await;
     if let (Some(row), Outcome::Refused(refusal)) = (workspace, &forwarded.outcome)
@@ -163,13 +176,24 @@
     }
 }
 
-/// The order in which requests are served and shed: by the workspace's rank, then the route's.
-fn priority(route: &RouteRow, workspace: Option<&WorkspaceRow>, is_call: bool) -> u8 {
-    if is_call {
-        return CALL_PRIORITY;
-    }
+/// The part of a route's objective for which a client's request may wait to start. Waiting longer
+/// leaves too little for the work and for coming back.
+const WAIT_SHARE: f64 = 0.12;
+/// The least such wait: a slot of a busy server comes free within it.
+const MIN_WAIT: Duration = Duration::from_millis(20);
+
+/// How long a client's request may wait to start; then it is told when to come back. Calls within a
+/// chain wait as long as their deadline allows, since work was spent on their chain.
+fn longest_wait(route: &RouteRow) -> Duration {
+    route.objective.mul_f64(WAIT_SHARE).max(MIN_WAIT)
+}
+
+/// The order in which requests are served and shed: by the workspace's rank, then the route's. A
+/// call does not say whose it is, and counts as of the most urgent workspace.
+fn priority(table: &SiteTable, route: &RouteRow, workspace: Option<&WorkspaceRow>) -> u8 {
     let urgency = |rank: u8| MAX_RANK - rank.min(MAX_RANK);
-    let of_workspace = urgency(workspace.map_or(0, |row| row.rank));
+    let rank = workspace.map_or_else(|| table.most_urgent_rank(), |row| row.rank);
+    let of_workspace = urgency(rank);
     BASE_PRIORITY + of_workspace * WORKSPACE_STEP + urgency(route.rank) * ROUTE_STEP
 }
 
@@ -264,7 +288,7 @@
     log::info!(
         request:% = trace.attempt, status = status, reason:% = reason, route:% = route,
         workspace:% = workspace, tries = forwarded.map_or(0, |it| it.tries),
-        part = trace.part, service:? = forwarded.and_then(|it| it.service),
+        scarcest:? = trace.scarcest, cost:% = trace.cost, service:? = forwarded.and_then(|it| it.service),
         spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX),
         table_version = node.table().map_or(0, |table| table.version);
         "request-ended"
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -97,6 +97,9 @@
     /// The service that the request is for.
     #[prost(string, tag = "12")]
     pub(crate) service: String,
+    /// In which time it starts or is refused, in microseconds; zero for its whole deadline.
+    #[prost(uint64, tag = "13")]
+    pub(crate) start_left_us: u64,
 }
 
 /// How a request ended.
--- a/crates/sidecar/src/owner/owner.rs
+++ b/crates/sidecar/src/owner/owner.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
+use cassiashunt_adapter::parent_attempt;
 use cassiashunt_admit::{
     Action, Admission, Job, Options, Priority, Signal, Usage, chain::RouteUse,
 };
@@ -24,12 +25,16 @@
 /// than break their chain off; what waits too long for its deadline leaves it.
 const QUEUE_SHARE: f64 = 2.0;
 
+/// The part of a server's slots that is used. Servers with a knee have it at 0.95 of their slots.
+const USED_SLOTS: f64 = 0.945;
+
 /// Where the outcome of a request goes.
 type Reply = oneshot::Sender<Outcome>;
 
 enum Work {
     Waiting(WorkRequest, Time, Reply),
-    Running(AbortHandle),
+    /// The task, and the client's id of the attempt.
+    Running(AbortHandle, String),
 }
 
 /// The way to the backend server.
@@ -46,6 +51,16 @@
     work: HashMap<RequestId, Work>,
     last: RequestId,
     usage: Usage,
+    /// What runs at the server, by the client's id of the attempt.
+    running: HashMap<String, Run>,
+}
+
+/// A request that runs at the server, as the parent of its calls.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Run {
+    pub(crate) route: Route,
+    pub(crate) priority: u8,
+    pub(crate) depth: u8,
 }
 
 impl Owner {
@@ -58,6 +73,7 @@
                 work: HashMap::new(),
                 last: RequestId(0),
                 usage: Usage::default(),
+                running: HashMap::new(),
             }),
             pool: Pool::default(),
         }
@@ -116,9 +132,16 @@
         self.inner.borrow().admission.limit(clock::now())
     }
 
-    /// Takes in a call that the server makes.
-    pub(crate) fn on_call(&self, route: Route) {
-        self.inner.borrow_mut().usage.on_call(clock::now(), route);
+    /// Takes in a call that the server makes, and returns the run that it belongs to, where its id
+    /// tells.
+    pub(crate) fn on_call(&self, route: Route, attempt: &str) -> Option<Run> {
+        let mut inner = self.inner.borrow_mut();
+        let parent = parent_attempt(attempt);
+        let run = parent.and_then(|parent| inner.running.get(parent).copied());
+        inner
+            .usage
+            .on_call(clock::now(), route, run.map(|run| run.route));
+        run
     }
 
     /// What the server's runs take and call.
@@ -147,10 +170,15 @@
             let _ = tx.send(Outcome::Refused(Refusal::not_run(Reason::BadRequest)));
             return (id, rx);
         };
+        let starts_in = Duration::from_micros(request.start_left_us);
         inner
             .work
             .insert(id, Work::Waiting(request, job.deadline, tx));
-        let actions = inner.admission.offer(now, job);
+        let actions = if starts_in.is_zero() {
+            inner.admission.offer(now, job)
+        } else {
+            inner.admission.offer_until(now, job, now + starts_in)
+        };
         drop(inner);
         self.apply(node, actions);
         (id, rx)
@@ -162,8 +190,9 @@
         let mut inner = self.inner.borrow_mut();
         let actions = match inner.work.remove(&id) {
             Some(Work::Waiting(..)) => inner.admission.cancel(now, id),
-            Some(Work::Running(task)) => {
+            Some(Work::Running(task, attempt)) => {
                 task.abort();
+                inner.running.remove(&attempt);
                 inner.admission.done(now, id, Duration::ZERO, false)
             }
             None => return,
@@ -243,7 +272,7 @@
             };
             server.take_in(beat, now);
             let (slots, state) = (server.slots, server.state);
-            let actions = inner.admission.set_slots(now, slots);
+            let actions = inner.admission.set_slots(now, usable(slots));
             (was_down, state == ServerState::Draining, actions)
         };
         self.apply(node, actions);
@@ -298,10 +327,17 @@
         };
         if let Ok(route) = request.route.parse() {
             inner.usage.on_start(clock::now(), route);
+            let run = Run {
+                route,
+                priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
+                depth: u8::try_from(request.depth).unwrap_or(u8::MAX),
+            };
+            inner.running.insert(request.attempt.clone(), run);
         }
+        let attempt = request.attempt.clone();
         let run = run(Rc::clone(node), id, request, deadline, reply);
         let task = tokio::task::spawn_local(run).abort_handle();
-        inner.work.insert(id, Work::Running(task));
+        inner.work.insert(id, Work::Running(task, attempt));
     }
 
     /// Takes in how a running request ended.
@@ -312,6 +348,7 @@
             if inner.work.remove(&id).is_none() {
                 return;
             }
+            inner.running.remove(&end.attempt);
             if let Some(route) = end.route {
                 inner.usage.on_end(now, route, end.spent, end.is_ok);
             }
@@ -342,6 +379,7 @@
 
 /// How a running request ended.
 struct End {
+    attempt: String,
     route: Option<Route>,
     spent: Duration,
     /// The server did the whole work.
@@ -379,6 +417,7 @@
     let _ = reply.send(outcome);
     let route = request.route.parse().ok();
     let end = End {
+        attempt: request.attempt,
         route,
         spent,
         is_ok,
@@ -393,13 +432,19 @@
 
 fn options(slots: u32, warm_up: Duration) -> Options {
     Options {
-        slots,
+        slots: usable(slots),
         warm_up,
         queue_share: QUEUE_SHARE,
         ..Options::default()
     }
 }
 
+/// The slots that are used: some servers turn slower when they are nearly full.
+fn usable(slots: u32) -> u32 {
+    let used = f64::from(slots) * USED_SLOTS;
+    (used as u32).max(slots.min(1))
+}
+
 /// The request as admission sees it; nothing where a name is none.
 fn job(id: RequestId, now: Time, request: &WorkRequest) -> Option<Job> {
     let workspace = if request.workspace.is_empty() {
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -90,14 +90,25 @@
         inner.root.step(now, capacities);
     }
 
-    /// The least part of a priority that fits, for the log line of a refusal.
-    pub(crate) fn part(&self, route: Route, priority: u8) -> f64 {
+    /// The service that a request finds scarcest, and the part of its priority that fits there, for
+    /// the log line of a refusal.
+    pub(crate) fn scarcest(&self, route: Route, priority: u8) -> Option<(Service, f64)> {
         let inner = self.inner.borrow();
         let cost = inner.chains.cost(route);
-        let parts = cost
-            .iter()
-            .map(|(service, _)| inner.root.part(Priority(priority), *service));
-        parts.fold(1.0, f64::min)
+        inner.root.scarcest(Priority(priority), cost)
+    }
+
+    /// Whether requests of a route make calls to other services, or may.
+    pub(crate) fn is_chain(&self, route: Route) -> bool {
+        self.inner.borrow().chains.cost(route).len() != 1
+    }
+
+    /// What a request of a route is expected to take at each service, for a log line.
+    pub(crate) fn cost(&self, route: Route) -> String {
+        let inner = self.inner.borrow();
+        let cost = inner.chains.cost(route).iter();
+        let told = cost.map(|(service, slot_s)| format!("{service}:{:.0}ms", slot_s * 1_000.0));
+        told.collect::<Vec<_>>().join(" ")
     }
 }
 
