--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -1,13 +1,21 @@
-//! A node's part of a workspace's rate and burst, and its transfer between nodes.
+//! One workspace's rate and burst, shared by all nodes without an agreement among them.
 //!
-//! Each of `n` live nodes makes tokens at `rate / n` and keeps at most `burst / n` of its own
-//! making. A node that runs short asks others, which hand over part of what they hold. A transfer
-//! leaves the giver before it reaches the taker, so a lost message loses tokens and no cut, kill
-//! or pause makes any: the sum over all nodes stays within `burst + rate * t` as long as the nodes
-//! agree about `n`.
+//! Each of `n` live nodes owns the share `1 / n` of the rate and burst. So that no tokens lie idle
+//! at a node without requests, a node delegates its share to the workspace's *home* for a short
+//! time, again and again, and asks the home for tokens. A share makes tokens at one place at a
+//! time: at the home while the delegation is young, at its owner after the delegation has lapsed or
+//! the home was lost. So the sum over all nodes stays within `burst + rate * t` through cuts, kills
+//! and pauses, but for the span of a delegation whose owner has lost the home and makes tokens
+//! again while the home still does; the operators' excess covers it.
+
+use std::collections::HashMap;
 
 use cassiashunt_types::prelude::*;
 
+/// How long a delegation counts at the home. Kept short: it bounds what is made twice when links
+/// break.
+pub const DELEGATION: Duration = Duration::from_millis(900);
+
 /// Settings of one node's allowance of one workspace.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
@@ -15,8 +23,8 @@
     pub rate: f64,
     /// Requests beyond the rate over all nodes.
     pub burst: f64,
-    /// Live nodes, this one included.
-    pub nodes: usize,
+    /// This node's share of both.
+    pub share: f64,
 }
 
 impl Default for Options {
@@ -24,7 +32,7 @@
         Self {
             rate: 0.0,
             burst: 0.0,
-            nodes: 1,
+            share: 1.0,
         }
     }
 }
@@ -34,24 +42,24 @@
 pub enum Take {
     /// It may.
     Passed,
-    /// Not from what this node holds; others may have some to hand over.
+    /// Not from what this node holds; the home may have tokens.
     Short,
 }
 
-/// Tokens on their way from one node to another.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Transfer {
-    /// The whole tokens handed over.
-    pub tokens: u32,
+/// The share of another node, delegated to this one.
+#[derive(Debug, Clone, Copy)]
+struct Delegated {
+    share: f64,
+    until: Time,
 }
 
-/// The share of its tokens above which a node keeps none back from one that asks.
-const GIVEN_SHARE: f64 = 0.5;
-
 /// One node's allowance of one workspace.
 #[derive(Debug, Clone)]
 pub struct Allowance {
     opts: Options,
+    /// Whether the own share is delegated to another node.
+    is_delegating: bool,
+    delegated: HashMap<String, Delegated>,
     tokens: f64,
     filled: Time,
 }
@@ -62,22 +70,38 @@
     pub fn new(now: Time, opts: Options) -> Self {
         Self {
             opts,
+            is_delegating: false,
+            delegated: HashMap::new(),
             tokens: 0.0,
             filled: now,
         }
     }
 
-    /// Takes in a changed limit or number of nodes. Tells whether the limit itself changed.
+    /// Takes in a changed limit or share. Tells whether the limit itself changed.
     pub fn set_options(&mut self, now: Time, opts: Options) -> bool {
         self.fill(now);
         let is_changed = (opts.rate, opts.burst) != (self.opts.rate, self.opts.burst);
-        if opts != self.opts {
-            self.opts = opts;
+        self.opts = opts;
+        if is_changed {
             self.tokens = self.tokens.min(self.cap());
         }
         is_changed
     }
 
+    /// Whether the own share makes tokens at another node from now on.
+    pub fn set_delegating(&mut self, now: Time, is_delegating: bool) {
+        self.fill(now);
+        self.is_delegating = is_delegating;
+    }
+
+    /// Takes in that another node delegates its share.
+    pub fn on_delegated(&mut self, now: Time, node: &str, share: f64) {
+        self.fill(now);
+        let until = now + DELEGATION;
+        self.delegated
+            .insert(node.to_owned(), Delegated { share, until });
+    }
+
     /// Takes one token for a request.
     pub fn take(&mut self, now: Time) -> Take {
         if self.opts.rate <= 0.0 {
@@ -91,20 +115,19 @@
         Take::Passed
     }
 
-    /// Hands over part of the tokens to a node that asks for up to `wanted`.
-    pub fn give(&mut self, now: Time, wanted: u32) -> Transfer {
+    /// Hands over whole tokens to a node that asks for up to `wanted`.
+    pub fn give(&mut self, now: Time, wanted: u32) -> u32 {
         self.fill(now);
-        let spare = (self.tokens * GIVEN_SHARE).floor().max(0.0) as u32;
-        let tokens = spare.min(wanted);
-        self.tokens -= f64::from(tokens);
-        Transfer { tokens }
+        let given = (self.tokens.max(0.0) as u32).min(wanted);
+        self.tokens -= f64::from(given);
+        given
     }
 
-    /// Takes in tokens that another node handed over.
-    pub fn receive(&mut self, now: Time, transfer: Transfer) {
+    /// Takes in tokens that another node handed over, or of a request that did not run.
+    pub fn receive(&mut self, now: Time, tokens: u32) {
         self.fill(now);
         let most = self.opts.burst.max(1.0);
-        self.tokens = (self.tokens + f64::from(transfer.tokens)).min(most);
+        self.tokens = (self.tokens + f64::from(tokens)).min(most);
     }
 
     /// The tokens held.
@@ -113,26 +136,37 @@
         self.tokens
     }
 
-    /// What this node asks for when it is short: a tenth of a second of the whole rate.
-    #[must_use]
-    pub fn wanted(&self) -> u32 {
-        (self.opts.rate * 0.1).ceil().max(1.0) as u32
-    }
-
-    fn nodes(&self) -> f64 {
-        self.opts.nodes.max(1) as f64
+    fn shares(&self) -> f64 {
+        let own = if self.is_delegating {
+            0.0
+        } else {
+            self.opts.share
+        };
+        let delegated: f64 = self.delegated.values().map(|it| it.share).sum();
+        (own + delegated).min(1.0)
     }
 
+    /// The most tokens that are kept of what is made here.
     fn cap(&self) -> f64 {
-        (self.opts.burst / self.nodes()).max(1.0)
+        (self.opts.burst * self.shares()).max(1.0)
     }
 
     fn fill(&mut self, now: Time) {
-        let made = now.since(self.filled).as_secs_f64() * self.opts.rate / self.nodes();
-        self.filled = self.filled.max(now);
+        let filled = self.filled;
+        self.filled = filled.max(now);
+        let mut share_s = 0.0;
+        if !self.is_delegating {
+            share_s += self.opts.share * now.since(filled).as_secs_f64();
+        }
+        for delegated in self.delegated.values() {
+            let end = delegated.until.min(now);
+            share_s += delegated.share * end.since(filled).as_secs_f64();
+        }
+        let made = self.opts.rate * share_s.min(now.since(filled).as_secs_f64());
         let cap = self.cap();
         if self.tokens < cap {
             self.tokens = (self.tokens + made).min(cap);
         }
+        self.delegated.retain(|_, it| it.until > now);
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,13 +6,15 @@
 mod allowance;
 mod announce;
 mod freshness;
+mod homes;
 mod table;
 
 pub mod prelude;
 
-pub use allowance::{Allowance, Options as AllowanceOptions, Take, Transfer};
+pub use allowance::{Allowance, DELEGATION, Options as AllowanceOptions, Take};
 pub use announce::{Announcement, Heartbeat, ServerState};
 pub use freshness::Freshness;
+pub use homes::{home_of, homes};
 pub use table::{
     ClientLimits, InvalidTable, Repeat, RouteRow, SiteTable, Target, Unmatched, WorkspaceRow,
 };
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -103,10 +103,11 @@
         self.peers.len() + 1
     }
 
-    /// Links to the peers that can be asked now.
-    pub(crate) fn links(&self) -> Vec<Rc<Link>> {
-        let up = self.peers.values().filter(|peer| peer.link.is_up());
-        up.map(|peer| Rc::clone(&peer.link)).collect()
+    /// Links to the peers that can be asked now, by name.
+    pub(crate) fn live_links(&self) -> HashMap<String, Rc<Link>> {
+        let up = self.peers.iter().filter(|(_, peer)| peer.link.is_up());
+        up.map(|(name, peer)| (name.clone(), Rc::clone(&peer.link)))
+            .collect()
     }
 
     /// Names of the known peers.
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -94,6 +94,11 @@
                     node.owner.cancel(node, job);
                 }
             }
+            Some(Kind::Delegate(delegate)) => {
+                let own = node.settings().name.clone();
+                node.quotas
+                    .on_delegated(crate::clock::now(), &own, &delegate);
+            }
             Some(Kind::AskTokens(ask)) => {
                 let given = node.quotas.give(crate::clock::now(), &ask);
                 // The tokens are gone where the queue is full, which is the safe side.
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -13,7 +13,7 @@
 use tokio::{sync::oneshot, time::timeout};
 
 use super::{
-    AskTokens, Frame, Hello, Kind, Outcome, WorkRequest,
+    AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest,
     socket::{self, Reader, Sender},
 };
 use crate::node::Node;
@@ -70,6 +70,11 @@
         self.send(Kind::AskTokens(ask))
     }
 
+    /// Delegates shares of limits to the peer.
+    pub(crate) fn delegate(&self, delegate: Delegate) -> bool {
+        self.send(Kind::Delegate(delegate))
+    }
+
     fn send(&self, kind: Kind) -> bool {
         let tx = self.tx.borrow();
         tx.as_ref()
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -6,7 +6,7 @@
 /// One message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Frame {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) kind: Option<Kind>,
 }
 
@@ -37,6 +37,9 @@
     /// The dialler is still there.
     #[prost(bool, tag = "8")]
     Ping(bool),
+    /// A node's shares of limits are the home's for a moment.
+    #[prost(message, tag = "9")]
+    Delegate(Delegate),
 }
 
 impl From<Kind> for Frame {
@@ -188,6 +191,17 @@
     pub(crate) per_run: f32,
 }
 
+/// A node's shares of the limits of those workspaces whose home, among these, is the receiver.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Delegate {
+    #[prost(string, tag = "1")]
+    pub(crate) node: String,
+    #[prost(float, tag = "2")]
+    pub(crate) share: f32,
+    #[prost(string, repeated, tag = "3")]
+    pub(crate) homes: Vec<String>,
+}
+
 /// A node is short of tokens.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AskTokens {
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -8,6 +8,6 @@
 pub(crate) use accept::accept_peers;
 pub(crate) use dial::{Link, keep_link};
 pub(crate) use frame::{
-    Answer, AskTokens, CallCount, DemandEntry, Field, Frame, GiveTokens, Hello, Kind, Load,
-    Outcome, RunUse, WorkRequest,
+    Answer, AskTokens, CallCount, Delegate, DemandEntry, Field, Frame, GiveTokens, Hello, Kind,
+    Load, Outcome, RunUse, WorkRequest,
 };
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -26,6 +26,8 @@
 const USES_EVERY: Duration = Duration::from_secs(1);
 /// The time between two steps of the shedding before chains start.
 const SHED_STEP: Duration = Duration::from_millis(100);
+/// The time between two delegations of shares of limits, a third of the time that they count.
+const DELEGATE_EVERY: Duration = Duration::from_millis(300);
 /// The time between two looks for peers that are gone.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
@@ -82,6 +84,7 @@
         Box::pin(tick_queue(Rc::clone(&node))),
         Box::pin(tell_load(Rc::clone(&node))),
         Box::pin(step_shedding(Rc::clone(&node))),
+        Box::pin(delegate_shares(Rc::clone(&node))),
         Box::pin(sweep(Rc::clone(&node))),
         Box::pin(flush_logs()),
     ];
@@ -132,6 +135,13 @@
     }
 }
 
+async fn delegate_shares(node: Rc<Node>) {
+    loop {
+        node.quotas.delegate(&node);
+        tokio::time::sleep(DELEGATE_EVERY).await;
+    }
+}
+
 async fn sweep(node: Rc<Node>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
