--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -168,11 +168,12 @@
         }
     }
 
-    /// Drops the peers whose entry has been missing for `after`.
+    /// Drops the peers whose entry has been missing for `after` and that can't be reached. One that
+    /// is cut off from the store alone goes on serving.
     pub(crate) fn drop_missing(&mut self, now: Time, after: Duration) {
         let is_gone = |peer: &Peer| {
             let since = peer.missing_since;
-            since.is_some_and(|since| now.since(since) >= after)
+            !peer.link.is_up() && since.is_some_and(|since| now.since(since) >= after)
         };
         let gone = self.peers.iter().filter(|(_, peer)| is_gone(peer));
         let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -105,16 +105,21 @@
             priority = run.priority;
             depth = run.depth.saturating_add(1);
         }
-    } else if !node.shedding.admit(route.name, priority) {
-        trace.scarcest = node.shedding.scarcest(route.name, priority);
-        trace.cost = node.shedding.cost(route.name);
-        return Outcome::Refused(come_back(node, Reason::Shed, &facts, received));
     }
     if let Some(row) = workspace
         && !quota::admit(node, row.name).await
     {
         return Outcome::Refused(come_back(node, Reason::OverLimit, &facts, received));
     }
+    // What is beyond a limit is not asked of the services, so the limits come first.
+    if !is_call && !node.shedding.admit(route.name, priority) {
+        trace.scarcest = node.shedding.scarcest(route.name, priority);
+        trace.cost = node.shedding.cost(route.name);
+        if let Some(row) = workspace {
+            node.quotas.refund(clock::now(), row.name);
+        }
+        return Outcome::Refused(come_back(node, Reason::Shed, &facts, received));
+    }
     let waits = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let request = WorkRequest {
         id: 0,
