--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -99,6 +99,12 @@
                 node.quotas
                     .on_delegated(crate::clock::now(), &own, &delegate);
             }
+            Some(Kind::AskProof(_)) => {
+                if let Some(proof) = node.proof(crate::clock::now()) {
+                    // A peer that gets none asks the store itself.
+                    let _ = tx.try_send(Kind::Proof(proof).into());
+                }
+            }
             Some(Kind::AskTokens(ask)) => {
                 let given = node.quotas.give(crate::clock::now(), &ask);
                 // The tokens are gone where the queue is full, which is the safe side.
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -32,6 +32,8 @@
     tx: RefCell<Option<Sender>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<(Outcome, Option<Signal>)>>>,
     last: Cell<u64>,
+    /// When the peer was asked for its proof.
+    proof_asked: Cell<Option<Time>>,
 }
 
 impl Link {
@@ -75,6 +77,13 @@
         self.send(Kind::Delegate(delegate))
     }
 
+    /// Asks for the peer's proof that its table is the newest.
+    pub(crate) fn ask_proof(&self, now: Time) {
+        if self.send(Kind::AskProof(true)) {
+            self.proof_asked.set(Some(now));
+        }
+    }
+
     fn send(&self, kind: Kind) -> bool {
         let tx = self.tx.borrow();
         tx.as_ref()
@@ -91,6 +100,7 @@
     /// Requests on a lost connection may have run.
     pub(crate) fn lose_all(&self) {
         *self.tx.borrow_mut() = None;
+        self.proof_asked.set(None);
         let lost = std::mem::take(&mut *self.pending.borrow_mut());
         for (_, tx) in lost {
             // Nobody waits where the request was given up at this moment.
@@ -163,6 +173,12 @@
                 }
                 node.fleet.borrow_mut().on_load(now, name, &load);
             }
+            Some(Kind::Proof(proof)) => {
+                // Counted from the moment of the question, since an answer may be held up.
+                if let Some(asked) = link.proof_asked.take() {
+                    node.on_proof(asked, &proof);
+                }
+            }
             Some(Kind::GiveTokens(given)) => node.quotas.receive(now, &given),
             other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
         }
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -6,7 +6,7 @@
 /// One message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Frame {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(crate) kind: Option<Kind>,
 }
 
@@ -40,6 +40,12 @@
     /// A node's shares of limits are the home's for a moment.
     #[prost(message, tag = "9")]
     Delegate(Delegate),
+    /// Asks for the peer's proof that its table is the newest.
+    #[prost(bool, tag = "10")]
+    AskProof(bool),
+    /// The peer's proof.
+    #[prost(message, tag = "11")]
+    Proof(Proof),
 }
 
 impl From<Kind> for Frame {
@@ -202,6 +208,15 @@
     pub(crate) homes: Vec<String>,
 }
 
+/// That no table newer than this revision was accepted up to an age before the message was made.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Proof {
+    #[prost(uint64, tag = "1")]
+    pub(crate) revision: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) age_us: u64,
+}
+
 /// A node is short of tokens.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AskTokens {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,7 +12,7 @@
     budget::Budgets,
     fleet::Fleet,
     ingress::Splits,
-    link::{Frame, Load},
+    link::{Frame, Load, Proof},
     owner::Owner,
     quota::Quotas,
     settings::Settings,
@@ -42,6 +42,8 @@
     pub(crate) stopping: Cell<Option<Time>>,
     /// Requests of clients and of the backend server that have no answer yet.
     pub(crate) open_requests: Cell<usize>,
+    /// Whether this node's entry was seen to be gone from the store.
+    pub(crate) is_entry_lost: Cell<bool>,
     /// The lease of this node's entry in the store.
     pub(crate) lease: Cell<Option<u64>>,
     /// Wakes the task that announces this node.
@@ -70,6 +72,7 @@
             listeners: RefCell::new(Vec::new()),
             stopping: Cell::new(None),
             open_requests: Cell::new(0),
+            is_entry_lost: Cell::new(false),
             lease: Cell::new(None),
             announce: tokio::sync::Notify::new(),
         }
@@ -98,6 +101,23 @@
         self.stopping.get().is_some()
     }
 
+    /// This node's proof that its table is the newest, for peers.
+    pub(crate) fn proof(&self, now: Time) -> Option<Proof> {
+        let age = self.freshness.borrow().age(now)?;
+        Some(Proof {
+            revision: self.table_revision.get().0,
+            age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Takes in a peer's proof, asked for at `asked`.
+    pub(crate) fn on_proof(&self, asked: Time, proof: &Proof) {
+        if proof.revision == self.table_revision.get().0 {
+            let proven = asked.before(Duration::from_micros(proof.age_us));
+            self.freshness.borrow_mut().prove(proven);
+        }
+    }
+
     /// Divides the limits of the table in force among the live nodes.
     pub(crate) fn set_limits(&self) {
         if let Some(table) = self.table() {
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -10,14 +10,14 @@
 use cassiashunt_types::prelude::*;
 use tokio::time::timeout;
 
-use super::{CALL_TIMEOUT, RETRY, StoreClient, client::CallError};
+use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
 use crate::node::Node;
 
 /// The lease of the entry: links tell at once who lives, so this bounds only how long a node that
 /// never stopped properly is dialled.
-const TTL: Duration = Duration::from_secs(4);
+const TTL: Duration = Duration::from_secs(6);
 /// The time between two renewals.
-const RENEW_EVERY: Duration = Duration::from_millis(1_400);
+const RENEW_EVERY: Duration = Duration::from_secs(2);
 
 /// What is known of the own entry.
 #[derive(Default)]
@@ -31,14 +31,19 @@
 /// Keeps the entry written and its lease renewed.
 pub(crate) async fn announce(node: Rc<Node>, store: Rc<StoreClient>) {
     let mut entry = Entry::default();
+    let mut failures = 0;
     loop {
         let kept = keep(&node, &store, &mut entry).await;
         let span = match kept {
-            Ok(()) => RENEW_EVERY,
+            Ok(()) => {
+                failures = 0;
+                RENEW_EVERY
+            }
             Err(err) => {
-                log::info!(reason:% = err; "announcement-failed");
+                failures += 1;
+                log::info!(reason:% = err, failures = failures; "announcement-failed");
                 let jitter = node.rng.borrow_mut().f64();
-                RETRY.mul_f64(1.0 + jitter)
+                backoff(failures).mul_f64(1.0 + jitter)
             }
         };
         // Both ends of the wait lead to the same next step.
@@ -71,6 +76,9 @@
             lease
         }
     };
+    if node.is_entry_lost.take() {
+        entry.written = None;
+    }
     let announcement = node.announcement();
     if entry.written.as_ref() != Some(&announcement) {
         write(node, store, entry, lease, announcement).await?;
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -6,17 +6,20 @@
     CONFIG_PREFIX, Change, Item, Txn, config_key, decode_item, decode_table, decode_txn,
     decode_watch, get, txn, watch,
 };
+use cassiashunt_mesh::homes;
 use cassiashunt_types::prelude::*;
 
-use super::{CALL_TIMEOUT, RETRY, StoreClient, client::CallError};
+use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
 use crate::{clock, node::Node};
 
 /// How long a watch waits for a change.
-const WATCH: Duration = Duration::from_secs(10);
+const WATCH: Duration = Duration::from_secs(20);
 /// The time between two proofs; several have to fail in a row before keys are not taken any more.
-const PROOF_EVERY: Duration = Duration::from_millis(1_500);
-/// The time between tries of a proof that failed.
-const PROOF_RETRY: Duration = Duration::from_millis(300);
+const PROOF_EVERY: Duration = Duration::from_millis(1_000);
+/// The age of the last proof above which a node that is no prover asks the store itself.
+const OLD_PROOF: Duration = Duration::from_millis(2_200);
+/// Nodes that ask the store for all others.
+const PROVERS: usize = 2;
 
 /// Follows the table from its first reading on.
 pub(crate) async fn follow_config(
@@ -24,23 +27,31 @@
     store: Rc<StoreClient>,
     seen: Rc<Cell<Revision>>,
 ) {
+    let mut failures = 0;
     loop {
         if let Err(err) = read_config(&node, &store, &seen).await {
-            log::warn!(reason:% = err; "config-unread");
-            pause(&node, RETRY).await;
+            failures += 1;
+            log::warn!(reason:% = err, failures = failures; "config-unread");
+            pause(&node, backoff(failures)).await;
             continue;
         }
+        failures = 0;
         while let Ok(at) = watch_config(&node, &store, seen.get()).await {
             seen.set(at.max(seen.get()));
         }
-        pause(&node, RETRY / 4).await;
+        pause(&node, backoff(0)).await;
     }
 }
 
 /// Proves again and again that the table in force is the newest, and takes in a newer one.
 pub(crate) async fn prove_config(node: Rc<Node>, store: Rc<StoreClient>) {
     let mut was_proven = true;
+    let mut failures = 0;
     loop {
+        if asks_peers(&node) {
+            pause(&node, PROOF_EVERY.mul_f64(0.6)).await;
+            continue;
+        }
         let proven = prove_once(&node, &store).await;
         match &proven {
             Ok(()) if !was_proven => log::info!("store-regained"),
@@ -48,11 +59,35 @@
             _ => {}
         }
         was_proven = proven.is_ok();
-        let span = if was_proven { PROOF_EVERY } else { PROOF_RETRY };
+        failures = if was_proven { 0 } else { failures + 1 };
+        let span = if was_proven {
+            PROOF_EVERY
+        } else {
+            backoff(failures)
+        };
         pause(&node, span).await;
     }
 }
 
+/// Asks a prover for its proof, so that the store is asked by a few nodes only. Whether that is
+/// enough for now: the last proof is young, and this node is no prover.
+fn asks_peers(node: &Node) -> bool {
+    let now = clock::now();
+    let own = node.settings().name.clone();
+    let live = node.fleet.borrow().live_links();
+    let mut provers = homes(live.keys().cloned().chain([own.clone()]));
+    provers.truncate(PROVERS);
+    if provers.contains(&own) {
+        return false;
+    }
+    let at = node.rng.borrow_mut().usize(..provers.len().max(1));
+    if let Some(link) = provers.get(at).and_then(|name| live.get(name)) {
+        link.ask_proof(now);
+    }
+    let age = node.freshness.borrow().age(now);
+    age.is_some_and(|age| age < OLD_PROOF)
+}
+
 /// A condition on the table's revision, with nothing to change: it holds only while no newer table
 /// was accepted, and otherwise brings the newer one.
 async fn prove_once(node: &Rc<Node>, store: &StoreClient) -> Result<(), CallError> {
@@ -135,6 +170,9 @@
 }
 
 async fn pause(node: &Node, span: Duration) {
-    let jitter = node.rng.borrow_mut().f64();
-    tokio::time::sleep(span.mul_f64(1.0 + 0.3 * jitter)).await;
+    tokio::time::sleep(jittered(node, span)).await;
+}
+
+fn jittered(node: &Node, span: Duration) -> Duration {
+    span.mul_f64(1.0 + 0.3 * node.rng.borrow_mut().f64())
 }
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -6,11 +6,11 @@
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_types::prelude::*;
 
-use super::{CALL_TIMEOUT, RETRY, StoreClient, client::CallError};
+use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
 use crate::{clock, node::Node};
 
 /// How long a watch waits for a change.
-const WATCH: Duration = Duration::from_secs(8);
+const WATCH: Duration = Duration::from_secs(15);
 /// Entries lapse while the store is away; a server that lives has its entry back in this time.
 const MISSING: Duration = Duration::from_millis(2_500);
 /// After changes, how long the next watch is held back so that many changes come in one answer.
@@ -18,9 +18,11 @@
 
 /// Follows the entries.
 pub(crate) async fn follow_directory(node: Rc<Node>, store: Rc<StoreClient>) {
+    let mut failures = 0;
     loop {
         match read_all(&node, &store).await {
             Ok(mut at) => {
+                failures = 0;
                 while let Ok(next) = watch_once(&node, &store, at).await {
                     let has_changed = next > at;
                     at = next;
@@ -29,10 +31,13 @@
                     }
                 }
             }
-            Err(err) => log::warn!(reason:% = err; "directory-unread"),
+            Err(err) => {
+                failures += 1;
+                log::warn!(reason:% = err, failures = failures; "directory-unread");
+            }
         }
         let jitter = node.rng.borrow_mut().f64();
-        tokio::time::sleep(RETRY.mul_f64(1.0 + jitter)).await;
+        tokio::time::sleep(backoff(failures).mul_f64(1.0 + jitter)).await;
     }
 }
 
@@ -86,6 +91,7 @@
             Change::Gone(key, _) => {
                 let name = key.strip_prefix(node_prefix()).unwrap_or(key);
                 if name == node.settings().name {
+                    node.is_entry_lost.set(true);
                     node.announce.notify_one();
                 } else {
                     node.fleet.borrow_mut().on_missing(clock::now(), name);
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -14,5 +14,12 @@
 
 /// How long an answer of the store may take; it takes 4 ms, and 60 times that where it is slow.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// The time before a failed call is made again, up to twice as long.
-pub(crate) const RETRY: Duration = Duration::from_millis(250);
+/// The time before a call that failed once is made again.
+const RETRY: Duration = Duration::from_millis(250);
+/// The longest such time; the store's return is noticed within it.
+const MAX_RETRY: Duration = Duration::from_millis(1_200);
+
+/// The time before a call is made again that has failed so many times in a row.
+pub(crate) fn backoff(failures: u32) -> Duration {
+    (RETRY / 2 * 2_u32.pow(failures.min(5))).min(MAX_RETRY)
+}
