--- /dev/null
+++ b/cassiashunt/tests/site.rs
@@ -0,0 +1,522 @@
+//! Nodes of the users' platform, as processes, between stand-ins that fail.
+
+mod support;
+
+use std::{
+    io::{Read as _, Write as _},
+    thread,
+    time::{Duration, Instant},
+};
+
+use cassiashunt_standin::site::{Behaviour, Fault, Request, ask, open};
+use support::{
+    eventually,
+    site::{KEY, Site, read, table, write},
+};
+
+#[test]
+fn a_request_reaches_its_service_with_workspace_and_caller_and_without_its_key() {
+    let site = Site::start("site-path", &["shop", "desk"]);
+    let request = Request {
+        headers: vec![
+            ("X-Tenant".into(), "forged".into()),
+            ("X-Caller-Service".into(), "forged".into()),
+            ("X-Other".into(), "kept".into()),
+        ],
+        ..write("desk")
+    };
+    let answer = site.members[0].ask(&request).expect("the node answers");
+    assert_eq!(answer.status, 200);
+    assert_eq!(
+        answer.body,
+        format!("answer to {}", request.attempt).into_bytes()
+    );
+    assert_eq!(answer.header("x-response-signature"), Some("s"));
+    let runs = site.members[1].server.runs();
+    let run = runs
+        .iter()
+        .find(|run| run.attempt == request.attempt)
+        .expect("it ran there");
+    assert_eq!(run.header("x-tenant"), Some("first-shop"));
+    assert_eq!(run.header("x-caller-service"), Some("shop"));
+    assert_eq!(run.header("x-expected-instance"), Some("i-desk-1"));
+    assert_eq!(run.header("x-other"), Some("kept"));
+    assert_eq!(run.body, b"a deposit");
+    assert!(
+        run.headers.iter().all(|(_, value)| !value.contains(KEY)),
+        "no key passes"
+    );
+    assert_eq!(
+        run.headers
+            .iter()
+            .filter(|(name, _)| name.eq_ignore_ascii_case("x-tenant"))
+            .count(),
+        1
+    );
+}
+
+#[test]
+fn calls_of_a_server_go_through_its_node_without_a_key() {
+    let site = Site::start("site-calls", &["shop", "desk"]);
+    site.members[0]
+        .server
+        .set_calls(&[("shop.example", "/desk/call/1")]);
+    assert_eq!(site.members[0].status_of(&read("shop")), 200);
+    let runs = site.members[1].server.runs();
+    let call = runs
+        .iter()
+        .find(|run| run.first_line.contains("/desk/call/1"));
+    assert_eq!(
+        call.expect("the call ran").header("x-caller-service"),
+        Some("shop")
+    );
+}
+
+#[test]
+fn a_request_without_a_known_key_or_route_does_not_run() {
+    let site = Site::start("site-keys", &["shop", "desk"]);
+    let no_key = Request {
+        key: None,
+        ..read("desk")
+    };
+    let bad_key = Request {
+        key: Some("unknown".into()),
+        ..read("desk")
+    };
+    let no_route = Request {
+        target: "/nowhere/".into(),
+        ..read("desk")
+    };
+    assert_eq!(site.members[0].status_of(&no_key), 401);
+    assert_eq!(site.members[0].status_of(&bad_key), 401);
+    assert_eq!(site.members[0].status_of(&no_route), 404);
+    for request in [no_key, bad_key, no_route] {
+        assert_eq!(site.runs_of(&request), 0);
+    }
+}
+
+#[test]
+fn a_withdrawn_key_stops_within_its_bound_at_a_node_that_the_store_does_not_answer() {
+    let site = Site::start("site-withdrawn", &["shop", "desk"]);
+    assert_eq!(site.members[0].status_of(&read("desk")), 200);
+    site.store.set_fault(Fault::Silent);
+    site.put_table(&table(2, &["another-key"]));
+    let accepted = Instant::now();
+    while accepted.elapsed() < Duration::from_millis(4_500) {
+        let sent = accepted.elapsed();
+        let status = site.members[0].status_of(&read("desk"));
+        assert!(
+            status != 200 || sent <= Duration::from_millis(2_500),
+            "served {sent:?} after the withdrawal"
+        );
+        thread::sleep(Duration::from_millis(50));
+    }
+    site.store.set_fault(Fault::None);
+    eventually("the new key works", || {
+        let request = Request {
+            key: Some("another-key".into()),
+            ..read("desk")
+        };
+        site.members[0].status_of(&request) == 200
+    });
+    assert_eq!(site.members[0].status_of(&read("desk")), 401);
+}
+
+#[test]
+fn a_table_that_cannot_be_used_changes_nothing() {
+    let site = Site::start("site-invalid", &["shop", "desk"]);
+    site.store
+        .put("op/config", "{\"version\": 2, \"resources\": [");
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(site.members[0].status_of(&read("desk")), 200);
+    let mut older = table(0, &["older-key"]);
+    older["version"] = 0.into();
+    site.put_table(&older);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(site.members[0].status_of(&read("desk")), 200);
+}
+
+#[test]
+fn a_new_table_is_in_force_within_seconds_also_after_the_store_forgot_its_history() {
+    let site = Site::start("site-table", &["shop", "desk"]);
+    site.store.compact();
+    site.put_table(&table(2, &["second-key"]));
+    let since = Instant::now();
+    let request = || Request {
+        key: Some("second-key".into()),
+        ..read("desk")
+    };
+    for member in &site.members {
+        eventually("the new key works", || member.status_of(&request()) == 200);
+    }
+    assert!(
+        since.elapsed() < Duration::from_secs(2),
+        "took {:?}",
+        since.elapsed()
+    );
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again_unless_it_is_idempotent() {
+    let site = Site::start("site-once", &["shop", "desk", "desk"]);
+    for _ in 0..6 {
+        let request = write("desk");
+        site.members[1].server.do_next(Behaviour::LoseAnswer);
+        site.members[2].server.do_next(Behaviour::LoseAnswer);
+        let status = site.members[0].status_of(&request);
+        assert_eq!(site.runs_of(&request), 1);
+        assert_eq!(status, 502);
+        site.members[1].server.set_usual(Behaviour::Serve);
+        // Uses up what the other server still loses.
+        while site.members[0].status_of(&read("desk")) != 200 {}
+    }
+}
+
+#[test]
+fn a_refusal_says_not_run_only_of_requests_that_did_not_run() {
+    let site = Site::start("site-not-run", &["shop", "desk", "desk"]);
+    for member in &site.members[1..] {
+        member.server.set_usual(Behaviour::Shed);
+    }
+    let request = write("desk");
+    let answer = site.members[0].ask(&request).expect("the node answers");
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer
+        .header("retry-after")
+        .and_then(|it| it.parse().ok())
+        .expect("told");
+    assert!(
+        after > 0.0 && after <= 1.0,
+        "within a third of the 3 s that the client has: {after}"
+    );
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(site.runs_of(&request), 0);
+}
+
+#[test]
+fn no_spoiled_answer_is_passed_on_as_a_success() {
+    let site = Site::start("site-spoiled", &["shop", "desk"]);
+    let spoiled = [
+        Behaviour::Truncate,
+        Behaviour::Unsigned,
+        Behaviour::StaleFirst,
+        Behaviour::Extra,
+        Behaviour::Unframed,
+        Behaviour::UnframedReset,
+    ];
+    for behaviour in spoiled {
+        for request in [read("desk"), write("desk")] {
+            site.members[1].server.do_next(behaviour.clone());
+            let answer = site.members[0].ask(&request).expect("the node answers");
+            let is_whole = answer.body == format!("answer to {}", request.attempt).into_bytes();
+            assert!(
+                answer.status != 200 || is_whole,
+                "{behaviour:?}: {answer:?}"
+            );
+            let next = read("desk");
+            let answer = site.members[0].ask(&next).expect("the node answers");
+            assert_eq!(answer.status, 200, "after {behaviour:?}");
+            assert_eq!(
+                answer.body,
+                format!("answer to {}", next.attempt).into_bytes()
+            );
+        }
+    }
+}
+
+#[test]
+fn an_answer_is_due_at_the_routes_timeout() {
+    let site = Site::start("site-timeout", &["shop", "desk"]);
+    site.members[1]
+        .server
+        .set_usual(Behaviour::Slow(Duration::from_secs(5)));
+    let began = Instant::now();
+    let status = site.members[0].status_of(&Request {
+        timeout_ms: 4_000,
+        ..read("desk")
+    });
+    assert_eq!(status, 504);
+    let spent = began.elapsed();
+    assert!(
+        spent < Duration::from_millis(1_900),
+        "the route allows 1.5 s: {spent:?}"
+    );
+    let run = site.members[1].server.runs().pop().expect("it ran");
+    let told: u64 = run
+        .header("x-timeout-ms")
+        .and_then(|it| it.parse().ok())
+        .expect("told");
+    assert!(told <= 1_500);
+}
+
+#[test]
+fn the_work_of_a_client_that_left_is_given_up_within_half_a_second() {
+    let site = Site::start("site-gone", &["shop", "desk"]);
+    site.members[1]
+        .server
+        .set_usual(Behaviour::Slow(Duration::from_millis(1_400)));
+    let request = read("desk");
+    let mut stream = open(site.members[0].requests).expect("the node listens");
+    stream.write_all(&request.encode()).expect("the node reads");
+    eventually("it runs", || site.runs_of(&request) == 1);
+    drop(stream);
+    let left = Instant::now();
+    eventually("the server sees the close", || {
+        let runs = site.members[1].server.runs();
+        runs.iter()
+            .any(|run| run.attempt == request.attempt && run.is_abandoned)
+    });
+    assert!(
+        left.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left.elapsed()
+    );
+}
+
+#[test]
+fn malformed_and_smuggled_requests_are_refused_and_run_nothing() {
+    let site = Site::start("site-smuggled", &["shop", "desk"]);
+    let before = site.members[1].server.runs().len();
+    let head = format!(
+        "POST /desk/write/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: {KEY}\r\nX-Attempt-Id: aa\r\n"
+    );
+    let malformed = [
+        format!("{head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        format!("{head}Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"),
+        format!("{head}Content-Length: +4\r\n\r\nabcd"),
+        format!("{head}Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n4\nabcd\r\n0\r\n\r\n"),
+        format!("{head}Bad Name: 1\r\n\r\n"),
+        head.replace("\r\n", "\n") + "\n",
+        format!("{head}Host: other.example\r\n\r\n"),
+    ];
+    for text in malformed {
+        let mut stream = open(site.members[0].requests).expect("the node listens");
+        let answer = ask(&mut stream, text.as_bytes()).expect("the node answers");
+        assert_eq!(answer.status, 400, "{text:?}");
+    }
+    let long = Request {
+        headers: vec![("X-Long".into(), "x".repeat(5_000))],
+        ..read("desk")
+    };
+    assert_eq!(site.members[0].status_of(&long), 431);
+    let large = Request {
+        body: vec![b'x'; 70_000],
+        ..write("desk")
+    };
+    assert_eq!(site.members[0].status_of(&large), 413);
+    let mut slow = open(site.members[0].requests).expect("the node listens");
+    let answer = ask(&mut slow, b"GET /desk/read/1 HTTP/1.1\r\n").expect("the node answers");
+    assert_eq!(answer.status, 408);
+    assert_eq!(site.members[1].server.runs().len(), before);
+}
+
+#[test]
+fn chunked_bodies_arrive_whole() {
+    let site = Site::start("site-chunked", &["shop", "desk"]);
+    let head = format!(
+        "POST /desk/write/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: {KEY}\r\nX-Attempt-Id: chunked-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut stream = open(site.members[0].requests).expect("the node listens");
+    let answer = ask(
+        &mut stream,
+        format!("{head}4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\n\r\n").as_bytes(),
+    );
+    assert_eq!(answer.expect("the node answers").status, 200);
+    let run = site.members[1].server.runs().pop().expect("it ran");
+    assert_eq!(run.body, b"abcdefg");
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_new_work_once_its_word_is_acknowledged() {
+    let site = Site::start("site-draining", &["shop", "desk", "desk"]);
+    let leaving = &site.members[1];
+    assert_eq!(
+        leaving
+            .server
+            .leave(leaving.heartbeats)
+            .expect("the node answers"),
+        200
+    );
+    let before = leaving.server.runs().len();
+    for _ in 0..30 {
+        assert_eq!(site.members[0].status_of(&read("desk")), 200);
+        assert_eq!(leaving.status_of(&read("desk")), 200);
+    }
+    assert_eq!(leaving.server.runs().len(), before);
+    // A late word of the same start does not bring it back.
+    let late = leaving.server.beat(leaving.heartbeats, "desk", "ready", 9);
+    assert_eq!(late.expect("the node answers"), 200);
+    assert_eq!(site.members[0].status_of(&read("desk")), 200);
+    assert_eq!(leaving.server.runs().len(), before);
+}
+
+#[test]
+fn odd_heartbeats_change_nothing() {
+    let site = Site::start("site-heartbeats", &["shop", "desk"]);
+    let member = &site.members[1];
+    for body in [
+        "",
+        "{",
+        "{\"status\": 3}",
+        "{\"details\":{\"service\":\"desk\"},\"status\":{\"state\":\"odd\"}}",
+    ] {
+        let request = Request {
+            method: "POST",
+            target: "/-/rpc?call=instances.heartbeat&of=i-desk-1".into(),
+            body: body.as_bytes().to_vec(),
+            ..Request::default()
+        };
+        let answer = ask(
+            &mut open(member.heartbeats).expect("it listens"),
+            &request.encode(),
+        );
+        assert_eq!(answer.expect("the node answers").status, 400, "{body:?}");
+    }
+    let stale = member.server.beat(member.heartbeats, "desk", "draining", 0);
+    assert_eq!(stale.expect("the node answers"), 200);
+    assert_eq!(site.members[0].status_of(&read("desk")), 200);
+}
+
+#[test]
+fn a_planned_stop_finishes_what_it_has_and_moves_clients_on() {
+    let mut site = Site::start("site-stop", &["shop", "desk", "desk"]);
+    for member in &site.members[1..] {
+        member
+            .server
+            .set_usual(Behaviour::Slow(Duration::from_millis(1_000)));
+    }
+    let mut kept = open(site.members[0].requests).expect("the node listens");
+    let requests: Vec<_> = (0..8).map(|_| read("desk")).collect();
+    let addresses: Vec<_> = site.members.iter().map(|member| member.requests).collect();
+    let asking: Vec<_> = requests
+        .iter()
+        .cloned()
+        .enumerate()
+        .map(|(at, request)| {
+            let node = addresses[at % addresses.len()];
+            thread::spawn(move || ask(&mut open(node).expect("it listens"), &request.encode()))
+        })
+        .collect();
+    eventually("they run", || {
+        requests.iter().all(|request| site.runs_of(request) == 1)
+    });
+    for member in &site.members[..2] {
+        member.node.signal("-TERM");
+    }
+    let answer = ask(&mut kept, &read("desk").encode()).expect("the node answers");
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(!site.members[0].is_ready());
+    for asked in asking {
+        let answer = asked.join().expect("no panic").expect("nothing is cut off");
+        assert_eq!(answer.status, 200);
+    }
+    for member in &mut site.members[..2] {
+        assert_eq!(member.node.wait(), Some(0));
+    }
+}
+
+#[test]
+fn a_node_that_was_killed_serves_again_without_a_heartbeat() {
+    let mut site = Site::start("site-killed", &["shop", "desk"]);
+    site.members[1].node.kill();
+    let lost = site.members[0].status_of(&write("desk"));
+    assert!(matches!(lost, 502 | 503), "{lost}");
+    site.members[1].restart();
+    eventually("it serves", || {
+        site.members[0].status_of(&read("desk")) == 200
+    });
+}
+
+#[test]
+fn a_lost_store_stops_no_calls_and_its_return_brings_entries_back() {
+    let site = Site::start("site-outage", &["shop", "desk"]);
+    site.members[0]
+        .server
+        .set_calls(&[("shop.example", "/desk/call/1")]);
+    site.store.set_fault(Fault::Busy);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(site.members[0].status_of(&read("shop")), 200);
+    thread::sleep(Duration::from_secs(7));
+    assert_eq!(
+        site.store.keys("cassiashunt/nodes/").len(),
+        0,
+        "the leases have lapsed"
+    );
+    let open_route = Request {
+        key: None,
+        target: "/desk/call/2".into(),
+        ..Request::default()
+    };
+    assert_eq!(site.members[0].status_of(&open_route), 200);
+    assert_eq!(
+        site.members[0].status_of(&read("desk")),
+        503,
+        "keys can't be proven"
+    );
+    site.store.set_fault(Fault::None);
+    eventually("the entries are back", || {
+        site.store.keys("cassiashunt/nodes/").len() == 2
+    });
+    eventually("keys work again", || {
+        site.members[0].status_of(&read("desk")) == 200
+    });
+}
+
+#[test]
+fn lost_answers_of_the_store_leave_one_entry_a_node() {
+    let site = Site::start("site-lost", &["shop"]);
+    site.store.set_fault(Fault::LoseAnswers);
+    thread::sleep(Duration::from_secs(3));
+    site.store.set_fault(Fault::None);
+    eventually("keys work", || {
+        site.members[0].status_of(&read("shop")) == 200
+    });
+    assert_eq!(
+        site.store.keys("cassiashunt/nodes/"),
+        ["cassiashunt/nodes/node-0"]
+    );
+}
+
+#[test]
+fn a_calm_node_asks_the_store_rarely() {
+    let site = Site::start("site-calm", &["shop", "desk", "shop", "desk"]);
+    thread::sleep(Duration::from_secs(2));
+    let before = site.store.calls();
+    thread::sleep(Duration::from_secs(6));
+    let calls = site.store.calls() - before;
+    // One call in two seconds a node: 4 nodes in 6 s.
+    assert!(calls <= 12 + 12, "{calls} calls, renewals included");
+}
+
+#[test]
+fn a_peer_that_sends_rubbish_harms_nobody() {
+    let site = Site::start("site-rubbish", &["shop", "desk"]);
+    for bytes in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0xff; 64],
+        &[0, 0, 0, 2, 0xff, 0xff],
+    ] {
+        let mut stream = open(site.members[1].peers).expect("it listens");
+        stream.write_all(bytes).expect("the node reads");
+        // Whatever comes or not, the node goes on.
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
+        let _ = stream.read(&mut [0; 64]);
+    }
+    assert_eq!(site.members[0].status_of(&read("desk")), 200);
+}
+
+#[test]
+fn settings_that_cannot_be_used_are_refused_with_file_key_and_reason() {
+    let folder = support::Folder::new("site-settings");
+    let file = folder.write("bad.toml", "name = \"a\"\nunknown = 1\n");
+    let output = support::run(&["sidecar", support::path(&file)]);
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success());
+    assert!(
+        text.contains("bad.toml") && text.contains("unknown"),
+        "{text}"
+    );
+    let missing = support::run(&["sidecar", "/nowhere/settings.toml"]);
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("/nowhere/settings.toml"));
+}
--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Runs the real binary's processes on loopback.
 #![allow(dead_code)]
 
+pub mod site;
+
 use std::{
     fs,
     io::Read,
--- /dev/null
+++ b/cassiashunt/tests/support/site.rs
@@ -0,0 +1,226 @@
+//! Nodes of the users' platform as processes, between stand-ins of its store, servers and clients.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::atomic::{AtomicU16, Ordering},
+    thread,
+    time::Duration,
+};
+
+use cassiashunt_standin::site::{Answer, Request, Server, Store, ask, open};
+use serde_json::{Value, json};
+
+use super::{Folder, Process, eventually, path};
+
+/// Ports of test fleets lie below those of outgoing connections, which would take them.
+const FIRST_PORT: u16 = 14_000;
+static TAKEN: AtomicU16 = AtomicU16::new(0);
+
+fn port() -> u16 {
+    let spread = (std::process::id() % 400) as u16 * 40;
+    loop {
+        let at = FIRST_PORT + (spread + TAKEN.fetch_add(1, Ordering::Relaxed)) % 16_000;
+        if TcpListener::bind(("127.0.0.1", at)).is_ok() {
+            return at;
+        }
+    }
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port()))
+}
+
+/// A node with its server.
+pub struct Member {
+    pub name: String,
+    pub service: String,
+    pub node: Process,
+    pub server: Server,
+    pub requests: SocketAddr,
+    pub ready: SocketAddr,
+    pub heartbeats: SocketAddr,
+    pub peers: SocketAddr,
+    settings: std::path::PathBuf,
+}
+
+impl Member {
+    /// Sends a request on a connection of its own.
+    pub fn ask(&self, request: &Request) -> io::Result<Answer> {
+        ask(&mut open(self.requests)?, &request.encode())
+    }
+
+    pub fn status_of(&self, request: &Request) -> u16 {
+        self.ask(request).expect("the node answers").status
+    }
+
+    /// The status of the platform's question whether the node is ready.
+    pub fn is_ready(&self) -> bool {
+        let request = Request {
+            target: "/-/ready".into(),
+            ..Request::default()
+        };
+        let answer = open(self.ready).and_then(|mut it| ask(&mut it, &request.encode()));
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// Starts the node's process again beside the same server.
+    pub fn restart(&mut self) {
+        self.node = Process::start(&["sidecar", path(&self.settings)]);
+    }
+}
+
+/// A fleet.
+pub struct Site {
+    pub store: Store,
+    pub members: Vec<Member>,
+    folder: Folder,
+}
+
+/// The key that the first table gives.
+pub const KEY: &str = "key-of-the-first-shop";
+
+impl Site {
+    /// Starts a node for each named service, with the first table in force.
+    pub fn start(name: &str, services: &[&str]) -> Self {
+        let store = Store::start().expect("loopback has free ports");
+        store.put("op/config", &table(1, &[KEY]).to_string());
+        let mut site = Self {
+            store,
+            members: Vec::new(),
+            folder: Folder::new(name),
+        };
+        for service in services {
+            site.add(service);
+        }
+        site.wait_until_serving();
+        site
+    }
+
+    pub fn add(&mut self, service: &str) {
+        let requests = address();
+        let at = self.members.len();
+        let server = Server::start(&format!("i-{service}-{at}"), requests);
+        let server = server.expect("loopback has free ports");
+        let (peers, ready, heartbeats) = (address(), address(), address());
+        let name = format!("node-{at}");
+        let text = format!(
+            r#"
+name = "{name}"
+domain = "east"
+service = "{service}"
+[addresses]
+requests = "{requests}"
+peers = "{peers}"
+ready = "{ready}"
+heartbeats = "{heartbeats}"
+server = "{}"
+[store]
+address = "{}"
+min-lease-ms = 1000
+[bounds]
+key-withdrawal-ms = 2500
+grace-s = 6.0
+retry-ratio = 0.2
+retry-slack = 40
+retry-window-s = 10
+"#,
+            server.address(),
+            self.store.address()
+        );
+        let settings = self.folder.write(&format!("{name}.toml"), &text);
+        let node = Process::start(&["sidecar", path(&settings)]);
+        eventually("the node listens", || {
+            TcpStream::connect(heartbeats).is_ok()
+        });
+        let beat = server.beat(heartbeats, service, "ready", 1);
+        assert_eq!(beat.expect("the node answers"), 200);
+        self.members.push(Member {
+            name,
+            service: service.to_owned(),
+            node,
+            server,
+            requests,
+            ready,
+            heartbeats,
+            peers,
+            settings,
+        });
+    }
+
+    /// Waits until every node reaches a server of every service.
+    pub fn wait_until_serving(&self) {
+        let services: std::collections::BTreeSet<_> =
+            self.members.iter().map(|it| it.service.clone()).collect();
+        for member in &self.members {
+            for service in &services {
+                eventually("the node serves", || {
+                    let request = read(service);
+                    member
+                        .ask(&request)
+                        .is_ok_and(|answer| answer.status == 200)
+                });
+            }
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+
+    /// Puts another table in force everywhere.
+    pub fn put_table(&self, table: &Value) {
+        self.store.put("op/config", &table.to_string());
+    }
+
+    /// How often a request ran, at all servers.
+    pub fn runs_of(&self, request: &Request) -> usize {
+        let runs = self.members.iter().flat_map(|member| member.server.runs());
+        runs.filter(|run| run.attempt == request.attempt).count()
+    }
+}
+
+/// An idempotent request to a service.
+pub fn read(service: &str) -> Request {
+    Request {
+        target: format!("/{service}/read/{:x}", fastrand::u32(..)),
+        key: Some(KEY.into()),
+        ..Request::default()
+    }
+}
+
+/// A request to a service that runs once at most.
+pub fn write(service: &str) -> Request {
+    Request {
+        method: "POST",
+        target: format!("/{service}/write/{:x}", fastrand::u32(..)),
+        key: Some(KEY.into()),
+        body: b"a deposit".to_vec(),
+        ..Request::default()
+    }
+}
+
+/// A table with routes to the services shop and desk, and one workspace with these keys.
+pub fn table(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, public: bool| {
+        json!({"type": "routes", "meta": {"name": name}, "spec": {
+            "host": "shop.example", "prefix": prefix, "kind": kind, "timeout_ms": 1_500,
+            "goal_ms": 800, "priority": 1, "service": service, "max_attempts": 2,
+            "public": public,
+        }})
+    };
+    let service = |name: &str| json!({"type": "services", "meta": {"name": name}, "spec": {"health_path": "/health"}});
+    json!({"version": version, "resources": [
+        route("shop-read", "/shop/read/", "idempotent", "shop", false),
+        route("shop-write", "/shop/write/", "non_idempotent", "shop", false),
+        route("desk-read", "/desk/read/", "idempotent", "desk", false),
+        route("desk-write", "/desk/write/", "non_idempotent", "desk", false),
+        route("desk-call", "/desk/call/", "idempotent", "desk", true),
+        service("shop"),
+        service("desk"),
+        {"type": "tenants", "meta": {"name": "first-shop"}, "spec": {
+            "api_keys": keys, "priority": 1, "rate_per_s": 400, "burst": 400,
+        }},
+        {"type": "limits", "meta": {}, "spec": {
+            "header_bytes": 4_096, "body_bytes": 65_536, "header_timeout_ms": 1_000,
+            "idle_timeout_ms": 5_000,
+        }},
+    ]})
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod platform;
 pub mod server;
+pub mod site;
--- /dev/null
+++ b/crates/standin/src/site/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for what the users' platform puts around a node: its metadata store, an application
+//! server and a client, by the users' protocol, with faults.
+
+mod client;
+mod server;
+mod store;
+mod wire;
+
+pub use client::{Answer, Request, ask, open};
+pub use server::{Behaviour, Run, Server};
+pub use store::{Fault, Store};
--- /dev/null
+++ b/crates/standin/src/site/server.rs
@@ -0,0 +1,359 @@
+//! An application server: it runs requests, calls others through its node, and misbehaves on
+//! demand.
+
+use std::{
+    collections::VecDeque,
+    io::{self, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use super::{
+    client::{Request, ask, open},
+    wire::{self, Message},
+};
+
+/// What the server does with a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Runs it and answers whole.
+    #[default]
+    Serve,
+    /// Says that it did not run it.
+    Shed,
+    /// Runs it and closes the connection without an answer.
+    LoseAnswer,
+    /// Answers with a shorter body than announced.
+    Truncate,
+    /// Answers without a signature.
+    Unsigned,
+    /// Sends an answer to another request before its own.
+    StaleFirst,
+    /// Sends bytes after its answer.
+    Extra,
+    /// Runs it for so long.
+    Slow(Duration),
+    /// Answers before it has read the body, and keeps the connection.
+    Early,
+    /// Answers without a length and closes.
+    Unframed,
+    /// Answers without a length, and resets the connection within the body.
+    UnframedReset,
+}
+
+/// A request that the server began to run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// Its head's first line.
+    pub first_line: String,
+    /// Its fields.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When it began.
+    pub at: Instant,
+    /// Whether the caller's connection closed before the answer.
+    pub is_abandoned: bool,
+}
+
+impl Run {
+    /// The first value of a field.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut found = self
+            .headers
+            .iter()
+            .filter(|(it, _)| it.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value.as_str())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    runs: Vec<Run>,
+    /// What is done with the next requests; then they are served.
+    next: VecDeque<Behaviour>,
+    usual: Behaviour,
+    /// Calls made through the node for each request: host and path.
+    calls: Vec<(String, String)>,
+}
+
+/// An application server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its id.
+    pub id: String,
+    address: SocketAddr,
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Server {
+    /// Starts a server on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Where no port is free.
+    pub fn start(id: &str, node: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let server = Self {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            inner: Arc::default(),
+        };
+        let accepting = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = accepting.clone();
+                thread::spawn(move || server.serve(stream, node));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it does with the next request; each call adds one.
+    pub fn do_next(&self, behaviour: Behaviour) {
+        self.lock().next.push_back(behaviour);
+    }
+
+    /// What it does with all others.
+    pub fn set_usual(&self, behaviour: Behaviour) {
+        self.lock().usual = behaviour;
+    }
+
+    /// What it calls for each request.
+    pub fn set_calls(&self, calls: &[(&str, &str)]) {
+        let calls = calls
+            .iter()
+            .map(|(host, path)| ((*host).into(), (*path).into()));
+        self.lock().calls = calls.collect();
+    }
+
+    /// The requests that it began to run.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Sends a heartbeat to its node, and returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Where the node can't be reached.
+    pub fn beat(
+        &self,
+        control: SocketAddr,
+        service: &str,
+        state: &str,
+        sequence: u64,
+    ) -> io::Result<u16> {
+        let body = serde_json::json!({
+            "address": self.address.to_string(),
+            "born": 1,
+            "details": {"service": service, "version": "v1", "zone": "east", "slots": 8},
+            "status": {"state": state, "sequence": sequence, "warmup_left_ms": 0},
+        });
+        self.call_node(control, "instances.heartbeat", body.to_string().as_bytes())
+    }
+
+    /// Tells its node that it leaves, and returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Where the node can't be reached.
+    pub fn leave(&self, control: SocketAddr) -> io::Result<u16> {
+        self.call_node(control, "instances.leave", b"")
+    }
+
+    fn call_node(&self, control: SocketAddr, call: &str, body: &[u8]) -> io::Result<u16> {
+        let request = Request {
+            method: "POST",
+            target: format!("/-/rpc?call={call}&of={}", self.id),
+            body: body.to_vec(),
+            ..Request::default()
+        };
+        Ok(ask(&mut open(control)?, &request.encode())?.status)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn serve(&self, stream: TcpStream, node: SocketAddr) {
+        let Ok(clone) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(clone);
+        // The end of the connection or a reset ends the serving.
+        while let Ok(Some(message)) = wire::read(&mut reader) {
+            if !self.answer(&stream, &message, node) {
+                return;
+            }
+        }
+    }
+
+    /// Answers one request; tells whether the connection is kept.
+    fn answer(&self, mut stream: &TcpStream, message: &Message, node: SocketAddr) -> bool {
+        if message.word(1) == "/health" {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
+            return stream.write_all(text.as_bytes()).is_ok();
+        }
+        let attempt = message
+            .header("x-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
+        if message
+            .header("x-expected-instance")
+            .is_some_and(|it| it != self.id)
+        {
+            let text = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+            return stream.write_all(text.as_bytes()).is_ok();
+        }
+        let behaviour = {
+            let mut inner = self.lock();
+            let usual = inner.usual.clone();
+            inner.next.pop_front().unwrap_or(usual)
+        };
+        if behaviour == Behaviour::Shed {
+            let text = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            return stream.write_all(text.as_bytes()).is_ok();
+        }
+        let run = self.begin(message, &attempt);
+        if !self.make_calls(&attempt, node) {
+            return stream
+                .write_all(&reply(500, &attempt, b"call failed"))
+                .is_ok();
+        }
+        let body = format!("answer to {attempt}");
+        let whole = reply(200, &attempt, body.as_bytes());
+        match behaviour {
+            Behaviour::LoseAnswer => false,
+            Behaviour::Truncate => {
+                // The end of the connection is the fault; nobody reads an error of this write.
+                let _ = stream.write_all(&whole[..whole.len() - 5]);
+                false
+            }
+            Behaviour::Unsigned => {
+                let text =
+                    String::from_utf8_lossy(&whole).replace("X-Response-Signature: s\r\n", "");
+                stream.write_all(text.as_bytes()).is_ok()
+            }
+            Behaviour::StaleFirst => {
+                let stale = reply(200, "another-attempt", b"answer to another");
+                stream.write_all(&[stale, whole].concat()).is_ok()
+            }
+            Behaviour::Extra => {
+                let extra = reply(200, &attempt, b"once more");
+                stream.write_all(&[whole, extra].concat()).is_ok()
+            }
+            Behaviour::Slow(span) => {
+                if self.is_abandoned_within(stream, span) {
+                    self.lock().runs[run].is_abandoned = true;
+                    return false;
+                }
+                stream.write_all(&whole).is_ok()
+            }
+            Behaviour::Unframed => {
+                let _ = stream.write_all(&unframed(&attempt, &body));
+                false
+            }
+            Behaviour::UnframedReset => {
+                let _ = stream.write_all(&unframed(&attempt, &body[..4]));
+                thread::sleep(Duration::from_millis(30));
+                reset(stream);
+                false
+            }
+            Behaviour::Serve | Behaviour::Early | Behaviour::Shed => {
+                stream.write_all(&whole).is_ok()
+            }
+        }
+    }
+
+    fn begin(&self, message: &Message, attempt: &str) -> usize {
+        let mut inner = self.lock();
+        inner.runs.push(Run {
+            attempt: attempt.to_owned(),
+            first_line: message.first_line.clone(),
+            headers: message.headers.clone(),
+            body: message.body.clone(),
+            at: Instant::now(),
+            is_abandoned: false,
+        });
+        inner.runs.len() - 1
+    }
+
+    fn make_calls(&self, attempt: &str, node: SocketAddr) -> bool {
+        let calls = self.lock().calls.clone();
+        calls.into_iter().all(|(host, target)| {
+            let request = Request {
+                host,
+                target,
+                attempt: format!("{attempt}.{:08x}", fastrand::u32(..)),
+                ..Request::default()
+            };
+            let answer = open(node).and_then(|mut stream| ask(&mut stream, &request.encode()));
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+    }
+
+    /// Works for `span`, and tells whether the caller closed its connection meanwhile.
+    fn is_abandoned_within(&self, mut stream: &TcpStream, span: Duration) -> bool {
+        let until = Instant::now() + span;
+        let mut byte = [0];
+        while Instant::now() < until {
+            if stream
+                .set_read_timeout(Some(Duration::from_millis(20)))
+                .is_err()
+            {
+                return true;
+            }
+            match stream.read(&mut byte) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(err)
+                    if matches!(
+                        err.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) => {}
+                Err(_) => return true,
+            }
+        }
+        stream.set_read_timeout(None).is_err()
+    }
+}
+
+fn reply(status: u16, attempt: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 {status} Word\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+fn unframed(attempt: &str, body: &str) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n{body}"
+    );
+    head.into_bytes()
+}
+
+/// Closes the connection by a reset.
+fn reset(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    // Without the option the connection ends in order, and the test that asked for it fails.
+    let _ = socket.set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/crates/standin/src/site/store.rs
@@ -0,0 +1,368 @@
+//! The platform's metadata store, in memory, with faults.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Condvar, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+
+use super::wire;
+
+/// How the store fails.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Not at all.
+    #[default]
+    None,
+    /// It answers nothing.
+    Silent,
+    /// It answers 503.
+    Busy,
+    /// It carries calls out and loses the answers.
+    LoseAnswers,
+    /// It answers so much later.
+    Slow(Duration),
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Debug)]
+struct Inner {
+    items: BTreeMap<String, Item>,
+    /// Changes by revision: the key, and the item where it was not deleted.
+    history: Vec<(u64, String, Option<Item>)>,
+    /// Watches from before this revision are told that the history is gone.
+    compacted: u64,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    revision: u64,
+    fault: Fault,
+    calls: u64,
+}
+
+/// The store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    address: SocketAddr,
+    shared: Arc<(Mutex<Inner>, Condvar)>,
+}
+
+impl Store {
+    /// Starts a store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Where no port is free.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let inner = Inner {
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            compacted: 0,
+            leases: BTreeMap::new(),
+            revision: 1,
+            fault: Fault::None,
+            calls: 0,
+        };
+        let store = Self {
+            address: listener.local_addr()?,
+            shared: Arc::new((Mutex::new(inner), Condvar::new())),
+        };
+        let accepting = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = accepting.clone();
+                thread::spawn(move || store.serve(&stream));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes as the operator does.
+    pub fn put(&self, key: &str, value: &str) {
+        self.lock().put(key, STANDARD.encode(value), 0);
+        self.shared.1.notify_all();
+    }
+
+    /// How it fails from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+        self.shared.1.notify_all();
+    }
+
+    /// Forgets its history.
+    pub fn compact(&self) {
+        let mut inner = self.lock();
+        inner.compacted = inner.revision;
+        inner.history.clear();
+        self.shared.1.notify_all();
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// The keys under a prefix.
+    #[must_use]
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut inner = self.lock();
+        inner.expire();
+        let keys = inner.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.shared
+            .0
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn serve(&self, mut stream: &TcpStream) {
+        let Ok(clone) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(clone);
+        while let Ok(Some(message)) = wire::read(&mut reader) {
+            let fault = {
+                let mut inner = self.lock();
+                inner.calls += 1;
+                inner.fault
+            };
+            let (status, body) = match fault {
+                Fault::Busy => (503, json!({})),
+                Fault::Silent => {
+                    self.wait_for_end_of(Fault::Silent);
+                    return;
+                }
+                Fault::None | Fault::LoseAnswers | Fault::Slow(_) => self.answer(&message),
+            };
+            match fault {
+                Fault::LoseAnswers => continue,
+                Fault::Slow(span) => thread::sleep(span),
+                _ => {}
+            }
+            let body = body.to_string();
+            let text = format!(
+                "HTTP/1.1 {status} Word\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            if stream.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn wait_for_end_of(&self, fault: Fault) {
+        let mut inner = self.lock();
+        while inner.fault == fault {
+            let waited = self
+                .shared
+                .1
+                .wait_timeout(inner, Duration::from_millis(100));
+            inner = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+        }
+    }
+
+    fn answer(&self, message: &wire::Message) -> (u16, Value) {
+        let target = message.word(1);
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value)
+                .unwrap_or_default()
+        };
+        let body: Value = serde_json::from_slice(&message.body).unwrap_or(Value::Null);
+        let last = path.rsplit('/').next().unwrap_or_default();
+        match (message.word(0), path) {
+            ("GET", "/-/kv-key") => self.lock().get(value("key")),
+            ("GET", "/-/kv-range") => self.lock().range(value("prefix"), value("after")),
+            ("GET", "/-/kv-watch") => {
+                let wait = Duration::from_millis(value("wait_ms").parse().unwrap_or(0));
+                self.watch(value("prefix"), value("after").parse().unwrap_or(0), wait)
+            }
+            ("POST", "/-/kv-txn") => {
+                let answer = self.lock().txn(&body);
+                self.shared.1.notify_all();
+                answer
+            }
+            ("POST", "/-/kv-lease") => {
+                let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
+                let mut inner = self.lock();
+                let lease = 1_000 + inner.leases.len() as u64;
+                inner.leases.insert(lease, (ttl, Instant::now() + ttl));
+                (
+                    200,
+                    json!({"lease": lease, "ttl_ms": ttl.as_millis() as u64}),
+                )
+            }
+            ("POST", _) if path.starts_with("/-/kv-keep/") => {
+                self.lock().keep(last.parse().unwrap_or(0))
+            }
+            ("DELETE", _) if path.starts_with("/-/kv-lease-end/") => {
+                let mut inner = self.lock();
+                if let Some((_, until)) = inner.leases.get_mut(&last.parse().unwrap_or(0)) {
+                    *until = Instant::now();
+                }
+                inner.expire();
+                (200, json!({}))
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
+        let until = Instant::now() + wait;
+        let mut inner = self.lock();
+        loop {
+            inner.expire();
+            if after < inner.compacted {
+                return (410, json!({}));
+            }
+            let new = inner
+                .history
+                .iter()
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+            let events: Vec<_> = new
+                .map(|(revision, key, item)| match item {
+                    Some(item) => told(key, item),
+                    None => json!({"key": key, "revision": revision, "deleted": true}),
+                })
+                .collect();
+            if !events.is_empty() || Instant::now() >= until {
+                return (200, json!({"events": events, "at": inner.revision}));
+            }
+            let waited = self.shared.1.wait_timeout(inner, Duration::from_millis(50));
+            inner = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+        }
+    }
+}
+
+fn told(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key, "value": item.value, "revision": item.revision,
+        "created": item.created, "lease": item.lease,
+    })
+}
+
+impl Inner {
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        self.revision += 1;
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history
+            .push((self.revision, key.to_owned(), Some(item)));
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    /// Ends leases whose time is up, and removes their keys.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, (_, until))| *until <= now);
+        let ended: Vec<_> = ended.map(|(lease, _)| *lease).collect();
+        for lease in ended {
+            let keys = self.items.iter().filter(|(_, item)| item.lease == lease);
+            let keys: Vec<_> = keys.map(|(key, _)| key.clone()).collect();
+            keys.iter().for_each(|key| self.delete(key));
+            self.leases
+                .insert(lease, (Duration::ZERO, now + Duration::from_secs(3_600)));
+        }
+    }
+
+    fn get(&mut self, key: &str) -> (u16, Value) {
+        self.expire();
+        match self.items.get(key) {
+            Some(item) => (200, told(key, item)),
+            None => (404, json!({})),
+        }
+    }
+
+    fn range(&mut self, prefix: &str, after: &str) -> (u16, Value) {
+        self.expire();
+        let found = self.items.iter().filter(|(key, _)| {
+            key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+        });
+        let items: Vec<_> = found.map(|(key, item)| told(key, item)).collect();
+        (
+            200,
+            json!({"items": items, "has_more": false, "at": self.revision}),
+        )
+    }
+
+    fn keep(&mut self, lease: u64) -> (u16, Value) {
+        self.expire();
+        match self.leases.get_mut(&lease) {
+            Some((ttl, until)) if !ttl.is_zero() => {
+                *until = Instant::now() + *ttl;
+                (200, json!({"ttl_ms": ttl.as_millis() as u64}))
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn txn(&mut self, body: &Value) -> (u16, Value) {
+        self.expire();
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let expected = rows("expected_rev");
+        let holds = expected.iter().all(|row| {
+            let key = row["key"].as_str().unwrap_or_default();
+            let known = self.items.get(key).map_or(0, |item| item.revision);
+            row["revision"].as_u64() == Some(known)
+        });
+        if !holds {
+            let keys = expected.iter().filter_map(|row| row["key"].as_str());
+            let items: Vec<_> = keys
+                .filter_map(|key| Some(told(key, self.items.get(key)?)))
+                .collect();
+            return (412, json!({"items": items}));
+        }
+        for put in rows("put") {
+            let lease = put["lease"].as_u64().unwrap_or(0);
+            if lease > 0 && self.leases.get(&lease).is_none_or(|(ttl, _)| ttl.is_zero()) {
+                return (404, json!({}));
+            }
+            let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
+            self.put(&text("key"), text("value"), lease);
+        }
+        for key in rows("delete") {
+            self.delete(key.as_str().unwrap_or_default());
+        }
+        (200, json!({"revision": self.revision}))
+    }
+}
