--- a/crates/admit/src/fanout.rs
+++ b/crates/admit/src/fanout.rs
@@ -48,10 +48,11 @@
     run_counts: HashMap<usize, f64>,
     call_counts: HashMap<usize, f64>,
     began: Option<Time>,
-    /// Weighted runs, calls by the run that they belong to, and all calls.
-    run_sums: HashMap<usize, f64>,
-    known_sums: HashMap<(usize, usize), f64>,
+    /// Weighted whole runs, their calls, all calls, and those whose run is known.
+    whole_runs: HashMap<usize, f64>,
+    whole_calls: HashMap<(usize, usize), f64>,
     call_sum: f64,
+    known_sum: f64,
 }
 
 impl FanOut {
@@ -61,21 +62,33 @@
         self.step(now);
         if let Some(at) = index(&mut self.runs, route) {
             *self.run_counts.entry(at).or_default() += 0.5;
-            *self.run_sums.entry(at).or_default() += 0.5;
         }
     }
 
-    /// Takes in a call that the server makes, and the route of the run that it belongs to where
-    /// that is known.
-    pub fn on_call(&mut self, now: Time, route: Route, run: Option<Route>) {
+    /// Takes in a call that the server makes, and whether its run is known.
+    pub fn on_call(&mut self, now: Time, route: Route, is_known: bool) {
         self.step(now);
         let Some(call) = index(&mut self.calls, route) else {
             return;
         };
         *self.call_counts.entry(call).or_default() += 1.0;
         self.call_sum += 1.0;
-        if let Some(run) = run.and_then(|run| index(&mut self.runs, run)) {
-            *self.known_sums.entry((run, call)).or_default() += 1.0;
+        self.known_sum += f64::from(u8::from(is_known));
+    }
+
+    /// Takes in a run that did its whole work, and its calls. Runs that broke off made fewer calls
+    /// than the next one will, and counting them would let in more than fits just when chains
+    /// break.
+    pub fn on_whole_run(&mut self, now: Time, run: Route, calls: &[(Route, u32)]) {
+        self.step(now);
+        let Some(run) = index(&mut self.runs, run) else {
+            return;
+        };
+        *self.whole_runs.entry(run).or_default() += 1.0;
+        for (route, count) in calls {
+            if let Some(call) = index(&mut self.calls, *route) {
+                *self.whole_calls.entry((run, call)).or_default() += f64::from(*count);
+            }
         }
     }
 
@@ -106,15 +119,14 @@
     }
 
     fn is_known(&self) -> bool {
-        let known: f64 = self.known_sums.values().sum();
-        known >= KNOWN_SHARE * self.call_sum
+        self.known_sum >= KNOWN_SHARE * self.call_sum
     }
 
     fn count(&self, call: usize) -> Vec<f64> {
         let per_run = |run: usize| {
-            let runs = self.run_sums.get(&run).copied().unwrap_or_default();
+            let runs = self.whole_runs.get(&run).copied().unwrap_or_default();
             let calls = self
-                .known_sums
+                .whole_calls
                 .get(&(run, call))
                 .copied()
                 .unwrap_or_default();
@@ -155,9 +167,10 @@
         }
         self.gram.values_mut().for_each(|sum| *sum *= DECAY);
         self.cross.values_mut().for_each(|sum| *sum *= DECAY);
-        self.run_sums.values_mut().for_each(|sum| *sum *= DECAY);
-        self.known_sums.values_mut().for_each(|sum| *sum *= DECAY);
+        self.whole_runs.values_mut().for_each(|sum| *sum *= DECAY);
+        self.whole_calls.values_mut().for_each(|sum| *sum *= DECAY);
         self.call_sum *= DECAY;
+        self.known_sum *= DECAY;
         for (run, count) in &runs {
             for (other, other_count) in &runs {
                 *self.gram.entry((*run, *other)).or_default() += count * other_count;
--- a/crates/admit/src/root.rs
+++ b/crates/admit/src/root.rs
@@ -24,12 +24,13 @@
     pub demand_time: Duration,
     /// The age at which a node's word is no longer used.
     pub max_age: Duration,
-    /// Running and waiting requests over slots above which less is given out.
-    pub high_load: f64,
-    /// The load below which more is given out again.
-    pub low_load: f64,
-    /// The relative step of the correction, a tenth of a second.
-    pub step: f64,
+    /// Running and waiting requests over slots that the correction aims at.
+    pub aimed_load: f64,
+    /// The time over which the load is averaged. Chains take about as long to show up at the
+    /// services at their end, and a quicker correction would swing.
+    pub load_time: Duration,
+    /// The relative change of the correction in a second for each unit of load off the aim.
+    pub gain: f64,
     /// The least and the most of the correction.
     pub bounds: (f64, f64),
 }
@@ -40,10 +41,10 @@
             target: 0.95,
             demand_time: Duration::from_millis(600),
             max_age: Duration::from_secs(2),
-            high_load: 1.05,
-            low_load: 0.95,
-            step: 0.02,
-            bounds: (0.4, 1.3),
+            aimed_load: 0.97,
+            load_time: Duration::from_millis(500),
+            gain: 0.8,
+            bounds: (0.75, 1.2),
         }
     }
 }
@@ -52,9 +53,6 @@
 const LEAST_PART: f64 = 0.01;
 /// A cost, in slot seconds, that does not make a request depend on a service.
 const NEGLIGIBLE_S: f64 = 0.002;
-/// The step for which [`Options::step`] is given.
-const STEP: Duration = Duration::from_millis(100);
-
 /// What clients ask of a service at a priority, in slots.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
@@ -75,6 +73,19 @@
     pub busy: f64,
 }
 
+/// A service at which not all of the demand fits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shortage {
+    /// The service.
+    pub service: Service,
+    /// The most urgent priority that does not fit whole.
+    pub priority: Priority,
+    /// The part of it that fits.
+    pub part: f64,
+    /// The correction of what is given out.
+    pub correction: f64,
+}
+
 /// The decision at one node.
 #[derive(Debug)]
 pub struct Root {
@@ -83,6 +94,7 @@
     local: BTreeMap<(Priority, Service), f64>,
     peers: HashMap<String, (Time, Vec<Demand>)>,
     corrections: BTreeMap<Service, f64>,
+    loads: BTreeMap<Service, f64>,
     parts: BTreeMap<(Priority, Service), f64>,
     credits: HashMap<Route, f64>,
     stepped: Option<Time>,
@@ -98,6 +110,7 @@
             local: BTreeMap::new(),
             peers: HashMap::new(),
             corrections: BTreeMap::new(),
+            loads: BTreeMap::new(),
             parts: BTreeMap::new(),
             credits: HashMap::new(),
             stepped: None,
@@ -170,6 +183,27 @@
         scarcest.filter(|(_, part)| *part < 1.0)
     }
 
+    /// The services at which not all of the demand fits: the least part that is let pass, and the
+    /// correction in force.
+    #[must_use]
+    pub fn shortages(&self) -> Vec<Shortage> {
+        let mut shortages: BTreeMap<Service, Shortage> = BTreeMap::new();
+        for ((priority, service), part) in self.parts.iter().filter(|(_, part)| **part < 1.0) {
+            let correction = self.corrections.get(service).copied().unwrap_or(1.0);
+            let shortage = shortages.entry(*service).or_insert(Shortage {
+                service: *service,
+                priority: *priority,
+                part: *part,
+                correction,
+            });
+            if *priority > shortage.priority {
+                shortage.priority = *priority;
+                shortage.part = *part;
+            }
+        }
+        shortages.into_values().collect()
+    }
+
     fn average(&mut self, spent: Duration) {
         let gain = (spent.as_secs_f64() / self.opts.demand_time.as_secs_f64()).min(1.0);
         for slots in self.local.values_mut() {
@@ -181,24 +215,26 @@
         }
     }
 
-    /// Gives less out where owners are over their slots, and more again where they are well below
-    /// them although requests are refused.
+    /// Gives less out where owners are over the aim, and more where they are below it although
+    /// requests are refused.
     fn correct(&mut self, spent: Duration, capacities: &BTreeMap<Service, Capacity>) {
-        let steps = spent.as_secs_f64() / STEP.as_secs_f64();
+        let spent = spent.as_secs_f64();
+        let weight = (spent / self.opts.load_time.as_secs_f64()).min(1.0);
         let (least, most) = self.opts.bounds;
         for (service, capacity) in capacities {
-            let load = capacity.busy / capacity.slots.max(1.0);
+            let seen = capacity.busy / capacity.slots.max(1.0);
+            let load = self.loads.entry(*service).or_insert(seen);
+            *load += weight * (seen - *load);
             let is_refusing = self
                 .parts
                 .iter()
                 .any(|((_, it), part)| it == service && *part < 1.0);
             let correction = self.corrections.entry(*service).or_insert(1.0);
-            if load > self.opts.high_load {
-                *correction *= 1.0 - (self.opts.step * steps).min(0.5);
-            } else if load < self.opts.low_load && (is_refusing || *correction < 1.0) {
-                *correction *= 1.0 + self.opts.step * steps;
+            let off = self.opts.aimed_load - *load;
+            if off < 0.0 || is_refusing || *correction < 1.0 {
+                let change = (self.opts.gain * spent * off).clamp(-0.5, 0.5);
+                *correction = (*correction * (1.0 + change)).clamp(least, most);
             }
-            *correction = correction.clamp(least, most);
         }
     }
 
--- a/crates/admit/src/usage.rs
+++ b/crates/admit/src/usage.rs
@@ -34,10 +34,20 @@
         self.fan_out.on_half_run(now, route);
     }
 
-    /// Takes in that a run ended after it held its slot for `spent`. One that was broken off says
-    /// nothing of the time that a whole run takes, unless it already took longer.
-    pub fn on_end(&mut self, now: Time, route: Route, spent: Duration, is_whole: bool) {
+    /// Takes in that a run ended after it held its slot for `spent` and made `calls`. One that was
+    /// broken off says nothing of the time that a whole run takes, unless it already took longer.
+    pub fn on_end(
+        &mut self,
+        now: Time,
+        route: Route,
+        spent: Duration,
+        is_whole: bool,
+        calls: &[(Route, u32)],
+    ) {
         self.fan_out.on_half_run(now, route);
+        if is_whole {
+            self.fan_out.on_whole_run(now, route, calls);
+        }
         if self.runs.len() >= MAX_ROUTES && !self.runs.contains_key(&route) {
             return;
         }
@@ -51,10 +61,9 @@
         }
     }
 
-    /// Takes in a call that the server makes, and the route of the run that it belongs to where
-    /// that is known.
-    pub fn on_call(&mut self, now: Time, route: Route, run: Option<Route>) {
-        self.fan_out.on_call(now, route, run);
+    /// Takes in a call that the server makes, and whether its run is known.
+    pub fn on_call(&mut self, now: Time, route: Route, is_known: bool) {
+        self.fan_out.on_call(now, route, is_known);
     }
 
     /// What the others are to know; to be called about once a second.
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -1,6 +1,6 @@
 //! One HTTP/1.1 connection.
 
-use std::io;
+use std::{fmt, io};
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
@@ -40,6 +40,19 @@
     Io(io::Error),
 }
 
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => f.write_str("closed"),
+            Self::Truncated => f.write_str("cut short"),
+            Self::Malformed(what) => write!(f, "malformed {what}"),
+            Self::HeadTooLong => f.write_str("head too long"),
+            Self::BodyTooLong => f.write_str("body too long"),
+            Self::Io(err) => err.fmt(f),
+        }
+    }
+}
+
 impl From<io::Error> for ReadError {
     fn from(err: io::Error) -> Self {
         Self::Io(err)
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -26,11 +26,14 @@
 /// The time between two signs of life of the dialling side.
 const PING: Duration = Duration::from_secs(1);
 
+/// How a request ended, and the owner's signal where it came with it.
+type Ending = (Outcome, Option<Signal>);
+
 /// A connection to one peer, and the requests on it.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
     tx: RefCell<Option<Sender>>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<(Outcome, Option<Signal>)>>>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<Ending>>>,
     last: Cell<u64>,
     /// When the peer was asked for its proof.
     proof_asked: Cell<Option<Time>>,
@@ -47,7 +50,7 @@
     pub(crate) fn request(
         &self,
         mut request: WorkRequest,
-    ) -> Option<(u64, oneshot::Receiver<(Outcome, Option<Signal>)>)> {
+    ) -> Option<(u64, oneshot::Receiver<Ending>)> {
         let id = self.last.get() + 1;
         self.last.set(id);
         request.id = id;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -162,6 +162,12 @@
         self.tell(self.load());
     }
 
+    /// Logs where not all of the clients' demand fits.
+    pub(crate) fn log_shortages(&self) {
+        let capacities = self.fleet.borrow().capacities();
+        self.shedding.log_shortages(&capacities);
+    }
+
     /// Tells all peers this node's load, and what its server's runs take and call.
     pub(crate) fn tell_uses(&self) {
         let now = crate::clock::now();
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -1,6 +1,6 @@
 //! One request to the backend server and its answer.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use bytes::Bytes;
 use cassiashunt_adapter::{ServerFacts, is_not_executed, read_server_facts, server_headers};
@@ -30,6 +30,17 @@
     Spoiled(&'static str),
 }
 
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(err) => write!(f, "unreachable: {err}"),
+            Self::NotExecuted(status) => write!(f, "not executed: {status}"),
+            Self::Lost(err) => write!(f, "lost: {err}"),
+            Self::Spoiled(what) => write!(f, "spoiled: {what}"),
+        }
+    }
+}
+
 impl Failure {
     /// The refusal that stands for the failure.
     pub(crate) fn refusal(&self) -> Refusal {
--- a/crates/sidecar/src/owner/mod.rs
+++ b/crates/sidecar/src/owner/mod.rs
@@ -1,9 +1,8 @@
 //! The way to the backend server beside this node: admission, connections, answers.
 
 mod exchange;
-#[expect(clippy::module_inception)]
-mod owner;
 mod pool;
+mod requests;
 mod server;
 
-pub(crate) use owner::Owner;
+pub(crate) use requests::Owner;
--- a/crates/sidecar/src/owner/owner.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -32,7 +32,7 @@
 type Reply = oneshot::Sender<Outcome>;
 
 enum Work {
-    Waiting(WorkRequest, Time, Reply),
+    Waiting(Box<WorkRequest>, Time, Reply),
     /// The task, and the client's id of the attempt.
     Running(AbortHandle, String),
 }
@@ -51,8 +51,8 @@
     work: HashMap<RequestId, Work>,
     last: RequestId,
     usage: Usage,
-    /// What runs at the server, by the client's id of the attempt.
-    running: HashMap<String, Run>,
+    /// What runs at the server, by the client's id of the attempt, and what it has called.
+    running: HashMap<String, (Run, Vec<(Route, u32)>)>,
 }
 
 /// A request that runs at the server, as the parent of its calls.
@@ -137,10 +137,15 @@
     pub(crate) fn on_call(&self, route: Route, attempt: &str) -> Option<Run> {
         let mut inner = self.inner.borrow_mut();
         let parent = parent_attempt(attempt);
-        let run = parent.and_then(|parent| inner.running.get(parent).copied());
-        inner
-            .usage
-            .on_call(clock::now(), route, run.map(|run| run.route));
+        let known = parent.and_then(|parent| inner.running.get_mut(parent));
+        let run = known.map(|(run, calls)| {
+            match calls.iter_mut().find(|(called, _)| *called == route) {
+                Some((_, count)) => *count += 1,
+                None => calls.push((route, 1)),
+            }
+            *run
+        });
+        inner.usage.on_call(clock::now(), route, run.is_some());
         run
     }
 
@@ -173,7 +178,7 @@
         let starts_in = Duration::from_micros(request.start_left_us);
         inner
             .work
-            .insert(id, Work::Waiting(request, job.deadline, tx));
+            .insert(id, Work::Waiting(Box::new(request), job.deadline, tx));
         let actions = if starts_in.is_zero() {
             inner.admission.offer(now, job)
         } else {
@@ -332,10 +337,12 @@
                 priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
                 depth: u8::try_from(request.depth).unwrap_or(u8::MAX),
             };
-            inner.running.insert(request.attempt.clone(), run);
+            inner
+                .running
+                .insert(request.attempt.clone(), (run, Vec::new()));
         }
         let attempt = request.attempt.clone();
-        let run = run(Rc::clone(node), id, request, deadline, reply);
+        let run = run(Rc::clone(node), id, *request, deadline, reply);
         let task = tokio::task::spawn_local(run).abort_handle();
         inner.work.insert(id, Work::Running(task, attempt));
     }
@@ -348,9 +355,11 @@
             if inner.work.remove(&id).is_none() {
                 return;
             }
-            inner.running.remove(&end.attempt);
-            if let Some(route) = end.route {
-                inner.usage.on_end(now, route, end.spent, end.is_ok);
+            let ran = inner.running.remove(&end.attempt);
+            if let Some((run, calls)) = ran {
+                inner
+                    .usage
+                    .on_end(now, run.route, end.spent, end.is_ok, &calls);
             }
             inner.admission.done(now, id, end.spent, end.is_ok)
         };
@@ -380,7 +389,6 @@
 /// How a running request ended.
 struct End {
     attempt: String,
-    route: Option<Route>,
     spent: Duration,
     /// The server did the whole work.
     is_ok: bool,
@@ -406,7 +414,7 @@
         Ok(Ok(answer)) => Outcome::Answered(answer),
         Ok(Err(failure)) => {
             is_down = matches!(failure, Failure::Unreachable(_));
-            log::warn!(request:% = request.attempt, failure:? = failure, server:% = server,
+            log::warn!(request:% = request.attempt, failure:% = failure, server:% = server,
                 spent_ms = millis(spent); "server-failed");
             Outcome::Refused(failure.refusal())
         }
@@ -415,10 +423,8 @@
     let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
     // Nobody waits where the request was given up at this moment.
     let _ = reply.send(outcome);
-    let route = request.route.parse().ok();
     let end = End {
         attempt: request.attempt,
-        route,
         spent,
         is_ok,
         is_down,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -121,6 +121,7 @@
         if now.since(uses_told) >= USES_EVERY {
             uses_told = now;
             node.tell_uses();
+            node.log_shortages();
         } else {
             node.tell_load();
         }
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -98,6 +98,19 @@
         inner.root.scarcest(Priority(priority), cost)
     }
 
+    /// Logs where not all of the demand fits, and from what that follows; about once a second.
+    pub(crate) fn log_shortages(&self, capacities: &BTreeMap<Service, Capacity>) {
+        for shortage in self.inner.borrow().root.shortages() {
+            let capacity = capacities
+                .get(&shortage.service)
+                .copied()
+                .unwrap_or_default();
+            log::info!(service:% = shortage.service, priority = shortage.priority.0,
+                part = shortage.part, correction = shortage.correction, slots = capacity.slots,
+                busy = capacity.busy; "shedding");
+        }
+    }
+
     /// Whether requests of a route make calls to other services, or may.
     pub(crate) fn is_chain(&self, route: Route) -> bool {
         self.inner.borrow().chains.cost(route).len() != 1
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -31,7 +31,7 @@
         match self {
             Self::Silent => f.write_str("no answer in time"),
             Self::Unreachable(err) => write!(f, "unreachable: {err}"),
-            Self::Lost(err) => write!(f, "connection lost: {err:?}"),
+            Self::Lost(err) => write!(f, "connection lost: {err}"),
             Self::Answer(err) => err.fmt(f),
         }
     }
