--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -251,7 +251,7 @@
 
 /// The least and most parts of a client's time left after which it is told to come back. Clients
 /// wait as told for up to a third of it.
-const COME_BACK: (f64, f64) = (0.08, 0.3);
+const COME_BACK: (f64, f64) = (0.04, 0.14);
 /// The shortest time to come back after: under it the cause has hardly changed.
 const MIN_COME_BACK: Duration = Duration::from_millis(100);
 /// The longest.
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -168,6 +168,7 @@
                 link.end(ended.id, Outcome::from_ended(ended), signal);
             }
             Some(Kind::Load(load)) => {
+                node.on_peer_revision(Revision(load.table_revision));
                 node.shedding.on_demand(now, name, &load.demand);
                 if let Ok(service) = load.service.parse()
                     && !load.uses.is_empty()
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -162,6 +162,9 @@
     /// What the server's runs take and call; only in one of several messages.
     #[prost(message, repeated, tag = "7")]
     pub(crate) uses: Vec<RunUse>,
+    /// The store's revision of the newest table that the node has read.
+    #[prost(uint64, tag = "8")]
+    pub(crate) table_revision: u64,
 }
 
 /// What clients ask of a service at a priority.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -28,6 +28,8 @@
     pub(crate) table: RefCell<Option<Rc<SiteTable>>>,
     /// The store's revision of the newest table that was read, in force or not.
     pub(crate) table_revision: Cell<Revision>,
+    /// The newest such revision that a peer has read.
+    peer_revision: Cell<Revision>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) owner: Owner,
@@ -42,6 +44,11 @@
     pub(crate) stopping: Cell<Option<Time>>,
     /// Requests of clients and of the backend server that have no answer yet.
     pub(crate) open_requests: Cell<usize>,
+    /// Wakes the task that proves the table to be the newest.
+    pub(crate) prove_now: tokio::sync::Notify,
+    /// Wakes the tasks that wait for changes in the store: connections that hung while it was away
+    /// bring nothing more.
+    pub(crate) store_regained: tokio::sync::Notify,
     /// Whether this node's entry was seen to be gone from the store.
     pub(crate) is_entry_lost: Cell<bool>,
     /// The lease of this node's entry in the store.
@@ -61,6 +68,7 @@
             incarnation: NodeId::random(),
             table: RefCell::new(None),
             table_revision: Cell::new(Revision(0)),
+            peer_revision: Cell::new(Revision(0)),
             freshness: RefCell::new(Freshness::new(bound)),
             fleet: RefCell::new(Fleet::new(domain)),
             owner: Owner::new(crate::clock::now()),
@@ -72,6 +80,8 @@
             listeners: RefCell::new(Vec::new()),
             stopping: Cell::new(None),
             open_requests: Cell::new(0),
+            prove_now: tokio::sync::Notify::new(),
+            store_regained: tokio::sync::Notify::new(),
             is_entry_lost: Cell::new(false),
             lease: Cell::new(None),
             announce: tokio::sync::Notify::new(),
@@ -118,6 +128,21 @@
         }
     }
 
+    /// Takes in which table a peer has read.
+    pub(crate) fn on_peer_revision(&self, revision: Revision) {
+        if revision > self.peer_revision.get() {
+            self.peer_revision.set(revision);
+        }
+        if self.is_outdated() {
+            self.prove_now.notify_one();
+        }
+    }
+
+    /// Whether a peer has read a newer table.
+    pub(crate) fn is_outdated(&self) -> bool {
+        self.peer_revision.get() > self.table_revision.get()
+    }
+
     /// Divides the limits of the table in force among the live nodes.
     pub(crate) fn set_limits(&self) {
         if let Some(table) = self.table() {
@@ -147,6 +172,7 @@
             busy: self.owner.busy_slots(),
             demand: self.shedding.demand(),
             uses: Vec::new(),
+            table_revision: self.table_revision.get().0,
         }
     }
 
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -15,7 +15,9 @@
 /// How long a watch waits for a change.
 const WATCH: Duration = Duration::from_secs(20);
 /// The time between two proofs; several have to fail in a row before keys are not taken any more.
-const PROOF_EVERY: Duration = Duration::from_millis(1_000);
+const PROOF_EVERY: Duration = Duration::from_millis(850);
+/// The least time between two proofs, however often a newer table is heard of.
+const LEAST_BETWEEN: Duration = Duration::from_millis(150);
 /// The age of the last proof above which a node that is no prover asks the store itself.
 const OLD_PROOF: Duration = Duration::from_millis(2_200);
 /// Nodes that ask the store for all others.
@@ -48,27 +50,36 @@
     let mut was_proven = true;
     let mut failures = 0;
     loop {
-        if asks_peers(&node) {
-            pause(&node, PROOF_EVERY.mul_f64(0.6)).await;
+        if !node.is_outdated() && asks_peers(&node) {
+            wait_for_news(&node, PROOF_EVERY).await;
             continue;
         }
         let proven = prove_once(&node, &store).await;
         match &proven {
-            Ok(()) if !was_proven => log::info!("store-regained"),
+            Ok(()) if !was_proven => {
+                log::info!("store-regained");
+                node.store_regained.notify_waiters();
+            }
             Err(err) if was_proven => log::warn!(reason:% = err; "store-lost"),
             _ => {}
         }
         was_proven = proven.is_ok();
         failures = if was_proven { 0 } else { failures + 1 };
-        let span = if was_proven {
-            PROOF_EVERY
+        if was_proven {
+            tokio::time::sleep(LEAST_BETWEEN).await;
+            wait_for_news(&node, PROOF_EVERY.saturating_sub(LEAST_BETWEEN)).await;
         } else {
-            backoff(failures)
-        };
-        pause(&node, span).await;
+            pause(&node, backoff(failures)).await;
+        }
     }
 }
 
+/// Waits for the next turn, or until a peer is heard to have a newer table.
+async fn wait_for_news(node: &Node, span: Duration) {
+    // Both ends of the wait lead to the same next step.
+    let _ = tokio::time::timeout(jittered(node, span), node.prove_now.notified()).await;
+}
+
 /// Asks a prover for its proof, so that the store is asked by a few nodes only. Whether that is
 /// enough for now: the last proof is young, and this node is no prover.
 fn asks_peers(node: &Node) -> bool {
@@ -132,7 +143,10 @@
     after: Revision,
 ) -> Result<Revision, CallError> {
     let call = watch(CONFIG_PREFIX, after, WATCH);
-    let (status, body) = store.call(&call, WATCH + CALL_TIMEOUT).await?;
+    let (status, body) = tokio::select! {
+        answer = store.call(&call, WATCH + CALL_TIMEOUT) => answer?,
+        () = node.store_regained.notified() => return Err(CallError::Silent),
+    };
     let (changes, at) = decode_watch(status, &body)?;
     for change in changes {
         if let Change::Put(item) = change
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -81,7 +81,10 @@
     after: Revision,
 ) -> Result<Revision, CallError> {
     let call = watch(node_prefix(), after, WATCH);
-    let (status, body) = store.call(&call, WATCH + CALL_TIMEOUT).await?;
+    let (status, body) = tokio::select! {
+        answer = store.call(&call, WATCH + CALL_TIMEOUT) => answer?,
+        () = node.store_regained.notified() => return Err(CallError::Silent),
+    };
     let (changes, at) = decode_watch(status, &body)?;
     for change in &changes {
         match change {
