--- a/crates/admit/src/chain.rs
+++ b/crates/admit/src/chain.rs
@@ -34,6 +34,7 @@
 pub struct Chains {
     reports: HashMap<String, Report>,
     costs: HashMap<Route, Cost>,
+    paces: HashMap<String, f64>,
 }
 
 #[derive(Debug)]
@@ -74,6 +75,12 @@
             (route, cost.into_iter().collect())
         });
         self.costs = costs.collect();
+        let reports = self.reports.iter();
+        let paces = reports.filter_map(|(owner, report)| {
+            let pace = pace(report, &runs)?;
+            Some((owner.clone(), pace))
+        });
+        self.paces = paces.collect();
     }
 
     /// What a request of this route costs; nothing where no run was seen yet.
@@ -82,6 +89,13 @@
         self.costs.get(&route).map_or(&[], Vec::as_slice)
     }
 
+    /// The time that an owner's server takes for its requests, over the mean of its service for the
+    /// same routes; nothing where too little was seen.
+    #[must_use]
+    pub fn pace(&self, owner: &str) -> Option<f64> {
+        self.paces.get(owner).copied()
+    }
+
     /// The mean of the owners' words, weighted by their runs.
     fn runs(&self) -> HashMap<Route, BTreeMap<Service, Runs>> {
         let mut runs: HashMap<Route, BTreeMap<Service, Runs>> = HashMap::new();
@@ -105,6 +119,16 @@
     }
 }
 
+fn pace(report: &Report, runs: &HashMap<Route, BTreeMap<Service, Runs>>) -> Option<f64> {
+    let (mut own, mut mean) = (0.0, 0.0);
+    for told in &report.uses {
+        let of_service = runs.get(&told.route)?.get(&report.service)?;
+        own += told.runs_per_s * told.slot_s;
+        mean += told.runs_per_s * of_service.slot_s;
+    }
+    (mean > 0.0).then(|| own / mean)
+}
+
 fn add_cost(
     runs: &HashMap<Route, BTreeMap<Service, Runs>>,
     route: Route,
--- /dev/null
+++ b/crates/mesh/tests/allowance.rs
@@ -0,0 +1,167 @@
+//! Shares of a limit, delegated to a home.
+
+use cassiashunt_mesh::{Allowance, AllowanceOptions, DELEGATION, Take, home_of, homes};
+use cassiashunt_types::prelude::*;
+
+const RATE: f64 = 40.0;
+const BURST: f64 = 40.0;
+const NODES: usize = 10;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(1_000 + millis)
+}
+
+fn options() -> AllowanceOptions {
+    AllowanceOptions {
+        rate: RATE,
+        burst: BURST,
+        share: 1.0 / NODES as f64,
+    }
+}
+
+/// Nodes that delegate to node 0 while their link to it is up.
+struct Fleet {
+    nodes: Vec<Allowance>,
+    is_linked: Vec<bool>,
+    taken: Vec<Time>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            nodes: (0..NODES)
+                .map(|_| Allowance::new(at(0), options()))
+                .collect(),
+            is_linked: vec![true; NODES],
+            taken: Vec::new(),
+        }
+    }
+
+    fn delegate(&mut self, now: Time) {
+        for node in 1..NODES {
+            let is_linked = self.is_linked[node];
+            self.nodes[node].set_delegating(now, is_linked);
+            if is_linked {
+                self.nodes[0].on_delegated(now, &format!("node-{node}"), 1.0 / NODES as f64);
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Time, node: usize) -> bool {
+        if self.nodes[node].take(now) == Take::Passed {
+            self.taken.push(now);
+            return true;
+        }
+        if node > 0 && self.is_linked[node] && self.nodes[0].give(now, 1) == 1 {
+            self.taken.push(now);
+            return true;
+        }
+        false
+    }
+
+    /// The most requests in any stretch of `span`.
+    fn most_within(&self, span: Duration) -> usize {
+        let counts = self.taken.iter().map(|from| {
+            let within = self
+                .taken
+                .iter()
+                .filter(|it| **it >= *from && it.since(*from) < span);
+            within.count()
+        });
+        counts.max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn demand_at_a_few_nodes_gets_the_whole_rate() {
+    let mut fleet = Fleet::new();
+    let mut passed = 0;
+    for step in 0..1_000_u64 {
+        let now = at(step * 10);
+        if step % 30 == 0 {
+            fleet.delegate(now);
+        }
+        // 36 of 40 a second, all at two nodes.
+        let asks = u64::from(step % 25 < 9);
+        for _ in 0..asks {
+            passed += u64::from(fleet.ask(now, 3 + (step % 2) as usize));
+        }
+    }
+    assert!(passed >= 350, "{passed} of 360 within the rate passed");
+}
+
+#[test]
+fn no_window_sees_more_than_rate_and_burst_allow_while_links_break_and_heal() {
+    arbtest::arbtest(|u| {
+        let mut fleet = Fleet::new();
+        for step in 0..1_200_u64 {
+            let now = at(step * 10);
+            if step % 30 == 0 {
+                if u.ratio(1, 6)? {
+                    let node = u.int_in_range(1..=NODES - 1)?;
+                    fleet.is_linked[node] = !fleet.is_linked[node];
+                }
+                fleet.delegate(now);
+            }
+            for node in 0..NODES {
+                fleet.ask(now, node);
+            }
+        }
+        let window = Duration::from_secs(5);
+        let most = fleet.most_within(window);
+        // The operators' bound: a tenth over, and 20 beyond.
+        let bound = (RATE * 5.0 + BURST) * 1.1 + 20.0;
+        assert!(most as f64 <= bound, "{most} in 5 s, {bound} allowed");
+        Ok(())
+    })
+    .budget_ms(2_000);
+}
+
+#[test]
+fn a_delegation_lapses_at_the_home() {
+    let mut home = Allowance::new(
+        at(0),
+        AllowanceOptions {
+            share: 0.0,
+            ..options()
+        },
+    );
+    home.on_delegated(at(0), "node-1", 0.5);
+    let made = home.give(at(10_000), 100);
+    let most = RATE * 0.5 * DELEGATION.as_secs_f64();
+    assert!(f64::from(made) <= most + 1.0, "{made} made, {most} at most");
+}
+
+#[test]
+fn a_lower_limit_caps_what_is_held() {
+    let mut node = Allowance::new(
+        at(0),
+        AllowanceOptions {
+            share: 1.0,
+            ..options()
+        },
+    );
+    assert!(node.set_options(
+        at(5_000),
+        AllowanceOptions {
+            rate: 2.0,
+            burst: 2.0,
+            share: 1.0
+        }
+    ));
+    let passed = (0..50)
+        .filter(|_| node.take(at(5_000)) == Take::Passed)
+        .count();
+    assert!(passed <= 2, "{passed}");
+}
+
+#[test]
+fn nodes_with_the_same_view_agree_on_homes() {
+    let names = || (0..20).map(|at| format!("node-{at}"));
+    let some = homes(names());
+    let other = homes(names().rev());
+    assert_eq!(some, other);
+    assert_eq!(some.len(), 3);
+    let workspace: Workspace = "shop-1".parse().expect("a plain name");
+    assert_eq!(home_of(&some, workspace), home_of(&other, workspace));
+}
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -11,6 +11,10 @@
     server::Server,
 };
 
+/// The bounds of a server's pace: the users' servers differ threefold.
+const LEAST_PACE: f64 = 0.3;
+const MOST_PACE: f64 = 3.0;
+
 /// How a server is picked among those that may be given work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -37,6 +41,9 @@
     pub crossing_cost: f64,
     /// The age at which an owner's reported load counts half.
     pub report_half_life: Duration,
+    /// What a server's pace weighs beside its free slots: one that takes twice the usual time counts
+    /// as more loaded by so much. Zero for no preference.
+    pub pace_weight: f64,
     /// The time over which a cold server, or one back from ejection, comes to its full share.
     pub warm_up: Duration,
     /// The first ejection time; each further one in a row is twice as long.
@@ -52,6 +59,7 @@
             policy: Policy::default(),
             crossing_cost: 0.1,
             report_half_life: Duration::from_secs(2),
+            pace_weight: 0.0,
             warm_up: Duration::from_secs(10),
             ejection: Duration::from_secs(5),
             max_ejected: 0.34,
@@ -100,6 +108,13 @@
         }
     }
 
+    /// Takes in the time that a server takes for its requests, over the mean of its service.
+    pub fn set_pace(&mut self, key: ServerKey, pace: f64) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.pace = pace.clamp(LEAST_PACE, MOST_PACE);
+        }
+    }
+
     /// What was announced of a server.
     #[must_use]
     pub fn candidate(&self, key: ServerKey) -> Option<&Candidate> {
@@ -238,7 +253,9 @@
         let server = &self.servers[key];
         let one = 1.0 / f64::from(server.candidate.slots.max(1));
         let busy = server.utilisation(now, self.opts.report_half_life) + one;
-        busy / server.weight(now, self.opts.warm_up) + self.crossing(server)
+        // A quick server is preferred while it has free slots; its queue is not.
+        let pace = self.opts.pace_weight * (server.pace - 1.0) * (1.0 - busy).max(0.0);
+        busy / server.weight(now, self.opts.warm_up) + self.crossing(server) + pace
     }
 
     fn crossing(&self, server: &Server) -> f64 {
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -63,6 +63,8 @@
     pub(crate) ejection: Ejection,
     /// Requests of this node that have no answer yet.
     pub(crate) in_flight: u32,
+    /// The time that it takes for its requests, over the mean of its service.
+    pub(crate) pace: f64,
     warming_since: Option<Time>,
     report: Option<Report>,
 }
@@ -83,6 +85,7 @@
             presence: Presence::Serving,
             ejection: Ejection::default(),
             in_flight: 0,
+            pace: 1.0,
             warming_since: candidate.is_cold.then_some(now),
             report: None,
         }
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -20,6 +20,9 @@
 /// after their start.
 const WARM_UP: Duration = Duration::from_secs(3);
 
+/// What a server's pace weighs beside its free slots. Weighed in `docs/results/platform.md`.
+const PACE_WEIGHT: f64 = 0.5;
+
 /// How a backend server is reached.
 #[derive(Debug, Clone)]
 pub(crate) enum Way {
@@ -241,6 +244,22 @@
         self.set_presence(service, key, presence(load.is_serving));
     }
 
+    /// Takes in how quick a node's server is.
+    pub(crate) fn set_pace(&mut self, name: Option<&str>, pace: f64) {
+        let found = match name {
+            Some(name) => self
+                .peers
+                .get(name)
+                .map(|peer| (peer.announcement.service, peer.key)),
+            None => self.local,
+        };
+        if let Some((service, key)) = found
+            && let Some(group) = self.groups.get_mut(&service)
+        {
+            group.chooser.set_pace(key, pace);
+        }
+    }
+
     /// Takes in that a peer can't be asked now.
     pub(crate) fn on_link_lost(&mut self, name: &str) {
         if let Some(peer) = self.peers.get(name) {
@@ -280,6 +299,7 @@
             let chooser = Chooser::new(ChooserOptions {
                 domain: Some(domain),
                 policy: Policy::Least,
+                pace_weight: PACE_WEIGHT,
                 warm_up: WARM_UP,
                 ..ChooserOptions::default()
             });
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -174,6 +174,9 @@
                     && !load.uses.is_empty()
                 {
                     node.shedding.on_uses(now, name, service, &load.uses);
+                    if let Some(pace) = node.shedding.pace(name) {
+                        node.fleet.borrow_mut().set_pace(Some(name), pace);
+                    }
                 }
                 node.fleet.borrow_mut().on_load(now, name, &load);
             }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -201,6 +201,9 @@
         let settings = self.settings();
         self.shedding
             .on_uses(now, &settings.name, self.service(), &uses);
+        if let Some(pace) = self.shedding.pace(&settings.name) {
+            self.fleet.borrow_mut().set_pace(None, pace);
+        }
         self.tell(Load {
             uses,
             ..self.load()
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -68,6 +68,11 @@
             .on_report(now, node, service, uses);
     }
 
+    /// How quick an owner's server is beside the others of its service.
+    pub(crate) fn pace(&self, node: &str) -> Option<f64> {
+        self.inner.borrow().chains.pace(node)
+    }
+
     /// This node's demand, for the others.
     pub(crate) fn demand(&self) -> Vec<DemandEntry> {
         let demand = self.inner.borrow().root.demand().into_iter();
