--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -428,6 +428,33 @@
     });
 }
 
+/// hoasen-mesh, trouble-2 --seed 821189416531: the entry of a node's new start arrived after the
+/// link to it was up, and the requests on that link were given up.
+#[test]
+fn a_late_entry_of_a_restarted_node_breaks_off_no_request() {
+    let mut site = Site::start("site-late-entry", &["shop", "desk"]);
+    site.store
+        .set_fault(Fault::Slow(Duration::from_millis(300)));
+    site.members[1].node.kill();
+    site.members[1].restart();
+    eventually("the link is up", || {
+        site.members[0].status_of(&read("desk")) == 200
+    });
+    site.members[1]
+        .server
+        .set_usual(Behaviour::Slow(Duration::from_millis(150)));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(3) {
+        let answer = site.members[0].ask(&write("desk"));
+        assert_eq!(
+            answer.expect("the node answers").status,
+            200,
+            "{:?}",
+            began.elapsed()
+        );
+    }
+}
+
 #[test]
 fn a_lost_store_stops_no_calls_and_its_return_brings_entries_back() {
     let site = Site::start("site-outage", &["shop", "desk"]);
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -7,9 +7,9 @@
 
 /// The part of the operators' ratio that retries of requests may use whose servers call others:
 /// all calls of a retried run count as retries where they arrive.
-const CHAIN_RATIO: f64 = 0.15;
+const CHAIN_RATIO: f64 = 0.25;
 /// The part of the ratio that retries of other requests may use.
-const LEAF_RATIO: f64 = 0.7;
+const LEAF_RATIO: f64 = 0.6;
 /// The part of the budget that calls within chains leave to clients' own requests: a chain of
 /// several calls is saved only if all of them are.
 const CALLS_SHARE: f64 = 0.5;
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -126,20 +126,8 @@
         announcement: Announcement,
     ) {
         let now = crate::clock::now();
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.missing_since = None;
-            if peer.announcement == announcement {
-                return;
-            }
-            let is_same_start = peer.announcement.incarnation == announcement.incarnation;
-            if is_same_start && peer.announcement.service == announcement.service {
-                peer.announcement = announcement;
-                let (service, key) = (peer.announcement.service, peer.key);
-                if let Some(group) = self.groups.get_mut(&service) {
-                    group.chooser.set_slots(key, peer.announcement.slots);
-                }
-                return;
-            }
+        if self.update(now, name, &announcement) {
+            return;
         }
         self.remove(name);
         let Ok(address) = announcement.address.parse::<SocketAddr>() else {
@@ -163,6 +151,33 @@
         self.peers.insert(name.to_owned(), peer);
     }
 
+    /// Takes in what a known peer announces at its old address. Its link stays: it may be up with a
+    /// new start of the peer already, and requests on it are not to be given up.
+    fn update(&mut self, now: Time, name: &str, announcement: &Announcement) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return false;
+        };
+        peer.missing_since = None;
+        if peer.announcement.address != announcement.address {
+            return false;
+        }
+        let old = std::mem::replace(&mut peer.announcement, announcement.clone());
+        let (link, key) = (Rc::clone(&peer.link), peer.key);
+        if old.service == announcement.service {
+            if let Some(group) = self.groups.get_mut(&old.service) {
+                group.chooser.set_slots(key, announcement.slots);
+            }
+            return true;
+        }
+        self.forget(old.service, key);
+        let key = self.add(now, announcement, Way::Link(link));
+        self.set_presence(announcement.service, key, Presence::Unreachable);
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.key = key;
+        }
+        true
+    }
+
     /// Takes in that a peer's entry is missing. It stays for now, since entries lapse while the
     /// store is away.
     pub(crate) fn on_missing(&mut self, now: Time, name: &str) {
