--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -26,6 +26,15 @@
 }
 
 impl Kind {
+    /// The name, for logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Chain => "chain",
+            Self::Leaf => "leaf",
+            Self::LeafCall => "leaf-call",
+        }
+    }
+
     fn ratio(self) -> f64 {
         match self {
             Self::Chain => CHAIN_RATIO,
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use cassiashunt_adapter::{Command, HEALTH_PATH, HEARTBEAT_ANSWER, READY_PATH, decode_command};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::timeout,
@@ -10,6 +11,7 @@
 
 use crate::{
     http::{Connection, ReadError, RequestHead, reason_phrase},
+    metrics,
     node::Node,
 };
 
@@ -24,6 +26,9 @@
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// A pause after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// What a connection may ask for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Purpose {
@@ -40,7 +45,7 @@
             }
             Err(err) => {
                 log::warn!(reason:% = err; "accept-failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -104,6 +109,36 @@
     }
 }
 
+/// Serves the metrics as text, one answer a connection.
+pub(crate) async fn serve_metrics(
+    node: Rc<Node>,
+    listener: TcpListener,
+    rendered: PrometheusHandle,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let mut connection = Connection::new(stream);
+        if !matches!(timeout(IDLE, read(&mut connection)).await, Ok(Ok(_))) {
+            continue;
+        }
+        let peers_up = node.fleet.borrow().live_links().len();
+        let age = node.freshness.borrow().age(crate::clock::now());
+        let version = node.table().map_or(0, |table| table.version);
+        metrics::set_beliefs(peers_up, age, version);
+        let text = rendered.render();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            text.len()
+        );
+        // A reader that has gone asks again.
+        let _ = timeout(IDLE, connection.write((head + &text).as_bytes())).await;
+        connection.finish().await;
+    }
+}
+
 /// Asks the server for its id where the node starts beside a running one, so that it need not wait
 /// for the next heartbeat.
 pub(crate) async fn probe_server(node: Rc<Node>) {
@@ -126,11 +161,7 @@
         format!("GET {HEALTH_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let exchanged = connection.exchange_head(request.as_bytes(), "GET").await;
     let (head, _) = exchanged.ok()?;
-    let pairs = head
-        .headers
-        .iter()
-        .map(|(name, value)| (name.as_str(), value.as_str()));
-    let facts = cassiashunt_adapter::read_server_facts(pairs);
+    let facts = cassiashunt_adapter::read_server_facts(head.pairs());
     let server = facts.server.filter(|_| head.status == 200)?;
     log::info!(server:% = server, slots:? = facts.slots; "server-probed");
     node.owner.on_probed(node, server, facts.slots);
--- a/crates/sidecar/src/http/head.rs
+++ b/crates/sidecar/src/http/head.rs
@@ -41,6 +41,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Malformed(pub(crate) &'static str);
 
+fn pairs(headers: &[(String, String)]) -> impl Iterator<Item = (&str, &str)> {
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()))
+}
+
 /// The first value of a header.
 pub(crate) fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
     let mut found = headers
@@ -59,6 +65,11 @@
 }
 
 impl RequestHead {
+    /// Names and values of the header fields.
+    pub(crate) fn pairs(&self) -> impl Iterator<Item = (&str, &str)> {
+        pairs(&self.headers)
+    }
+
     /// Parses a whole head, its empty line included.
     pub(crate) fn parse(bytes: &[u8]) -> Result<Self, Malformed> {
         check_line_ends(bytes)?;
@@ -85,6 +96,11 @@
 }
 
 impl ResponseHead {
+    /// Names and values of the header fields.
+    pub(crate) fn pairs(&self) -> impl Iterator<Item = (&str, &str)> {
+        pairs(&self.headers)
+    }
+
     /// Parses a whole head of an answer to a request with this method.
     pub(crate) fn parse(bytes: &[u8], method: &str) -> Result<Self, Malformed> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use cassiashunt_adapter::read_facts;
 use cassiashunt_mesh::ClientLimits;
 use cassiashunt_types::prelude::*;
 use tokio::{
@@ -76,6 +77,7 @@
             Ok((head, body)) => {
                 let closes = !head.keep_alive;
                 let is_head = head.method == "HEAD";
+                let attempt = read_facts(head.pairs()).attempt;
                 let incoming = Incoming {
                     head,
                     body,
@@ -83,7 +85,10 @@
                 };
                 let reply = tokio::select! {
                     reply = handle(&node, incoming) => reply,
-                    () = connection.wait_closed() => return,
+                    () = connection.wait_closed() => {
+                        log::info!(request:% = attempt.unwrap_or_default(); "request-cancelled");
+                        return;
+                    }
                 };
                 let closes = closes || reply.closes;
                 (Reply { closes, ..reply }, is_head)
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -13,6 +13,7 @@
     clock,
     fleet::{Chosen, Way},
     link::{Link, Outcome, WorkRequest},
+    metrics,
     node::Node,
 };
 
@@ -84,6 +85,10 @@
         if !may_go_on(node, &work, service, &refusal, tried.len(), sent_to_servers) {
             break Outcome::Refused(refusal);
         }
+        log::info!(request:% = work.request.attempt, service:% = service,
+            reason:% = refusal.reason, verdict:? = refusal.verdict, tries = tried.len(),
+            sent_to_servers = sent_to_servers, kind:% = work.kind.name(),
+            left_ms = work.deadline.since(clock::now()).as_millis() as u64; "request-retried");
     };
     Forwarded {
         outcome,
@@ -113,7 +118,12 @@
         return true;
     }
     let most = usize::try_from(work.route.max_attempts).unwrap_or(usize::MAX);
-    sent_to_servers < most && node.budgets.take_retry(clock::now(), service, work.kind)
+    let goes_on =
+        sent_to_servers < most && node.budgets.take_retry(clock::now(), service, work.kind);
+    if goes_on {
+        metrics::retried(work.kind.name());
+    }
+    goes_on
 }
 
 /// A request on its way; given up where it is dropped before its end.
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -16,6 +16,7 @@
     clock,
     http::{RequestHead, header},
     link::{Field, Outcome, WorkRequest},
+    metrics,
     node::Node,
     quota,
 };
@@ -70,7 +71,7 @@
         body,
         received,
     } = incoming;
-    let facts = read_facts(pairs(&head));
+    let facts = read_facts(head.pairs());
     trace.attempt = facts.attempt.clone().unwrap_or_default();
     let Some(table) = node.table() else {
         return Outcome::Refused(come_back(node, Reason::NotInTouch, &facts, received));
@@ -202,12 +203,6 @@
     BASE_PRIORITY + of_workspace * WORKSPACE_STEP + urgency(route.rank) * ROUTE_STEP
 }
 
-fn pairs(head: &RequestHead) -> impl Iterator<Item = (&str, &str)> {
-    head.headers
-        .iter()
-        .map(|(name, value)| (name.as_str(), value.as_str()))
-}
-
 /// Fields that concern one connection only, or that are set anew towards the backend server.
 const PER_CONNECTION: [&str; 10] = [
     "connection",
@@ -285,6 +280,7 @@
             refusal.reason.code(),
         ),
     };
+    metrics::request_ended(status, reason, spent);
     let route = trace.route.map_or_else(String::new, |it| it.to_string());
     let workspace = trace
         .workspace
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 mod ingress;
 mod link;
 mod logs;
+mod metrics;
 mod node;
 mod owner;
 mod quota;
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -18,6 +18,8 @@
 };
 use serde_json::{Map, Value as Json};
 
+use crate::metrics;
+
 /// Bytes that wait for the writing thread at the most.
 const MAX_BUFFERED: usize = 128 * 1024;
 /// Batches on their way to the writing thread.
@@ -123,6 +125,7 @@
         line.insert("node".into(), lock(&self.node).as_str().into());
         line.insert("event".into(), record.args().to_string().into());
         if buffer.dropped > 0 {
+            metrics::lines_dropped(buffer.dropped);
             line.insert("lines-dropped-before".into(), buffer.dropped.into());
             buffer.dropped = 0;
         }
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and latency histograms, as Prometheus text.
+//!
+//! Labels come from small fixed sets, so that their number does not grow with the load.
+
+use std::time::Duration;
+
+use metrics::{
+    Unit, counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram,
+};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Upper ends of the histograms' buckets, in seconds: from the time that a node adds to the longest
+/// that the users' clients wait.
+const BUCKETS_S: [f64; 12] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 0.6, 1.2, 2.5, 6.0,
+];
+
+const REQUESTS: &str = "cassiashunt_requests_total";
+const REQUEST_SECONDS: &str = "cassiashunt_request_seconds";
+const SERVER_RUNS: &str = "cassiashunt_server_runs_total";
+const SERVER_SECONDS: &str = "cassiashunt_server_seconds";
+const RETRIES: &str = "cassiashunt_retries_total";
+const STORE_CALLS: &str = "cassiashunt_store_calls_total";
+const STORE_SECONDS: &str = "cassiashunt_store_seconds";
+const LINES_DROPPED: &str = "cassiashunt_log_lines_dropped_total";
+const PEERS_UP: &str = "cassiashunt_peers_up";
+const PROOF_AGE: &str = "cassiashunt_proof_age_seconds";
+const TABLE_VERSION: &str = "cassiashunt_table_version";
+
+/// Starts the recorder.
+///
+/// # Errors
+///
+/// Where another one is installed in the process.
+pub(crate) fn install() -> eyre::Result<PrometheusHandle> {
+    let suffix = Matcher::Suffix("_seconds".into());
+    let builder = PrometheusBuilder::new().set_buckets_for_metric(suffix, &BUCKETS_S)?;
+    let handle = builder.install_recorder()?;
+    describe_counter!(
+        REQUESTS,
+        "Requests of clients and of the backend server, by end"
+    );
+    describe_histogram!(
+        REQUEST_SECONDS,
+        Unit::Seconds,
+        "From the head's last byte to the answer"
+    );
+    describe_counter!(SERVER_RUNS, "Requests handed to the backend server, by end");
+    describe_histogram!(
+        SERVER_SECONDS,
+        Unit::Seconds,
+        "Time that a request held a slot"
+    );
+    describe_counter!(RETRIES, "Requests sent to a second backend server, by kind");
+    describe_counter!(STORE_CALLS, "Calls to the platform's store, by end");
+    describe_histogram!(
+        STORE_SECONDS,
+        Unit::Seconds,
+        "Time of a call to the store, watches left out"
+    );
+    describe_counter!(
+        LINES_DROPPED,
+        "Log lines that were dropped to bound their volume"
+    );
+    describe_gauge!(PEERS_UP, "Peers that can be asked");
+    describe_gauge!(
+        PROOF_AGE,
+        Unit::Seconds,
+        "Age of the proof that the table is the newest"
+    );
+    describe_gauge!(TABLE_VERSION, "Version of the table in force");
+    Ok(handle)
+}
+
+/// Counts an answered request.
+pub(crate) fn request_ended(status: u32, reason: &'static str, spent: Duration) {
+    let class = match status {
+        200..=299 => "2xx",
+        400..=499 => "4xx",
+        500..=599 => "5xx",
+        _ => "other",
+    };
+    counter!(REQUESTS, "status" => class, "reason" => reason).increment(1);
+    histogram!(REQUEST_SECONDS).record(spent.as_secs_f64());
+}
+
+/// Counts a request that was handed to the backend server.
+pub(crate) fn run_ended(end: &'static str, spent: Duration) {
+    counter!(SERVER_RUNS, "end" => end).increment(1);
+    histogram!(SERVER_SECONDS).record(spent.as_secs_f64());
+}
+
+/// Counts a retry.
+pub(crate) fn retried(kind: &'static str) {
+    counter!(RETRIES, "kind" => kind).increment(1);
+}
+
+/// Counts a call to the store; a watch's time says nothing.
+pub(crate) fn store_called(end: &'static str, spent: Option<Duration>) {
+    counter!(STORE_CALLS, "end" => end).increment(1);
+    if let Some(spent) = spent {
+        histogram!(STORE_SECONDS).record(spent.as_secs_f64());
+    }
+}
+
+/// Counts dropped log lines.
+pub(crate) fn lines_dropped(lines: u64) {
+    counter!(LINES_DROPPED).increment(lines);
+}
+
+/// Takes in what the node believes now.
+pub(crate) fn set_beliefs(peers_up: usize, proof_age: Option<Duration>, table_version: u64) {
+    gauge!(PEERS_UP).set(peers_up as f64);
+    gauge!(PROOF_AGE).set(proof_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+    gauge!(TABLE_VERSION).set(table_version as f64);
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,6 +31,8 @@
     /// The newest such revision that a peer has read.
     peer_revision: Cell<Revision>,
     pub(crate) freshness: RefCell<Freshness>,
+    /// Whether keys could be accepted when that was asked last.
+    was_fresh: Cell<bool>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) owner: Owner,
     pub(crate) quotas: Quotas,
@@ -70,6 +72,7 @@
             table_revision: Cell::new(Revision(0)),
             peer_revision: Cell::new(Revision(0)),
             freshness: RefCell::new(Freshness::new(bound)),
+            was_fresh: Cell::new(false),
             fleet: RefCell::new(Fleet::new(domain)),
             owner: Owner::new(crate::clock::now()),
             quotas: Quotas::default(),
@@ -154,7 +157,14 @@
 
     /// Whether keys of the table in force may be accepted now.
     pub(crate) fn is_fresh(&self) -> bool {
-        self.freshness.borrow().holds(crate::clock::now())
+        let now = crate::clock::now();
+        let is_fresh = self.freshness.borrow().holds(now);
+        if self.was_fresh.replace(is_fresh) != is_fresh {
+            let age = self.freshness.borrow().age(now);
+            log::warn!(fresh = is_fresh, proof_age_ms = age.map_or(0, |age| age.as_millis() as u64),
+                table_revision = self.table_revision.get().0; "keys-fresh");
+        }
+        is_fresh
     }
 
     /// The service of the machine.
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -76,7 +76,7 @@
             head = next_head(&mut connection, method).await?;
             continue;
         }
-        let facts = read_server_facts(pairs(&head));
+        let facts = read_server_facts(head.pairs());
         let is_stale = facts
             .attempt
             .as_ref()
@@ -141,12 +141,6 @@
     Ok(())
 }
 
-fn pairs(head: &ResponseHead) -> impl Iterator<Item = (&str, &str)> {
-    head.headers
-        .iter()
-        .map(|(name, value)| (name.as_str(), value.as_str()))
-}
-
 /// Fields that concern one connection only, or that the ingress node sets.
 const PER_CONNECTION: [&str; 7] = [
     "connection",
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -18,6 +18,7 @@
 use crate::{
     clock,
     link::{Outcome, WorkRequest},
+    metrics,
     node::Node,
 };
 
@@ -421,6 +422,7 @@
         Err(_) => Outcome::Refused(Refusal::may_have_run(Reason::Deadline)),
     };
     let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
+    metrics::run_ended(end_of(&outcome), spent);
     // Nobody waits where the request was given up at this moment.
     let _ = reply.send(outcome);
     let end = End {
@@ -432,6 +434,15 @@
     owner.finish(&node, id, &end);
 }
 
+/// The end of a run, for its counter.
+fn end_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(answer) if answer.status < 300 => "success",
+        Outcome::Answered(_) => "failure",
+        Outcome::Refused(refusal) => refusal.reason.code(),
+    }
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -4,6 +4,7 @@
 
 use cassiashunt_types::Revision;
 use eyre::WrapErr as _;
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{net::TcpListener, task::LocalSet};
 
 use crate::{
@@ -11,7 +12,7 @@
     control::{self, Purpose},
     ingress::accept_clients,
     link::accept_peers,
-    logs,
+    logs, metrics,
     node::Node,
     settings::Settings,
     stop,
@@ -40,11 +41,12 @@
     let settings = Settings::read(path)?;
     logs::init(&settings.name)?;
     log::info!(settings:% = path.display(), version:% = env!("CARGO_PKG_VERSION"); "node-start");
+    let rendered = metrics::install()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let tasks = LocalSet::new();
-    let ended = tasks.block_on(&runtime, serve(settings, path));
+    let ended = tasks.block_on(&runtime, serve(settings, path, rendered));
     match &ended {
         Ok(()) => log::info!("node-stop"),
         Err(err) => log::error!(reason:% = format!("{err:#}"); "node-failed"),
@@ -54,7 +56,7 @@
     ended
 }
 
-async fn serve(settings: Settings, path: &Path) -> eyre::Result<()> {
+async fn serve(settings: Settings, path: &Path, rendered: PrometheusHandle) -> eyre::Result<()> {
     let addresses = settings.addresses.clone();
     let store = Rc::new(StoreClient::new(settings.store.address));
     let node = Rc::new(Node::new(settings));
@@ -91,6 +93,14 @@
     for task in tasks {
         spawn(task);
     }
+    if let Some(address) = addresses.metrics {
+        let listener = listen(address).await?;
+        spawn(Box::pin(control::serve_metrics(
+            Rc::clone(&node),
+            listener,
+            rendered,
+        )));
+    }
     stop::wait(&node, &store, path).await
 }
 
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -6,7 +6,11 @@
 use cassiashunt_adapter::{Call, StoreError};
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::http::{Connection, ReadError};
+use super::CALL_TIMEOUT;
+use crate::{
+    http::{Connection, ReadError},
+    metrics,
+};
 
 /// The longest answer: a page of items, or a value at its limit.
 const MAX_ANSWER: usize = 4 << 20;
@@ -65,8 +69,18 @@
         call: &Call,
         limit: Duration,
     ) -> Result<(u16, Bytes), CallError> {
+        let began = crate::clock::now();
         let exchanged = timeout(limit, self.exchange(call)).await;
-        exchanged.map_err(|_| CallError::Silent)?
+        let exchanged = exchanged.unwrap_or(Err(CallError::Silent));
+        let end = match &exchanged {
+            Ok((status, _)) if *status < 500 && *status != 429 => "answered",
+            Ok(_) => "refused",
+            Err(CallError::Silent) => "silent",
+            Err(_) => "lost",
+        };
+        let spent = (limit == CALL_TIMEOUT).then(|| crate::clock::now().since(began));
+        metrics::store_called(end, spent);
+        exchanged
     }
 
     async fn exchange(&self, call: &Call) -> Result<(u16, Bytes), CallError> {
