--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 pub mod chain;
+mod come_back;
 mod demand;
 mod estimate;
 pub mod fanout;
@@ -19,6 +20,7 @@
 mod usage;
 
 pub use admission::{Action, Admission, Options};
+pub use come_back::time_to_come_back;
 pub use job::{Job, Priority};
 pub use signal::{Level, Signal};
 pub use usage::Usage;
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -28,8 +28,8 @@
 pub(crate) enum Way {
     /// It is beside this node.
     Local,
-    /// Through its node.
-    Link(Rc<Link>),
+    /// Through the node of this name.
+    Link(String, Rc<Link>),
 }
 
 /// A backend server that was chosen for a request.
@@ -37,6 +37,8 @@
 pub(crate) struct Chosen {
     pub(crate) service: Service,
     pub(crate) key: ServerKey,
+    /// The name of the node beside it.
+    pub(crate) owner: String,
     pub(crate) way: Way,
 }
 
@@ -137,7 +139,11 @@
         log::info!(peer:% = name, service:% = announcement.service, slots = announcement.slots;
             "peer-seen");
         let link = Rc::new(Link::default());
-        let key = self.add(now, &announcement, Way::Link(Rc::clone(&link)));
+        let key = self.add(
+            now,
+            &announcement,
+            Way::Link(name.to_owned(), Rc::clone(&link)),
+        );
         self.set_presence(announcement.service, key, Presence::Unreachable);
         let run = keep_link(Rc::clone(node), name.to_owned(), address, Rc::clone(&link));
         let task = tokio::task::spawn_local(run).abort_handle();
@@ -170,7 +176,7 @@
             return true;
         }
         self.forget(old.service, key);
-        let key = self.add(now, announcement, Way::Link(link));
+        let key = self.add(now, announcement, Way::Link(name.to_owned(), link));
         self.set_presence(announcement.service, key, Presence::Unreachable);
         if let Some(peer) = self.peers.get_mut(name) {
             peer.key = key;
@@ -294,7 +300,16 @@
         let group = self.groups.get_mut(&service)?;
         let key = group.chooser.choose(now, tried, rng)?;
         let way = group.ways.get(&key)?.clone();
-        Some(Chosen { service, key, way })
+        let owner = match &way {
+            Way::Local => String::from("this node"),
+            Way::Link(name, _) => name.clone(),
+        };
+        Some(Chosen {
+            service,
+            key,
+            owner,
+            way,
+        })
     }
 
     /// Takes in how a request at a chosen server ended, with the load that came with it.
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -40,6 +40,8 @@
 pub(crate) struct Forwarded {
     pub(crate) outcome: Outcome,
     pub(crate) service: Option<Service>,
+    /// The node that had it last.
+    pub(crate) owner: String,
     pub(crate) tries: usize,
 }
 
@@ -50,12 +52,14 @@
         return Forwarded {
             outcome: Outcome::Refused(Refusal::not_run(Reason::NoServer)),
             service: None,
+            owner: String::new(),
             tries: 0,
         };
     };
     work.request.service = service.as_str().into();
     node.budgets.on_first_try(clock::now(), service, work.kind);
     let mut tried: Vec<ServerKey> = Vec::new();
+    let mut owner = String::new();
     let mut sent_to_servers = 0;
     let mut last = Refusal::not_run(Reason::NoServer);
     let outcome = loop {
@@ -75,6 +79,7 @@
             break Outcome::Refused(last);
         };
         tried.push(chosen.key);
+        owner.clone_from(&chosen.owner);
         let outcome = try_once(node, &work, &chosen, left).await;
         let refusal = match outcome {
             Outcome::Answered(_) => break outcome,
@@ -85,7 +90,7 @@
         if !may_go_on(node, &work, service, &refusal, tried.len(), sent_to_servers) {
             break Outcome::Refused(refusal);
         }
-        log::info!(request:% = work.request.attempt, service:% = service,
+        log::info!(request:% = work.request.attempt, service:% = service, owner:% = owner,
             reason:% = refusal.reason, verdict:? = refusal.verdict, tries = tried.len(),
             sent_to_servers = sent_to_servers, kind:% = work.kind.name(),
             left_ms = work.deadline.since(clock::now()).as_millis() as u64; "request-retried");
@@ -93,6 +98,7 @@
     Forwarded {
         outcome,
         service: Some(service),
+        owner,
         tries: tried.len(),
     }
 }
@@ -182,7 +188,7 @@
             let outcome = timeout(limit, outcome).await;
             outcome.map(|it| it.ok().map(|outcome| (outcome, Some(node.owner.signal()))))
         }
-        Way::Link(link) => {
+        Way::Link(_, link) => {
             let Some((id, outcome)) = link.request(request) else {
                 in_flight.end(Seen::Refused, None);
                 return Outcome::Refused(Refusal::not_run(Reason::NoServer));
--- a/crates/sidecar/src/ingress/mod.rs
+++ b/crates/sidecar/src/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod reply;
 mod request;
 mod split;
+mod trace;
 
 pub(crate) use connection::accept_clients;
 pub(crate) use split::Splits;
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -4,19 +4,20 @@
 
 use bytes::Bytes;
 use cassiashunt_adapter::{Facts, Prepared, prepare, read_facts};
+use cassiashunt_admit::time_to_come_back;
 use cassiashunt_mesh::{RouteRow, SiteTable, WorkspaceRow};
 use cassiashunt_types::prelude::*;
 
 use super::{
-    forward::{Forwarded, Work, forward},
+    forward::{Work, forward},
     reply::Reply,
+    trace::Trace,
 };
 use crate::{
     budget::Kind,
     clock,
     http::{RequestHead, header},
     link::{Field, Outcome, WorkRequest},
-    metrics,
     node::Node,
     quota,
 };
@@ -40,25 +41,12 @@
     pub(crate) received: Time,
 }
 
-/// What became of a request, for its log line.
-#[derive(Debug, Default)]
-struct Trace {
-    attempt: String,
-    route: Option<Route>,
-    workspace: Option<Workspace>,
-    forwarded: Option<Forwarded>,
-    /// Where it was shed: the scarcest service, and the part of its priority that fitted there.
-    scarcest: Option<(Service, f64)>,
-    /// What it was expected to take at each service.
-    cost: String,
-}
-
 /// Answers one request.
 pub(crate) async fn handle(node: &Rc<Node>, incoming: Incoming) -> Reply {
     let received = incoming.received;
     let mut trace = Trace::default();
     let outcome = answer(node, incoming, &mut trace).await;
-    log_end(node, &trace, &outcome, clock::now().since(received));
+    trace.end(node, &outcome, clock::now().since(received));
     match outcome {
         Outcome::Answered(answer) => Reply::of_answer(answer),
         Outcome::Refused(refusal) => Reply::of_refusal(refusal),
@@ -244,22 +232,12 @@
     passed.map(|(name, value)| Field { name, value }).collect()
 }
 
-/// The least and most parts of a client's time left after which it is told to come back. Clients
-/// wait as told for up to a third of it.
-const COME_BACK: (f64, f64) = (0.04, 0.14);
-/// The shortest time to come back after: under it the cause has hardly changed.
-const MIN_COME_BACK: Duration = Duration::from_millis(100);
-/// The longest.
-const MAX_COME_BACK: Duration = Duration::from_millis(1_500);
-
 /// A refusal of a request that did not run, with a time to come back that is spread so that
 /// clients do not come together.
 fn come_back(node: &Node, reason: Reason, facts: &Facts, received: Time) -> Refusal {
     let waits = facts.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let left = waits.saturating_sub(clock::now().since(received));
-    let (least, most) = COME_BACK;
-    let part = least + (most - least) * node.rng.borrow_mut().f64();
-    let after = left.mul_f64(part).clamp(MIN_COME_BACK, MAX_COME_BACK);
+    let after = time_to_come_back(left, &mut node.rng.borrow_mut());
     Refusal::not_run(reason).retry_after(after)
 }
 
@@ -271,27 +249,3 @@
         other => other,
     }
 }
-
-fn log_end(node: &Node, trace: &Trace, outcome: &Outcome, spent: Duration) {
-    let (status, reason) = match outcome {
-        Outcome::Answered(answer) => (answer.status, "answered"),
-        Outcome::Refused(refusal) => (
-            u32::from(Reply::of_refusal(*refusal).status),
-            refusal.reason.code(),
-        ),
-    };
-    metrics::request_ended(status, reason, spent);
-    let route = trace.route.map_or_else(String::new, |it| it.to_string());
-    let workspace = trace
-        .workspace
-        .map_or_else(String::new, |it| it.to_string());
-    let forwarded = trace.forwarded.as_ref();
-    log::info!(
-        request:% = trace.attempt, status = status, reason:% = reason, route:% = route,
-        workspace:% = workspace, tries = forwarded.map_or(0, |it| it.tries),
-        scarcest:? = trace.scarcest, cost:% = trace.cost, service:? = forwarded.and_then(|it| it.service),
-        spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX),
-        table_version = node.table().map_or(0, |table| table.version);
-        "request-ended"
-    );
-}
--- /dev/null
+++ b/crates/sidecar/src/ingress/trace.rs
@@ -0,0 +1,60 @@
+//! What became of a request, for the one line that explains its end.
+
+use cassiashunt_types::prelude::*;
+
+use super::{forward::Forwarded, reply::Reply};
+use crate::{link::Outcome, metrics, node::Node};
+
+/// What became of a request.
+#[derive(Debug, Default)]
+pub(crate) struct Trace {
+    pub(crate) attempt: String,
+    pub(crate) route: Option<Route>,
+    pub(crate) workspace: Option<Workspace>,
+    pub(crate) forwarded: Option<Forwarded>,
+    /// Where it was shed: the scarcest service, and the part of its priority that fitted there.
+    pub(crate) scarcest: Option<(Service, f64)>,
+    /// What it was expected to take at each service.
+    pub(crate) cost: String,
+}
+
+impl Trace {
+    /// Logs and counts the end of the request. A refusal before forwarding carries what it was
+    /// decided by: the age of the table's proof, or the scarcest service.
+    pub(crate) fn end(&self, node: &Node, outcome: &Outcome, spent: Duration) {
+        let (status, reason) = match outcome {
+            Outcome::Answered(answer) => (answer.status, "answered"),
+            Outcome::Refused(refusal) => {
+                let status = Reply::of_refusal(*refusal).status;
+                (u32::from(status), refusal.reason.code())
+            }
+        };
+        metrics::request_ended(status, reason, spent);
+        let request = &self.attempt;
+        let route = self.route.as_ref().map_or("", Route::as_str);
+        let workspace = self.workspace.as_ref().map_or("", Workspace::as_str);
+        let table_version = node.table().map_or(0, |table| table.version);
+        let spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        if let Some(forwarded) = &self.forwarded {
+            let service = forwarded.service.as_ref().map_or("", Service::as_str);
+            log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
+                workspace:% = workspace, service:% = service, owner:% = forwarded.owner,
+                tries = forwarded.tries, spent_ms = spent_ms, table_version = table_version;
+                "request-ended");
+            return;
+        }
+        if let Some((service, part)) = self.scarcest {
+            log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
+                workspace:% = workspace, scarcest:% = service, part = part, cost:% = self.cost,
+                spent_ms = spent_ms, table_version = table_version; "request-ended");
+            return;
+        }
+        let age = node.freshness.borrow().age(crate::clock::now());
+        let proof_age_ms = age.map_or(u64::MAX, |age| {
+            u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+        });
+        log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
+            workspace:% = workspace, proof_age_ms = proof_age_ms, spent_ms = spent_ms,
+            table_version = table_version; "request-ended");
+    }
+}
