--- a/cassiashunt/tests/operations_page.rs
+++ b/cassiashunt/tests/operations_page.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fs, path::Path};
 
-/// The last string of each log statement, which is its event.
+/// Takes in the events that the sources in a folder log.
 fn logged(folder: &Path, events: &mut BTreeSet<String>) {
     for entry in fs::read_dir(folder).expect("the sources are there") {
         let path = entry.expect("the folder can be read").path();
@@ -15,18 +15,24 @@
             let is_line = ["info!(", "warn!(", "error!("]
                 .iter()
                 .any(|it| statement.starts_with(it));
-            let Some((body, _)) = statement.split_once("\")").filter(|_| is_line) else {
-                continue;
-            };
-            let event = body
-                .rsplit('"')
-                .next()
-                .expect("split gives at least one part");
-            events.insert(event.to_owned());
+            if is_line {
+                events.extend(event_of(statement));
+            }
         }
     }
 }
 
+/// The first string of a log statement that closes it and is made like an event's name.
+fn event_of(statement: &str) -> Option<String> {
+    let parts: Vec<_> = statement.split('"').collect();
+    let is_name = |part: &str| {
+        !part.is_empty() && part.bytes().all(|it| it == b'-' || it.is_ascii_lowercase())
+    };
+    let pairs = parts.windows(2);
+    let mut closing = pairs.filter(|it| is_name(it[0]) && it[1].trim_start().starts_with(')'));
+    closing.next().map(|it| it[0].to_owned())
+}
+
 #[test]
 fn every_event_is_on_the_page_and_every_event_of_the_page_is_logged() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
