Say not run only of a request that ran at no try

Cause: an idempotent request whose first server ran it and lost the answer was sent on; the second owner's refusal (not run) became the answer 503, a promise that was not true. Test seen failing (503 after a run) and passing (502).

--- a/cassiashunt/src/flags.rs
+++ b/cassiashunt/src/flags.rs
@@ -13,7 +13,7 @@
 
         /// Runs a node beside a backend server of the users' platform.
         cmd sidecar {
-            /// The settings file (or CASSIASHUNT_BOOT).
+            /// The settings file (or the one that the platform names in the environment).
             optional settings: PathBuf
         }
 
--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -193,6 +193,22 @@
     assert_eq!(site.runs_of(&request), 0);
 }
 
+#[test]
+fn a_request_that_may_have_run_once_is_never_said_not_to_have_run() {
+    let site = Site::start("site-verdict", &["shop", "desk", "desk"]);
+    // One server runs a request and loses the answer; the other refuses what is sent on to it.
+    site.members[1].server.set_usual(Behaviour::LoseAnswer);
+    site.members[2].server.set_usual(Behaviour::Shed);
+    for _ in 0..12 {
+        let request = read("desk");
+        let status = site.members[0].status_of(&request);
+        assert!(
+            site.runs_of(&request) == 0 || status == 502,
+            "it ran: {status}"
+        );
+    }
+}
+
 #[test]
 fn no_spoiled_answer_is_passed_on_as_a_success() {
     let site = Site::start("site-spoiled", &["shop", "desk"]);
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -61,6 +61,7 @@
     let mut tried: Vec<ServerKey> = Vec::new();
     let mut owner = String::new();
     let mut sent_to_servers = 0;
+    let mut may_have_run = false;
     let mut last = Refusal::not_run(Reason::NoServer);
     let outcome = loop {
         let now = clock::now();
@@ -85,6 +86,7 @@
             Outcome::Answered(_) => break outcome,
             Outcome::Refused(refusal) => refusal,
         };
+        may_have_run |= refusal.verdict == Verdict::MayHaveRun;
         sent_to_servers += usize::from(has_reached_server(&refusal));
         last = refusal;
         if !may_go_on(node, &work, service, &refusal, tried.len(), sent_to_servers) {
@@ -96,13 +98,26 @@
             left_ms = work.deadline.since(clock::now()).as_millis() as u64; "request-retried");
     };
     Forwarded {
-        outcome,
+        outcome: if may_have_run {
+            without_promise(outcome)
+        } else {
+            outcome
+        },
         service: Some(service),
         owner,
         tries: tried.len(),
     }
 }
 
+/// The outcome of a request that may have run at an earlier try: the last owner's word that it did
+/// not run holds for that owner only.
+fn without_promise(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Refused(refusal) => Outcome::Refused(Refusal::may_have_run(refusal.reason)),
+        answered @ Outcome::Answered(_) => answered,
+    }
+}
+
 /// Whether a backend server has seen a request that was refused or failed so.
 fn has_reached_server(refusal: &Refusal) -> bool {
     refusal.verdict == Verdict::MayHaveRun || refusal.reason == Reason::ServerRefused
