Let nodes that the store does not answer go on with tables and proofs of their peers

Cause: on the grown Lagos site a third of the nodes can't reach the store for 9 s. Now a newer table is asked of the peer that tells of it when the store has not given it within 400 ms, and a node without the store asks three peers for their proofs. A proof carries the asker's time back, so that an answer to an earlier question can't count from a later one.

Test: nodes_that_the_store_does_not_answer_go_on_with_the_tables_of_their_peers failed before (refused after 5 s); freshness tests of the pace.

--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -122,6 +122,41 @@
     assert_eq!(site.members[0].status_of(&read("desk")), 401);
 }
 
+#[test]
+fn nodes_that_the_store_does_not_answer_go_on_with_the_tables_of_their_peers() {
+    // The bound of the users' deployments.
+    let bound = Duration::from_secs(5);
+    let services = ["shop", "desk", "shop"];
+    let site = Site::start_with_bound("site-peers-table", &services, bound);
+    for fault in [Fault::Silent, Fault::Busy] {
+        let lost = &site.members[..2];
+        lost.iter().for_each(|member| member.door.set_fault(fault));
+        thread::sleep(Duration::from_secs(4));
+        let version = if fault == Fault::Silent { 2 } else { 3 };
+        let new_key = format!("key-{version}");
+        site.put_table(&table(version, &[KEY, &new_key]));
+        let since = Instant::now();
+        let request = || Request {
+            key: Some(new_key.clone()),
+            ..read("shop")
+        };
+        for member in lost {
+            eventually("the new key works", || member.status_of(&request()) == 200);
+        }
+        assert!(since.elapsed() < Duration::from_millis(2_500));
+        while since.elapsed() < 2 * bound {
+            for member in lost {
+                let status = member.status_of(&request());
+                assert_eq!(status, 200, "{fault:?} after {:?}", since.elapsed());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        lost.iter()
+            .for_each(|member| member.door.set_fault(Fault::None));
+        thread::sleep(Duration::from_millis(1_500));
+    }
+}
+
 #[test]
 fn a_table_that_cannot_be_used_changes_nothing() {
     let site = Site::start("site-invalid", &["shop", "desk"]);
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cassiashunt_standin::site::{Answer, Request, Server, Store, ask, open};
+use cassiashunt_standin::site::{Answer, Door, Request, Server, Store, ask, open};
 use serde_json::{Value, json};
 
 use super::{Folder, Process, eventually, path};
@@ -42,6 +42,8 @@
     pub heartbeats: SocketAddr,
     pub peers: SocketAddr,
     settings: std::path::PathBuf,
+    /// The way to the store.
+    pub door: Door,
 }
 
 impl Member {
@@ -75,6 +77,7 @@
     pub store: Store,
     pub members: Vec<Member>,
     folder: Folder,
+    withdrawal: Duration,
 }
 
 /// The key that the first table gives.
@@ -83,12 +86,18 @@
 impl Site {
     /// Starts a node for each named service, with the first table in force.
     pub fn start(name: &str, services: &[&str]) -> Self {
+        Self::start_with_bound(name, services, Duration::from_millis(2_500))
+    }
+
+    /// The same, with the longest time that a withdrawn key may work.
+    pub fn start_with_bound(name: &str, services: &[&str], withdrawal: Duration) -> Self {
         let store = Store::start().expect("loopback has free ports");
         store.put("op/config", &table(1, &[KEY]).to_string());
         let mut site = Self {
             store,
             members: Vec::new(),
             folder: Folder::new(name),
+            withdrawal,
         };
         for service in services {
             site.add(service);
@@ -102,6 +111,7 @@
         let at = self.members.len();
         let server = Server::start(&format!("i-{service}-{at}"), requests);
         let server = server.expect("loopback has free ports");
+        let door = self.store.open_door().expect("loopback has free ports");
         let (peers, ready, heartbeats) = (address(), address(), address());
         let name = format!("node-{at}");
         let text = format!(
@@ -119,14 +129,15 @@
 address = "{}"
 min-lease-ms = 1000
 [bounds]
-key-withdrawal-ms = 2500
+key-withdrawal-ms = {}
 grace-s = 6.0
 retry-ratio = 0.2
 retry-slack = 40
 retry-window-s = 10
 "#,
             server.address(),
-            self.store.address()
+            door.address(),
+            self.withdrawal.as_millis(),
         );
         let settings = self.folder.write(&format!("{name}.toml"), &text);
         let node = Process::start(&["sidecar", path(&settings)]);
@@ -145,6 +156,7 @@
             heartbeats,
             peers,
             settings,
+            door,
         });
     }
 
--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -6,6 +6,39 @@
 /// request at the backend server.
 const MARGIN: Duration = Duration::from_millis(150);
 
+/// The time between two questions to the store, or to a node that asks it, in a fleet large enough
+/// that these calls cost a node little; several have to fail in a row before keys are refused.
+const PROOF_EVERY: Duration = Duration::from_millis(850);
+/// The longest time between two questions to the store, however small the fleet: a table that no
+/// watch brings is then still found within the time the users allow for a change.
+const SLOWEST_PROOF: Duration = Duration::from_millis(1_300);
+/// The time in which a node may cost one call of this kind: one call in 2 s is the aim for all
+/// kinds together, watches take the rest.
+const NODE_CALL: Duration = Duration::from_millis(2_500);
+
+/// How often the table is proven to be the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProofPace {
+    /// The time between two questions of a prover to the store.
+    pub prove: Duration,
+    /// The time between two questions of another node to a prover.
+    pub ask: Duration,
+}
+
+impl ProofPace {
+    /// The pace in a fleet of `nodes` where `provers` ask the store. A small fleet asks it less
+    /// often; its nodes ask the provers more often, so that proofs are as young as elsewhere.
+    #[must_use]
+    pub fn of(nodes: usize, provers: usize) -> Self {
+        let share = provers as f64 / nodes.max(1) as f64;
+        let prove = NODE_CALL.mul_f64(share).clamp(PROOF_EVERY, SLOWEST_PROOF);
+        Self {
+            prove,
+            ask: 2 * PROOF_EVERY - prove,
+        }
+    }
+}
+
 /// Up to when the table in force was surely the newest.
 ///
 /// The store's answer proves that no newer table was accepted before the question was *sent*, so
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use allowance::{Allowance, DELEGATION, Options as AllowanceOptions, Take};
 pub use announce::{Announcement, Heartbeat, ServerState};
-pub use freshness::Freshness;
+pub use freshness::{Freshness, ProofPace};
 pub use homes::{home_of, homes};
 pub use table::{
     ClientLimits, InvalidTable, Repeat, RouteRow, SiteTable, Target, Unmatched, WorkspaceRow,
--- a/crates/mesh/tests/freshness.rs
+++ b/crates/mesh/tests/freshness.rs
@@ -1,6 +1,6 @@
 //! How long keys may be relied on.
 
-use cassiashunt_mesh::Freshness;
+use cassiashunt_mesh::{Freshness, ProofPace};
 use cassiashunt_types::prelude::*;
 
 const BOUND: Duration = Duration::from_millis(5_000);
@@ -28,3 +28,27 @@
         Some(Duration::from_millis(500))
     );
 }
+
+#[test]
+fn a_small_fleet_asks_the_store_less_than_once_in_two_seconds_a_node() {
+    for nodes in 4..200 {
+        let pace = ProofPace::of(nodes, 2);
+        let calls_per_node = 2.0 / pace.prove.as_secs_f64() / nodes as f64;
+        assert!(
+            calls_per_node < 0.5,
+            "{nodes} nodes: {calls_per_node} calls/s"
+        );
+    }
+}
+
+#[test]
+fn proofs_grow_no_older_in_a_small_fleet() {
+    for nodes in 1..200 {
+        let pace = ProofPace::of(nodes, 2);
+        assert!(
+            pace.prove + pace.ask <= Duration::from_millis(1_700),
+            "{nodes} nodes"
+        );
+        assert!(pace.ask >= Duration::from_millis(400), "{nodes} nodes");
+    }
+}
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -99,12 +99,18 @@
                 node.quotas
                     .on_delegated(crate::clock::now(), &own, &delegate);
             }
-            Some(Kind::AskProof(_)) => {
-                if let Some(proof) = node.proof(crate::clock::now()) {
+            Some(Kind::AskProof(asked_us)) => {
+                if let Some(proof) = node.proof(crate::clock::now(), asked_us) {
                     // A peer that gets none asks the store itself.
                     let _ = tx.try_send(Kind::Proof(proof).into());
                 }
             }
+            Some(Kind::AskTable(_)) => {
+                if let Some(table) = node.table_value.borrow().clone() {
+                    // A peer that gets none asks again.
+                    let _ = tx.try_send(Kind::Table(table).into());
+                }
+            }
             Some(Kind::AskTokens(ask)) => {
                 let given = node.quotas.give(crate::clock::now(), &ask);
                 // The tokens are gone where the queue is full, which is the safe side.
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -16,7 +16,7 @@
     AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest,
     socket::{self, Reader, Sender},
 };
-use crate::node::Node;
+use crate::{node::Node, store::take_in_table};
 
 /// A peer that has said nothing for so long is asked nothing more; it tells its load several times
 /// a second.
@@ -35,8 +35,6 @@
     tx: RefCell<Option<Sender>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<Ending>>>,
     last: Cell<u64>,
-    /// When the peer was asked for its proof.
-    proof_asked: Cell<Option<Time>>,
 }
 
 impl Link {
@@ -82,9 +80,8 @@
 
     /// Asks for the peer's proof that its table is the newest.
     pub(crate) fn ask_proof(&self, now: Time) {
-        if self.send(Kind::AskProof(true)) {
-            self.proof_asked.set(Some(now));
-        }
+        // A link that is down is not asked; the next turn asks others.
+        self.send(Kind::AskProof(now.as_micros()));
     }
 
     fn send(&self, kind: Kind) -> bool {
@@ -103,7 +100,6 @@
     /// Requests on a lost connection may have run.
     pub(crate) fn lose_all(&self) {
         *self.tx.borrow_mut() = None;
-        self.proof_asked.set(None);
         let lost = std::mem::take(&mut *self.pending.borrow_mut());
         for (_, tx) in lost {
             // Nobody waits where the request was given up at this moment.
@@ -168,7 +164,9 @@
                 link.end(ended.id, Outcome::from_ended(ended), signal);
             }
             Some(Kind::Load(load)) => {
-                node.on_peer_revision(Revision(load.table_revision));
+                if node.on_peer_revision(now, Revision(load.table_revision)) {
+                    link.send(Kind::AskTable(true));
+                }
                 node.shedding.on_demand(now, name, &load.demand);
                 if let Ok(service) = load.service.parse()
                     && !load.uses.is_empty()
@@ -180,11 +178,10 @@
                 }
                 node.fleet.borrow_mut().on_load(now, name, &load);
             }
-            Some(Kind::Proof(proof)) => {
-                // Counted from the moment of the question, since an answer may be held up.
-                if let Some(asked) = link.proof_asked.take() {
-                    node.on_proof(asked, &proof);
-                }
+            Some(Kind::Proof(proof)) => node.on_proof(now, &proof),
+            Some(Kind::Table(table)) => {
+                log::info!(peer:% = name, revision = table.revision; "table-from-peer");
+                take_in_table(node, table);
             }
             Some(Kind::GiveTokens(given)) => node.quotas.receive(now, &given),
             other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -6,7 +6,7 @@
 /// One message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Frame {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub(crate) kind: Option<Kind>,
 }
 
@@ -40,12 +40,18 @@
     /// A node's shares of limits are the home's for a moment.
     #[prost(message, tag = "9")]
     Delegate(Delegate),
-    /// Asks for the peer's proof that its table is the newest.
-    #[prost(bool, tag = "10")]
-    AskProof(bool),
+    /// Asks for the peer's proof that its table is the newest; the asker's time, in microseconds.
+    #[prost(uint64, tag = "10")]
+    AskProof(u64),
     /// The peer's proof.
     #[prost(message, tag = "11")]
     Proof(Proof),
+    /// Asks for the operators' table.
+    #[prost(bool, tag = "12")]
+    AskTable(bool),
+    /// The operators' table as the peer has read it.
+    #[prost(message, tag = "13")]
+    Table(Table),
 }
 
 impl From<Kind> for Frame {
@@ -218,6 +224,18 @@
     pub(crate) revision: u64,
     #[prost(uint64, tag = "2")]
     pub(crate) age_us: u64,
+    /// The time that came with the question, by the asker's clock, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub(crate) asked_us: u64,
+}
+
+/// The operators' table as it was read from the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Table {
+    #[prost(uint64, tag = "1")]
+    pub(crate) revision: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(crate) value: Bytes,
 }
 
 /// A node is short of tokens.
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use dial::{Link, keep_link};
 pub(crate) use frame::{
     Answer, AskTokens, CallCount, Delegate, DemandEntry, Field, Frame, GiveTokens, Hello, Kind,
-    Load, Outcome, Proof, RunUse, WorkRequest,
+    Load, Outcome, Proof, RunUse, Table, WorkRequest,
 };
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,13 +12,17 @@
     budget::Budgets,
     fleet::Fleet,
     ingress::Splits,
-    link::{Frame, Load, Proof},
+    link::{Frame, Load, Proof, Table},
     owner::Owner,
     quota::Quotas,
     settings::Settings,
     shed::{self, Shedding},
 };
 
+/// How long a newer table may take from the store before a peer is asked for it; the store answers
+/// within a quarter of a second also where it is slow.
+const TABLE_FROM_STORE: Duration = Duration::from_millis(400);
+
 /// One node. Everything runs on one thread, so the cells are never borrowed across an `await`.
 pub(crate) struct Node {
     settings: RefCell<Rc<Settings>>,
@@ -30,6 +34,12 @@
     pub(crate) table_revision: Cell<Revision>,
     /// The newest such revision that a peer has read.
     peer_revision: Cell<Revision>,
+    /// Since when a peer is known to have read a newer table, or when a peer was asked for it.
+    outdated_since: Cell<Option<Time>>,
+    /// The table as it was read, for peers that the store does not answer.
+    pub(crate) table_value: RefCell<Option<Table>>,
+    /// The store does not answer this node.
+    pub(crate) is_store_lost: Cell<bool>,
     pub(crate) freshness: RefCell<Freshness>,
     /// Whether keys could be accepted when that was asked last.
     was_fresh: Cell<bool>,
@@ -71,6 +81,9 @@
             table: RefCell::new(None),
             table_revision: Cell::new(Revision(0)),
             peer_revision: Cell::new(Revision(0)),
+            outdated_since: Cell::new(None),
+            table_value: RefCell::new(None),
+            is_store_lost: Cell::new(false),
             freshness: RefCell::new(Freshness::new(bound)),
             was_fresh: Cell::new(false),
             fleet: RefCell::new(Fleet::new(domain)),
@@ -115,30 +128,41 @@
     }
 
     /// This node's proof that its table is the newest, for peers.
-    pub(crate) fn proof(&self, now: Time) -> Option<Proof> {
+    pub(crate) fn proof(&self, now: Time, asked_us: u64) -> Option<Proof> {
         let age = self.freshness.borrow().age(now)?;
         Some(Proof {
             revision: self.table_revision.get().0,
             age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            asked_us,
         })
     }
 
-    /// Takes in a peer's proof, asked for at `asked`.
-    pub(crate) fn on_proof(&self, asked: Time, proof: &Proof) {
-        if proof.revision == self.table_revision.get().0 {
+    /// Takes in a peer's proof. It counts from the moment of the question, since an answer may be
+    /// held up.
+    pub(crate) fn on_proof(&self, now: Time, proof: &Proof) {
+        let asked = Time::from_micros(proof.asked_us);
+        if asked <= now && proof.revision == self.table_revision.get().0 {
             let proven = asked.before(Duration::from_micros(proof.age_us));
             self.freshness.borrow_mut().prove(proven);
         }
     }
 
-    /// Takes in which table a peer has read.
-    pub(crate) fn on_peer_revision(&self, revision: Revision) {
+    /// Takes in which table a peer has read. Whether the peer is to be asked for it: it is newer,
+    /// and the store has not given it to this node for a while.
+    pub(crate) fn on_peer_revision(&self, now: Time, revision: Revision) -> bool {
         if revision > self.peer_revision.get() {
             self.peer_revision.set(revision);
         }
-        if self.is_outdated() {
-            self.prove_now.notify_one();
+        if !self.is_outdated() {
+            self.outdated_since.set(None);
+            return false;
         }
+        self.prove_now.notify_one();
+        let since = self.outdated_since.get().unwrap_or(now);
+        let is_due = revision > self.table_revision.get() && now.since(since) >= TABLE_FROM_STORE;
+        self.outdated_since
+            .set(Some(if is_due { now } else { since }));
+        is_due
     }
 
     /// Whether a peer has read a newer table.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -81,6 +81,7 @@
             Rc::new(Cell::new(Revision(0))),
         )),
         Box::pin(store::prove_config(Rc::clone(&node), Rc::clone(&store))),
+        Box::pin(store::ask_proofs(Rc::clone(&node))),
         Box::pin(store::follow_directory(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::announce(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(tick_queue(Rc::clone(&node))),
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -1,27 +1,33 @@
 //! The operators' table: followed for speed, proven to be the newest for withdrawn keys.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, collections::HashMap, rc::Rc};
 
+use bytes::Bytes;
 use cassiashunt_adapter::{
-    CONFIG_PREFIX, Change, Item, Txn, config_key, decode_item, decode_table, decode_txn,
-    decode_watch, get, txn, watch,
+    CONFIG_PREFIX, Change, Txn, config_key, decode_item, decode_table, decode_txn, decode_watch,
+    get, txn, watch,
 };
-use cassiashunt_mesh::homes;
+use cassiashunt_mesh::{ProofPace, homes};
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
-use crate::{clock, node::Node};
+use crate::{
+    clock,
+    link::{Link, Table},
+    node::Node,
+};
 
 /// How long a watch waits for a change.
 const WATCH: Duration = Duration::from_secs(20);
-/// The time between two proofs; several have to fail in a row before keys are not taken any more.
-const PROOF_EVERY: Duration = Duration::from_millis(850);
 /// The least time between two proofs, however often a newer table is heard of.
 const LEAST_BETWEEN: Duration = Duration::from_millis(150);
 /// The age of the last proof above which a node that is no prover asks the store itself.
 const OLD_PROOF: Duration = Duration::from_millis(2_200);
 /// Nodes that ask the store for all others.
 const PROVERS: usize = 2;
+/// Peers that a node asks which the store does not answer: where it answers two thirds of them, all
+/// of these are without proof once in 27 turns.
+const ASKED_WITHOUT_STORE: usize = 3;
 
 /// Follows the table from its first reading on.
 pub(crate) async fn follow_config(
@@ -47,56 +53,85 @@
 
 /// Proves again and again that the table in force is the newest, and takes in a newer one.
 pub(crate) async fn prove_config(node: Rc<Node>, store: Rc<StoreClient>) {
-    let mut was_proven = true;
     let mut failures = 0;
     loop {
-        if !node.is_outdated() && asks_peers(&node) {
-            wait_for_news(&node, PROOF_EVERY).await;
+        let pace = pace(&node);
+        let may_wait = !node.is_outdated() && !node.is_store_lost.get();
+        if may_wait && is_proven_by_peers(&node) {
+            wait_for_news(&node, pace.ask).await;
             continue;
         }
         let proven = prove_once(&node, &store).await;
+        let was_lost = node.is_store_lost.replace(proven.is_err());
         match &proven {
-            Ok(()) if !was_proven => {
+            Ok(()) if was_lost => {
                 log::info!("store-regained");
                 node.store_regained.notify_waiters();
             }
-            Err(err) if was_proven => log::warn!(reason:% = err; "store-lost"),
+            Err(err) if !was_lost => log::warn!(reason:% = err; "store-lost"),
             _ => {}
         }
-        was_proven = proven.is_ok();
-        failures = if was_proven { 0 } else { failures + 1 };
-        if was_proven {
+        if proven.is_ok() {
+            failures = 0;
             tokio::time::sleep(LEAST_BETWEEN).await;
-            wait_for_news(&node, PROOF_EVERY.saturating_sub(LEAST_BETWEEN)).await;
+            wait_for_news(&node, pace.prove.saturating_sub(LEAST_BETWEEN)).await;
         } else {
+            failures += 1;
             pause(&node, backoff(failures)).await;
         }
     }
 }
 
+/// Asks peers for their proofs again and again, so that the store is asked by a few nodes only, and
+/// a node that the store does not answer goes on.
+pub(crate) async fn ask_proofs(node: Rc<Node>) {
+    loop {
+        let now = clock::now();
+        for link in whom_to_ask(&node) {
+            link.ask_proof(now);
+        }
+        pause(&node, pace(&node).ask).await;
+    }
+}
+
+fn pace(node: &Node) -> ProofPace {
+    ProofPace::of(node.fleet.borrow().live_links().len() + 1, PROVERS)
+}
+
 /// Waits for the next turn, or until a peer is heard to have a newer table.
 async fn wait_for_news(node: &Node, span: Duration) {
     // Both ends of the wait lead to the same next step.
     let _ = tokio::time::timeout(jittered(node, span), node.prove_now.notified()).await;
 }
 
-/// Asks a prover for its proof, so that the store is asked by a few nodes only. Whether that is
-/// enough for now: the last proof is young, and this node is no prover.
-fn asks_peers(node: &Node) -> bool {
-    let now = clock::now();
-    let own = node.settings().name.clone();
-    let live = node.fleet.borrow().live_links();
-    let mut provers = homes(live.keys().cloned().chain([own.clone()]));
+/// The nodes that ask the store, of those that this one reaches and itself.
+fn provers(node: &Node, live: &HashMap<String, Rc<Link>>) -> Vec<String> {
+    let mut provers = homes(live.keys().cloned().chain([node.settings().name.clone()]));
     provers.truncate(PROVERS);
-    if provers.contains(&own) {
-        return false;
-    }
-    let at = node.rng.borrow_mut().usize(..provers.len().max(1));
-    if let Some(link) = provers.get(at).and_then(|name| live.get(name)) {
-        link.ask_proof(now);
-    }
-    let age = node.freshness.borrow().age(now);
-    age.is_some_and(|age| age < OLD_PROOF)
+    provers
+}
+
+/// Whether a peer's proof is enough for now: the last one is young, and this node is no prover.
+fn is_proven_by_peers(node: &Node) -> bool {
+    let live = node.fleet.borrow().live_links();
+    let age = node.freshness.borrow().age(clock::now());
+    !provers(node, &live).contains(&node.settings().name) && age.is_some_and(|age| age < OLD_PROOF)
+}
+
+/// One prover; any few peers where the store does not answer this node, since it may not answer the
+/// provers either.
+fn whom_to_ask(node: &Node) -> Vec<Rc<Link>> {
+    let live = node.fleet.borrow().live_links();
+    let (names, count) = if node.is_store_lost.get() {
+        (live.keys().cloned().collect(), ASKED_WITHOUT_STORE)
+    } else {
+        let provers = provers(node, &live);
+        let is_prover = provers.contains(&node.settings().name);
+        (provers, usize::from(!is_prover))
+    };
+    let chosen = node.rng.borrow_mut().choose_multiple(names, count);
+    let links = chosen.iter().filter_map(|name| live.get(name));
+    links.cloned().collect()
 }
 
 /// A condition on the table's revision, with nothing to change: it holds only while no newer table
@@ -111,7 +146,7 @@
         Txn::Conflict(items) => {
             let found = items.into_iter().find(|item| item.key == config_key());
             if let Some(item) = found {
-                take_in(node, &item);
+                take_in(node, item.revision, item.value.into());
             }
         }
         Txn::NoLease => return Ok(()),
@@ -130,7 +165,7 @@
     let asked = clock::now();
     let (status, body) = store.call(&get(config_key()), CALL_TIMEOUT).await?;
     if let Some(item) = decode_item(status, &body)? {
-        take_in(node, &item);
+        take_in(node, item.revision, item.value.into());
         seen.set(seen.get().max(item.revision));
         node.freshness.borrow_mut().prove(asked);
     }
@@ -152,23 +187,33 @@
         if let Change::Put(item) = change
             && item.key == config_key()
         {
-            take_in(node, &item);
+            take_in(node, item.revision, item.value.into());
         }
     }
     Ok(at)
 }
 
+/// Takes in a table that a peer has read.
+pub(crate) fn take_in_table(node: &Node, table: Table) {
+    take_in(node, Revision(table.revision), table.value);
+}
+
 /// Puts a newer table in force. One that can't be used changes nothing but the revision, so that
 /// it is not fetched again.
-fn take_in(node: &Rc<Node>, item: &Item) {
-    if item.revision <= node.table_revision.get() {
+fn take_in(node: &Node, revision: Revision, value: Bytes) {
+    if revision <= node.table_revision.get() {
         return;
     }
-    node.table_revision.set(item.revision);
-    let table = match decode_table(&item.value) {
+    node.table_revision.set(revision);
+    let decoded = decode_table(&value);
+    *node.table_value.borrow_mut() = Some(Table {
+        revision: revision.0,
+        value,
+    });
+    let table = match decoded {
         Ok(table) => table,
         Err(err) => {
-            log::error!(revision = item.revision.0, reason:% = err; "table-refused");
+            log::error!(revision = revision.0, reason:% = err; "table-refused");
             return;
         }
     };
@@ -177,7 +222,7 @@
         log::warn!(version = table.version, known = known; "table-older");
         return;
     }
-    log::info!(version = table.version, revision = item.revision.0,
+    log::info!(version = table.version, revision = revision.0,
         routes = table.routes().len(), workspaces = table.workspaces().len(); "table-in-force");
     *node.table.borrow_mut() = Some(Rc::new(table));
     node.set_limits();
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -8,4 +8,4 @@
 
 pub use client::{Answer, Request, ask, open};
 pub use server::{Behaviour, Run, Server};
-pub use store::{Fault, Store};
+pub use store::{Door, Fault, Store};
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -51,6 +51,30 @@
     calls: u64,
 }
 
+/// Another address of the store.
+#[derive(Debug)]
+pub struct Door {
+    address: SocketAddr,
+    fault: Arc<Mutex<Fault>>,
+}
+
+impl Door {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// How the store fails from now on for those who come through here.
+    pub fn set_fault(&self, fault: Fault) {
+        let mut own = self
+            .fault
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        *own = fault;
+    }
+}
+
 /// The store.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -80,13 +104,32 @@
             shared: Arc::new((Mutex::new(inner), Condvar::new())),
         };
         let accepting = store.clone();
+        accepting.accept(listener, Arc::default());
+        Ok(store)
+    }
+
+    /// Opens another address of the store, which can fail by itself: for some nodes only.
+    ///
+    /// # Errors
+    ///
+    /// Where no port is free.
+    pub fn open_door(&self) -> io::Result<Door> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let door = Door {
+            address: listener.local_addr()?,
+            fault: Arc::default(),
+        };
+        self.clone().accept(listener, Arc::clone(&door.fault));
+        Ok(door)
+    }
+
+    fn accept(self, listener: TcpListener, door: Arc<Mutex<Fault>>) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = accepting.clone();
-                thread::spawn(move || store.serve(&stream));
+                let (store, door) = (self.clone(), Arc::clone(&door));
+                thread::spawn(move || store.serve(&stream, &door));
             }
         });
-        Ok(store)
     }
 
     /// Where it listens.
@@ -137,25 +180,39 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn serve(&self, mut stream: &TcpStream) {
+    /// How the store fails for those who come through a door.
+    fn fault(&self, door: &Mutex<Fault>) -> Fault {
+        let own = *door
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if own == Fault::None {
+            self.lock().fault
+        } else {
+            own
+        }
+    }
+
+    fn serve(&self, mut stream: &TcpStream, door: &Mutex<Fault>) {
         let Ok(clone) = stream.try_clone() else {
             return;
         };
         let mut reader = BufReader::new(clone);
         while let Ok(Some(message)) = wire::read(&mut reader) {
-            let fault = {
-                let mut inner = self.lock();
-                inner.calls += 1;
-                inner.fault
-            };
+            self.lock().calls += 1;
+            let fault = self.fault(door);
             let (status, body) = match fault {
                 Fault::Busy => (503, json!({})),
                 Fault::Silent => {
-                    self.wait_for_end_of(Fault::Silent);
+                    self.wait_for_end_of(Fault::Silent, door);
                     return;
                 }
                 Fault::None | Fault::LoseAnswers | Fault::Slow(_) => self.answer(&message),
             };
+            // It may have fallen silent while a watch was waiting.
+            if fault == Fault::None && self.fault(door) == Fault::Silent {
+                self.wait_for_end_of(Fault::Silent, door);
+                return;
+            }
             match fault {
                 Fault::LoseAnswers => continue,
                 Fault::Slow(span) => thread::sleep(span),
@@ -172,14 +229,9 @@
         }
     }
 
-    fn wait_for_end_of(&self, fault: Fault) {
-        let mut inner = self.lock();
-        while inner.fault == fault {
-            let waited = self
-                .shared
-                .1
-                .wait_timeout(inner, Duration::from_millis(100));
-            inner = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+    fn wait_for_end_of(&self, fault: Fault, door: &Mutex<Fault>) {
+        while self.fault(door) == fault {
+            thread::sleep(Duration::from_millis(20));
         }
     }
 
