--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -16,6 +16,10 @@
 /// kinds together, watches take the rest.
 const NODE_CALL: Duration = Duration::from_millis(2_500);
 
+/// The part of the bound on withdrawn keys after which a node that the store does not answer counts
+/// as out of touch; the users owe nothing for requests there from then on.
+const OUT_OF_TOUCH: f64 = 0.6;
+
 /// How often the table is proven to be the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProofPace {
@@ -71,6 +75,15 @@
             .is_some_and(|proven| now.since(proven) + MARGIN < self.bound)
     }
 
+    /// Whether the table is proven by peers only, since the store answered this node at `answered`
+    /// last. Where it answers nobody, this does not hold either.
+    #[must_use]
+    pub fn is_on_peers_word(&self, now: Time, answered: Option<Time>) -> bool {
+        let limit = self.bound.mul_f64(OUT_OF_TOUCH);
+        let is_out = answered.is_none_or(|answered| now.since(answered) > limit);
+        is_out && self.age(now).is_some_and(|age| age <= limit)
+    }
+
     /// The age of the last proof.
     #[must_use]
     pub fn age(&self, now: Time) -> Option<Duration> {
--- a/crates/mesh/tests/freshness.rs
+++ b/crates/mesh/tests/freshness.rs
@@ -52,3 +52,18 @@
         assert!(pace.ask >= Duration::from_millis(400), "{nodes} nodes");
     }
 }
+
+#[test]
+fn a_node_is_on_its_peers_word_once_the_store_alone_is_silent() {
+    let mut freshness = Freshness::new(BOUND);
+    let answered = Some(Time::from_millis(1_000));
+    let now = Time::from_millis(4_500);
+    freshness.prove(Time::from_millis(1_000));
+    assert!(
+        !freshness.is_on_peers_word(now, answered),
+        "the store answers nobody"
+    );
+    freshness.prove(Time::from_millis(4_000));
+    assert!(freshness.is_on_peers_word(now, answered));
+    assert!(!freshness.is_on_peers_word(now, Some(Time::from_millis(2_000))));
+}
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -85,7 +85,11 @@
         Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
     };
     trace.workspace = workspace.map(|row| row.name);
-    let mut priority = priority(&table, route, workspace);
+    let mut priority = if !is_call && node.is_on_peers_word() {
+        spare_priority(route)
+    } else {
+        priority(&table, route, workspace)
+    };
     let mut depth = 0;
     if is_call {
         depth = 1;
@@ -191,6 +195,12 @@
     BASE_PRIORITY + of_workspace * WORKSPACE_STEP + urgency(route.rank) * ROUTE_STEP
 }
 
+/// The order among requests at a node that the store does not answer. All of them come after those
+/// at nodes in touch, so that they take only what is spare.
+fn spare_priority(route: &RouteRow) -> u8 {
+    1 + MAX_RANK - route.rank.min(MAX_RANK)
+}
+
 /// Fields that concern one connection only, or that are set anew towards the backend server.
 const PER_CONNECTION: [&str; 10] = [
     "connection",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -18,6 +18,7 @@
     quota::Quotas,
     settings::Settings,
     shed::{self, Shedding},
+    store::StoreClient,
 };
 
 /// The time between two questions for a newer table, to whichever peers tell of it.
@@ -28,6 +29,7 @@
 /// One node. Everything runs on one thread, so the cells are never borrowed across an `await`.
 pub(crate) struct Node {
     settings: RefCell<Rc<Settings>>,
+    store: Rc<StoreClient>,
     /// This start of the process.
     pub(crate) incarnation: NodeId,
     /// The table in force; none before the first.
@@ -76,13 +78,14 @@
 }
 
 impl Node {
-    pub(crate) fn new(settings: Settings) -> Self {
+    pub(crate) fn new(settings: Settings, store: Rc<StoreClient>) -> Self {
         let bound = Duration::from_millis(settings.bounds.key_withdrawal_ms);
         let domain = settings.domain;
         let ratio = settings.bounds.retry_ratio;
         let window = Duration::from_secs_f64(settings.bounds.retry_window_s);
         Self {
             settings: RefCell::new(Rc::new(settings)),
+            store,
             incarnation: NodeId::random(),
             table: RefCell::new(None),
             table_revision: Cell::new(Revision(0)),
@@ -205,6 +208,14 @@
         is_fresh
     }
 
+    /// Whether this node knows of withdrawn keys by its peers' word only.
+    pub(crate) fn is_on_peers_word(&self) -> bool {
+        let answered = self.store.answered();
+        self.freshness
+            .borrow()
+            .is_on_peers_word(crate::clock::now(), answered)
+    }
+
     /// The service of the machine.
     pub(crate) fn service(&self) -> Service {
         self.owner.service().unwrap_or(self.settings().service)
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -58,7 +58,7 @@
 async fn serve(settings: Settings, path: &Path, rendered: PrometheusHandle) -> eyre::Result<()> {
     let addresses = settings.addresses.clone();
     let store = Rc::new(StoreClient::new(settings.store.address));
-    let node = Rc::new(Node::new(settings));
+    let node = Rc::new(Node::new(settings, Rc::clone(&store)));
     let requests = listen(addresses.requests).await?;
     let peers = listen(addresses.peers).await?;
     let ready = listen(addresses.ready).await?;
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -1,9 +1,15 @@
 //! Calls to the platform's store.
 
-use std::{cell::RefCell, fmt, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    fmt,
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cassiashunt_adapter::{Call, StoreError};
+use cassiashunt_types::Time;
 use tokio::{net::TcpStream, time::timeout};
 
 use super::CALL_TIMEOUT;
@@ -52,6 +58,7 @@
 pub(crate) struct StoreClient {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
+    answered: Cell<Option<Time>>,
 }
 
 impl StoreClient {
@@ -59,9 +66,15 @@
         Self {
             address,
             idle: RefCell::new(Vec::new()),
+            answered: Cell::new(None),
         }
     }
 
+    /// When the store answered this node last.
+    pub(crate) fn answered(&self) -> Option<Time> {
+        self.answered.get()
+    }
+
     /// Makes one call and returns status and body. A connection without an answer in time is
     /// dropped, since nothing more comes on it.
     pub(crate) async fn call(
@@ -78,6 +91,9 @@
             Err(CallError::Silent) => "silent",
             Err(_) => "lost",
         };
+        if end == "answered" {
+            self.answered.set(Some(crate::clock::now()));
+        }
         let spent = (limit == CALL_TIMEOUT).then(|| crate::clock::now().since(began));
         metrics::store_called(end, spent);
         exchanged
