Leave out servers that fail more often than their peers

Now the owner counts its server's failed runs and reports the share with every answer; a server a fifth over the lower quartile of its service gets work only where nobody else can take it, at most half of them, and its slots do not count as capacity. Where all fail alike nobody is left out. Ruled out: more retries (the budget of calls is 6 % of them, a fifth would be needed at least).

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -6,8 +6,9 @@
 use slotmap::SlotMap;
 
 use crate::{
-    Candidate, Outcome, Presence, ServerKey,
+    Candidate, Outcome, OwnerReport, Presence, ServerKey,
     ejection::{Passed, State},
+    outliers::{Suspect, outliers},
     server::Server,
 };
 
@@ -129,6 +130,25 @@
         }
     }
 
+    /// Takes in what an owner reported of its server's load and failures.
+    pub fn on_report(&mut self, now: Time, key: ServerKey, report: OwnerReport) {
+        self.on_load(now, key, report.load);
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        if std::mem::replace(&mut server.failing, report.failing) != report.failing {
+            self.set_outliers();
+        }
+    }
+
+    /// Whether a server gets no work while others can take it, since it fails more often than they.
+    #[must_use]
+    pub fn is_outlier(&self, key: ServerKey) -> bool {
+        self.servers
+            .get(key)
+            .is_some_and(|server| server.is_outlier)
+    }
+
     /// Chooses a server that is not in `tried`, and counts the request as in flight there until
     /// [`done`](Self::done).
     pub fn choose(&mut self, now: Time, tried: &[ServerKey], rng: &mut Rng) -> Option<ServerKey> {
@@ -167,6 +187,20 @@
             .count()
     }
 
+    fn set_outliers(&mut self) {
+        let serving = self.servers.iter();
+        let serving = serving.filter(|(_, server)| server.presence == Presence::Serving);
+        let suspects = serving.map(|(key, server)| Suspect {
+            key,
+            failing: server.failing,
+            is_out: server.is_outlier,
+        });
+        let out = outliers(suspects.collect());
+        for (key, server) in &mut self.servers {
+            server.is_outlier = out.contains(&key);
+        }
+    }
+
     fn on_success(&mut self, now: Time, key: ServerKey) {
         let server = &mut self.servers[key];
         if server.ejection.on_success(now) == Passed::Yes {
@@ -196,7 +230,10 @@
         let servers = self.servers.iter();
         let eligible =
             servers.filter(|(key, server)| !tried.contains(key) && may_take(now, server));
-        eligible.map(|(key, _)| key).collect()
+        let (outliers, sound): (Vec<_>, Vec<_>) =
+            eligible.partition(|(_, server)| server.is_outlier);
+        let chosen = if sound.is_empty() { outliers } else { sound };
+        chosen.into_iter().map(|(key, _)| key).collect()
     }
 
     fn pick(&self, now: Time, eligible: &[ServerKey], rng: &mut Rng) -> Option<ServerKey> {
--- /dev/null
+++ b/crates/route/src/outliers.rs
@@ -0,0 +1,38 @@
+//! Which servers of a service are left out because they fail more often than their peers.
+//!
+//! Answers the load of a chain of many calls: where some servers lose two answers in five, hardly
+//! any chain finishes that meets them, while the sound ones could finish those that fit. Where all
+//! servers fail alike nobody is left out, since that would cost capacity and mend nothing.
+
+use crate::ServerKey;
+
+/// How much more of its runs a server fails than the reference, in 256ths, when it is left out: a
+/// fifth. The share of 60 runs is uncertain by about a twentieth.
+const ENTER: u8 = 51;
+/// Below this, it is taken back in: a tenth.
+const LEAVE: u8 = 25;
+
+/// A server that may be left out.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Suspect {
+    pub(crate) key: ServerKey,
+    /// The share of its runs that failed lately, in 256ths.
+    pub(crate) failing: u8,
+    /// It is left out now.
+    pub(crate) is_out: bool,
+}
+
+/// The servers to leave out: the worst first, and at most half. The reference is the lower quartile.
+pub(crate) fn outliers(mut servers: Vec<Suspect>) -> Vec<ServerKey> {
+    servers.sort_by_key(|server| server.failing);
+    let Some(reference) = servers.get(servers.len() / 4).map(|server| server.failing) else {
+        return Vec::new();
+    };
+    let most = servers.len() / 2;
+    let worst = servers.iter().rev().take(most);
+    let is_outlier = |server: &&Suspect| {
+        let excess = server.failing.saturating_sub(reference);
+        excess >= if server.is_out { LEAVE } else { ENTER }
+    };
+    worst.filter(is_outlier).map(|server| server.key).collect()
+}
--- /dev/null
+++ b/crates/route/src/report.rs
@@ -0,0 +1,25 @@
+//! What an owner tells of its server with every answer.
+
+/// The load and the failures of a server, as the owner beside it sees them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub struct OwnerReport {
+    /// Running and waiting requests over the concurrency limit, in 128ths.
+    pub load: u8,
+    /// The share of its runs that failed lately, in 256ths.
+    pub failing: u8,
+}
+
+impl OwnerReport {
+    /// Packs the report into a number, for frames.
+    #[must_use]
+    pub const fn to_bits(self) -> u32 {
+        u32::from_be_bytes([0, 0, self.failing, self.load])
+    }
+
+    /// The report in the low 16 bits of `bits`.
+    #[must_use]
+    pub const fn from_bits(bits: u32) -> Self {
+        let [_, _, failing, load] = bits.to_be_bytes();
+        Self { load, failing }
+    }
+}
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -65,6 +65,10 @@
     pub(crate) in_flight: u32,
     /// The time that it takes for its requests, over the mean of its service.
     pub(crate) pace: f64,
+    /// The share of its runs that failed lately, in 256ths, as its owner told.
+    pub(crate) failing: u8,
+    /// It fails more often than its peers, and gets work only where nobody else can.
+    pub(crate) is_outlier: bool,
     warming_since: Option<Time>,
     report: Option<Report>,
 }
@@ -86,6 +90,8 @@
             ejection: Ejection::default(),
             in_flight: 0,
             pace: 1.0,
+            failing: 0,
+            is_outlier: false,
             warming_since: candidate.is_cold.then_some(now),
             report: None,
         }
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -9,7 +9,8 @@
 use cassiashunt_admit::root::Capacity;
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_route::{
-    Candidate, Chooser, Options as ChooserOptions, Outcome, Policy, Presence, ServerKey,
+    Candidate, Chooser, Options as ChooserOptions, Outcome, OwnerReport, Policy, Presence,
+    ServerKey,
 };
 use cassiashunt_types::prelude::*;
 use tokio::task::AbortHandle;
@@ -61,8 +62,8 @@
 
 impl Group {
     fn on_load(&mut self, now: Time, key: ServerKey, load: &Load) {
-        let signal = cassiashunt_admit::Signal::from_bits(load.signal);
-        self.chooser.on_load(now, key, signal.load);
+        let report = OwnerReport::from_bits(load.report);
+        self.chooser.on_report(now, key, report);
         if load.slots > 0 {
             self.chooser.set_slots(key, load.slots);
         }
@@ -77,7 +78,8 @@
 
     fn capacity(&self) -> Capacity {
         let mut sum = Capacity::default();
-        for capacity in self.capacities.values() {
+        let sound = self.capacities.iter();
+        for (_, capacity) in sound.filter(|(key, _)| !self.chooser.is_outlier(**key)) {
             sum.slots += capacity.slots;
             sum.busy += capacity.busy;
         }
@@ -312,14 +314,20 @@
         })
     }
 
-    /// Takes in how a request at a chosen server ended, with the load that came with it.
-    pub(crate) fn done(&mut self, now: Time, chosen: &Chosen, outcome: Outcome, load: Option<u8>) {
+    /// Takes in how a request at a chosen server ended, with what its owner reported with it.
+    pub(crate) fn done(
+        &mut self,
+        now: Time,
+        chosen: &Chosen,
+        outcome: Outcome,
+        report: Option<OwnerReport>,
+    ) {
         let Some(group) = self.groups.get_mut(&chosen.service) else {
             return;
         };
         group.chooser.done(now, chosen.key, outcome);
-        if let Some(load) = load {
-            group.chooser.on_load(now, chosen.key, load);
+        if let Some(report) = report {
+            group.chooser.on_report(now, chosen.key, report);
         }
     }
 
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -2,9 +2,8 @@
 
 use std::rc::Rc;
 
-use cassiashunt_admit::Signal;
 use cassiashunt_mesh::{Repeat, RouteRow};
-use cassiashunt_route::{Outcome as Seen, ServerKey};
+use cassiashunt_route::{Outcome as Seen, OwnerReport, ServerKey};
 use cassiashunt_types::prelude::*;
 use tokio::time::timeout;
 
@@ -160,13 +159,13 @@
 }
 
 impl InFlight<'_> {
-    fn end(&mut self, seen: Seen, load: Option<u8>) {
+    fn end(&mut self, seen: Seen, report: Option<OwnerReport>) {
         self.ticket = None;
         let now = clock::now();
         self.node
             .fleet
             .borrow_mut()
-            .done(now, self.chosen, seen, load);
+            .done(now, self.chosen, seen, report);
     }
 }
 
@@ -201,7 +200,10 @@
             let (id, outcome) = node.owner.submit(node, request);
             in_flight.ticket = Some(Ticket::Local(id));
             let outcome = timeout(limit, outcome).await;
-            outcome.map(|it| it.ok().map(|outcome| (outcome, Some(node.owner.signal()))))
+            outcome.map(|it| {
+                it.ok()
+                    .map(|outcome| (outcome, Some(node.owner.report_state())))
+            })
         }
         Way::Link(_, link) => {
             let Some((id, outcome)) = link.request(request) else {
@@ -217,8 +219,8 @@
         return Outcome::Refused(Refusal::may_have_run(Reason::Deadline));
     };
     let lost = || (Outcome::Refused(Refusal::may_have_run(Reason::Lost)), None);
-    let (outcome, signal) = ended.unwrap_or_else(lost);
-    in_flight.end(seen(&outcome), signal.map(|signal: Signal| signal.load));
+    let (outcome, report) = ended.unwrap_or_else(lost);
+    in_flight.end(seen(&outcome), report);
     outcome
 }
 
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -82,7 +82,7 @@
                     let outcome = outcome.await.unwrap_or(lost);
                     let is_wanted = jobs.borrow_mut().remove(&id).is_some();
                     if is_wanted {
-                        let ended = outcome.into_ended(id, node.owner.signal().to_bits());
+                        let ended = outcome.into_ended(id, node.owner.report_state().to_bits());
                         // A peer that reads nothing is found by its silence.
                         let _ = tx.send(Kind::Ended(ended).into()).await;
                     }
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -8,7 +8,7 @@
     rc::Rc,
 };
 
-use cassiashunt_admit::Signal;
+use cassiashunt_route::OwnerReport;
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, time::timeout};
 
@@ -26,8 +26,8 @@
 /// The time between two signs of life of the dialling side.
 const PING: Duration = Duration::from_secs(1);
 
-/// How a request ended, and the owner's signal where it came with it.
-type Ending = (Outcome, Option<Signal>);
+/// How a request ended, and the owner's report where it came with it.
+type Ending = (Outcome, Option<OwnerReport>);
 
 /// A connection to one peer, and the requests on it.
 #[derive(Debug, Default)]
@@ -90,10 +90,10 @@
             .is_some_and(|tx| tx.try_send(Frame::from(kind)).is_ok())
     }
 
-    fn end(&self, id: u64, outcome: Outcome, signal: Signal) {
+    fn end(&self, id: u64, outcome: Outcome, report: OwnerReport) {
         if let Some(tx) = self.pending.borrow_mut().remove(&id) {
             // Nobody waits where the request was given up at this moment.
-            let _ = tx.send((outcome, Some(signal)));
+            let _ = tx.send((outcome, Some(report)));
         }
     }
 
@@ -160,8 +160,8 @@
         }
         match kind {
             Some(Kind::Ended(ended)) => {
-                let signal = Signal::from_bits(ended.signal);
-                link.end(ended.id, Outcome::from_ended(ended), signal);
+                let report = OwnerReport::from_bits(ended.report);
+                link.end(ended.id, Outcome::from_ended(ended), report);
             }
             Some(Kind::Load(load)) => {
                 if node.on_peer_revision(now, Revision(load.table_revision)) {
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -131,9 +131,9 @@
     pub(crate) may_have_run: bool,
     #[prost(uint64, tag = "5")]
     pub(crate) retry_after_us: u64,
-    /// The owner's shedding level and load.
+    /// The owner's load, and how much its server fails.
     #[prost(uint32, tag = "6")]
-    pub(crate) signal: u32,
+    pub(crate) report: u32,
 }
 
 /// The backend server's answer.
@@ -151,7 +151,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Load {
     #[prost(uint32, tag = "1")]
-    pub(crate) signal: u32,
+    pub(crate) report: u32,
     /// Whether the owner takes new work.
     #[prost(bool, tag = "2")]
     pub(crate) is_serving: bool,
@@ -267,12 +267,12 @@
 
 impl Outcome {
     /// The message about the request with this id.
-    pub(crate) fn into_ended(self, id: u64, signal: u32) -> Ended {
+    pub(crate) fn into_ended(self, id: u64, report: u32) -> Ended {
         match self {
             Self::Answered(answer) => Ended {
                 id,
                 answer: Some(answer),
-                signal,
+                report,
                 ..Ended::default()
             },
             Self::Refused(refusal) => Ended {
@@ -280,7 +280,7 @@
                 reason: refusal.reason.number(),
                 may_have_run: refusal.verdict == Verdict::MayHaveRun,
                 retry_after_us: refusal.retry_after.map_or(0, micros),
-                signal,
+                report,
                 ..Ended::default()
             },
         }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -224,7 +224,7 @@
     /// What peers are told of the owner.
     pub(crate) fn load(&self) -> Load {
         Load {
-            signal: self.owner.signal().to_bits(),
+            report: self.owner.report_state().to_bits(),
             is_serving: self.owner.is_serving() && !self.is_stopping(),
             service: self.service().as_str().into(),
             slots: self.owner.limit(),
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -3,10 +3,9 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use cassiashunt_adapter::parent_attempt;
-use cassiashunt_admit::{
-    Action, Admission, Job, Options, Priority, Signal, Usage, chain::RouteUse,
-};
+use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Usage, chain::RouteUse};
 use cassiashunt_mesh::prelude::*;
+use cassiashunt_route::{Failures, OwnerReport};
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
@@ -52,6 +51,7 @@
     work: HashMap<RequestId, Work>,
     last: RequestId,
     usage: Usage,
+    failures: Failures,
     /// What runs at the server, by the client's id of the attempt, and what it has called.
     running: HashMap<String, (Run, Vec<(Route, u32)>)>,
 }
@@ -74,6 +74,7 @@
                 work: HashMap::new(),
                 last: RequestId(0),
                 usage: Usage::default(),
+                failures: Failures::default(),
                 running: HashMap::new(),
             }),
             pool: Pool::default(),
@@ -113,8 +114,14 @@
             .is_some_and(|server| server.warm_at > now)
     }
 
-    pub(crate) fn signal(&self) -> Signal {
-        self.inner.borrow().admission.signal(clock::now())
+    /// What peers are told of the server with every answer.
+    pub(crate) fn report_state(&self) -> OwnerReport {
+        let now = clock::now();
+        let mut inner = self.inner.borrow_mut();
+        OwnerReport {
+            load: inner.admission.signal(now).load,
+            failing: inner.failures.share(now),
+        }
     }
 
     /// Requests that wait or run.
@@ -301,6 +308,7 @@
             let mut inner = self.inner.borrow_mut();
             let warm_up = server.warm_at.since(now);
             inner.admission = Admission::new(now, options(server.slots, warm_up));
+            inner.failures = Failures::default();
             inner.is_down = false;
             if server.state == ServerState::Draining {
                 inner.admission.drain();
@@ -362,6 +370,9 @@
                     .usage
                     .on_end(now, run.route, end.spent, end.is_ok, &calls);
             }
+            if let Some(has_failed) = end.has_failed {
+                inner.failures.on_end(now, has_failed);
+            }
             inner.admission.done(now, id, end.spent, end.is_ok)
         };
         self.apply(node, actions);
@@ -393,6 +404,8 @@
     spent: Duration,
     /// The server did the whole work.
     is_ok: bool,
+    /// The server failed it; nothing where that is not known.
+    has_failed: Option<bool>,
     /// The server refused the connection.
     is_down: bool,
 }
@@ -422,6 +435,7 @@
         Err(_) => Outcome::Refused(Refusal::may_have_run(Reason::Deadline)),
     };
     let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
+    let has_failed = has_failed(&outcome);
     metrics::run_ended(end_of(&outcome), spent);
     // Nobody waits where the request was given up at this moment.
     let _ = reply.send(outcome);
@@ -429,11 +443,27 @@
         attempt: request.attempt,
         spent,
         is_ok,
+        has_failed,
         is_down,
     };
     owner.finish(&node, id, &end);
 }
 
+/// Whether the server failed a run. An answer lost on the way counts too: the next may be lost like
+/// it. Deadlines say more of the load than of the server.
+fn has_failed(outcome: &Outcome) -> Option<bool> {
+    match outcome {
+        Outcome::Answered(answer) => match answer.status {
+            503 | 504 => None,
+            status => Some(status >= 500),
+        },
+        Outcome::Refused(refusal) if refusal.verdict == Verdict::MayHaveRun => {
+            (refusal.reason != Reason::Deadline).then_some(true)
+        }
+        Outcome::Refused(_) => None,
+    }
+}
+
 /// The end of a run, for its counter.
 fn end_of(outcome: &Outcome) -> &'static str {
     match outcome {
