--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -51,6 +51,20 @@
         Self(child.expect("the binary can be started"))
     }
 
+    /// Starts a process whose output goes to a file.
+    pub fn start_logged(args: &[&str], file: &Path) -> Self {
+        let out = fs::File::create(file).expect("the test's own folder can be written");
+        let err = out.try_clone().expect("the file is open");
+        let child = command(args).stdout(out).stderr(err).spawn();
+        Self(child.expect("the binary can be started"))
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.0.try_wait().expect("the process is ours");
+        status.is_some()
+    }
+
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .args([signal, &self.0.id().to_string()])
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -140,8 +140,11 @@
             self.withdrawal.as_millis(),
         );
         let settings = self.folder.write(&format!("{name}.toml"), &text);
-        let node = Process::start(&["sidecar", path(&settings)]);
+        let log = self.folder.write(&format!("{name}.log"), "");
+        let mut node = Process::start_logged(&["sidecar", path(&settings)], &log);
+        let read_log = || std::fs::read_to_string(&log).unwrap_or_default();
         eventually("the node listens", || {
+            assert!(!node.has_ended(), "the node ended: {}", read_log());
             TcpStream::connect(heartbeats).is_ok()
         });
         let beat = server.beat(heartbeats, service, "ready", 1);
--- a/crates/route/src/failures.rs
+++ b/crates/route/src/failures.rs
@@ -4,7 +4,7 @@
 
 /// The time after which a run counts half. A server that is left out gets work again some seconds
 /// after its last failure, and is left out again within a few runs if it still fails.
-const HALF_LIFE: Duration = Duration::from_millis(600);
+const HALF_LIFE: Duration = Duration::from_millis(400);
 /// Runs that are remembered at the most, so that a busy server is not left out for longer.
 const MOST_RUNS: f64 = 60.0;
 /// Sound runs that a server is taken to have had besides; a few failures after a pause say little.
