--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -130,15 +130,17 @@
         }
     }
 
-    /// Takes in what an owner reported of its server's load and failures.
-    pub fn on_report(&mut self, now: Time, key: ServerKey, report: OwnerReport) {
+    /// Takes in what an owner reported of its server's load and failures, and returns the servers
+    /// that are left out from now on, or no longer.
+    pub fn on_report(&mut self, now: Time, key: ServerKey, report: OwnerReport) -> Vec<ServerKey> {
         self.on_load(now, key, report.load);
         let Some(server) = self.servers.get_mut(key) else {
-            return;
+            return Vec::new();
         };
-        if std::mem::replace(&mut server.failing, report.failing) != report.failing {
-            self.set_outliers();
+        if std::mem::replace(&mut server.failing, report.failing) == report.failing {
+            return Vec::new();
         }
+        self.set_outliers()
     }
 
     /// Whether a server gets no work while others can take it, since it fails more often than they.
@@ -149,6 +151,13 @@
             .is_some_and(|server| server.is_outlier)
     }
 
+    /// The share of a server's runs that failed lately, as its owner told.
+    #[must_use]
+    pub fn failing(&self, key: ServerKey) -> f64 {
+        let server = self.servers.get(key);
+        server.map_or(0.0, |server| f64::from(server.failing) / 255.0)
+    }
+
     /// Chooses a server that is not in `tried`, and counts the request as in flight there until
     /// [`done`](Self::done).
     pub fn choose(&mut self, now: Time, tried: &[ServerKey], rng: &mut Rng) -> Option<ServerKey> {
@@ -187,7 +196,7 @@
             .count()
     }
 
-    fn set_outliers(&mut self) {
+    fn set_outliers(&mut self) -> Vec<ServerKey> {
         let serving = self.servers.iter();
         let serving = serving.filter(|(_, server)| server.presence == Presence::Serving);
         let suspects = serving.map(|(key, server)| Suspect {
@@ -196,9 +205,14 @@
             is_out: server.is_outlier,
         });
         let out = outliers(suspects.collect());
+        let mut changed = Vec::new();
         for (key, server) in &mut self.servers {
-            server.is_outlier = out.contains(&key);
+            let is_outlier = out.contains(&key);
+            if std::mem::replace(&mut server.is_outlier, is_outlier) != is_outlier {
+                changed.push(key);
+            }
         }
+        changed
     }
 
     fn on_success(&mut self, now: Time, key: ServerKey) {
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -33,6 +33,16 @@
     Link(String, Rc<Link>),
 }
 
+impl Way {
+    /// The name of the node beside the server, for logs.
+    fn owner(&self) -> &str {
+        match self {
+            Self::Local => "this node",
+            Self::Link(name, _) => name,
+        }
+    }
+}
+
 /// A backend server that was chosen for a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Chosen {
@@ -62,8 +72,7 @@
 
 impl Group {
     fn on_load(&mut self, now: Time, key: ServerKey, load: &Load) {
-        let report = OwnerReport::from_bits(load.report);
-        self.chooser.on_report(now, key, report);
+        self.on_report(now, key, OwnerReport::from_bits(load.report));
         if load.slots > 0 {
             self.chooser.set_slots(key, load.slots);
         }
@@ -76,6 +85,18 @@
         }
     }
 
+    fn on_report(&mut self, now: Time, key: ServerKey, report: OwnerReport) {
+        for changed in self.chooser.on_report(now, key, report) {
+            let failing = self.chooser.failing(changed);
+            let owner = self.ways.get(&changed).map_or("", Way::owner);
+            if self.chooser.is_outlier(changed) {
+                log::warn!(owner = owner, failing = failing; "server-left-out");
+            } else {
+                log::info!(owner = owner, failing = failing; "server-taken-back");
+            }
+        }
+    }
+
     fn capacity(&self) -> Capacity {
         let mut sum = Capacity::default();
         let sound = self.capacities.iter();
@@ -302,10 +323,7 @@
         let group = self.groups.get_mut(&service)?;
         let key = group.chooser.choose(now, tried, rng)?;
         let way = group.ways.get(&key)?.clone();
-        let owner = match &way {
-            Way::Local => String::from("this node"),
-            Way::Link(name, _) => name.clone(),
-        };
+        let owner = way.owner().to_owned();
         Some(Chosen {
             service,
             key,
@@ -327,7 +345,7 @@
         };
         group.chooser.done(now, chosen.key, outcome);
         if let Some(report) = report {
-            group.chooser.on_report(now, chosen.key, report);
+            group.on_report(now, chosen.key, report);
         }
     }
 
