--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -128,6 +128,8 @@
     let bound = Duration::from_secs(5);
     let services = ["shop", "desk", "shop"];
     let site = Site::start_with_bound("site-peers-table", &services, bound);
+    // A node that the store does not answer can't learn of peers any more.
+    site.wait_until_linked();
     for fault in [Fault::Silent, Fault::Busy] {
         let lost = &site.members[..2];
         lost.iter().for_each(|member| member.door.set_fault(fault));
@@ -467,6 +469,36 @@
     }
 }
 
+#[test]
+fn a_node_that_never_falls_idle_stops_within_its_grace() {
+    let mut site = Site::start("site-busy-stop", &["shop", "desk"]);
+    site.members[1]
+        .server
+        .set_usual(Behaviour::Slow(Duration::from_millis(400)));
+    let node = site.members[0].requests;
+    let until = Instant::now() + Duration::from_secs(8);
+    let asking: Vec<_> = (0..12)
+        .map(|_| {
+            thread::spawn(move || {
+                while Instant::now() < until {
+                    // Refused connections are what clients of a stopped node see.
+                    let _ = open(node).and_then(|mut conn| ask(&mut conn, &read("desk").encode()));
+                    thread::sleep(Duration::from_millis(20));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let since = Instant::now();
+    site.members[0].node.signal("-TERM");
+    assert_eq!(site.members[0].node.wait(), Some(0));
+    let spent = since.elapsed();
+    assert!(spent < Duration::from_secs(6), "took {spent:?}");
+    for thread in asking {
+        thread.join().expect("no panic");
+    }
+}
+
 #[test]
 fn a_node_that_was_killed_serves_again_without_a_heartbeat() {
     let mut site = Site::start("site-killed", &["shop", "desk"]);
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -42,6 +42,7 @@
     pub heartbeats: SocketAddr,
     pub peers: SocketAddr,
     settings: std::path::PathBuf,
+    log: std::path::PathBuf,
     /// The way to the store.
     pub door: Door,
 }
@@ -159,6 +160,7 @@
             heartbeats,
             peers,
             settings,
+            log,
             door,
         });
     }
@@ -180,6 +182,19 @@
         thread::sleep(Duration::from_millis(200));
     }
 
+    /// Waits until every node has a link to every other.
+    pub fn wait_until_linked(&self) {
+        for member in &self.members {
+            for peer in self.members.iter().filter(|it| it.name != member.name) {
+                eventually("the nodes know each other", || {
+                    let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+                    let mut lines = log.lines().filter(|line| line.contains("\"link-up\""));
+                    lines.any(|line| line.contains(&format!("\"peer\":\"{}\"", peer.name)))
+                });
+            }
+        }
+    }
+
     /// Puts another table in force everywhere.
     pub fn put_table(&self, table: &Value) {
         self.store.put("op/config", &table.to_string());
