--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -1,6 +1,6 @@
 //! The node's clock.
 
-use cassiashunt_types::Time;
+use cassiashunt_types::prelude::*;
 use rustix::time::{ClockId, clock_gettime};
 
 /// The time since the machine's start, which runs on while the machine is suspended: ages of what
@@ -11,3 +11,13 @@
     let micros = u64::try_from(time.tv_nsec / 1_000).unwrap_or_default();
     Time::from_micros(seconds * 1_000_000 + micros)
 }
+
+/// A span in whole microseconds, for messages.
+pub(crate) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// A span in whole milliseconds, for log lines.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/sidecar/src/http/head.rs
+++ b/crates/sidecar/src/http/head.rs
@@ -6,6 +6,27 @@
 /// The most header fields of one message.
 const MAX_FIELDS: usize = 96;
 
+/// Fields that concern one connection only, or that are set anew on the next.
+const PER_CONNECTION: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+    "expect",
+    "proxy-authorization",
+];
+
+/// Whether a field is not passed on.
+pub(crate) fn is_per_connection(name: &str) -> bool {
+    PER_CONNECTION
+        .iter()
+        .any(|it| name.eq_ignore_ascii_case(it))
+}
+
 /// How long a body is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -4,7 +4,7 @@
 mod head;
 
 pub(crate) use connection::{Connection, ReadError};
-pub(crate) use head::{Framing, RequestHead, ResponseHead, has_token, header};
+pub(crate) use head::{Framing, RequestHead, ResponseHead, has_token, header, is_per_connection};
 
 /// What is written before a body or in place of one.
 pub(crate) fn reason_phrase(status: u16) -> &'static str {
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -94,7 +94,7 @@
         log::info!(request:% = work.request.attempt, service:% = service, owner:% = owner,
             reason:% = refusal.reason, verdict:? = refusal.verdict, tries = tried.len(),
             sent_to_servers = sent_to_servers, kind:% = work.kind.name(),
-            left_ms = work.deadline.since(clock::now()).as_millis() as u64; "request-retried");
+            left_ms = clock::millis(work.deadline.since(clock::now())); "request-retried");
     };
     Forwarded {
         outcome: if may_have_run {
@@ -186,9 +186,11 @@
 
 async fn try_once(node: &Rc<Node>, work: &Work<'_>, chosen: &Chosen, left: Duration) -> Outcome {
     let mut request = work.request.clone();
-    request.left_us = micros(left);
+    request.left_us = clock::micros(left);
     let now = clock::now();
-    request.start_left_us = work.start_by.map_or(0, |by| micros(by.since(now)).max(1));
+    request.start_left_us = work
+        .start_by
+        .map_or(0, |by| clock::micros(by.since(now)).max(1));
     let mut in_flight = InFlight {
         node,
         chosen,
@@ -224,10 +226,6 @@
     outcome
 }
 
-fn micros(span: Duration) -> u64 {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
-
 /// What an outcome says of the server's soundness.
 fn seen(outcome: &Outcome) -> Seen {
     match outcome {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -16,7 +16,7 @@
 use crate::{
     budget::Kind,
     clock,
-    http::{RequestHead, header},
+    http::{RequestHead, header, is_per_connection},
     link::{Field, Outcome, WorkRequest},
     node::Node,
     quota,
@@ -201,20 +201,6 @@
     1 + MAX_RANK - route.rank.min(MAX_RANK)
 }
 
-/// Fields that concern one connection only, or that are set anew towards the backend server.
-const PER_CONNECTION: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "transfer-encoding",
-    "content-length",
-    "te",
-    "trailer",
-    "upgrade",
-    "expect",
-    "proxy-authorization",
-];
-
 fn passed_headers(
     node: &Node,
     headers: Vec<(String, String)>,
@@ -227,10 +213,7 @@
         .map(|token| token.trim().to_ascii_lowercase())
         .collect();
     let is_kept = |name: &str| {
-        !PER_CONNECTION
-            .iter()
-            .any(|it| name.eq_ignore_ascii_case(it))
-            && !named.iter().any(|it| name.eq_ignore_ascii_case(it))
+        !is_per_connection(name) && !named.iter().any(|it| name.eq_ignore_ascii_case(it))
     };
     let kept = headers.into_iter().filter(|(name, _)| is_kept(name));
     let service = node.service();
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use cassiashunt_types::prelude::*;
 
+use crate::clock;
+
 /// One message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Frame {
@@ -279,7 +281,7 @@
                 id,
                 reason: refusal.reason.number(),
                 may_have_run: refusal.verdict == Verdict::MayHaveRun,
-                retry_after_us: refusal.retry_after.map_or(0, micros),
+                retry_after_us: refusal.retry_after.map_or(0, clock::micros),
                 report,
                 ..Ended::default()
             },
@@ -305,7 +307,3 @@
         })
     }
 }
-
-fn micros(span: Duration) -> u64 {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -143,7 +143,7 @@
         let age = self.freshness.borrow().age(now)?;
         Some(Proof {
             revision: self.table_revision.get().0,
-            age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            age_us: crate::clock::micros(age),
             asked_us,
         })
     }
@@ -202,7 +202,7 @@
         let is_fresh = self.freshness.borrow().holds(now);
         if self.was_fresh.replace(is_fresh) != is_fresh {
             let age = self.freshness.borrow().age(now);
-            log::warn!(fresh = is_fresh, proof_age_ms = age.map_or(0, |age| age.as_millis() as u64),
+            log::warn!(fresh = is_fresh, proof_age_ms = age.map_or(0, crate::clock::millis),
                 table_revision = self.table_revision.get().0; "keys-fresh");
         }
         is_fresh
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -8,7 +8,7 @@
 
 use super::pool::{self, Pool};
 use crate::{
-    http::{Connection, Framing, ReadError, ResponseHead, header},
+    http::{Connection, Framing, ReadError, ResponseHead, header, is_per_connection},
     link::{Answer, Field, WorkRequest},
 };
 
@@ -141,24 +141,10 @@
     Ok(())
 }
 
-/// Fields that concern one connection only, or that the ingress node sets.
-const PER_CONNECTION: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "transfer-encoding",
-    "content-length",
-    "te",
-    "trailer",
-    "upgrade",
-];
-
 fn end_to_end(headers: Vec<(String, String)>) -> Vec<Field> {
-    let is_kept = |name: &str| {
-        !PER_CONNECTION
-            .iter()
-            .any(|it| name.eq_ignore_ascii_case(it))
-    };
-    let kept = headers.into_iter().filter(|(name, _)| is_kept(name));
+    let kept = headers
+        .into_iter()
+        .filter(|(name, _)| !is_per_connection(name));
     kept.map(|(name, value)| Field { name, value }).collect()
 }
 
--- a/crates/sidecar/src/owner/mod.rs
+++ b/crates/sidecar/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod exchange;
 mod pool;
 mod requests;
+mod run;
 mod server;
 
 pub(crate) use requests::Owner;
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -7,17 +7,16 @@
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_route::{Failures, OwnerReport};
 use cassiashunt_types::prelude::*;
-use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
+use tokio::{sync::oneshot, task::AbortHandle};
 
 use super::{
-    exchange::{Failure, exchange},
     pool::Pool,
+    run::{End, Reply, run},
     server::{Change, Server},
 };
 use crate::{
     clock,
     link::{Outcome, WorkRequest},
-    metrics,
     node::Node,
 };
 
@@ -28,9 +27,6 @@
 /// The part of a server's slots that is used. Servers with a knee have it at 0.95 of their slots.
 const USED_SLOTS: f64 = 0.945;
 
-/// Where the outcome of a request goes.
-type Reply = oneshot::Sender<Outcome>;
-
 enum Work {
     Waiting(Box<WorkRequest>, Time, Reply),
     /// The task, and the client's id of the attempt.
@@ -40,7 +36,7 @@
 /// The way to the backend server.
 pub(crate) struct Owner {
     inner: RefCell<Inner>,
-    pool: Pool,
+    pub(super) pool: Pool,
 }
 
 struct Inner {
@@ -270,7 +266,7 @@
         node.on_server_changed();
     }
 
-    fn server_id(&self) -> Option<String> {
+    pub(super) fn server_id(&self) -> Option<String> {
         let inner = self.inner.borrow();
         inner.server.as_ref().map(|server| server.id.clone())
     }
@@ -357,7 +353,7 @@
     }
 
     /// Takes in how a running request ended.
-    fn finish(&self, node: &Rc<Node>, id: RequestId, end: &End) {
+    pub(super) fn finish(&self, node: &Rc<Node>, id: RequestId, end: &End) {
         let now = clock::now();
         let actions = {
             let mut inner = self.inner.borrow_mut();
@@ -398,85 +394,6 @@
     }
 }
 
-/// How a running request ended.
-struct End {
-    attempt: String,
-    spent: Duration,
-    /// The server did the whole work.
-    is_ok: bool,
-    /// The server failed it; nothing where that is not known.
-    has_failed: Option<bool>,
-    /// The server refused the connection.
-    is_down: bool,
-}
-
-/// Runs one request at the server, to its deadline.
-async fn run(node: Rc<Node>, id: RequestId, request: WorkRequest, deadline: Time, reply: Reply) {
-    let owner = &node.owner;
-    let began = clock::now();
-    let left = deadline.since(began);
-    let address = node.settings().addresses.server;
-    let server = owner.server_id().unwrap_or_default();
-    let ended = timeout(
-        left,
-        exchange(&owner.pool, address, &server, &request, left),
-    )
-    .await;
-    let spent = clock::now().since(began);
-    let mut is_down = false;
-    let outcome = match ended {
-        Ok(Ok(answer)) => Outcome::Answered(answer),
-        Ok(Err(failure)) => {
-            is_down = matches!(failure, Failure::Unreachable(_));
-            log::warn!(request:% = request.attempt, failure:% = failure, server:% = server,
-                spent_ms = millis(spent); "server-failed");
-            Outcome::Refused(failure.refusal())
-        }
-        Err(_) => Outcome::Refused(Refusal::may_have_run(Reason::Deadline)),
-    };
-    let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
-    let has_failed = has_failed(&outcome);
-    metrics::run_ended(end_of(&outcome), spent);
-    // Nobody waits where the request was given up at this moment.
-    let _ = reply.send(outcome);
-    let end = End {
-        attempt: request.attempt,
-        spent,
-        is_ok,
-        has_failed,
-        is_down,
-    };
-    owner.finish(&node, id, &end);
-}
-
-/// Whether the server failed a run. An answer lost on the way counts too: the next may be lost like
-/// it. Deadlines say more of the load than of the server.
-fn has_failed(outcome: &Outcome) -> Option<bool> {
-    match outcome {
-        Outcome::Answered(answer) => match answer.status {
-            503 | 504 => None,
-            status => Some(status >= 500),
-        },
-        Outcome::Refused(refusal) if refusal.verdict == Verdict::MayHaveRun => {
-            (refusal.reason != Reason::Deadline).then_some(true)
-        }
-        Outcome::Refused(_) => None,
-    }
-}
-
-/// The end of a run, for its counter.
-fn end_of(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Answered(answer) if answer.status < 300 => "success",
-        Outcome::Answered(_) => "failure",
-        Outcome::Refused(refusal) => refusal.reason.code(),
-    }
-}
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn options(slots: u32, warm_up: Duration) -> Options {
     Options {
         slots: usable(slots),
--- /dev/null
+++ b/crates/sidecar/src/owner/run.rs
@@ -0,0 +1,98 @@
+//! One request at the backend server, from its start to its end.
+
+use std::rc::Rc;
+
+use cassiashunt_types::prelude::*;
+use tokio::{sync::oneshot, time::timeout};
+
+use super::exchange::{Failure, exchange};
+use crate::{
+    clock,
+    link::{Outcome, WorkRequest},
+    metrics,
+    node::Node,
+};
+
+/// Where the outcome of a request goes.
+pub(super) type Reply = oneshot::Sender<Outcome>;
+
+/// How a running request ended.
+pub(super) struct End {
+    pub(super) attempt: String,
+    pub(super) spent: Duration,
+    /// The server did the whole work.
+    pub(super) is_ok: bool,
+    /// The server failed it; nothing where that is not known.
+    pub(super) has_failed: Option<bool>,
+    /// The server refused the connection.
+    pub(super) is_down: bool,
+}
+
+/// Runs one request at the server, to its deadline.
+pub(super) async fn run(
+    node: Rc<Node>,
+    id: RequestId,
+    request: WorkRequest,
+    deadline: Time,
+    reply: Reply,
+) {
+    let owner = &node.owner;
+    let began = clock::now();
+    let left = deadline.since(began);
+    let address = node.settings().addresses.server;
+    let server = owner.server_id().unwrap_or_default();
+    let ended = timeout(
+        left,
+        exchange(&owner.pool, address, &server, &request, left),
+    )
+    .await;
+    let spent = clock::now().since(began);
+    let mut is_down = false;
+    let outcome = match ended {
+        Ok(Ok(answer)) => Outcome::Answered(answer),
+        Ok(Err(failure)) => {
+            is_down = matches!(failure, Failure::Unreachable(_));
+            log::warn!(request:% = request.attempt, failure:% = failure, server:% = server,
+                spent_ms = clock::millis(spent); "server-failed");
+            Outcome::Refused(failure.refusal())
+        }
+        Err(_) => Outcome::Refused(Refusal::may_have_run(Reason::Deadline)),
+    };
+    let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
+    let has_failed = has_failed(&outcome);
+    metrics::run_ended(end_of(&outcome), spent);
+    // Nobody waits where the request was given up at this moment.
+    let _ = reply.send(outcome);
+    let end = End {
+        attempt: request.attempt,
+        spent,
+        is_ok,
+        has_failed,
+        is_down,
+    };
+    owner.finish(&node, id, &end);
+}
+
+/// Whether the server failed a run. An answer lost on the way counts too: the next may be lost like
+/// it. Deadlines say more of the load than of the server.
+fn has_failed(outcome: &Outcome) -> Option<bool> {
+    match outcome {
+        Outcome::Answered(answer) => match answer.status {
+            503 | 504 => None,
+            status => Some(status >= 500),
+        },
+        Outcome::Refused(refusal) if refusal.verdict == Verdict::MayHaveRun => {
+            (refusal.reason != Reason::Deadline).then_some(true)
+        }
+        Outcome::Refused(_) => None,
+    }
+}
+
+/// The end of a run, for its counter.
+fn end_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(answer) if answer.status < 300 => "success",
+        Outcome::Answered(_) => "failure",
+        Outcome::Refused(refusal) => refusal.reason.code(),
+    }
+}
