Keep what chains cost in the store over a restart of all nodes

Now one node writes the costs every 10 s, and a new start reads them (a tenth of a call) and weighs them as nothing beside what owners see.

Tests: costs_are_known_after_a_restart_until_owners_have_seen_runs_of_their_own, what_chains_cost_is_kept_in_the_store_and_known_to_a_new_start.

--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -469,6 +469,31 @@
     }
 }
 
+#[test]
+fn what_chains_cost_is_kept_in_the_store_and_known_to_a_new_start() {
+    let mut site = Site::start("site-costs", &["shop", "desk"]);
+    site.members[0]
+        .server
+        .set_calls(&[("shop.example", "/desk/call/1")]);
+    let until = Instant::now() + Duration::from_secs(12);
+    while Instant::now() < until {
+        assert_eq!(site.members[0].status_of(&read("shop")), 200);
+        thread::sleep(Duration::from_millis(50));
+    }
+    eventually("the costs are written", || {
+        !site.store.keys("cassiashunt/costs").is_empty()
+    });
+    for member in &mut site.members {
+        member.node.kill();
+        member.restart();
+    }
+    for member in &site.members {
+        eventually("the costs are read", || {
+            member.log().contains("costs-remembered")
+        });
+    }
+}
+
 #[test]
 fn a_node_that_never_falls_idle_stops_within_its_grace() {
     let mut site = Site::start("site-busy-stop", &["shop", "desk"]);
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -69,7 +69,12 @@
 
     /// Starts the node's process again beside the same server.
     pub fn restart(&mut self) {
-        self.node = Process::start(&["sidecar", path(&self.settings)]);
+        self.node = Process::start_logged(&["sidecar", path(&self.settings)], &self.log);
+    }
+
+    /// What the node of this start has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 }
 
@@ -187,7 +192,7 @@
         for member in &self.members {
             for peer in self.members.iter().filter(|it| it.name != member.name) {
                 eventually("the nodes know each other", || {
-                    let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+                    let log = member.log();
                     let mut lines = log.lines().filter(|line| line.contains("\"link-up\""));
                     lines.any(|line| line.contains(&format!("\"peer\":\"{}\"", peer.name)))
                 });
--- a/crates/admit/src/chain.rs
+++ b/crates/admit/src/chain.rs
@@ -7,14 +7,19 @@
 use std::collections::{BTreeMap, HashMap};
 
 use cassiashunt_types::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// The deepest chain that is followed.
 const MAX_DEPTH: usize = 6;
 /// How long an owner's word counts.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
+/// What remembered runs weigh, in runs a second, beside what owners see: nothing once they see any.
+const REMEMBERED_RATE: f64 = 0.01;
+
 /// What an owner tells of the runs of one route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct RouteUse {
     /// What runs.
     pub route: Route,
@@ -63,6 +68,34 @@
         self.reports.insert(owner.to_owned(), report);
     }
 
+    /// What is known of the runs at each service, to be remembered over a restart of all nodes.
+    #[must_use]
+    pub fn summary(&self) -> BTreeMap<Service, Vec<RouteUse>> {
+        let mut summary: BTreeMap<Service, Vec<RouteUse>> = BTreeMap::new();
+        for (route, services) in self.runs() {
+            for (service, runs) in services {
+                summary.entry(service).or_default().push(RouteUse {
+                    route,
+                    runs_per_s: runs.rate,
+                    slot_s: runs.slot_s,
+                    calls: runs.calls.into_iter().collect(),
+                });
+            }
+        }
+        summary
+    }
+
+    /// Takes in what was known before a restart. It counts until owners have seen runs of their own.
+    pub fn remember(&mut self, now: Time, summary: BTreeMap<Service, Vec<RouteUse>>) {
+        for (service, mut uses) in summary {
+            for told in &mut uses {
+                told.runs_per_s = REMEMBERED_RATE;
+            }
+            // No node has such a name.
+            self.on_report(now, &format!("remembered {service}"), service, uses);
+        }
+    }
+
     /// Works the costs out anew; to be called about once a second.
     pub fn update(&mut self, now: Time) {
         self.reports
--- a/crates/admit/tests/chains.rs
+++ b/crates/admit/tests/chains.rs
@@ -152,3 +152,44 @@
     let uses = usage(true, true);
     assert!((calls_of(&uses, "index") - 4.0).abs() < 1e-9);
 }
+
+#[test]
+fn costs_are_known_after_a_restart_until_owners_have_seen_runs_of_their_own() {
+    let mut before = Chains::default();
+    before.on_report(
+        at(0),
+        "a",
+        name("rota"),
+        vec![told("read", 0.5, &[("tins", 8.0)])],
+    );
+    before.on_report(at(0), "b", name("stores"), vec![told("tins", 0.05, &[])]);
+    let mut after = Chains::default();
+    after.remember(at(0), before.summary());
+    after.update(at(0));
+    assert!((cost_at(&after, "read", "stores") - 0.4).abs() < 1e-9);
+    after.on_report(at(500), "b", name("stores"), vec![told("tins", 0.1, &[])]);
+    after.update(at(500));
+    let cost = cost_at(&after, "read", "stores");
+    assert!(
+        (cost - 0.8).abs() < 0.01,
+        "what is seen outweighs memory: {cost}"
+    );
+}
+
+#[test]
+fn a_summary_is_the_same_after_its_way_through_the_store() {
+    let mut chains = Chains::default();
+    chains.on_report(
+        at(0),
+        "a",
+        name("rota"),
+        vec![told("read", 0.5, &[("tins", 8.0)])],
+    );
+    let summary = chains.summary();
+    let text = serde_json::to_string(&summary).expect("it has plain keys");
+    assert_eq!(
+        serde_json::from_str::<std::collections::BTreeMap<Service, Vec<RouteUse>>>(&text)
+            .expect("it was written so"),
+        summary
+    );
+}
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -68,6 +68,16 @@
             .on_report(now, node, service, uses);
     }
 
+    /// What is known of the costs, to be remembered over a restart of all nodes.
+    pub(crate) fn summary(&self) -> BTreeMap<Service, Vec<RouteUse>> {
+        self.inner.borrow().chains.summary()
+    }
+
+    /// Takes in costs that were known before a restart.
+    pub(crate) fn remember(&self, now: Time, summary: BTreeMap<Service, Vec<RouteUse>>) {
+        self.inner.borrow_mut().chains.remember(now, summary);
+    }
+
     /// How quick an owner's server is beside the others of its service.
     pub(crate) fn pace(&self, node: &str) -> Option<f64> {
         self.inner.borrow().chains.pace(node)
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -3,11 +3,13 @@
 mod announce;
 mod client;
 mod config;
+mod costs;
 mod directory;
 
 pub(crate) use announce::{announce, withdraw};
 pub(crate) use client::StoreClient;
 pub(crate) use config::{ask_proofs, follow_config, prove_config, take_in_table};
+pub(crate) use costs::remember_costs;
 pub(crate) use directory::{drop_missing, follow_directory};
 
 use std::time::Duration;
