Look at outliers anew when servers come and go; keep the proportions of remembered runs

Found in reading: where all sound peers of a left-out server were gone, its slots still did not count as capacity, so that nearly everything for its service would have been shed; and remembered runs weighed alike at all services of a route that is split by weights. Test: a_server_whose_sound_peers_are_gone_is_not_left_out_any_more failed before.

--- a/crates/admit/src/chain.rs
+++ b/crates/admit/src/chain.rs
@@ -14,8 +14,8 @@
 /// How long an owner's word counts.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
-/// What remembered runs weigh, in runs a second, beside what owners see: nothing once they see any.
-const REMEMBERED_RATE: f64 = 0.01;
+/// What a remembered run weighs beside one that owners see: next to nothing once they see any.
+const REMEMBERED_WEIGHT: f64 = 0.001;
 
 /// What an owner tells of the runs of one route.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -89,7 +89,7 @@
     pub fn remember(&mut self, now: Time, summary: BTreeMap<Service, Vec<RouteUse>>) {
         for (service, mut uses) in summary {
             for told in &mut uses {
-                told.runs_per_s = REMEMBERED_RATE;
+                told.runs_per_s *= REMEMBERED_WEIGHT;
             }
             // No node has such a name.
             self.on_report(now, &format!("remembered {service}"), service, uses);
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -93,12 +93,16 @@
     /// Forgets a server that is gone; its key is never used again.
     pub fn remove(&mut self, key: ServerKey) {
         self.servers.remove(key);
+        self.set_outliers();
     }
 
     /// Takes in whether a server may be given work.
     pub fn set_presence(&mut self, key: ServerKey, presence: Presence) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.presence = presence;
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        if std::mem::replace(&mut server.presence, presence) != presence {
+            self.set_outliers();
         }
     }
 
--- a/crates/route/tests/outliers.rs
+++ b/crates/route/tests/outliers.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbtest;
 use cassiashunt_route::{
-    Candidate, Chooser, Failures, Options, Outcome, OwnerReport, Policy, ServerKey,
+    Candidate, Chooser, Failures, Options, Outcome, OwnerReport, Policy, Presence, ServerKey,
 };
 use cassiashunt_types::prelude::*;
 use fastrand::Rng;
@@ -87,6 +87,17 @@
     assert!(!chooser.is_outlier(keys[0]));
 }
 
+#[test]
+fn a_server_whose_sound_peers_are_gone_is_not_left_out_any_more() {
+    let (mut chooser, keys) = chooser(3);
+    report(&mut chooser, keys[0], 200);
+    assert!(chooser.is_outlier(keys[0]));
+    chooser.set_presence(keys[1], Presence::Unreachable);
+    assert!(chooser.is_outlier(keys[0]), "one sound peer is left");
+    chooser.remove(keys[2]);
+    assert!(!chooser.is_outlier(keys[0]));
+}
+
 #[test]
 fn a_server_that_is_left_out_is_still_better_than_none() {
     let (mut chooser, keys) = chooser(2);
