Let six nodes or more watch for newer tables

Now a sixth of the nodes watch, from 6 to 12. Ruled out: a peer telling late (every other table was in force everywhere within 10 ms).

--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -12,9 +12,15 @@
 /// The nodes of `live` that are homes.
 #[must_use]
 pub fn homes(live: impl Iterator<Item = String>) -> Vec<String> {
+    first_by_rank(live, HOMES)
+}
+
+/// The first `count` nodes of `live` in an order on which all nodes agree.
+#[must_use]
+pub fn first_by_rank(live: impl Iterator<Item = String>, count: usize) -> Vec<String> {
     let mut names: Vec<_> = live.collect();
     names.sort_by_key(|name| std::cmp::Reverse(hash(name, "")));
-    names.truncate(HOMES);
+    names.truncate(count);
     names
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,7 +14,7 @@
 pub use allowance::{Allowance, DELEGATION, Options as AllowanceOptions, Take};
 pub use announce::{Announcement, Heartbeat, ServerState};
 pub use freshness::{Freshness, ProofPace};
-pub use homes::{home_of, homes};
+pub use homes::{first_by_rank, home_of, homes};
 pub use table::{
     ClientLimits, InvalidTable, Repeat, RouteRow, SiteTable, Target, Unmatched, WorkspaceRow,
 };
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -7,7 +7,7 @@
     CONFIG_PREFIX, Change, Txn, config_key, decode_listing, decode_table, decode_txn, decode_watch,
     range, txn, watch,
 };
-use cassiashunt_mesh::{ProofPace, homes};
+use cassiashunt_mesh::{ProofPace, first_by_rank};
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
@@ -25,6 +25,13 @@
 const OLD_PROOF: Duration = Duration::from_millis(2_200);
 /// How often a node that watches nothing looks whether it is to.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
+/// Nodes for each one that watches the store for newer tables.
+const NODES_A_READER: usize = 6;
+/// The least number of nodes that watch. The store may fail for a third of the nodes at once, five
+/// of the users' fourteen; that all who watch are among them has to be out of the question.
+const LEAST_READERS: usize = 6;
+/// The most nodes that watch; each costs the store a call at each change.
+const MOST_READERS: usize = 12;
 /// Nodes that ask the store for all others.
 const PROVERS: usize = 2;
 /// Peers that a node asks which the store does not answer: where it answers two thirds of them, all
@@ -64,7 +71,9 @@
 fn is_reader(node: &Node) -> bool {
     let live = node.fleet.borrow().live_links();
     let own = &node.settings().name;
-    homes(live.keys().cloned().chain([own.clone()])).contains(own)
+    let names = live.keys().cloned().chain([own.clone()]);
+    let readers = (live.len() / NODES_A_READER).clamp(LEAST_READERS, MOST_READERS);
+    first_by_rank(names, readers).contains(own)
 }
 
 /// Proves again and again that the table in force is the newest, and takes in a newer one.
@@ -122,9 +131,8 @@
 
 /// The nodes that ask the store, of those that this one reaches and itself.
 fn provers(node: &Node, live: &HashMap<String, Rc<Link>>) -> Vec<String> {
-    let mut provers = homes(live.keys().cloned().chain([node.settings().name.clone()]));
-    provers.truncate(PROVERS);
-    provers
+    let own = node.settings().name.clone();
+    first_by_rank(live.keys().cloned().chain([own]), PROVERS)
 }
 
 /// Whether a peer's proof is enough for now: the last one is young, and this node is no prover.
