--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -129,8 +129,6 @@
     let bound = Duration::from_secs(5);
     let services = ["shop", "desk", "shop"];
     let site = Site::start_with_bound("site-peers-table", &services, bound);
-    // A node that the store does not answer can't learn of peers any more.
-    site.wait_until_linked();
     for fault in [Fault::Silent, Fault::Busy] {
         let lost = &site.members[..2];
         lost.iter().for_each(|member| member.door.set_fault(fault));
@@ -649,7 +647,6 @@
 fn a_new_table_costs_the_store_a_few_calls_and_not_one_a_node() {
     let services = ["shop", "desk"].repeat(6);
     let site = Site::start("site-storm", &services);
-    site.wait_until_linked();
     thread::sleep(Duration::from_secs(2));
     let before = site.store.calls();
     let since = Instant::now();
@@ -676,7 +673,6 @@
     // The bound of the users' smaller deployments.
     let converge = Duration::from_millis(2_000);
     let site = Site::start("site-ranks", &["shop", "desk", "shop", "desk", "shop"]);
-    site.wait_until_linked();
     let first = homes(site.members.iter().map(|member| member.name.clone()));
     let (lost, others): (Vec<_>, Vec<_>) =
         site.members.iter().partition(|it| first.contains(&it.name));
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -108,6 +108,7 @@
         for service in services {
             site.add(service);
         }
+        site.wait_until_linked();
         site.wait_until_serving();
         site
     }
@@ -188,7 +189,7 @@
     }
 
     /// Waits until every node has a link to every other.
-    pub fn wait_until_linked(&self) {
+    fn wait_until_linked(&self) {
         for member in &self.members {
             for peer in self.members.iter().filter(|it| it.name != member.name) {
                 eventually("the nodes know each other", || {
