Remember a server's leaving that comes before the node knows the server

It did not know the server yet, so nothing was noted, and the probe that came after it put the leaving server into service.

--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -403,6 +403,28 @@
     assert_eq!(leaving.server.runs().len(), before);
 }
 
+#[test]
+fn a_server_that_leaves_before_its_node_knows_it_gets_no_work() {
+    let mut site = Site::start("site-early-leave", &["shop", "desk", "desk"]);
+    site.members[1].node.kill();
+    site.members[1].restart();
+    let leaving = &site.members[1];
+    // The node asks its server who it is once it runs; the word may come before the answer.
+    leaving.server.set_silent(true);
+    eventually("its word is acknowledged", || {
+        let left = leaving.server.leave(leaving.heartbeats);
+        left.is_ok_and(|status| status == 200)
+    });
+    leaving.server.set_silent(false);
+    let before = leaving.server.runs().len();
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        assert_eq!(site.members[0].status_of(&read("desk")), 200);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(leaving.server.runs().len(), before);
+}
+
 #[test]
 fn odd_heartbeats_change_nothing() {
     let site = Site::start("site-heartbeats", &["shop", "desk"]);
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -41,6 +41,8 @@
 
 struct Inner {
     server: Option<Server>,
+    /// The server that left last, which may have done so before this node knew it.
+    left: Option<String>,
     /// The server's connections are refused; until the next heartbeat.
     is_down: bool,
     admission: Admission,
@@ -65,6 +67,7 @@
         Self {
             inner: RefCell::new(Inner {
                 server: None,
+                left: None,
                 is_down: false,
                 admission: Admission::new(now, options(0, Duration::ZERO)),
                 work: HashMap::new(),
@@ -248,6 +251,7 @@
     pub(crate) fn on_leave(&self, node: &Rc<Node>, id: &str) {
         let is_ours = {
             let mut inner = self.inner.borrow_mut();
+            inner.left = Some(id.to_owned());
             let server = inner.server.as_mut().filter(|server| server.id == id);
             server
                 .map(|server| server.state = ServerState::Draining)
@@ -293,8 +297,11 @@
     }
 
     /// Another start of the server takes the place of the known one.
-    fn replace(&self, node: &Rc<Node>, server: Server) {
+    fn replace(&self, node: &Rc<Node>, mut server: Server) {
         let now = clock::now();
+        if self.inner.borrow().left.as_ref() == Some(&server.id) {
+            server.state = ServerState::Draining;
+        }
         log::info!(server:% = server.id, service:% = server.service, slots = server.slots,
             state:? = server.state; "server-seen");
         self.pool.clear();
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -78,6 +78,8 @@
     /// What is done with the next requests; then they are served.
     next: VecDeque<Behaviour>,
     usual: Behaviour,
+    /// Probes of its health get no answer.
+    is_silent: bool,
     /// Calls made through the node for each request: host and path.
     calls: Vec<(String, String)>,
 }
@@ -130,6 +132,11 @@
         self.lock().usual = behaviour;
     }
 
+    /// Whether probes of its health get no answer.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.lock().is_silent = is_silent;
+    }
+
     /// What it calls for each request.
     pub fn set_calls(&self, calls: &[(&str, &str)]) {
         let calls = calls
@@ -205,6 +212,9 @@
 
     /// Answers one request; tells whether the connection is kept.
     fn answer(&self, mut stream: &TcpStream, message: &Message, node: SocketAddr) -> bool {
+        if message.word(1) == "/health" && self.lock().is_silent {
+            return false;
+        }
         if message.word(1) == "/health" {
             let text = format!(
                 "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n",
