--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -222,6 +222,14 @@
     }
 }
 
+/// The same under another key.
+pub fn read_with(service: &str, key: &str) -> Request {
+    Request {
+        key: Some(key.into()),
+        ..read(service)
+    }
+}
+
 /// A request to a service that runs once at most.
 pub fn write(service: &str) -> Request {
     Request {
--- a/crates/route/src/failures.rs
+++ b/crates/route/src/failures.rs
@@ -29,7 +29,7 @@
         self.failed *= kept;
     }
 
-    /// The share, in 256ths; it falls while nothing runs.
+    /// The share, in 255ths; it falls while nothing runs.
     pub fn share(&mut self, now: Time) -> u8 {
         self.age(now);
         (255.0 * self.failed / (self.runs + PRIOR_RUNS)) as u8
--- a/crates/route/src/outliers.rs
+++ b/crates/route/src/outliers.rs
@@ -6,7 +6,7 @@
 
 use crate::ServerKey;
 
-/// How much more of its runs a server fails than the reference, in 256ths, when it is left out: a
+/// How much more of its runs a server fails than the reference, in 255ths, when it is left out: a
 /// fifth. The share of 60 runs is uncertain by about a twentieth.
 const ENTER: u8 = 51;
 /// Below this, it is taken back in: a tenth.
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Suspect {
     pub(crate) key: ServerKey,
-    /// The share of its runs that failed lately, in 256ths.
+    /// The share of its runs that failed lately, in 255ths.
     pub(crate) failing: u8,
     /// It is left out now.
     pub(crate) is_out: bool,
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -5,7 +5,7 @@
 pub struct OwnerReport {
     /// Running and waiting requests over the concurrency limit, in 128ths.
     pub load: u8,
-    /// The share of its runs that failed lately, in 256ths.
+    /// The share of its runs that failed lately, in 255ths.
     pub failing: u8,
 }
 
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -65,7 +65,7 @@
     pub(crate) in_flight: u32,
     /// The time that it takes for its requests, over the mean of its service.
     pub(crate) pace: f64,
-    /// The share of its runs that failed lately, in 256ths, as its owner told.
+    /// The share of its runs that failed lately, in 255ths, as its owner told.
     pub(crate) failing: u8,
     /// It fails more often than its peers, and gets work only where nobody else can.
     pub(crate) is_outlier: bool,
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -35,6 +35,15 @@
         }
     }
 
+    /// The budgets that it draws on: calls take theirs out of what clients' requests have.
+    fn budgets(self) -> &'static [Self] {
+        match self {
+            Self::Chain => &[Self::Chain],
+            Self::Leaf => &[Self::Leaf],
+            Self::LeafCall => &[Self::LeafCall, Self::Leaf],
+        }
+    }
+
     fn ratio(self) -> f64 {
         match self {
             Self::Chain => CHAIN_RATIO,
@@ -61,23 +70,20 @@
         }
     }
 
-    /// Takes in a first try; clients' requests have what calls leave of their service's budget.
+    /// Takes in a first try.
     pub(crate) fn on_first_try(&self, now: Time, service: Service, kind: Kind) {
-        self.with(service, kind, |budget| budget.on_first_try(now));
-        if kind == Kind::LeafCall {
-            self.with(service, Kind::Leaf, |budget| budget.on_first_try(now));
+        for kind in kind.budgets() {
+            self.with(service, *kind, |budget| budget.on_first_try(now));
         }
     }
 
     /// Takes one retry out of the budget, if there is room.
     pub(crate) fn take_retry(&self, now: Time, service: Service, kind: Kind) -> bool {
-        let has_room = self.with(service, kind, |budget| budget.has_room(now))
-            && (kind != Kind::LeafCall
-                || self.with(service, Kind::Leaf, |budget| budget.has_room(now)));
+        let mut kinds = kind.budgets().iter();
+        let has_room = kinds.all(|kind| self.with(service, *kind, |budget| budget.has_room(now)));
         if has_room {
-            self.with(service, kind, |budget| budget.on_retry(now));
-            if kind == Kind::LeafCall {
-                self.with(service, Kind::Leaf, |budget| budget.on_retry(now));
+            for kind in kind.budgets() {
+                self.with(service, *kind, |budget| budget.on_retry(now));
             }
         }
         has_room
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    accept::accept,
     http::{Connection, ReadError, RequestHead, reason_phrase},
     metrics,
     node::Node,
@@ -26,9 +27,6 @@
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A pause after a failed accept, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// What a connection may ask for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Purpose {
@@ -37,17 +35,10 @@
 }
 
 /// Takes connections in.
-pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
+pub(crate) async fn accept_control(node: Rc<Node>, listener: TcpListener, purpose: Purpose) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream, purpose));
-            }
-            Err(err) => {
-                log::warn!(reason:% = err; "accept-failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener).await;
+        tokio::task::spawn_local(serve(Rc::clone(&node), stream, purpose));
     }
 }
 
@@ -116,15 +107,11 @@
     rendered: PrometheusHandle,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let mut connection = Connection::new(stream);
+        let mut connection = Connection::new(accept(&listener).await);
         if !matches!(timeout(IDLE, read(&mut connection)).await, Ok(Ok(_))) {
             continue;
         }
-        let peers_up = node.fleet.borrow().live_links().len();
+        let peers_up = node.fleet.borrow().links_up();
         let age = node.freshness.borrow().age(crate::clock::now());
         let version = node.table().map_or(0, |table| table.version);
         metrics::set_beliefs(peers_up, age, version);
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -138,6 +138,11 @@
             .collect()
     }
 
+    /// How many peers can be asked now.
+    pub(crate) fn links_up(&self) -> usize {
+        self.peers.values().filter(|peer| peer.link.is_up()).count()
+    }
+
     /// Names of the known peers.
     pub(crate) fn names(&self) -> Vec<String> {
         self.peers.keys().cloned().collect()
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -16,28 +16,20 @@
     request::{Incoming, handle},
 };
 use crate::{
+    accept::accept,
     clock,
     http::{Connection, ReadError, RequestHead, has_token},
     node::Node,
 };
 
-/// A pause after a failed accept, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a client may take to read an answer.
 const READ_ANSWER: Duration = Duration::from_secs(30);
 
 /// Takes connections in.
 pub(crate) async fn accept_clients(node: Rc<Node>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
-            }
-            Err(err) => {
-                log::warn!(reason:% = err; "accept-failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener).await;
+        tokio::task::spawn_local(serve(Rc::clone(&node), stream));
     }
 }
 
@@ -77,9 +69,11 @@
             Ok((head, body)) => {
                 let closes = !head.keep_alive;
                 let is_head = head.method == "HEAD";
-                let attempt = read_facts(head.pairs()).attempt;
+                let facts = read_facts(head.pairs());
+                let attempt = facts.attempt.clone();
                 let incoming = Incoming {
                     head,
+                    facts,
                     body,
                     received: clock::now(),
                 };
--- a/crates/sidecar/src/ingress/reply.rs
+++ b/crates/sidecar/src/ingress/reply.rs
@@ -50,16 +50,7 @@
     /// The answer that stands for a refusal. Only a request that did not run is told that it may
     /// come back.
     pub(crate) fn of_refusal(refusal: Refusal) -> Self {
-        let status = match (refusal.verdict, refusal.reason) {
-            (Verdict::NotRun, Reason::OverLimit) => 429,
-            (Verdict::NotRun, Reason::BadRequest) => 400,
-            (Verdict::NotRun, Reason::BadKey) => 401,
-            (Verdict::NotRun, Reason::UnknownRoute) => 404,
-            (Verdict::NotRun, _) => 503,
-            (Verdict::MayHaveRun, Reason::Deadline) => 504,
-            (Verdict::MayHaveRun, _) => 502,
-        };
-        let mut reply = Self::of_status(status);
+        let mut reply = Self::of_status(status_of(refusal));
         if let Some(after) = refusal.retry_after {
             let (name, value) = cassiashunt_adapter::retry_after(after);
             let name = name.to_owned();
@@ -100,3 +91,16 @@
         out
     }
 }
+
+/// The status that stands for a refusal.
+pub(crate) fn status_of(refusal: Refusal) -> u16 {
+    match (refusal.verdict, refusal.reason) {
+        (Verdict::NotRun, Reason::OverLimit) => 429,
+        (Verdict::NotRun, Reason::BadRequest) => 400,
+        (Verdict::NotRun, Reason::BadKey) => 401,
+        (Verdict::NotRun, Reason::UnknownRoute) => 404,
+        (Verdict::NotRun, _) => 503,
+        (Verdict::MayHaveRun, Reason::Deadline) => 504,
+        (Verdict::MayHaveRun, _) => 502,
+    }
+}
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use cassiashunt_adapter::{Facts, Prepared, prepare, read_facts};
+use cassiashunt_adapter::{Facts, Prepared, prepare};
 use cassiashunt_admit::time_to_come_back;
 use cassiashunt_mesh::{RouteRow, SiteTable, WorkspaceRow};
 use cassiashunt_types::prelude::*;
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub(crate) struct Incoming {
     pub(crate) head: RequestHead,
+    /// What its headers say.
+    pub(crate) facts: Facts,
     pub(crate) body: Bytes,
     pub(crate) received: Time,
 }
@@ -56,10 +58,10 @@
 async fn answer(node: &Rc<Node>, incoming: Incoming, trace: &mut Trace) -> Outcome {
     let Incoming {
         head,
+        facts,
         body,
         received,
     } = incoming;
-    let facts = read_facts(head.pairs());
     trace.attempt = facts.attempt.clone().unwrap_or_default();
     let Some(table) = node.table() else {
         return Outcome::Refused(come_back(node, Reason::NotInTouch, &facts, received));
--- a/crates/sidecar/src/ingress/trace.rs
+++ b/crates/sidecar/src/ingress/trace.rs
@@ -2,8 +2,8 @@
 
 use cassiashunt_types::prelude::*;
 
-use super::{forward::Forwarded, reply::Reply};
-use crate::{link::Outcome, metrics, node::Node};
+use super::{forward::Forwarded, reply::status_of};
+use crate::{clock, link::Outcome, metrics, node::Node};
 
 /// What became of a request.
 #[derive(Debug, Default)]
@@ -24,17 +24,14 @@
     pub(crate) fn end(&self, node: &Node, outcome: &Outcome, spent: Duration) {
         let (status, reason) = match outcome {
             Outcome::Answered(answer) => (answer.status, "answered"),
-            Outcome::Refused(refusal) => {
-                let status = Reply::of_refusal(*refusal).status;
-                (u32::from(status), refusal.reason.code())
-            }
+            Outcome::Refused(refusal) => (u32::from(status_of(*refusal)), refusal.reason.code()),
         };
         metrics::request_ended(status, reason, spent);
         let request = &self.attempt;
         let route = self.route.as_ref().map_or("", Route::as_str);
         let workspace = self.workspace.as_ref().map_or("", Workspace::as_str);
         let table_version = node.table().map_or(0, |table| table.version);
-        let spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        let spent_ms = clock::millis(spent);
         if let Some(forwarded) = &self.forwarded {
             let service = forwarded.service.as_ref().map_or("", Service::as_str);
             log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
@@ -49,10 +46,8 @@
                 spent_ms = spent_ms, table_version = table_version; "request-ended");
             return;
         }
-        let age = node.freshness.borrow().age(crate::clock::now());
-        let proof_age_ms = age.map_or(u64::MAX, |age| {
-            u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-        });
+        let age = node.freshness.borrow().age(clock::now());
+        let proof_age_ms = age.map_or(u64::MAX, clock::millis);
         log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
             workspace:% = workspace, proof_age_ms = proof_age_ms, spent_ms = spent_ms,
             table_version = table_version; "request-ended");
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,6 +4,7 @@
 //! in the pure parts of `cassiashunt-mesh`, `cassiashunt-admit` and `cassiashunt-route`; what the
 //! platform's bytes mean is kept in `cassiashunt-adapter`.
 
+mod accept;
 mod budget;
 mod clock;
 mod control;
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -3,21 +3,16 @@
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc};
 
 use cassiashunt_types::prelude::*;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::timeout,
-};
+use tokio::net::{TcpListener, TcpStream};
 
 use super::{
     Frame, Kind, Outcome,
     socket::{self, Reader, Sender},
 };
-use crate::node::Node;
+use crate::{accept::accept, node::Node};
 
 /// A dialler that has said nothing for so long is gone; it says something every second.
 const SILENCE: Duration = Duration::from_secs(4);
-/// A pause after a failed accept, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// The jobs of one peer by its ids.
 type Jobs = Rc<RefCell<HashMap<u64, RequestId>>>;
@@ -25,15 +20,8 @@
 /// Takes peers' connections in.
 pub(crate) async fn accept_peers(node: Rc<Node>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_peer(Rc::clone(&node), stream));
-            }
-            Err(err) => {
-                log::warn!(reason:% = err; "accept-failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener).await;
+        tokio::task::spawn_local(serve_peer(Rc::clone(&node), stream));
     }
 }
 
@@ -65,9 +53,7 @@
     jobs: &Jobs,
 ) -> io::Result<()> {
     loop {
-        let frame = timeout(SILENCE, reader.next()).await;
-        let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        let Some(Frame { kind }) = frame else {
+        let Some(Frame { kind }) = reader.next(SILENCE).await? else {
             return Ok(());
         };
         match kind {
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -10,7 +10,7 @@
 
 use cassiashunt_route::OwnerReport;
 use cassiashunt_types::prelude::*;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::sync::oneshot;
 
 use super::{
     AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest,
@@ -135,8 +135,7 @@
         }
         link.lose_all();
         node.fleet.borrow_mut().on_link_lost(&name);
-        let jitter = node.rng.borrow_mut().f64();
-        tokio::time::sleep(REDIAL.mul_f64(1.0 + jitter)).await;
+        tokio::time::sleep(node.jittered(REDIAL, 1.0)).await;
     }
 }
 
@@ -148,9 +147,7 @@
 ) -> io::Result<()> {
     let mut pinged = crate::clock::now();
     loop {
-        let frame = timeout(SILENCE, reader.next()).await;
-        let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        let Some(Frame { kind }) = frame else {
+        let Some(Frame { kind }) = reader.next(SILENCE).await? else {
             return Ok(());
         };
         let now = crate::clock::now();
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -76,8 +76,13 @@
 }
 
 impl Reader {
-    /// The next frame; nothing at the end of the connection.
-    pub(crate) async fn next(&mut self) -> io::Result<Option<Frame>> {
+    /// The next frame; nothing at the end of the connection, and an error after `silence`.
+    pub(crate) async fn next(&mut self, silence: Duration) -> io::Result<Option<Frame>> {
+        let frame = timeout(silence, self.read_frame()).await;
+        frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+
+    async fn read_frame(&mut self) -> io::Result<Option<Frame>> {
         loop {
             if let Some(bytes) = self.codec.decode(&mut self.buf)? {
                 let bytes: Bytes = bytes.freeze();
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -18,7 +18,7 @@
 };
 use serde_json::{Map, Value as Json};
 
-use crate::metrics;
+use crate::{clock, metrics};
 
 /// Bytes that wait for the writing thread at the most.
 const MAX_BUFFERED: usize = 128 * 1024;
@@ -96,7 +96,7 @@
 
 fn wall_millis() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
+    since.map_or(0, clock::millis)
 }
 
 impl Log for Logger {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -138,6 +138,17 @@
         self.stopping.get().is_some()
     }
 
+    /// The names of the nodes that this one reaches, and its own.
+    pub(crate) fn reachable(&self) -> impl Iterator<Item = String> {
+        let live = self.fleet.borrow().live_links();
+        live.into_keys().chain([self.settings().name.clone()])
+    }
+
+    /// A span made longer by up to this part of it, so that nodes do not act together.
+    pub(crate) fn jittered(&self, span: Duration, part: f64) -> Duration {
+        span.mul_f64(1.0 + part * self.rng.borrow_mut().f64())
+    }
+
     /// This node's proof that its table is the newest, for peers.
     pub(crate) fn proof(&self, now: Time, asked_us: u64) -> Option<Proof> {
         let age = self.freshness.borrow().age(now)?;
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -80,8 +80,7 @@
         let now = clock::now();
         let own = node.settings().name.clone();
         let live = node.fleet.borrow().live_links();
-        let names = live.keys().cloned().chain([own.clone()]);
-        let homes = homes(names);
+        let homes = homes(node.reachable());
         let share = 1.0 / node.fleet.borrow().size() as f64;
         for home in homes.iter().filter(|home| **home != own) {
             if let Some(link) = live.get(home) {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -67,8 +67,12 @@
     let tasks: Vec<std::pin::Pin<Box<dyn Future<Output = ()>>>> = vec![
         Box::pin(accept_clients(Rc::clone(&node), requests)),
         Box::pin(accept_peers(Rc::clone(&node), peers)),
-        Box::pin(control::accept(Rc::clone(&node), ready, Purpose::Ready)),
-        Box::pin(control::accept(
+        Box::pin(control::accept_control(
+            Rc::clone(&node),
+            ready,
+            Purpose::Ready,
+        )),
+        Box::pin(control::accept_control(
             Rc::clone(&node),
             heartbeats,
             Purpose::Heartbeats,
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -42,8 +42,7 @@
             Err(err) => {
                 failures += 1;
                 log::info!(reason:% = err, failures = failures; "announcement-failed");
-                let jitter = node.rng.borrow_mut().f64();
-                backoff(failures).mul_f64(1.0 + jitter)
+                node.jittered(backoff(failures), 1.0)
             }
         };
         // Both ends of the wait lead to the same next step.
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -26,6 +26,8 @@
 /// Why a call gave nothing that can be used.
 #[derive(Debug)]
 pub(crate) enum CallError {
+    /// It was given up for a new one.
+    GivenUp,
     /// No answer came in time; the call may have been carried out, or may be yet.
     Silent,
     /// The connection could not be opened.
@@ -39,6 +41,7 @@
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::GivenUp => f.write_str("given up for a new one"),
             Self::Silent => f.write_str("no answer in time"),
             Self::Unreachable(err) => write!(f, "unreachable: {err}"),
             Self::Lost(err) => write!(f, "connection lost: {err}"),
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -1,16 +1,15 @@
 //! The operators' table: followed for speed, proven to be the newest for withdrawn keys.
 
-use std::{collections::HashMap, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use cassiashunt_adapter::{
-    CONFIG_PREFIX, Change, Txn, config_key, decode_listing, decode_table, decode_txn, decode_watch,
-    range, txn, watch,
+    CONFIG_PREFIX, Change, Txn, config_key, decode_listing, decode_table, decode_txn, range, txn,
 };
 use cassiashunt_mesh::{ProofPace, first_by_rank};
 use cassiashunt_types::prelude::*;
 
-use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
+use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
 use crate::{
     clock,
     link::{Link, Table},
@@ -19,6 +18,8 @@
 
 /// How long a watch waits for a change.
 const WATCH: Duration = Duration::from_secs(20);
+/// The part of itself by which each wait here may be longer.
+const JITTER: f64 = 0.3;
 /// The least time between two proofs, however often a newer table is heard of.
 const LEAST_BETWEEN: Duration = Duration::from_millis(150);
 /// The age of the last proof above which a node that is no prover asks the store itself.
@@ -69,11 +70,9 @@
 
 /// Whether this node watches the store for newer tables, by those that it reaches.
 fn is_reader(node: &Node) -> bool {
-    let live = node.fleet.borrow().live_links();
-    let own = &node.settings().name;
-    let names = live.keys().cloned().chain([own.clone()]);
-    let readers = (live.len() / NODES_A_READER).clamp(LEAST_READERS, MOST_READERS);
-    first_by_rank(names, readers).contains(own)
+    let peers = node.fleet.borrow().links_up();
+    let readers = (peers / NODES_A_READER).clamp(LEAST_READERS, MOST_READERS);
+    first_by_rank(node.reachable(), readers).contains(&node.settings().name)
 }
 
 /// Proves again and again that the table in force is the newest, and takes in a newer one.
@@ -120,26 +119,24 @@
 }
 
 fn pace(node: &Node) -> ProofPace {
-    ProofPace::of(node.fleet.borrow().live_links().len() + 1, PROVERS)
+    ProofPace::of(node.fleet.borrow().links_up() + 1, PROVERS)
 }
 
 /// Waits for the next turn, or until a peer is heard to have a newer table.
 async fn wait_for_news(node: &Node, span: Duration) {
     // Both ends of the wait lead to the same next step.
-    let _ = tokio::time::timeout(jittered(node, span), node.prove_now.notified()).await;
+    let _ = tokio::time::timeout(node.jittered(span, JITTER), node.prove_now.notified()).await;
 }
 
 /// The nodes that ask the store, of those that this one reaches and itself.
-fn provers(node: &Node, live: &HashMap<String, Rc<Link>>) -> Vec<String> {
-    let own = node.settings().name.clone();
-    first_by_rank(live.keys().cloned().chain([own]), PROVERS)
+fn provers(node: &Node) -> Vec<String> {
+    first_by_rank(node.reachable(), PROVERS)
 }
 
 /// Whether a peer's proof is enough for now: the last one is young, and this node is no prover.
 fn is_proven_by_peers(node: &Node) -> bool {
-    let live = node.fleet.borrow().live_links();
     let age = node.freshness.borrow().age(clock::now());
-    !provers(node, &live).contains(&node.settings().name) && age.is_some_and(|age| age < OLD_PROOF)
+    age.is_some_and(|age| age < OLD_PROOF) && !provers(node).contains(&node.settings().name)
 }
 
 /// One prover; any few peers where the store does not answer this node, since it may not answer the
@@ -149,7 +146,7 @@
     let (names, count) = if node.is_store_lost.get() {
         (live.keys().cloned().collect(), ASKED_WITHOUT_STORE)
     } else {
-        let provers = provers(node, &live);
+        let provers = provers(node);
         let is_prover = provers.contains(&node.settings().name);
         (provers, usize::from(!is_prover))
     };
@@ -204,12 +201,7 @@
     store: &StoreClient,
     after: Revision,
 ) -> Result<Revision, CallError> {
-    let call = watch(CONFIG_PREFIX, after, WATCH);
-    let (status, body) = tokio::select! {
-        answer = store.call(&call, WATCH + CALL_TIMEOUT) => answer?,
-        () = node.store_regained.notified() => return Err(CallError::Silent),
-    };
-    let (changes, at) = decode_watch(status, &body)?;
+    let (changes, at) = watch(node, store, CONFIG_PREFIX, after, WATCH).await?;
     for change in changes {
         if let Change::Put(item) = change
             && item.key == config_key()
@@ -257,9 +249,5 @@
 }
 
 async fn pause(node: &Node, span: Duration) {
-    tokio::time::sleep(jittered(node, span)).await;
-}
-
-fn jittered(node: &Node, span: Duration) -> Duration {
-    span.mul_f64(1.0 + 0.3 * node.rng.borrow_mut().f64())
+    tokio::time::sleep(node.jittered(span, JITTER)).await;
 }
--- a/crates/sidecar/src/store/costs.rs
+++ b/crates/sidecar/src/store/costs.rs
@@ -3,9 +3,9 @@
 
 use std::{collections::BTreeMap, rc::Rc};
 
-use cassiashunt_adapter::{costs_key, decode_item, get_stale, txn};
+use cassiashunt_adapter::{costs_key, decode_item, decode_txn, get_stale, txn};
 use cassiashunt_admit::chain::RouteUse;
-use cassiashunt_mesh::homes;
+use cassiashunt_mesh::first_by_rank;
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff};
@@ -54,9 +54,7 @@
 
 /// The first of the nodes that this one reaches, itself included.
 fn is_writer(node: &Node) -> bool {
-    let live = node.fleet.borrow().live_links();
-    let own = node.settings().name.clone();
-    homes(live.keys().cloned().chain([own.clone()])).first() == Some(&own)
+    first_by_rank(node.reachable(), 1).contains(&node.settings().name)
 }
 
 async fn write(store: &StoreClient, summary: &Summary) {
@@ -69,7 +67,9 @@
     };
     // The last writer wins: any of these summaries will do.
     let call = txn(&[], &[(costs_key(), &value, 0)]);
-    if let Err(err) = store.call(&call, CALL_TIMEOUT).await {
+    let answer = store.call(&call, CALL_TIMEOUT).await;
+    let written = answer.and_then(|(status, body)| Ok(decode_txn(status, &body)?));
+    if let Err(err) = written {
         log::info!(reason:% = err; "costs-unwritten");
     }
 }
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::HashSet, rc::Rc};
 
-use cassiashunt_adapter::{Change, Item, decode_listing, decode_watch, node_prefix, range, watch};
+use cassiashunt_adapter::{Change, Item, decode_listing, node_prefix, range};
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_types::prelude::*;
 
-use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError};
+use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
 use crate::{clock, node::Node};
 
 /// How long a watch waits for a change.
@@ -42,8 +42,7 @@
                 log::warn!(reason:% = err, failures = failures; "directory-unread");
             }
         }
-        let jitter = node.rng.borrow_mut().f64();
-        tokio::time::sleep(backoff(failures).mul_f64(1.0 + jitter)).await;
+        tokio::time::sleep(node.jittered(backoff(failures), 1.0)).await;
     }
 }
 
@@ -92,12 +91,7 @@
     store: &StoreClient,
     after: Revision,
 ) -> Result<Revision, CallError> {
-    let call = watch(node_prefix(), after, WATCH);
-    let (status, body) = tokio::select! {
-        answer = store.call(&call, WATCH + CALL_TIMEOUT) => answer?,
-        () = node.store_regained.notified() => return Err(CallError::Silent),
-    };
-    let (changes, at) = decode_watch(status, &body)?;
+    let (changes, at) = watch(node, store, node_prefix(), after, WATCH).await?;
     for change in &changes {
         match change {
             Change::Put(item) => {
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod costs;
 mod directory;
+mod watch;
 
 pub(crate) use announce::{announce, withdraw};
 pub(crate) use client::StoreClient;
--- a/crates/standin/src/site/client.rs
+++ b/crates/standin/src/site/client.rs
@@ -86,11 +86,7 @@
     /// The first value of a field.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self
-            .headers
-            .iter()
-            .filter(|(it, _)| it.eq_ignore_ascii_case(name));
-        found.next().map(|(_, value)| value.as_str())
+        wire::header(&self.headers, name)
     }
 }
 
--- a/crates/standin/src/site/wire.rs
+++ b/crates/standin/src/site/wire.rs
@@ -15,11 +15,7 @@
 
 impl Message {
     pub(super) fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self
-            .headers
-            .iter()
-            .filter(|(it, _)| it.eq_ignore_ascii_case(name));
-        found.next().map(|(_, value)| value.as_str())
+        header(&self.headers, name)
     }
 
     /// A word of the first line.
@@ -28,6 +24,14 @@
     }
 }
 
+/// The first value of a field.
+pub(super) fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let mut found = headers
+        .iter()
+        .filter(|(it, _)| it.eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.as_str())
+}
+
 /// Reads one message; nothing at the end of the connection.
 pub(super) fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
     let mut message = Message::default();
