--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -33,6 +33,11 @@
     by_rank.map(String::as_str)
 }
 
+/// The rank of a node for a purpose; nodes with the same view agree on it.
+pub(crate) fn rank(node: &str, purpose: &str) -> u64 {
+    hash(node, purpose)
+}
+
 /// FNV-1a over both names, 64 bits, finished by the mixer of `SplitMix64`.
 fn hash(node: &str, workspace: &str) -> u64 {
     let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
--- /dev/null
+++ b/crates/mesh/tests/subset.rs
@@ -0,0 +1,70 @@
+//! The owners that a node keeps connections to.
+
+use std::collections::{HashMap, HashSet};
+
+use cassiashunt_mesh::{SUBSET, Width, subset};
+use cassiashunt_types::prelude::*;
+
+fn fleet(size: usize) -> Vec<(String, FailureDomain)> {
+    let domain = |at: usize| format!("domain-{}", at % 5).parse().expect("a plain name");
+    (0..size)
+        .map(|at| (format!("node-{at}"), domain(at)))
+        .collect()
+}
+
+#[test]
+fn few_owners_are_all_kept() {
+    let owners = fleet(SUBSET);
+    let (own, domain) = owners[0].clone();
+    assert_eq!(subset(&own, domain, owners, 1).len(), SUBSET);
+}
+
+#[test]
+fn the_number_of_connections_does_not_grow_with_the_fleet_and_they_spread_over_the_owners() {
+    for size in [60, 98, 196, 500, 1_026] {
+        let nodes = fleet(size);
+        let owners: Vec<_> = nodes.iter().take(size / 2).cloned().collect();
+        let mut chosen: HashMap<String, usize> = HashMap::new();
+        for (name, domain) in &nodes {
+            let own = subset(name, *domain, owners.clone(), 1);
+            assert_eq!(own.len(), SUBSET.min(owners.len()), "{size} nodes");
+            assert_eq!(own.iter().collect::<HashSet<_>>().len(), own.len());
+            own.into_iter()
+                .for_each(|it| *chosen.entry(it).or_default() += 1);
+        }
+        let mean = chosen.values().sum::<usize>() as f64 / owners.len() as f64;
+        let most = chosen.values().copied().max().expect("some") as f64;
+        assert_eq!(chosen.len(), owners.len(), "every owner is somebody's");
+        assert!(most <= 1.5 * mean, "{size} nodes: {most} of {mean}");
+    }
+}
+
+#[test]
+fn an_owner_that_joins_or_leaves_moves_few_connections() {
+    let nodes = fleet(196);
+    let (own, domain) = nodes[3].clone();
+    let before: HashSet<_> = subset(&own, domain, nodes.clone(), 1).into_iter().collect();
+    let fewer = nodes.iter().filter(|(name, _)| name != "node-50").cloned();
+    let after: HashSet<_> = subset(&own, domain, fewer.collect(), 1)
+        .into_iter()
+        .collect();
+    assert!(before.difference(&after).count() <= 1);
+}
+
+#[test]
+fn a_subset_that_is_full_while_the_service_has_room_is_widened_and_falls_back_later() {
+    let mut width = Width::default();
+    let at = |secs: u64| Time::from_millis(100_000 + 1_000 * secs);
+    assert!(
+        !width.step(at(0), Some(0.95), 0.9),
+        "the whole service is as full"
+    );
+    assert!(!width.step(at(1), Some(0.5), 0.1), "there is room in reach");
+    assert!(width.step(at(2), Some(0.95), 0.6));
+    assert_eq!(width.factor(), 2);
+    assert!(width.step(at(3), None, 0.6), "nobody in reach serves");
+    assert_eq!(width.factor(), 4);
+    assert!(!width.step(at(5), Some(0.6), 0.6));
+    assert!(width.step(at(14), Some(0.6), 0.6));
+    assert_eq!(width.factor(), 2);
+}
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The live nodes as this one sees them, and the choice among their backend servers.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
 };
@@ -15,7 +15,10 @@
 use cassiashunt_types::prelude::*;
 use tokio::task::AbortHandle;
 
-use crate::link::{Link, Load, keep_link};
+use crate::{
+    link::{Link, Load, keep_link},
+    node::Node,
+};
 
 /// The time over which a cold server comes to its full share: the users' servers are slow for 3 s
 /// after their start.
@@ -24,6 +27,9 @@
 /// What a server's pace weighs beside its free slots. Weighed in `docs/results/platform.md`.
 const PACE_WEIGHT: f64 = 0.5;
 
+/// How long a connection is kept that is of no use any more.
+const KEPT_UNWANTED: Duration = Duration::from_secs(5);
+
 /// How a backend server is reached.
 #[derive(Debug, Clone)]
 pub(crate) enum Way {
@@ -55,8 +61,12 @@
 
 struct Peer {
     announcement: Announcement,
+    address: SocketAddr,
     link: Rc<Link>,
-    task: AbortHandle,
+    /// What keeps the link, where this node is to be connected to the peer.
+    task: Option<AbortHandle>,
+    seen: Time,
+    unwanted_since: Option<Time>,
     key: ServerKey,
     /// When its entry disappeared from the store.
     missing_since: Option<Time>,
@@ -97,10 +107,10 @@
         }
     }
 
-    fn capacity(&self) -> Capacity {
+    fn left_out(&self) -> Capacity {
         let mut sum = Capacity::default();
-        let sound = self.capacities.iter();
-        for (_, capacity) in sound.filter(|(key, _)| !self.chooser.is_outlier(**key)) {
+        let out = self.capacities.iter();
+        for (_, capacity) in out.filter(|(key, _)| self.chooser.is_outlier(**key)) {
             sum.slots += capacity.slots;
             sum.busy += capacity.busy;
         }
@@ -148,13 +158,77 @@
         self.peers.keys().cloned().collect()
     }
 
+    /// The known peers and their failure domains.
+    pub(crate) fn members(&self) -> Vec<(String, FailureDomain)> {
+        let peers = self.peers.iter();
+        peers
+            .map(|(name, peer)| (name.clone(), peer.announcement.domain))
+            .collect()
+    }
+
+    /// Whether a peer has been known for less than a time.
+    pub(crate) fn is_new(&self, now: Time, name: &str, span: Duration) -> bool {
+        let peer = self.peers.get(name);
+        peer.is_some_and(|peer| now.since(peer.seen) < span)
+    }
+
+    /// The link to a peer.
+    pub(crate) fn link(&self, name: &str) -> Option<&Rc<Link>> {
+        self.peers.get(name).map(|peer| &peer.link)
+    }
+
+    /// Connects this node to the peers of `wanted`, and ends connections to others that have been of
+    /// no use for a while.
+    pub(crate) fn rewire(&mut self, now: Time, node: &Rc<Node>, wanted: &HashSet<String>) {
+        let mut ended = Vec::new();
+        for (name, peer) in &mut self.peers {
+            if wanted.contains(name) {
+                peer.unwanted_since = None;
+                peer.task.get_or_insert_with(|| {
+                    let link = Rc::clone(&peer.link);
+                    let run = keep_link(Rc::clone(node), name.clone(), peer.address, link);
+                    tokio::task::spawn_local(run).abort_handle()
+                });
+                continue;
+            }
+            let since = *peer.unwanted_since.get_or_insert(now);
+            let is_over = now.since(since) >= KEPT_UNWANTED && peer.link.is_idle();
+            if let Some(task) = peer.task.take_if(|_| is_over) {
+                task.abort();
+                peer.link.lose_all();
+                ended.push((peer.announcement.service, peer.key));
+            }
+        }
+        for (service, key) in ended {
+            self.set_presence(service, key, Presence::Unreachable);
+        }
+    }
+
+    /// The owners of each service among the peers.
+    pub(crate) fn owners(&self) -> BTreeMap<Service, Vec<(String, FailureDomain)>> {
+        let mut owners: BTreeMap<Service, Vec<_>> = BTreeMap::new();
+        for (name, peer) in &self.peers {
+            let owner = (name.clone(), peer.announcement.domain);
+            owners
+                .entry(peer.announcement.service)
+                .or_default()
+                .push(owner);
+        }
+        owners
+    }
+
+    /// The load of the servers of a service that this node can give work, in parts of their slots;
+    /// nothing where there are none.
+    pub(crate) fn load_in_reach(&self, service: Service) -> Option<f64> {
+        let capacities = self.groups.get(&service)?.capacities.values();
+        let (slots, busy) = capacities.fold((0.0, 0.0), |(slots, busy), it| {
+            (slots + it.slots, busy + it.busy)
+        });
+        (slots > 0.0).then(|| busy / slots)
+    }
+
     /// Takes in what a peer announced.
-    pub(crate) fn on_announced(
-        &mut self,
-        node: &Rc<crate::node::Node>,
-        name: &str,
-        announcement: Announcement,
-    ) {
+    pub(crate) fn on_announced(&mut self, name: &str, announcement: Announcement) {
         let now = crate::clock::now();
         if self.update(now, name, &announcement) {
             return;
@@ -173,12 +247,13 @@
             Way::Link(name.to_owned(), Rc::clone(&link)),
         );
         self.set_presence(announcement.service, key, Presence::Unreachable);
-        let run = keep_link(Rc::clone(node), name.to_owned(), address, Rc::clone(&link));
-        let task = tokio::task::spawn_local(run).abort_handle();
         let peer = Peer {
             announcement,
+            address,
             link,
-            task,
+            task: None,
+            seen: now,
+            unwanted_since: None,
             key,
             missing_since: None,
         };
@@ -221,18 +296,19 @@
     }
 
     /// Drops the peers whose entry has been missing for `after` and that can't be reached. One that
-    /// is cut off from the store alone goes on serving.
-    pub(crate) fn drop_missing(&mut self, now: Time, after: Duration) {
+    /// is cut off from the store alone goes on serving. Whether any was dropped.
+    pub(crate) fn drop_missing(&mut self, now: Time, after: Duration) -> bool {
         let is_gone = |peer: &Peer| {
             let since = peer.missing_since;
             !peer.link.is_up() && since.is_some_and(|since| now.since(since) >= after)
         };
         let gone = self.peers.iter().filter(|(_, peer)| is_gone(peer));
         let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
-        for name in gone {
+        for name in &gone {
             log::info!(peer:% = name; "peer-gone");
-            self.remove(&name);
+            self.remove(name);
         }
+        !gone.is_empty()
     }
 
     /// Takes in what this node's own server is ready for.
@@ -268,12 +344,16 @@
         }
     }
 
-    /// What each service has and does.
-    pub(crate) fn capacities(&self) -> BTreeMap<Service, Capacity> {
-        let groups = self.groups.iter();
-        groups
-            .map(|(service, group)| (*service, group.capacity()))
-            .collect()
+    /// Takes the servers that fail more than others out of what services have: others get their
+    /// work.
+    pub(crate) fn leave_out(&self, capacities: &mut BTreeMap<Service, Capacity>) {
+        for (service, group) in &self.groups {
+            if let Some(sum) = capacities.get_mut(service) {
+                let out = group.left_out();
+                sum.slots = (sum.slots - out.slots).max(0.0);
+                sum.busy = (sum.busy - out.busy).max(0.0);
+            }
+        }
     }
 
     /// Takes in what a peer tells of its owner.
@@ -289,20 +369,16 @@
         }
         if let Some(group) = self.groups.get_mut(&service) {
             group.on_load(now, key, load);
+            if load.pace > 0.0 {
+                group.chooser.set_pace(key, f64::from(load.pace));
+            }
         }
         self.set_presence(service, key, presence(load.is_serving));
     }
 
-    /// Takes in how quick a node's server is.
-    pub(crate) fn set_pace(&mut self, name: Option<&str>, pace: f64) {
-        let found = match name {
-            Some(name) => self
-                .peers
-                .get(name)
-                .map(|peer| (peer.announcement.service, peer.key)),
-            None => self.local,
-        };
-        if let Some((service, key)) = found
+    /// Takes in how quick this node's server is.
+    pub(crate) fn set_pace(&mut self, pace: f64) {
+        if let Some((service, key)) = self.local
             && let Some(group) = self.groups.get_mut(&service)
         {
             group.chooser.set_pace(key, pace);
@@ -402,7 +478,7 @@
 
     fn remove(&mut self, name: &str) {
         if let Some(peer) = self.peers.remove(name) {
-            peer.task.abort();
+            peer.task.iter().for_each(AbortHandle::abort);
             peer.link.lose_all();
             self.forget(peer.announcement.service, peer.key);
         }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -22,6 +22,9 @@
 mod shed;
 mod stop;
 mod store;
+mod sums;
+mod tree;
+mod wiring;
 
 pub use run::run;
 pub use settings::{Settings, SettingsError};
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -6,10 +6,10 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    Frame, Kind, Outcome,
+    Frame, Kind, Outcome, news,
     socket::{self, Reader, Sender},
 };
-use crate::{accept::accept, node::Node};
+use crate::{accept::accept, node::Node, tree};
 
 /// A dialler that has said nothing for so long is gone; it says something every second.
 const SILENCE: Duration = Duration::from_secs(4);
@@ -52,12 +52,19 @@
     tx: &Sender,
     jobs: &Jobs,
 ) -> io::Result<()> {
+    let mut name = String::new();
     loop {
         let Some(Frame { kind }) = reader.next(SILENCE).await? else {
             return Ok(());
         };
         match kind {
-            Some(Kind::Hello(_) | Kind::Ping(_)) => {}
+            Some(Kind::Hello(hello)) => name = hello.name,
+            Some(Kind::Ping(false)) => {}
+            Some(Kind::Up(up)) => tree::on_up(node, &name, tx, &up),
+            Some(Kind::Ping(true)) => {
+                // A peer that reads nothing needs no word.
+                let _ = tx.try_send(Kind::Load(node.load()).into());
+            }
             Some(Kind::Request(request)) => {
                 let id = request.id;
                 let (job, outcome) = node.owner.submit(node, request);
@@ -91,18 +98,16 @@
                     let _ = tx.try_send(Kind::Proof(proof).into());
                 }
             }
-            Some(Kind::AskTable(_)) => {
-                if let Some(table) = node.table_value.borrow().clone() {
-                    // A peer that gets none asks again.
-                    let _ = tx.try_send(Kind::Table(table).into());
-                }
-            }
             Some(Kind::AskTokens(ask)) => {
                 let given = node.quotas.give(crate::clock::now(), &ask);
                 // The tokens are gone where the queue is full, which is the safe side.
                 let _ = tx.try_send(Kind::GiveTokens(given).into());
             }
-            other => log::warn!(frame:? = other; "odd-frame"),
+            Some(other) => news::on_frame(node, &name, other, |kind| {
+                // A peer whose queue is full asks again.
+                tx.try_send(kind.into()).is_ok()
+            }),
+            None => log::warn!(peer:% = name; "empty-frame"),
         }
     }
 }
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -8,23 +8,21 @@
     rc::Rc,
 };
 
+use cassiashunt_mesh::{LinkWatch, Watched};
 use cassiashunt_route::OwnerReport;
 use cassiashunt_types::prelude::*;
 use tokio::sync::oneshot;
 
 use super::{
-    AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest,
+    AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest, news,
     socket::{self, Reader, Sender},
 };
-use crate::{node::Node, store::take_in_table};
+use crate::{node::Node, tree};
 
-/// A peer that has said nothing for so long is asked nothing more; it tells its load several times
-/// a second.
-const SILENCE: Duration = Duration::from_millis(1_500);
 /// The time between two tries to connect, up to twice as long.
 const REDIAL: Duration = Duration::from_millis(150);
-/// The time between two signs of life of the dialling side.
-const PING: Duration = Duration::from_secs(1);
+/// How often a link is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
 
 /// How a request ended, and the owner's report where it came with it.
 type Ending = (Outcome, Option<OwnerReport>);
@@ -35,6 +33,7 @@
     tx: RefCell<Option<Sender>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<Ending>>>,
     last: Cell<u64>,
+    watch: Cell<LinkWatch>,
 }
 
 impl Link {
@@ -43,6 +42,11 @@
         self.tx.borrow().is_some()
     }
 
+    /// Whether nothing waits for the peer.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.pending.borrow().is_empty()
+    }
+
     /// Sends a request; nothing where the connection is down or its queue is full, and then the
     /// peer never sees it.
     pub(crate) fn request(
@@ -68,6 +72,21 @@
         }
     }
 
+    /// Looks at the connection: asks for a word where the peer says nothing. Whether it is lost.
+    fn look(&self, now: Time) -> bool {
+        let mut watch = self.watch.get();
+        let step = watch.look(now, !self.is_idle());
+        self.watch.set(watch);
+        match step {
+            Watched::Quiet => false,
+            Watched::Ping { wants_word } => {
+                self.send(Kind::Ping(wants_word));
+                false
+            }
+            Watched::Lost => true,
+        }
+    }
+
     /// Asks the peer for tokens.
     pub(crate) fn ask_tokens(&self, ask: AskTokens) -> bool {
         self.send(Kind::AskTokens(ask))
@@ -84,6 +103,12 @@
         self.send(Kind::AskProof(now.as_micros()));
     }
 
+    /// Tells the peer this node's words for the tree; the next ones follow soon where the queue is
+    /// full or the connection down.
+    pub(crate) fn tell(&self, kind: Kind) {
+        self.send(kind);
+    }
+
     fn send(&self, kind: Kind) -> bool {
         let tx = self.tx.borrow();
         tx.as_ref()
@@ -145,43 +170,48 @@
     mut reader: Reader,
     link: &Rc<Link>,
 ) -> io::Result<()> {
-    let mut pinged = crate::clock::now();
+    link.watch.set(LinkWatch::new(crate::clock::now()));
+    let mut looks = tokio::time::interval(LOOK_EVERY);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let Some(Frame { kind }) = reader.next(SILENCE).await? else {
+        // Reading keeps what came in so far where it is interrupted.
+        let frame = tokio::select! {
+            biased;
+            frame = reader.read_frame() => frame?,
+            _ = looks.tick() => {
+                if link.look(crate::clock::now()) {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+                continue;
+            }
+        };
+        let Some(Frame { kind }) = frame else {
             return Ok(());
         };
         let now = crate::clock::now();
-        if now.since(pinged) >= PING {
-            pinged = now;
-            link.send(Kind::Ping(true));
+        let mut watch = link.watch.get();
+        watch.on_heard(now);
+        link.watch.set(watch);
+        on_frame(node, name, link, now, kind);
+    }
+}
+
+fn on_frame(node: &Rc<Node>, name: &str, link: &Rc<Link>, now: Time, kind: Option<Kind>) {
+    match kind {
+        Some(Kind::Ended(ended)) => {
+            let report = OwnerReport::from_bits(ended.report);
+            link.end(ended.id, Outcome::from_ended(ended), report);
         }
-        match kind {
-            Some(Kind::Ended(ended)) => {
-                let report = OwnerReport::from_bits(ended.report);
-                link.end(ended.id, Outcome::from_ended(ended), report);
-            }
-            Some(Kind::Load(load)) => {
-                if node.on_peer_revision(now, Revision(load.table_revision)) {
-                    link.send(Kind::AskTable(true));
-                }
-                node.shedding.on_demand(now, name, &load.demand);
-                if let Ok(service) = load.service.parse()
-                    && !load.uses.is_empty()
-                {
-                    node.shedding.on_uses(now, name, service, &load.uses);
-                    if let Some(pace) = node.shedding.pace(name) {
-                        node.fleet.borrow_mut().set_pace(Some(name), pace);
-                    }
-                }
-                node.fleet.borrow_mut().on_load(now, name, &load);
-            }
-            Some(Kind::Proof(proof)) => node.on_proof(now, &proof),
-            Some(Kind::Table(table)) => {
-                log::info!(peer:% = name, revision = table.revision; "table-from-peer");
-                take_in_table(node, table);
+        Some(Kind::Load(load)) => {
+            if node.on_peer_revision(now, Revision(load.table_revision)) {
+                link.send(Kind::AskTable(true));
             }
-            Some(Kind::GiveTokens(given)) => node.quotas.receive(now, &given),
-            other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
+            node.fleet.borrow_mut().on_load(now, name, &load);
         }
+        Some(Kind::Proof(proof)) => node.on_proof(now, &proof),
+        Some(Kind::Down(down)) => tree::on_down(node, now, name, &down, |kind| link.send(kind)),
+        Some(Kind::GiveTokens(given)) => node.quotas.receive(now, &given),
+        Some(other) => news::on_frame(node, name, other, |kind| link.send(kind)),
+        None => log::warn!(peer:% = name; "empty-frame"),
     }
 }
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -8,7 +8,10 @@
 /// One message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Frame {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "Kind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+    )]
     pub(crate) kind: Option<Kind>,
 }
 
@@ -36,7 +39,7 @@
     /// Tokens handed over.
     #[prost(message, tag = "7")]
     GiveTokens(GiveTokens),
-    /// The dialler is still there.
+    /// The dialler is still there; whether it wants a word in return.
     #[prost(bool, tag = "8")]
     Ping(bool),
     /// A node's shares of limits are the home's for a moment.
@@ -54,6 +57,18 @@
     /// The operators' table as the peer has read it.
     #[prost(message, tag = "13")]
     Table(Table),
+    /// What the sender and those below it in the tree have and ask for.
+    #[prost(message, tag = "14")]
+    Up(Up),
+    /// The answer to it.
+    #[prost(message, tag = "15")]
+    Down(Down),
+    /// Asks for the changes of nodes' entries after this revision of the store.
+    #[prost(uint64, tag = "16")]
+    AskNews(u64),
+    /// These changes.
+    #[prost(message, tag = "17")]
+    News(EntryNews),
 }
 
 impl From<Kind> for Frame {
@@ -164,17 +179,134 @@
     /// Requests that run or wait.
     #[prost(uint32, tag = "5")]
     pub(crate) busy: u32,
-    /// What the node's clients ask for.
-    #[prost(message, repeated, tag = "6")]
-    pub(crate) demand: Vec<DemandEntry>,
-    /// What the server's runs take and call; only in one of several messages.
-    #[prost(message, repeated, tag = "7")]
-    pub(crate) uses: Vec<RunUse>,
+    /// The time that the server takes for its requests, over the mean of its service; zero where
+    /// that is not known.
+    #[prost(float, tag = "6")]
+    pub(crate) pace: f32,
     /// The store's revision of the newest table that the node has read.
     #[prost(uint64, tag = "8")]
     pub(crate) table_revision: u64,
 }
 
+/// What some nodes have and ask for.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct SumRow {
+    #[prost(uint32, tag = "1")]
+    pub(crate) nodes: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) capacities: Vec<CapacityEntry>,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) demand: Vec<DemandEntry>,
+    /// What runs take and call, told less often than the rest.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) uses: Option<UsesRow>,
+}
+
+/// What the owners of a service have and do.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct CapacityEntry {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    #[prost(float, tag = "2")]
+    pub(crate) slots: f32,
+    #[prost(float, tag = "3")]
+    pub(crate) busy: f32,
+}
+
+/// What the runs at each service take and call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct UsesRow {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) services: Vec<ServiceUses>,
+}
+
+/// What the runs at one service take and call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct ServiceUses {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) uses: Vec<RunUse>,
+}
+
+/// What the sender and those below it in the tree have and ask for, and a question.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Up {
+    /// Nothing where the sender tells another node from now on.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) sum: Option<SumRow>,
+    /// The sender's time, in microseconds; it comes back with the answer.
+    #[prost(uint64, tag = "2")]
+    pub(crate) asked_us: u64,
+    /// The sender is the head of another failure domain, and no child.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_head: bool,
+    /// Sums of heads of other failure domains that were told to the sender.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) origins: Vec<OriginRow>,
+    #[prost(message, optional, tag = "5")]
+    pub(crate) known: Option<Known>,
+}
+
+/// A sum of another failure domain, passed on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct OriginRow {
+    #[prost(string, tag = "1")]
+    pub(crate) name: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) age_us: u64,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) sum: Option<SumRow>,
+}
+
+/// The answer to what a node told, or news without a question.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Down {
+    /// What all but the receiver and those below it have and ask for; nothing for another head.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) rest: Option<SumRow>,
+    /// That the sender's table is the newest; only with an answer.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) proof: Option<Proof>,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) known: Option<Known>,
+}
+
+/// What a node has read in the store or heard from others, by the store's revisions.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct Known {
+    /// Of the newest table.
+    #[prost(uint64, tag = "1")]
+    pub(crate) table: u64,
+    /// Up to which it knows all changes of entries.
+    #[prost(uint64, tag = "2")]
+    pub(crate) entries: u64,
+}
+
+/// Changes of nodes' entries.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EntryNews {
+    #[prost(uint64, tag = "1")]
+    pub(crate) at: u64,
+    /// These are all entries; names that are not among them are gone.
+    #[prost(bool, tag = "2")]
+    pub(crate) is_all: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) changes: Vec<EntryRow>,
+}
+
+/// A change of one entry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EntryRow {
+    #[prost(string, tag = "1")]
+    pub(crate) name: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: u64,
+    /// Nothing where the entry is gone.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub(crate) value: Option<Bytes>,
+}
+
 /// What clients ask of a service at a priority.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct DemandEntry {
--- /dev/null
+++ b/crates/sidecar/src/link/news.rs
@@ -0,0 +1,64 @@
+//! Questions for newer tables and entries, and their answers, on either end of a connection.
+
+use std::rc::Rc;
+
+use cassiashunt_mesh::{EntryChange, News};
+use cassiashunt_types::prelude::*;
+
+use super::{EntryNews, EntryRow, Kind};
+use crate::{
+    node::Node,
+    store::{take_in_news, take_in_table},
+};
+
+/// Takes in a question or its answer; `send` sends to the peer that it is from. A peer that gets no
+/// answer asks again.
+pub(super) fn on_frame(node: &Rc<Node>, name: &str, kind: Kind, send: impl Fn(Kind) -> bool) {
+    match kind {
+        Kind::AskTable(_) => {
+            if let Some(table) = node.table_value.borrow().clone() {
+                send(Kind::Table(table));
+            }
+        }
+        Kind::Table(table) => {
+            log::info!(peer:% = name, revision = table.revision; "table-from-peer");
+            take_in_table(node, table);
+        }
+        Kind::AskNews(since) => {
+            let news = node.directory.borrow().news_since(Revision(since));
+            send(Kind::News(to_row(news)));
+        }
+        Kind::News(row) => {
+            let known = node.directory.borrow().at();
+            log::debug!(peer:% = name, known = known.0, at = row.at; "entries-from-peer");
+            take_in_news(node, from_row(row));
+        }
+        other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
+    }
+}
+
+fn to_row(news: News) -> EntryNews {
+    let changes = news.changes.into_iter().map(|change| EntryRow {
+        name: change.name,
+        revision: change.revision.0,
+        value: change.value.map(Into::into),
+    });
+    EntryNews {
+        at: news.at.0,
+        is_all: news.is_all,
+        changes: changes.collect(),
+    }
+}
+
+fn from_row(row: EntryNews) -> News {
+    let changes = row.changes.into_iter().map(|change| EntryChange {
+        name: change.name,
+        revision: Revision(change.revision),
+        value: change.value.map(|value| value.to_vec()),
+    });
+    News {
+        at: Revision(row.at),
+        is_all: row.is_all,
+        changes: changes.collect(),
+    }
+}
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -82,7 +82,9 @@
         frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 
-    async fn read_frame(&mut self) -> io::Result<Option<Frame>> {
+    /// The next frame; nothing at the end of the connection. What has come in is kept where this is
+    /// dropped before its end.
+    pub(crate) async fn read_frame(&mut self) -> io::Result<Option<Frame>> {
         loop {
             if let Some(bytes) = self.codec.decode(&mut self.buf)? {
                 let bytes: Bytes = bytes.freeze();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,7 +5,8 @@
     rc::Rc,
 };
 
-use cassiashunt_mesh::prelude::*;
+use cassiashunt_admit::root::Capacity;
+use cassiashunt_mesh::{Directory, Sum, prelude::*};
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
 
@@ -13,12 +14,14 @@
     budget::Budgets,
     fleet::Fleet,
     ingress::Splits,
-    link::{Frame, Load, Proof, Table},
+    link::{Frame, Known, Load, Proof, Table},
     owner::Owner,
     quota::Quotas,
     settings::Settings,
-    shed::{self, Shedding},
+    shed::Shedding,
     store::StoreClient,
+    tree::Standing,
+    wiring::Widths,
 };
 
 /// The time between two questions for a newer table, to whichever peers tell of it.
@@ -42,7 +45,7 @@
     outdated_since: Cell<Option<Time>>,
     /// When a peer was asked for it.
     table_asked: Cell<Option<Time>>,
-    /// Wakes the task that tells peers the load and the table's revision.
+    /// Wakes the task that tells the tree what this node knows.
     pub(crate) tell_now: Notify,
     /// The table as it was read, for peers that the store does not answer.
     pub(crate) table_value: RefCell<Option<Table>>,
@@ -52,6 +55,10 @@
     /// Whether keys could be accepted when that was asked last.
     was_fresh: Cell<bool>,
     pub(crate) fleet: RefCell<Fleet>,
+    /// The nodes' entries in the store.
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) standing: Standing,
+    pub(crate) widths: Widths,
     pub(crate) owner: Owner,
     pub(crate) quotas: Quotas,
     pub(crate) budgets: Budgets,
@@ -64,6 +71,8 @@
     pub(crate) stopping: Cell<Option<Time>>,
     /// Requests of clients and of the backend server that have no answer yet.
     pub(crate) open_requests: Cell<usize>,
+    /// Tells that the table has been read for the first time.
+    pub(crate) table_read: Notify,
     /// Wakes the task that proves the table to be the newest.
     pub(crate) prove_now: Notify,
     /// Wakes the tasks that wait for changes in the store: connections that hung while it was away
@@ -98,6 +107,9 @@
             freshness: RefCell::new(Freshness::new(bound)),
             was_fresh: Cell::new(false),
             fleet: RefCell::new(Fleet::new(domain)),
+            directory: RefCell::default(),
+            standing: Standing::default(),
+            widths: Widths::default(),
             owner: Owner::new(crate::clock::now()),
             quotas: Quotas::default(),
             budgets: Budgets::new(ratio, window),
@@ -107,6 +119,7 @@
             listeners: RefCell::new(Vec::new()),
             stopping: Cell::new(None),
             open_requests: Cell::new(0),
+            table_read: Notify::new(),
             prove_now: Notify::new(),
             store_regained: Notify::new(),
             is_entry_lost: Cell::new(false),
@@ -138,12 +151,6 @@
         self.stopping.get().is_some()
     }
 
-    /// The names of the nodes that this one reaches, and its own.
-    pub(crate) fn reachable(&self) -> impl Iterator<Item = String> {
-        let live = self.fleet.borrow().live_links();
-        live.into_keys().chain([self.settings().name.clone()])
-    }
-
     /// A span made longer by up to this part of it, so that nodes do not act together.
     pub(crate) fn jittered(&self, span: Duration, part: f64) -> Duration {
         span.mul_f64(1.0 + part * self.rng.borrow_mut().f64())
@@ -240,17 +247,51 @@
             service: self.service().as_str().into(),
             slots: self.owner.limit(),
             busy: self.owner.busy_slots(),
-            demand: self.shedding.demand(),
-            uses: Vec::new(),
+            pace: self
+                .shedding
+                .pace(&self.settings().name)
+                .unwrap_or_default() as f32,
             table_revision: self.table_revision.get().0,
         }
     }
 
-    /// Takes in what this node knows of itself, and decides anew what fits.
+    /// What this node has read or heard, for others.
+    pub(crate) fn known(&self) -> Known {
+        Known {
+            table: self.table_revision.get().0,
+            entries: self.directory.borrow().at().0,
+        }
+    }
+
+    /// What this node's server has and its clients ask for.
+    pub(crate) fn own_sum(&self) -> Sum {
+        let load = self.load();
+        let capacity = Capacity {
+            slots: f64::from(load.slots),
+            busy: f64::from(load.busy),
+        };
+        let capacities = load.is_serving.then(|| (self.service(), capacity));
+        let demand = self.shedding.demand().into_iter();
+        Sum {
+            nodes: 1,
+            capacities: capacities.into_iter().collect(),
+            demand: demand
+                .map(|it| ((it.priority, it.service), it.slots))
+                .collect(),
+        }
+    }
+
+    /// Takes in what all nodes have and ask for, and decides anew what fits. While too little of
+    /// that is known, what was decided last stays, and owners' queues bound the rest.
     pub(crate) fn step_shedding(&self) {
         let now = crate::clock::now();
-        let capacities = self.fleet.borrow().capacities();
-        self.shedding.step(now, &capacities);
+        let nodes = self.fleet.borrow().size();
+        if let Some((total, rest)) = self.standing.sums(now, nodes) {
+            let mut capacities = total.capacities;
+            self.fleet.borrow().leave_out(&mut capacities);
+            self.shedding.on_rest(now, rest.demand_list());
+            self.shedding.step(now, capacities);
+        }
     }
 
     /// Tells all peers this node's load, and forgets those that are gone.
@@ -258,26 +299,23 @@
         self.tell(self.load());
     }
 
-    /// Logs where not all of the clients' demand fits.
-    pub(crate) fn log_shortages(&self) {
-        let capacities = self.fleet.borrow().capacities();
-        self.shedding.log_shortages(&capacities);
-    }
-
-    /// Tells all peers this node's load, and what its server's runs take and call.
-    pub(crate) fn tell_uses(&self) {
+    /// Takes in what this node's server's runs take and call, and what all others' do.
+    pub(crate) fn step_uses(&self) {
         let now = crate::clock::now();
-        let uses = shed::to_wire(self.owner.report(now));
-        let settings = self.settings();
-        self.shedding
-            .on_uses(now, &settings.name, self.service(), &uses);
-        if let Some(pace) = self.shedding.pace(&settings.name) {
-            self.fleet.borrow_mut().set_pace(None, pace);
+        let uses = self.owner.report(now);
+        let (name, service) = (self.settings().name.clone(), self.service());
+        self.standing
+            .set_own_uses([(service, uses.clone())].into_iter().collect());
+        self.shedding.on_uses(now, &name, service, uses);
+        for (service, uses) in self.standing.rest_of_uses() {
+            // No node has such a name.
+            let others = format!("others {service}");
+            self.shedding.on_uses(now, &others, service, uses);
         }
-        self.tell(Load {
-            uses,
-            ..self.load()
-        });
+        if let Some(pace) = self.shedding.pace(&name) {
+            self.fleet.borrow_mut().set_pace(pace);
+        }
+        self.shedding.log_shortages();
     }
 
     fn tell(&self, load: Load) {
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -2,12 +2,15 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use cassiashunt_mesh::{Allowance, AllowanceOptions, Take, WorkspaceRow, home_of, homes};
+use cassiashunt_mesh::{
+    Allowance, AllowanceOptions, Take, WorkspaceRow, first_by_rank, home_of, homes,
+};
 use cassiashunt_types::prelude::*;
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     clock,
+    fleet::Fleet,
     link::{AskTokens, Delegate, GiveTokens, Link},
     node::Node,
 };
@@ -22,6 +25,9 @@
 /// The time over which demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 
+/// Nodes that may be homes; the first ones of these that are reached are.
+const CANDIDATES: usize = 8;
+
 struct Entry {
     allowance: Allowance,
     /// Requests a second, averaged.
@@ -80,7 +86,11 @@
         let now = clock::now();
         let own = node.settings().name.clone();
         let live = node.fleet.borrow().live_links();
-        let homes = homes(node.reachable());
+        let homes = homes(
+            home_candidates(&node.fleet.borrow(), &own)
+                .into_iter()
+                .filter(|name| *name == own || live.contains_key(name)),
+        );
         let share = 1.0 / node.fleet.borrow().size() as f64;
         for home in homes.iter().filter(|home| **home != own) {
             if let Some(link) = live.get(home) {
@@ -185,6 +195,12 @@
     }
 }
 
+/// The nodes that are homes, and those that are next to be where some are lost.
+pub(crate) fn home_candidates(fleet: &Fleet, own: &str) -> Vec<String> {
+    let names = fleet.names().into_iter();
+    first_by_rank(names.chain([own.to_owned()]), CANDIDATES)
+}
+
 /// Whether a workspace's request is within its limit. Waits a moment for tokens of the home where
 /// this node has none.
 pub(crate) async fn admit(node: &Node, workspace: Workspace) -> bool {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -7,7 +7,6 @@
 use tokio::{net::TcpListener, task::LocalSet};
 
 use crate::{
-    clock,
     control::{self, Purpose},
     ingress::accept_clients,
     link::accept_peers,
@@ -16,14 +15,13 @@
     settings::Settings,
     stop,
     store::{self, StoreClient},
+    tree, wiring,
 };
 
 /// The time between two steps of the owner's queue.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
-/// The time between two words to the peers about this node's load, for each ten nodes.
+/// The time between two words about this node's load, for each ten peers that are told.
 const LOAD_EVERY: Duration = Duration::from_millis(100);
-/// The time between two words about what the server's runs take and call.
-const USES_EVERY: Duration = Duration::from_secs(1);
 /// The time between two steps of the shedding before chains start.
 const SHED_STEP: Duration = Duration::from_millis(100);
 /// The time between two delegations of shares of limits, a third of the time that they count.
@@ -86,6 +84,7 @@
         Box::pin(store::announce(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(tick_queue(Rc::clone(&node))),
         Box::pin(tell_load(Rc::clone(&node))),
+        Box::pin(tree::tell(Rc::clone(&node))),
         Box::pin(step_shedding(Rc::clone(&node))),
         Box::pin(delegate_shares(Rc::clone(&node))),
         Box::pin(sweep(Rc::clone(&node))),
@@ -122,21 +121,13 @@
     }
 }
 
-/// Tells the load more rarely in a larger fleet, so that what a node spends on it stays the same.
+/// Tells the load more rarely to more peers, so that what a node spends on it stays the same. Answers
+/// bear it too.
 async fn tell_load(node: Rc<Node>) {
-    let mut uses_told = clock::now();
     loop {
-        let tens = u32::try_from(node.fleet.borrow().size().div_ceil(10)).unwrap_or(1);
-        // A newer table is told at once; both ends of the wait lead to the same next step.
-        let _ = tokio::time::timeout(LOAD_EVERY * tens, node.tell_now.notified()).await;
-        let now = clock::now();
-        if now.since(uses_told) >= USES_EVERY {
-            uses_told = now;
-            node.tell_uses();
-            node.log_shortages();
-        } else {
-            node.tell_load();
-        }
+        let tens = node.listeners.borrow().len().div_ceil(10).max(1);
+        tokio::time::sleep(LOAD_EVERY * u32::try_from(tens).unwrap_or(u32::MAX)).await;
+        node.tell_load();
     }
 }
 
@@ -159,6 +150,7 @@
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
         store::drop_missing(&node);
+        wiring::step(&node);
     }
 }
 
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -10,8 +10,6 @@
 };
 use cassiashunt_types::prelude::*;
 
-use crate::link::{CallCount, DemandEntry, RunUse};
-
 /// The time between two looks at the costs of chains.
 const UPDATE_EVERY: Duration = Duration::from_millis(500);
 
@@ -19,6 +17,8 @@
     root: Root,
     chains: Chains,
     updated: Time,
+    /// What the last decision was made from.
+    capacities: BTreeMap<Service, Capacity>,
 }
 
 /// The decision before a chain starts, and what it is made from.
@@ -33,6 +33,7 @@
                 root: Root::new(Options::default()),
                 chains: Chains::default(),
                 updated: Time::ZERO,
+                capacities: BTreeMap::new(),
             }),
         }
     }
@@ -46,26 +47,18 @@
         root.admit(route, Priority(priority), chains.cost(route))
     }
 
-    /// Takes in a node's demand.
-    pub(crate) fn on_demand(&self, now: Time, node: &str, told: &[DemandEntry]) {
-        let demand = told.iter().filter_map(|entry| {
-            Some(Demand {
-                priority: Priority(u8::try_from(entry.priority).ok()?),
-                service: entry.service.parse().ok()?,
-                slots: f64::from(entry.slots),
-            })
-        });
-        let demand = demand.collect();
-        self.inner.borrow_mut().root.on_demand(now, node, demand);
-    }
-
-    /// Takes in what an owner tells of its runs.
-    pub(crate) fn on_uses(&self, now: Time, node: &str, service: Service, uses: &[RunUse]) {
-        let uses = uses.iter().filter_map(from_wire).collect();
+    /// Takes in what all other nodes ask for.
+    pub(crate) fn on_rest(&self, now: Time, demand: Vec<Demand>) {
         self.inner
             .borrow_mut()
-            .chains
-            .on_report(now, node, service, uses);
+            .root
+            .on_demand(now, "others", demand);
+    }
+
+    /// Takes in what an owner, or all others of a service, tell of their runs.
+    pub(crate) fn on_uses(&self, now: Time, owner: &str, service: Service, uses: Vec<RouteUse>) {
+        let chains = &mut self.inner.borrow_mut().chains;
+        chains.on_report(now, owner, service, uses);
     }
 
     /// What is known of the costs, to be remembered over a restart of all nodes.
@@ -84,25 +77,24 @@
     }
 
     /// This node's demand, for the others.
-    pub(crate) fn demand(&self) -> Vec<DemandEntry> {
-        let demand = self.inner.borrow().root.demand().into_iter();
-        demand
-            .map(|entry| DemandEntry {
-                priority: u32::from(entry.priority.0),
-                service: entry.service.as_str().into(),
-                slots: entry.slots as f32,
-            })
-            .collect()
+    pub(crate) fn demand(&self) -> Vec<Demand> {
+        self.inner.borrow().root.demand()
     }
 
     /// Works the decision out anew.
-    pub(crate) fn step(&self, now: Time, capacities: &BTreeMap<Service, Capacity>) {
+    pub(crate) fn step(&self, now: Time, capacities: BTreeMap<Service, Capacity>) {
         let mut inner = self.inner.borrow_mut();
         if now.since(inner.updated) >= UPDATE_EVERY {
             inner.updated = now;
             inner.chains.update(now);
         }
-        inner.root.step(now, capacities);
+        inner.root.step(now, &capacities);
+        inner.capacities = capacities;
+    }
+
+    /// What each service has and does, as of the last decision.
+    pub(crate) fn capacities(&self) -> BTreeMap<Service, Capacity> {
+        self.inner.borrow().capacities.clone()
     }
 
     /// The service that a request finds scarcest, and the part of its priority that fits there, for
@@ -114,9 +106,11 @@
     }
 
     /// Logs where not all of the demand fits, and from what that follows; about once a second.
-    pub(crate) fn log_shortages(&self, capacities: &BTreeMap<Service, Capacity>) {
-        for shortage in self.inner.borrow().root.shortages() {
-            let capacity = capacities
+    pub(crate) fn log_shortages(&self) {
+        let inner = self.inner.borrow();
+        for shortage in inner.root.shortages() {
+            let capacity = inner
+                .capacities
                 .get(&shortage.service)
                 .copied()
                 .unwrap_or_default();
@@ -139,35 +133,3 @@
         told.collect::<Vec<_>>().join(" ")
     }
 }
-
-fn from_wire(told: &RunUse) -> Option<RouteUse> {
-    let calls = told.calls.iter().filter_map(|call| {
-        let route = call.route.parse().ok()?;
-        Some((route, f64::from(call.per_run)))
-    });
-    Some(RouteUse {
-        route: told.route.parse().ok()?,
-        runs_per_s: f64::from(told.runs_per_s),
-        slot_s: f64::from(told.slot_s),
-        calls: calls.collect(),
-    })
-}
-
-/// What an owner tells of its runs, as a message.
-pub(crate) fn to_wire(uses: Vec<RouteUse>) -> Vec<RunUse> {
-    let uses = uses.into_iter();
-    uses.map(|told| RunUse {
-        route: told.route.as_str().into(),
-        runs_per_s: told.runs_per_s as f32,
-        slot_s: told.slot_s as f32,
-        calls: told
-            .calls
-            .iter()
-            .map(|(route, per_run)| CallCount {
-                route: route.as_str().into(),
-                per_run: *per_run as f32,
-            })
-            .collect(),
-    })
-    .collect()
-}
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 
 use cassiashunt_adapter::{
-    Txn, decode_item, decode_lease, decode_txn, end_lease, get, keep_lease, new_lease, node_key,
-    txn,
+    Txn, decode_lease, decode_txn, end_lease, keep_lease, new_lease, node_key, txn,
 };
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_types::prelude::*;
@@ -16,28 +15,39 @@
 /// The lease of the entry: links tell at once who lives, so this bounds only how long a node that
 /// never stopped properly is dialled.
 const TTL: Duration = Duration::from_secs(6);
-/// The time between two renewals.
-const RENEW_EVERY: Duration = Duration::from_secs(2);
+/// The parts of the lease after each of which it is renewed: two renewals may fail.
+const RENEWALS: u32 = 3;
+/// In a larger fleet leases are longer, and renewals rarer, so that the store is asked as often: a
+/// shortest lease for each so many nodes.
+const NODES_A_TTL: usize = 64;
+/// The longest lease, in shortest ones.
+const MOST_TTLS: usize = 3;
+/// How long the first entry waits for the server's first word.
+const FIRST_WORD: Duration = Duration::from_millis(600);
 
 /// What is known of the own entry.
 #[derive(Default)]
 struct Entry {
     lease: Option<u64>,
-    /// The entry's revision; not known before the first reading.
+    ttl: Duration,
+    /// The entry's revision; not known before the first writing, or after a failed one.
     revision: Option<Revision>,
     written: Option<Announcement>,
 }
 
 /// Keeps the entry written and its lease renewed.
 pub(crate) async fn announce(node: Rc<Node>, store: Rc<StoreClient>) {
-    let mut entry = Entry::default();
+    let mut entry = Entry {
+        ttl: TTL,
+        ..Entry::default()
+    };
     let mut failures = 0;
     loop {
         let kept = keep(&node, &store, &mut entry).await;
         let span = match kept {
             Ok(()) => {
                 failures = 0;
-                RENEW_EVERY
+                entry.ttl / RENEWALS
             }
             Err(err) => {
                 failures += 1;
@@ -50,6 +60,21 @@
     }
 }
 
+/// Waits for the server's first word, so that the entry need not be written again.
+async fn wait_for_first_word(node: &Node) {
+    if node.owner.service().is_none() {
+        // Both ends of the wait lead to the same next step.
+        let _ = timeout(FIRST_WORD, node.announce.notified()).await;
+    }
+}
+
+/// The lease of an entry in a fleet as large as this one.
+fn ttl(node: &Node) -> Duration {
+    let times = (node.fleet.borrow().size() / NODES_A_TTL).clamp(1, MOST_TTLS);
+    let least = Duration::from_millis(node.settings().store.min_lease_ms);
+    least.max(TTL * u32::try_from(times).unwrap_or(1))
+}
+
 /// Takes the entry back at a planned stop.
 pub(crate) async fn withdraw(store: &StoreClient, lease: u64) -> Result<(), CallError> {
     store
@@ -59,15 +84,17 @@
 }
 
 async fn keep(node: &Rc<Node>, store: &StoreClient, entry: &mut Entry) -> Result<(), CallError> {
-    if node.is_stopping() && node.lease.get().is_none() {
+    if node.is_stopping() {
+        // Links tell at once; the entry goes with its lease.
         return Ok(());
     }
     let lease = match entry.lease {
         Some(lease) if renew(store, lease).await? => lease,
         _ => {
             entry.written = None;
-            let call =
-                new_lease(TTL.max(Duration::from_millis(node.settings().store.min_lease_ms)));
+            wait_for_first_word(node).await;
+            entry.ttl = ttl(node);
+            let call = new_lease(entry.ttl);
             let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
             let (lease, _) = decode_lease(status, &body)?;
             entry.lease = Some(lease);
@@ -79,7 +106,16 @@
         entry.written = None;
     }
     let announcement = node.announcement();
-    if entry.written.as_ref() != Some(&announcement) {
+    let is_written = |written: &Announcement| {
+        // A server that has become warm is no news: its owner tells how loaded it is.
+        let is_cold = written.is_cold;
+        *written
+            == Announcement {
+                is_cold,
+                ..announcement.clone()
+            }
+    };
+    if !entry.written.as_ref().is_some_and(is_written) {
         write(node, store, entry, lease, announcement).await?;
     }
     Ok(())
@@ -104,15 +140,8 @@
     announcement: Announcement,
 ) -> Result<(), CallError> {
     let key = node_key(&node.settings().name);
-    let revision = match entry.revision {
-        Some(revision) => revision,
-        None => {
-            let (status, body) = store.call(&get(&key), CALL_TIMEOUT).await?;
-            let item = decode_item(status, &body)?;
-            item.map_or(Revision(0), |item| item.revision)
-        }
-    };
-    entry.revision = None;
+    // A wrong revision brings the right one.
+    let revision = entry.revision.take().unwrap_or_default();
     let value = serde_json::to_vec(&announcement).unwrap_or_default();
     let call = txn(&[(&key, revision)], &[(&key, &value, lease)]);
     let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -6,7 +6,7 @@
 use cassiashunt_adapter::{
     CONFIG_PREFIX, Change, Txn, config_key, decode_listing, decode_table, decode_txn, range, txn,
 };
-use cassiashunt_mesh::{ProofPace, first_by_rank};
+use cassiashunt_mesh::ProofPace;
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
@@ -14,6 +14,7 @@
     clock,
     link::{Link, Table},
     node::Node,
+    tree::{is_among_first_heads, is_watcher},
 };
 
 /// How long a watch waits for a change.
@@ -22,17 +23,12 @@
 const JITTER: f64 = 0.3;
 /// The least time between two proofs, however often a newer table is heard of.
 const LEAST_BETWEEN: Duration = Duration::from_millis(150);
+/// How long the first reading of the table is waited for.
+const FIRST_READING: Duration = Duration::from_secs(1);
 /// The age of the last proof above which a node that is no prover asks the store itself.
 const OLD_PROOF: Duration = Duration::from_millis(2_200);
 /// How often a node that watches nothing looks whether it is to.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
-/// Nodes for each one that watches the store for newer tables.
-const NODES_A_READER: usize = 6;
-/// The least number of nodes that watch. The store may fail for a third of the nodes at once, five
-/// of the users' fourteen; that all who watch are among them has to be out of the question.
-const LEAST_READERS: usize = 6;
-/// The most nodes that watch; each costs the store a call at each change.
-const MOST_READERS: usize = 12;
 /// Nodes that ask the store for all others.
 const PROVERS: usize = 2;
 /// Peers that a node asks which the store does not answer: where it answers two thirds of them, all
@@ -55,7 +51,7 @@
         };
         failures = 0;
         loop {
-            if !is_reader(&node) {
+            if !is_watcher(&node) {
                 pause(&node, ROLE_CHECK).await;
                 continue;
             }
@@ -68,16 +64,11 @@
     }
 }
 
-/// Whether this node watches the store for newer tables, by those that it reaches.
-fn is_reader(node: &Node) -> bool {
-    let peers = node.fleet.borrow().links_up();
-    let readers = (peers / NODES_A_READER).clamp(LEAST_READERS, MOST_READERS);
-    first_by_rank(node.reachable(), readers).contains(&node.settings().name)
-}
-
 /// Proves again and again that the table in force is the newest, and takes in a newer one.
 pub(crate) async fn prove_config(node: Rc<Node>, store: Rc<StoreClient>) {
     let mut failures = 0;
+    // The first reading of the table proves it, too; both ends of the wait lead to the same next step.
+    let _ = tokio::time::timeout(FIRST_READING, node.table_read.notified()).await;
     loop {
         let pace = pace(&node);
         let may_wait = !node.is_outdated() && !node.is_store_lost.get();
@@ -106,20 +97,22 @@
     }
 }
 
-/// Asks peers for their proofs again and again, so that the store is asked by a few nodes only, and
-/// a node that the store does not answer goes on.
+/// Asks peers for their proofs while the store does not answer this node, beside the one that it
+/// tells its sums: that one may be without proof too.
 pub(crate) async fn ask_proofs(node: Rc<Node>) {
     loop {
-        let now = clock::now();
-        for link in whom_to_ask(&node) {
-            link.ask_proof(now);
+        if node.is_store_lost.get() {
+            let now = clock::now();
+            for link in whom_to_ask(&node) {
+                link.ask_proof(now);
+            }
         }
         pause(&node, pace(&node).ask).await;
     }
 }
 
 fn pace(node: &Node) -> ProofPace {
-    ProofPace::of(node.fleet.borrow().links_up() + 1, PROVERS)
+    ProofPace::of(node.fleet.borrow().size(), PROVERS)
 }
 
 /// Waits for the next turn, or until a peer is heard to have a newer table.
@@ -128,31 +121,19 @@
     let _ = tokio::time::timeout(node.jittered(span, JITTER), node.prove_now.notified()).await;
 }
 
-/// The nodes that ask the store, of those that this one reaches and itself.
-fn provers(node: &Node) -> Vec<String> {
-    first_by_rank(node.reachable(), PROVERS)
-}
-
-/// Whether a peer's proof is enough for now: the last one is young, and this node is no prover.
+/// Whether a peer's proof is enough for now: the last one is young, and this node is none of those
+/// that ask the store for all others.
 fn is_proven_by_peers(node: &Node) -> bool {
     let age = node.freshness.borrow().age(clock::now());
-    age.is_some_and(|age| age < OLD_PROOF) && !provers(node).contains(&node.settings().name)
+    age.is_some_and(|age| age < OLD_PROOF) && !is_among_first_heads(node, PROVERS)
 }
 
-/// One prover; any few peers where the store does not answer this node, since it may not answer the
-/// provers either.
+/// Any few peers: the store may not answer those either whose duty it is to ask it.
 fn whom_to_ask(node: &Node) -> Vec<Rc<Link>> {
-    let live = node.fleet.borrow().live_links();
-    let (names, count) = if node.is_store_lost.get() {
-        (live.keys().cloned().collect(), ASKED_WITHOUT_STORE)
-    } else {
-        let provers = provers(node);
-        let is_prover = provers.contains(&node.settings().name);
-        (provers, usize::from(!is_prover))
-    };
-    let chosen = node.rng.borrow_mut().choose_multiple(names, count);
-    let links = chosen.iter().filter_map(|name| live.get(name));
-    links.cloned().collect()
+    let live = node.fleet.borrow().live_links().into_values();
+    node.rng
+        .borrow_mut()
+        .choose_multiple(live, ASKED_WITHOUT_STORE)
 }
 
 /// A condition on the table's revision, with nothing to change: it holds only while no newer table
@@ -193,6 +174,7 @@
         take_in(node, item.revision, item.value.into());
         node.freshness.borrow_mut().prove(asked);
     }
+    node.table_read.notify_one();
     Ok(listing.at)
 }
 
--- a/crates/sidecar/src/store/costs.rs
+++ b/crates/sidecar/src/store/costs.rs
@@ -5,11 +5,10 @@
 
 use cassiashunt_adapter::{costs_key, decode_item, decode_txn, get_stale, txn};
 use cassiashunt_admit::chain::RouteUse;
-use cassiashunt_mesh::first_by_rank;
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff};
-use crate::{clock, node::Node};
+use crate::{clock, node::Node, tree::is_among_first_heads};
 
 /// The time between two writings, all by one node. Costs change with releases, over hours.
 const WRITE_EVERY: Duration = Duration::from_secs(10);
@@ -24,7 +23,7 @@
     loop {
         tokio::time::sleep(WRITE_EVERY).await;
         let summary = node.shedding.summary();
-        if is_writer(&node) && !summary.is_empty() {
+        if is_among_first_heads(&node, 1) && !summary.is_empty() {
             write(&store, &summary).await;
         }
     }
@@ -52,11 +51,6 @@
     }
 }
 
-/// The first of the nodes that this one reaches, itself included.
-fn is_writer(node: &Node) -> bool {
-    first_by_rank(node.reachable(), 1).contains(&node.settings().name)
-}
-
 async fn write(store: &StoreClient, summary: &Summary) {
     let value = match serde_json::to_vec(summary) {
         Ok(value) => value,
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -1,41 +1,37 @@
 //! The live nodes, by their entries in the store.
 
-use std::{collections::HashSet, rc::Rc};
+use std::rc::Rc;
 
 use cassiashunt_adapter::{Change, Item, decode_listing, node_prefix, range};
-use cassiashunt_mesh::prelude::*;
+use cassiashunt_mesh::{EntryChange, News, prelude::*};
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
-use crate::{clock, node::Node};
+use crate::{
+    clock,
+    node::Node,
+    tree::{self, is_watcher},
+    wiring,
+};
 
 /// How long a watch waits for a change.
 const WATCH: Duration = Duration::from_secs(15);
 /// Entries lapse while the store is away; a server that lives has its entry back in this time.
 const MISSING: Duration = Duration::from_millis(2_500);
-/// After changes, how long the next watch is held back so that many changes come in one answer: so
-/// long for each node, since each change wakes the watches of all. Links tell the state of peers
-/// that are known.
-const GATHER_A_NODE: Duration = Duration::from_millis(20);
-/// The least such time.
-const LEAST_GATHER: Duration = Duration::from_millis(250);
-/// The longest such time: a server that joins gets work within a few seconds.
-const MOST_GATHER: Duration = Duration::from_millis(1_500);
+/// After changes, how long the next watch is held back so that many changes come in one answer.
+const GATHER: Duration = Duration::from_millis(300);
+/// How often a node that does not watch looks whether it is to.
+const ROLE_CHECK: Duration = Duration::from_millis(500);
 
-/// Follows the entries.
+/// Reads the entries at the start, and follows them where this node does so for others. The others
+/// hear of changes from those.
 pub(crate) async fn follow_directory(node: Rc<Node>, store: Rc<StoreClient>) {
     let mut failures = 0;
     loop {
         match read_all(&node, &store).await {
-            Ok(mut at) => {
+            Ok(()) => {
                 failures = 0;
-                while let Ok(next) = watch_once(&node, &store, at).await {
-                    let has_changed = next > at;
-                    at = next;
-                    if has_changed {
-                        tokio::time::sleep(gather(&node)).await;
-                    }
-                }
+                follow_changes(&node, &store).await;
             }
             Err(err) => {
                 failures += 1;
@@ -46,20 +42,32 @@
     }
 }
 
-fn gather(node: &Node) -> Duration {
-    let nodes = u32::try_from(node.fleet.borrow().size()).unwrap_or(u32::MAX);
-    let span = GATHER_A_NODE.saturating_mul(nodes);
-    span.clamp(LEAST_GATHER, MOST_GATHER)
+/// Follows the entries until a watch fails.
+async fn follow_changes(node: &Rc<Node>, store: &StoreClient) {
+    loop {
+        if !is_watcher(node) {
+            tokio::time::sleep(ROLE_CHECK).await;
+            continue;
+        }
+        match watch_once(node, store).await {
+            Ok(true) => tokio::time::sleep(GATHER).await,
+            Ok(false) => {}
+            Err(_) => return,
+        }
+    }
 }
 
 /// Drops the peers whose entries have been missing for long.
 pub(crate) fn drop_missing(node: &Node) {
-    node.fleet.borrow_mut().drop_missing(clock::now(), MISSING);
-    node.set_limits();
+    let has_dropped = node.fleet.borrow_mut().drop_missing(clock::now(), MISSING);
+    if has_dropped {
+        tree::set_nodes(node);
+        node.set_limits();
+    }
 }
 
-async fn read_all(node: &Rc<Node>, store: &StoreClient) -> Result<Revision, CallError> {
-    let mut seen = HashSet::new();
+async fn read_all(node: &Rc<Node>, store: &StoreClient) -> Result<(), CallError> {
+    let mut changes = Vec::new();
     let mut after: Option<String> = None;
     let mut first_at = None;
     loop {
@@ -70,62 +78,95 @@
         // first page's revision on.
         first_at.get_or_insert(page.at);
         after = page.items.last().map(|item| item.key.clone());
-        for item in &page.items {
-            seen.extend(take_in(node, item));
-        }
+        changes.extend(page.items.into_iter().filter_map(put));
         if !page.has_more || after.is_none() {
             break;
         }
     }
-    let known = node.fleet.borrow().names();
-    let now = clock::now();
-    for name in known.iter().filter(|name| !seen.contains(*name)) {
-        node.fleet.borrow_mut().on_missing(now, name);
-    }
-    node.set_limits();
-    Ok(first_at.unwrap_or_default())
+    let news = News {
+        at: first_at.unwrap_or_default(),
+        is_all: true,
+        changes,
+    };
+    take_in_news(node, news);
+    Ok(())
 }
 
-async fn watch_once(
-    node: &Rc<Node>,
-    store: &StoreClient,
-    after: Revision,
-) -> Result<Revision, CallError> {
+/// Whether anything changed.
+async fn watch_once(node: &Rc<Node>, store: &StoreClient) -> Result<bool, CallError> {
+    let after = node.directory.borrow().at();
     let (changes, at) = watch(node, store, node_prefix(), after, WATCH).await?;
+    let changes = changes.into_iter().filter_map(|change| match change {
+        Change::Put(item) => put(item),
+        Change::Gone(key, revision) => {
+            let name = key.strip_prefix(node_prefix()).unwrap_or(&key);
+            Some(EntryChange {
+                name: name.to_owned(),
+                revision,
+                value: None,
+            })
+        }
+    });
+    let changes: Vec<_> = changes.collect();
+    let has_changed = !changes.is_empty();
+    let news = News {
+        at,
+        is_all: false,
+        changes,
+    };
+    take_in_news(node, news);
+    Ok(has_changed)
+}
+
+fn put(item: Item) -> Option<EntryChange> {
+    let name = item.key.strip_prefix(node_prefix())?;
+    Some(EntryChange {
+        name: name.to_owned(),
+        revision: item.revision,
+        value: Some(item.value),
+    })
+}
+
+/// Takes in entries that were read in the store, by this node or another.
+pub(crate) fn take_in_news(node: &Rc<Node>, news: News) {
+    let before = node.directory.borrow().at();
+    let changes = node.directory.borrow_mut().on_news(news);
     for change in &changes {
-        match change {
-            Change::Put(item) => {
-                take_in(node, item);
-            }
-            Change::Gone(key, _) => {
-                let name = key.strip_prefix(node_prefix()).unwrap_or(key);
-                if name == node.settings().name {
-                    node.is_entry_lost.set(true);
-                    node.announce.notify_one();
-                } else {
-                    node.fleet.borrow_mut().on_missing(clock::now(), name);
-                }
-            }
+        match &change.value {
+            Some(value) => on_put(node, &change.name, value),
+            None => on_gone(node, &change.name),
         }
     }
-    node.set_limits();
-    Ok(at)
+    if !changes.is_empty() {
+        tree::set_nodes(node);
+        node.set_limits();
+        wiring::rewire(node);
+    }
+    if node.directory.borrow().at() > before {
+        node.tell_now.notify_one();
+    }
 }
 
-/// Takes an entry in, and returns its node's name. An entry that can't be read names nobody.
-fn take_in(node: &Rc<Node>, item: &Item) -> Option<String> {
-    let name = item.key.strip_prefix(node_prefix())?;
+/// Takes in that an entry is gone. Its node may live: entries lapse while the store is away.
+fn on_gone(node: &Rc<Node>, name: &str) {
     if name == node.settings().name {
-        return None;
+        node.is_entry_lost.set(true);
+        node.announce.notify_one();
+    } else {
+        node.fleet.borrow_mut().on_missing(clock::now(), name);
     }
-    let announcement: Announcement = match serde_json::from_slice(&item.value) {
-        Ok(announcement) => announcement,
-        Err(err) => {
-            log::warn!(key:% = item.key, reason:% = err; "entry-unreadable");
-            return None;
+}
+
+/// Takes an entry in. One that can't be read names nobody.
+fn on_put(node: &Rc<Node>, name: &str, value: &[u8]) {
+    if name == node.settings().name {
+        return;
+    }
+    match serde_json::from_slice::<Announcement>(value) {
+        Ok(announcement) => {
+            let mut fleet = node.fleet.borrow_mut();
+            fleet.on_announced(name, announcement);
         }
-    };
-    let mut fleet = node.fleet.borrow_mut();
-    fleet.on_announced(node, name, announcement);
-    Some(name.to_owned())
+        Err(err) => log::warn!(name:% = name, reason:% = err; "entry-unreadable"),
+    }
 }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use client::StoreClient;
 pub(crate) use config::{ask_proofs, follow_config, prove_config, take_in_table};
 pub(crate) use costs::remember_costs;
-pub(crate) use directory::{drop_missing, follow_directory};
+pub(crate) use directory::{drop_missing, follow_directory, take_in_news};
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/sidecar/src/sums.rs
@@ -0,0 +1,129 @@
+//! Sums as messages.
+
+use cassiashunt_admit::{Priority, chain::RouteUse, root::Capacity};
+use cassiashunt_mesh::{Origin, Sum, Told, Uses};
+use cassiashunt_types::prelude::*;
+
+use crate::{
+    clock,
+    link::{
+        CallCount, CapacityEntry, DemandEntry, OriginRow, RunUse, ServiceUses, SumRow, UsesRow,
+    },
+};
+
+/// A sum as a message.
+pub(crate) fn to_row(told: Told) -> SumRow {
+    let demand = told.sum.demand.iter().filter(|(_, slots)| **slots > 0.01);
+    SumRow {
+        nodes: told.sum.nodes,
+        capacities: told
+            .sum
+            .capacities
+            .iter()
+            .map(|(service, capacity)| CapacityEntry {
+                service: service.as_str().into(),
+                slots: capacity.slots as f32,
+                busy: capacity.busy as f32,
+            })
+            .collect(),
+        demand: demand
+            .map(|((priority, service), slots)| DemandEntry {
+                priority: u32::from(priority.0),
+                service: service.as_str().into(),
+                slots: *slots as f32,
+            })
+            .collect(),
+        uses: told.uses.map(uses_to_row),
+    }
+}
+
+/// What a message says. Entries that can't be read are left out.
+pub(crate) fn from_row(row: &SumRow) -> Told {
+    let capacities = row.capacities.iter().filter_map(|entry| {
+        let capacity = Capacity {
+            slots: f64::from(entry.slots),
+            busy: f64::from(entry.busy),
+        };
+        Some((entry.service.parse().ok()?, capacity))
+    });
+    let demand = row.demand.iter().filter_map(|entry| {
+        let priority = Priority(u8::try_from(entry.priority).ok()?);
+        Some((
+            (priority, entry.service.parse().ok()?),
+            f64::from(entry.slots),
+        ))
+    });
+    Told {
+        sum: Sum {
+            nodes: row.nodes,
+            capacities: capacities.collect(),
+            demand: demand.collect(),
+        },
+        uses: row.uses.as_ref().map(uses_from_row),
+    }
+}
+
+/// A passed on sum as a message.
+pub(crate) fn origin_to_row(origin: Origin) -> OriginRow {
+    OriginRow {
+        name: origin.name,
+        age_us: clock::micros(origin.age),
+        sum: Some(to_row(origin.told)),
+    }
+}
+
+/// What a message with a passed on sum says.
+pub(crate) fn origin_from_row(row: &OriginRow) -> Origin {
+    Origin {
+        name: row.name.clone(),
+        age: Duration::from_micros(row.age_us),
+        told: row.sum.as_ref().map(from_row).unwrap_or_default(),
+    }
+}
+
+fn uses_to_row(uses: Uses) -> UsesRow {
+    let services = uses.into_iter().map(|(service, uses)| ServiceUses {
+        service: service.as_str().into(),
+        uses: uses.iter().map(use_to_row).collect(),
+    });
+    UsesRow {
+        services: services.collect(),
+    }
+}
+
+fn uses_from_row(row: &UsesRow) -> Uses {
+    let services = row.services.iter().filter_map(|told| {
+        let uses = told.uses.iter().filter_map(use_from_row).collect();
+        Some((told.service.parse().ok()?, uses))
+    });
+    services.collect()
+}
+
+fn use_to_row(told: &RouteUse) -> RunUse {
+    RunUse {
+        route: told.route.as_str().into(),
+        runs_per_s: told.runs_per_s as f32,
+        slot_s: told.slot_s as f32,
+        calls: told
+            .calls
+            .iter()
+            .map(|(route, per_run)| CallCount {
+                route: route.as_str().into(),
+                per_run: *per_run as f32,
+            })
+            .collect(),
+    }
+}
+
+fn use_from_row(told: &RunUse) -> Option<RouteUse> {
+    let calls = told.calls.iter().filter_map(|call| {
+        let route = call.route.parse().ok()?;
+        Some((route, f64::from(call.per_run)))
+    });
+    Some(RouteUse {
+        route: told.route.parse().ok()?,
+        runs_per_s: f64::from(told.runs_per_s),
+        slot_s: f64::from(told.slot_s),
+        calls: calls.collect(),
+    })
+}
--- /dev/null
+++ b/crates/sidecar/src/tree.rs
@@ -0,0 +1,336 @@
+//! This node's words through the tree: sums, proofs of the table, news of tables and entries.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
+
+use cassiashunt_mesh::{Origin, Station, Sum, SumTimes, Sums, Told, Tree, Uses, first_by_rank};
+use cassiashunt_types::prelude::*;
+
+use crate::{
+    clock,
+    fleet::Fleet,
+    link::{Down, Kind, Known, Sender, Up},
+    node::Node,
+    sums::{from_row, origin_from_row, origin_to_row, to_row},
+};
+
+/// How long a node that did not answer is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(2);
+/// Nodes of a failure domain that look at the store for the others.
+const WATCHERS: usize = 2;
+/// How long the first link to a node may take, with both ends busy at their start.
+const SETTLED: Duration = Duration::from_millis(1_500);
+/// The part of the known nodes whose sums have to be known for a decision to be made from them.
+const LEAST_KNOWN: f64 = 0.5;
+
+/// This node's place in the tree, and what was told through it.
+pub(crate) struct Standing {
+    tree: RefCell<Tree>,
+    station: RefCell<Station>,
+    sums: RefCell<Sums>,
+    times: SumTimes,
+    /// The nodes that are told, and when each answered last or was told first.
+    answered: RefCell<HashMap<String, Time>>,
+    /// Nodes that did not answer, and when that was found.
+    passed_over: RefCell<HashMap<String, Time>>,
+    /// Where children are reached, and whether each is another head.
+    children: RefCell<HashMap<String, Child>>,
+    uses_told: Cell<Time>,
+    was_whole: Cell<bool>,
+}
+
+#[derive(Clone)]
+struct Child {
+    tx: Sender,
+    is_head: bool,
+    uses_told: Time,
+}
+
+impl Default for Standing {
+    fn default() -> Self {
+        Self {
+            tree: RefCell::default(),
+            station: RefCell::new(Station::Head(Vec::new())),
+            sums: RefCell::default(),
+            times: SumTimes::default(),
+            answered: RefCell::default(),
+            passed_over: RefCell::default(),
+            children: RefCell::default(),
+            uses_told: Cell::new(Time::ZERO),
+            was_whole: Cell::new(true),
+        }
+    }
+}
+
+impl Standing {
+    /// Whether this node is the first of its failure domain that it knows of, and with which others.
+    pub(crate) fn heads(&self) -> Option<Vec<String>> {
+        match &*self.station.borrow() {
+            Station::Head(others) => Some(others.clone()),
+            Station::Member(_) => None,
+        }
+    }
+
+    /// What all nodes have and ask for, and what all but this one ask for; nothing while the words
+    /// of too few of `nodes` are known.
+    pub(crate) fn sums(&self, now: Time, nodes: usize) -> Option<(Sum, Sum)> {
+        let mut sums = self.sums.borrow_mut();
+        sums.expire(now);
+        let total = sums.total();
+        let is_whole = f64::from(total.nodes) >= LEAST_KNOWN * nodes as f64;
+        if self.was_whole.replace(is_whole) != is_whole {
+            log::warn!(whole = is_whole, known = total.nodes, nodes = nodes; "sums-whole");
+        }
+        is_whole.then(|| (total, sums.rest(false).sum))
+    }
+
+    /// What runs at all other nodes take and call.
+    pub(crate) fn rest_of_uses(&self) -> Uses {
+        self.sums.borrow().rest(true).uses.unwrap_or_default()
+    }
+
+    /// Takes in what this node's own server takes and calls.
+    pub(crate) fn set_own_uses(&self, uses: Uses) {
+        self.sums.borrow_mut().set_own_uses(uses);
+    }
+
+    fn reaches(&self, fleet: &Fleet, now: Time, name: &str) -> bool {
+        let passed_over = self.passed_over.borrow();
+        let is_passed_over = |at: &Time| now.since(*at) < PASSED_OVER;
+        fleet.link(name).is_some_and(|link| link.is_up())
+            && !passed_over.get(name).is_some_and(is_passed_over)
+    }
+
+    /// Passes over those who were told and have not answered in time.
+    fn look_at_answers(&self, now: Time) {
+        let max_age = self.times.max_age();
+        let answered = self.answered.borrow();
+        let silent = answered.iter().filter(|(_, at)| now.since(**at) > max_age);
+        for (name, at) in silent {
+            log::info!(peer:% = name, silent_ms = clock::millis(now.since(*at)); "head-silent");
+            self.passed_over.borrow_mut().insert(name.clone(), now);
+        }
+        self.passed_over
+            .borrow_mut()
+            .retain(|_, at| now.since(*at) < PASSED_OVER);
+    }
+
+    /// Takes in which nodes are told from now on. Returns those that were told and are no more.
+    fn set_station(&self, now: Time, station: Station) -> Vec<String> {
+        let before = self.station.borrow().clone();
+        let mut answered = self.answered.borrow_mut();
+        answered.retain(|name, _| station.told().contains(name));
+        for name in station.told() {
+            answered.entry(name.clone()).or_insert(now);
+        }
+        let is_left = |name: &&String| !station.told().contains(name);
+        let left = before.told().iter().filter(is_left).cloned().collect();
+        if before != station {
+            log::info!(is_head = matches!(station, Station::Head(_)),
+                told:% = station.told().join(" "); "tree-station");
+            if !matches!(station, Station::Member(_)) {
+                self.sums.borrow_mut().forget_above();
+            }
+            *self.station.borrow_mut() = station;
+        }
+        left
+    }
+}
+
+/// Takes in which nodes there are.
+pub(crate) fn set_nodes(node: &Node) {
+    let settings = node.settings();
+    let members = node.fleet.borrow().members();
+    *node.standing.tree.borrow_mut() =
+        Tree::new(&settings.name, settings.domain, members.into_iter());
+}
+
+/// Whether this node looks at the store for others: one of the first two of its failure domain.
+pub(crate) fn is_watcher(node: &Node) -> bool {
+    above(node) < WATCHERS
+}
+
+/// Whether this node is one of the first `count` heads of failure domains.
+pub(crate) fn is_among_first_heads(node: &Node, count: usize) -> bool {
+    let own = node.settings().name.clone();
+    let heads = node.standing.heads().filter(|_| above(node) == 0);
+    heads.is_some_and(|others| {
+        let first = first_by_rank(others.into_iter().chain([own.clone()]), count);
+        first.contains(&own)
+    })
+}
+
+/// The nodes above this one that it reaches, or has known for so short a time that their links may
+/// still be on the way: the start of a whole fleet would make all its nodes watchers otherwise.
+fn above(node: &Node) -> usize {
+    let now = clock::now();
+    let (tree, fleet) = (node.standing.tree.borrow(), node.fleet.borrow());
+    tree.reached_above(|name| {
+        node.standing.reaches(&fleet, now, name) || fleet.is_new(now, name, SETTLED)
+    })
+}
+
+/// The nodes that this one is to be connected to for the tree.
+pub(crate) fn wanted(node: &Node, fleet: &Fleet) -> Vec<String> {
+    let now = clock::now();
+    let tree = node.standing.tree.borrow();
+    tree.wanted(|name| node.standing.reaches(fleet, now, name))
+}
+
+/// Tells this node's words again and again, and at once where there is news.
+pub(crate) async fn tell(node: Rc<Node>) {
+    loop {
+        let has_news = tokio::time::timeout(node.standing.times.every, node.tell_now.notified());
+        let has_news = has_news.await.is_ok();
+        tell_once(&node);
+        if has_news {
+            tell_children(&node);
+        }
+    }
+}
+
+fn tell_once(node: &Rc<Node>) {
+    let now = clock::now();
+    let standing = &node.standing;
+    standing.look_at_answers(now);
+    let station = {
+        let (tree, fleet) = (standing.tree.borrow(), node.fleet.borrow());
+        tree.station(|name| standing.reaches(&fleet, now, name))
+    };
+    for name in standing.set_station(now, station.clone()) {
+        if let Some(link) = node.fleet.borrow().link(&name) {
+            link.tell(Kind::Up(Up::default()));
+        }
+    }
+    let with_uses = now.since(standing.uses_told.get()) >= standing.times.uses_every;
+    if with_uses {
+        standing.uses_told.set(now);
+        node.step_uses();
+    }
+    let up = {
+        let mut sums = standing.sums.borrow_mut();
+        sums.set_own(node.own_sum());
+        sums.expire(now);
+        let is_head = matches!(station, Station::Head(_));
+        let origins = if is_head {
+            Vec::new()
+        } else {
+            sums.origins(now, with_uses)
+        };
+        Up {
+            sum: Some(to_row(sums.subtree(with_uses))),
+            asked_us: now.as_micros(),
+            is_head,
+            origins: origins.into_iter().map(origin_to_row).collect(),
+            known: Some(node.known()),
+        }
+    };
+    let fleet = node.fleet.borrow();
+    for name in station.told() {
+        if let Some(link) = fleet.link(name) {
+            link.tell(Kind::Up(up.clone()));
+        }
+    }
+}
+
+/// Tells children at once that there is news.
+fn tell_children(node: &Node) {
+    let mut children = node.standing.children.borrow_mut();
+    children.retain(|_, child| !child.tx.is_closed());
+    let down = Down {
+        rest: None,
+        proof: None,
+        known: Some(node.known()),
+    };
+    for child in children.values() {
+        // A child whose queue is full hears it with its next answer.
+        let _ = child.tx.try_send(Kind::Down(down.clone()).into());
+    }
+}
+
+/// Takes in what a child or another head tells, and answers.
+pub(crate) fn on_up(node: &Node, name: &str, tx: &Sender, up: &Up) {
+    let now = clock::now();
+    let standing = &node.standing;
+    let mut sums = standing.sums.borrow_mut();
+    let Some(told) = up.sum.as_ref().map(from_row) else {
+        sums.on_left(name);
+        standing.children.borrow_mut().remove(name);
+        return;
+    };
+    let age = sums.age(now, name, Time::from_micros(up.asked_us));
+    let origin = Origin {
+        name: name.to_owned(),
+        age,
+        told,
+    };
+    if up.is_head {
+        sums.on_origin(now, origin);
+    } else {
+        sums.on_child(now, origin);
+    }
+    for row in &up.origins {
+        let mut origin = origin_from_row(row);
+        origin.age += age;
+        sums.on_origin(now, origin);
+    }
+    sums.expire(now);
+    let mut children = standing.children.borrow_mut();
+    let child = children.entry(name.to_owned()).or_insert_with(|| Child {
+        tx: tx.clone(),
+        is_head: up.is_head,
+        uses_told: Time::ZERO,
+    });
+    child.is_head = up.is_head;
+    if !child.tx.same_channel(tx) {
+        child.tx = tx.clone();
+    }
+    let with_uses = now.since(child.uses_told) >= standing.times.uses_every;
+    if with_uses {
+        child.uses_told = now;
+    }
+    let rest = (!child.is_head).then(|| to_row(sums.rest_for(name, with_uses)));
+    let down = Down {
+        rest,
+        proof: node.proof(now, up.asked_us),
+        known: Some(node.known()),
+    };
+    // A child whose queue is full is answered the next time.
+    let _ = tx.try_send(Kind::Down(down).into());
+    drop((sums, children));
+    on_known(node, up.known, |kind| tx.try_send(kind.into()).is_ok());
+}
+
+/// Takes in the answer of a parent or another head, or its news.
+pub(crate) fn on_down(node: &Node, now: Time, name: &str, down: &Down, ask: impl Fn(Kind) -> bool) {
+    let standing = &node.standing;
+    if let Some(proof) = &down.proof {
+        node.on_proof(now, proof);
+    }
+    if let Some(at) = standing.answered.borrow_mut().get_mut(name) {
+        *at = now;
+    }
+    let is_parent = matches!(&*standing.station.borrow(), Station::Member(it) if it == name);
+    if let Some(rest) = down.rest.as_ref().filter(|_| is_parent) {
+        let told: Told = from_row(rest);
+        standing.sums.borrow_mut().on_above(now, told);
+    }
+    on_known(node, down.known, ask);
+}
+
+/// Asks the other end for what it knows and this node does not.
+fn on_known(node: &Node, known: Option<Known>, ask: impl Fn(Kind) -> bool) {
+    let Some(known) = known else {
+        return;
+    };
+    if node.on_peer_revision(clock::now(), Revision(known.table)) {
+        ask(Kind::AskTable(true));
+    }
+    let own = node.directory.borrow().at();
+    if Revision(known.entries) > own {
+        ask(Kind::AskNews(own.0));
+    }
+}
