--- a/crates/sidecar/src/link/news.rs
+++ b/crates/sidecar/src/link/news.rs
@@ -30,7 +30,7 @@
         }
         Kind::News(row) => {
             let known = node.directory.borrow().at();
-            log::debug!(peer:% = name, known = known.0, at = row.at; "entries-from-peer");
+            log::info!(peer:% = name, known = known.0, at = row.at; "entries-from-peer");
             take_in_news(node, from_row(row));
         }
         other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
