--- a/crates/mesh/src/subset.rs
+++ b/crates/mesh/src/subset.rs
@@ -17,6 +17,8 @@
 const WORSE_BY: f64 = 0.15;
 /// The load of the own subset below which it is large enough whatever the others have.
 const HAS_ROOM: f64 = 0.8;
+/// How long the own subset has to be too small before it is made larger: links take a moment.
+const SHORT_FOR: Duration = Duration::from_secs(1);
 /// How long a larger subset is kept.
 const KEPT: Duration = Duration::from_secs(10);
 
@@ -50,6 +52,7 @@
 pub struct Width {
     factor: usize,
     widened: Time,
+    short_since: Option<Time>,
 }
 
 impl Default for Width {
@@ -57,6 +60,7 @@
         Self {
             factor: 1,
             widened: Time::ZERO,
+            short_since: None,
         }
     }
 }
@@ -73,7 +77,15 @@
     pub fn step(&mut self, now: Time, subset: Option<f64>, service: f64) -> bool {
         let is_short = subset.is_none_or(|load| load > HAS_ROOM && load > service + WORSE_BY);
         let before = self.factor;
+        if !is_short {
+            self.short_since = None;
+        }
         if is_short {
+            let since = *self.short_since.get_or_insert(now);
+            if now.since(since) < SHORT_FOR {
+                return false;
+            }
+            self.short_since = Some(now);
             self.factor = (2 * self.factor).min(MOST_WIDTH);
             self.widened = now;
         } else if now.since(self.widened) >= KEPT {
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -22,8 +22,8 @@
 const NODES_A_TTL: usize = 64;
 /// The longest lease, in shortest ones.
 const MOST_TTLS: usize = 3;
-/// How long the first entry waits for the server's first word.
-const FIRST_WORD: Duration = Duration::from_millis(600);
+/// How long the first entry waits for the server's first word: the users' servers tell every 1.5 s.
+const FIRST_WORD: Duration = Duration::from_secs(3);
 
 /// What is known of the own entry.
 #[derive(Default)]
