Bound what a server, a client or a peer may send without end

Now 16 MB an answer and 16 MB for all that are being read together, but always 256 KB an answer; - a connection of a peer that had sent no frame was not closed: its writer was kept by the list of listeners. It now ends with its reader; - empty lines before a head were passed over without end; - bytes on kept connections that nobody asked for stay unread only until the next look, which closes the connection.

--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -65,6 +65,27 @@
         status.is_some()
     }
 
+    /// The most memory that the process has had, in bytes, and its processor time so far.
+    pub fn spent(&self) -> (u64, Duration) {
+        let of = |file: &str| {
+            let path = format!("/proc/{}/{file}", self.0.id());
+            fs::read_to_string(path).expect("the process runs")
+        };
+        let status = of("status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        // Fields 14 and 15 of proc_pid_stat(5), counted after the name in brackets.
+        let stat = of("stat");
+        let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ');
+        let ticks: u64 = fields
+            .skip(11)
+            .take(2)
+            .filter_map(|it| it.parse::<u64>().ok())
+            .sum();
+        let peak = 1024 * peak.expect("every process has a peak");
+        (peak, Duration::from_millis(10 * ticks))
+    }
+
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .args([signal, &self.0.id().to_string()])
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -8,12 +8,14 @@
     net::TcpStream,
 };
 
-use super::{Framing, RequestHead, ResponseHead, head::Malformed};
+use super::{Framing, RequestHead, ResponseHead, head::Malformed, room::Room};
 
 /// Room made for one read.
 const READ_BYTES: usize = 4 * 1024;
 /// The longest head of a response.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// Empty lines before a message that are passed over.
+const MAX_EMPTY_LINES: usize = 8;
 /// The longest line of a chunk's size.
 const MAX_CHUNK_LINE: usize = 256;
 /// Bytes of further requests that are taken in while one is being answered.
@@ -36,6 +38,8 @@
     HeadTooLong,
     /// The body is longer than the limit.
     BodyTooLong,
+    /// Bodies that are being read hold all the room there is for them.
+    NoRoom,
     /// The connection failed.
     Io(io::Error),
 }
@@ -48,6 +52,7 @@
             Self::Malformed(what) => write!(f, "malformed {what}"),
             Self::HeadTooLong => f.write_str("head too long"),
             Self::BodyTooLong => f.write_str("body too long"),
+            Self::NoRoom => f.write_str("no room for so many long bodies"),
             Self::Io(err) => err.fmt(f),
         }
     }
@@ -110,16 +115,21 @@
         &mut self,
         framing: Framing,
         max: usize,
+    ) -> Result<Bytes, ReadError> {
+        self.read_body_within(framing, Room::of_its_own(max)).await
+    }
+
+    /// Reads a whole body into shared room.
+    pub(crate) async fn read_body_within(
+        &mut self,
+        framing: Framing,
+        room: Room<'_>,
     ) -> Result<Bytes, ReadError> {
         match framing {
             Framing::Length(0) => Ok(Bytes::new()),
-            Framing::Length(length) if length > max => Err(ReadError::BodyTooLong),
-            Framing::Length(length) => {
-                self.fill_to(length).await?;
-                Ok(self.buf.split_to(length).freeze())
-            }
-            Framing::Chunked => self.read_chunks(max).await,
-            Framing::UntilClose => self.read_to_end(max).await,
+            Framing::Length(length) => self.read_length(length, room).await,
+            Framing::Chunked => self.read_chunks(room).await,
+            Framing::UntilClose => self.read_to_end(room).await,
         }
     }
 
@@ -213,21 +223,28 @@
         self.stream.read_buf(&mut self.buf).await
     }
 
-    async fn fill_to(&mut self, length: usize) -> Result<(), ReadError> {
+    async fn read_length(&mut self, length: usize, mut room: Room<'_>) -> Result<Bytes, ReadError> {
+        room.check(length)?;
         while self.buf.len() < length {
+            room.hold(self.buf.len())?;
             if self.fill().await? == 0 {
                 return Err(ReadError::Truncated);
             }
         }
-        Ok(())
+        Ok(self.buf.split_to(length).freeze())
     }
 
     async fn head_end(&mut self, max: usize) -> Result<usize, ReadError> {
         let mut searched = 0_usize;
+        let mut empty_lines = 0;
         loop {
             // Empty lines before a message are passed over, as RFC 9112 section 2.2 asks.
             while searched == 0 && self.buf.starts_with(b"\r\n") {
                 self.buf.advance(2);
+                empty_lines += 1;
+                if empty_lines > MAX_EMPTY_LINES {
+                    return Err(ReadError::Malformed("empty lines"));
+                }
             }
             let from = searched.saturating_sub(3);
             if let Some(at) = find(&self.buf[from..], b"\r\n\r\n") {
@@ -255,7 +272,7 @@
         }
     }
 
-    async fn read_chunks(&mut self, max: usize) -> Result<Bytes, ReadError> {
+    async fn read_chunks(&mut self, mut room: Room<'_>) -> Result<Bytes, ReadError> {
         let mut body = BytesMut::new();
         loop {
             let line = self.read_line().await?;
@@ -264,10 +281,14 @@
                 self.skip_trailers().await?;
                 return Ok(body.freeze());
             }
-            if body.len() + size > max {
-                return Err(ReadError::BodyTooLong);
+            room.check(body.len() + size)?;
+            while self.buf.len() < size + 2 {
+                room.hold(body.len() + self.buf.len().min(size))?;
+                if self.fill().await? == 0 {
+                    return Err(ReadError::Truncated);
+                }
             }
-            self.fill_to(size + 2).await?;
+            room.hold(body.len() + size)?;
             body.extend_from_slice(&self.buf[..size]);
             if &self.buf[size..size + 2] != b"\r\n" {
                 return Err(ReadError::Malformed("end of a chunk"));
@@ -306,11 +327,9 @@
     }
 
     /// A reset before the end is an error, so that a body cut short does not look whole.
-    async fn read_to_end(&mut self, max: usize) -> Result<Bytes, ReadError> {
+    async fn read_to_end(&mut self, mut room: Room<'_>) -> Result<Bytes, ReadError> {
         while self.fill().await? > 0 {
-            if self.buf.len() > max {
-                return Err(ReadError::BodyTooLong);
-            }
+            room.hold(self.buf.len())?;
         }
         Ok(self.buf.split().freeze())
     }
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -2,9 +2,11 @@
 
 mod connection;
 mod head;
+mod room;
 
 pub(crate) use connection::{Connection, ReadError};
 pub(crate) use head::{Framing, RequestHead, ResponseHead, has_token, header, is_per_connection};
+pub(crate) use room::Store;
 
 /// What is written before a body or in place of one.
 pub(crate) fn reason_phrase(status: u16) -> &'static str {
--- /dev/null
+++ b/crates/sidecar/src/http/room.rs
@@ -0,0 +1,85 @@
+//! How many bytes of a body may be held.
+
+use std::cell::Cell;
+
+use super::ReadError;
+
+/// A body up to this length is held whatever others hold, so that a few long ones do not stop all.
+const SMALL: usize = 256 * 1024;
+
+/// What the bodies that are being read hold together.
+#[derive(Debug)]
+pub(crate) struct Store {
+    held: Cell<usize>,
+    most: usize,
+}
+
+impl Store {
+    /// Room for so many bytes.
+    pub(crate) fn new(most: usize) -> Self {
+        Self {
+            held: Cell::new(0),
+            most,
+        }
+    }
+
+    /// Room for one body of at most `max` bytes.
+    pub(crate) fn room(&self, max: usize) -> Room<'_> {
+        Room {
+            store: Some(self),
+            held: 0,
+            max,
+        }
+    }
+}
+
+/// Room for one body; given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Room<'a> {
+    store: Option<&'a Store>,
+    held: usize,
+    max: usize,
+}
+
+impl Room<'_> {
+    /// Room that is not shared with others.
+    pub(crate) fn of_its_own(max: usize) -> Self {
+        Self {
+            store: None,
+            held: 0,
+            max,
+        }
+    }
+
+    /// Checks that a body may become so long.
+    pub(crate) fn check(&self, length: usize) -> Result<(), ReadError> {
+        if length > self.max {
+            Err(ReadError::BodyTooLong)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Takes in that the body is so long by now.
+    pub(crate) fn hold(&mut self, length: usize) -> Result<(), ReadError> {
+        self.check(length)?;
+        let Some(store) = self.store else {
+            return Ok(());
+        };
+        let held = store.held.get() + length.saturating_sub(self.held);
+        if held > store.most && length > SMALL {
+            return Err(ReadError::NoRoom);
+        }
+        store.held.set(held);
+        self.held = self.held.max(length);
+        Ok(())
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        if let Some(store) = self.store {
+            store.held.set(store.held.get().saturating_sub(self.held));
+        }
+    }
+}
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -133,7 +133,7 @@
             Some(Reply::closing(400))
         }
         ReadError::HeadTooLong => Some(Reply::closing(431)),
-        ReadError::BodyTooLong => Some(Reply::closing(413)),
+        ReadError::BodyTooLong | ReadError::NoRoom => Some(Reply::closing(413)),
         ReadError::Closed | ReadError::Truncated | ReadError::Io(_) => None,
     }
 }
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -12,6 +12,7 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::mpsc,
+    task::AbortHandle,
     time::timeout,
 };
 use tokio_util::codec::{Decoder as _, Encoder as _, LengthDelimitedCodec};
@@ -58,23 +59,31 @@
 pub(crate) fn split(stream: TcpStream) -> (Reader, Sender) {
     let (read, write) = stream.into_split();
     let (tx, rx) = mpsc::channel(QUEUE);
-    tokio::task::spawn_local(write_frames(write, rx));
+    let writer = tokio::task::spawn_local(write_frames(write, rx));
     let reader = Reader {
         read,
+        writer: writer.abort_handle(),
         buf: BytesMut::new(),
         codec: codec(),
     };
     (reader, tx)
 }
 
-/// The frames that come in.
+/// The frames that come in. The connection ends with it, whoever may still hold its queue.
 #[derive(Debug)]
 pub(crate) struct Reader {
     read: OwnedReadHalf,
+    writer: AbortHandle,
     buf: BytesMut,
     codec: LengthDelimitedCodec,
 }
 
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.writer.abort();
+    }
+}
+
 impl Reader {
     /// The next frame; nothing at the end of the connection, and an error after `silence`.
     pub(crate) async fn next(&mut self, silence: Duration) -> io::Result<Option<Frame>> {
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -12,8 +12,8 @@
     link::{Answer, Field, WorkRequest},
 };
 
-/// The longest answer that is taken in.
-const MAX_ANSWER: usize = 64 << 20;
+/// The longest answer that is taken in. It is held whole, since what breaks off must not look whole.
+const MAX_ANSWER: usize = 16 << 20;
 /// Answers to earlier requests that are passed over before the one that is awaited.
 const MAX_STALE_ANSWERS: usize = 4;
 
@@ -87,7 +87,7 @@
         if head.framing == Framing::UntilClose {
             return Err(Failure::Spoiled("answer to another request"));
         }
-        read_body(&mut connection, head.framing).await?;
+        read_body(pool, &mut connection, head.framing).await?;
         head = next_head(&mut connection, method).await?;
     }
     Err(Failure::Spoiled("answers to other requests"))
@@ -98,8 +98,13 @@
     head.map_err(Failure::Lost)
 }
 
-async fn read_body(connection: &mut Connection, framing: Framing) -> Result<Bytes, Failure> {
-    let body = connection.read_body(framing, MAX_ANSWER).await;
+async fn read_body(
+    pool: &Pool,
+    connection: &mut Connection,
+    framing: Framing,
+) -> Result<Bytes, Failure> {
+    let room = pool.room().room(MAX_ANSWER);
+    let body = connection.read_body_within(framing, room).await;
     body.map_err(Failure::Lost)
 }
 
@@ -114,7 +119,7 @@
         return Err(Failure::NotExecuted(head.status));
     }
     check(&head, facts)?;
-    let body = read_body(&mut connection, head.framing).await?;
+    let body = read_body(pool, &mut connection, head.framing).await?;
     let is_reusable = head.keep_alive && is_sent && !connection.has_leftover();
     if is_reusable {
         pool.put(crate::clock::now(), connection, &head);
--- a/crates/sidecar/src/owner/pool.rs
+++ b/crates/sidecar/src/owner/pool.rs
@@ -5,7 +5,7 @@
 use cassiashunt_types::prelude::*;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::http::{Connection, ResponseHead, header};
+use crate::http::{Connection, ResponseHead, Store, header};
 
 /// How long a new connection to the server on the same machine may take.
 const CONNECT: Duration = Duration::from_millis(1_000);
@@ -23,10 +23,24 @@
     until: Time,
 }
 
-/// Kept connections to one server.
-#[derive(Debug, Default)]
+/// Bytes that all answers being read may hold together: a server in trouble may send without end,
+/// on every connection.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// Kept connections to one server, and room for its answers.
+#[derive(Debug)]
 pub(crate) struct Pool {
     idle: RefCell<Vec<Idle>>,
+    room: Store,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+            room: Store::new(ANSWER_BYTES),
+        }
+    }
 }
 
 impl Pool {
@@ -50,9 +64,16 @@
         }
     }
 
-    /// Drops the connections that are kept too long.
+    /// Room for answers.
+    pub(crate) fn room(&self) -> &Store {
+        &self.room
+    }
+
+    /// Drops the connections that are kept too long, and those on which bytes come that nobody asked
+    /// for.
     pub(crate) fn expire(&self, now: Time) {
-        self.idle.borrow_mut().retain(|kept| kept.until > now);
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|kept| kept.until > now && kept.connection.is_idle());
     }
 
     /// Drops all connections, as when another server has come.
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -7,5 +7,5 @@
 mod wire;
 
 pub use client::{Answer, Request, ask, open};
-pub use server::{Behaviour, Run, Server};
+pub use server::{ATTEMPT, Behaviour, Run, Server};
 pub use store::{Door, Fault, Store};
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -41,8 +41,36 @@
     Unframed,
     /// Answers without a length, and resets the connection within the body.
     UnframedReset,
+    /// Runs it, and sends these bytes, and then others over and over until the caller closes.
+    Endless {
+        /// What comes once.
+        first: Vec<u8>,
+        /// What comes over and over.
+        then: Vec<u8>,
+        /// The pause between two pieces.
+        pause: Duration,
+    },
+    /// Answers whole, and sends the same answer once more after so long, on the same connection.
+    LateCopy(Duration),
 }
 
+impl Behaviour {
+    /// Bytes without end after the head of an answer to a request; `head` has its end, or not.
+    #[must_use]
+    pub fn endless(head: &str, then: &[u8], pause: Duration) -> Self {
+        Self::Endless {
+            first: head.into(),
+            then: then.into(),
+            pause,
+        }
+    }
+}
+
+/// Stands for the id of the attempt in the bytes of [`Behaviour::Endless`].
+pub const ATTEMPT: &str = "{attempt}";
+/// The most that an endless answer sends, for callers that never close.
+const ENDLESS_BYTES: usize = 2 << 30;
+
 /// A request that the server began to run.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -283,6 +311,24 @@
                 reset(stream);
                 false
             }
+            Behaviour::Endless { first, then, pause } => {
+                let first = String::from_utf8_lossy(&first).replace(ATTEMPT, &attempt);
+                send_without_end(stream, first.as_bytes(), &then, pause);
+                self.lock().runs[run].is_abandoned = true;
+                false
+            }
+            Behaviour::LateCopy(span) => {
+                let Ok(mut copy) = stream.try_clone() else {
+                    return false;
+                };
+                let late = whole.clone();
+                thread::spawn(move || {
+                    thread::sleep(span);
+                    // The caller may have closed.
+                    let _ = copy.write_all(&late);
+                });
+                stream.write_all(&whole).is_ok()
+            }
             Behaviour::Serve | Behaviour::Early | Behaviour::Shed => {
                 stream.write_all(&whole).is_ok()
             }
@@ -363,3 +409,15 @@
     // Without the option the connection ends in order, and the test that asked for it fails.
     let _ = socket.set_linger(Some(Duration::ZERO));
 }
+
+/// Sends until the caller closes.
+fn send_without_end(mut stream: &TcpStream, first: &[u8], then: &[u8], pause: Duration) {
+    if stream.write_all(first).is_err() {
+        return;
+    }
+    let mut sent = 0;
+    while sent < ENDLESS_BYTES && stream.write_all(then).is_ok() {
+        sent += then.len();
+        thread::sleep(pause);
+    }
+}
