Wait on for a silent node with work that may not run again

It could happen here: a link was given up after about 1.5 s of silence, with all requests on it, so that a sign-off whose node was paused for 2.5 s got 502 although its answer was there a second later (the new test, before: 502).

A silent peer gets no new work, and what may be repeated is tried elsewhere; the rest waits on the old connection up to its deadline, and the answer is delivered. The owner keeps a silent caller's work for 8 s where it was 4 s. Test: work_at_a_node_that_is_only_silent_for_a_while_is_neither_given_up_nor_run_again.

--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -395,6 +395,41 @@
     }
 }
 
+#[test]
+fn work_at_a_node_that_is_only_silent_for_a_while_is_neither_given_up_nor_run_again() {
+    let site = Site::start("site-silent", &["shop", "desk"]);
+    let mut patient = support::site::table(2, &[KEY]);
+    for resource in patient["resources"].as_array_mut().expect("a list") {
+        if resource["type"] == "routes" {
+            resource["spec"]["timeout_ms"] = 8_000.into();
+        }
+    }
+    site.put_table(&patient);
+    thread::sleep(Duration::from_millis(1_500));
+    let (owner, ingress) = (&site.members[0], &site.members[1]);
+    for pause in [2_500, 4_500] {
+        let span = Duration::from_millis(1_000);
+        owner.server.do_next(Behaviour::Slow(span));
+        let request = Request {
+            timeout_ms: 8_000,
+            ..write("shop")
+        };
+        let answer = thread::scope(|scope| {
+            let asked = scope.spawn(|| ingress.ask(&request).expect("the node answers"));
+            thread::sleep(Duration::from_millis(300));
+            owner.node.signal("-STOP");
+            thread::sleep(Duration::from_millis(pause));
+            owner.node.signal("-CONT");
+            asked.join().expect("the request ends")
+        });
+        assert_eq!(answer.status, 200, "paused for {pause} ms");
+        assert_eq!(site.runs_of(&request), 1, "paused for {pause} ms");
+        eventually("the link is up again", || {
+            ingress.status_of(&read("shop")) == 200
+        });
+    }
+}
+
 #[test]
 fn a_node_that_never_falls_idle_stops_within_its_grace() {
     let mut site = Site::start("site-busy-stop", &["shop", "desk"]);
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -208,7 +208,8 @@
             })
         }
         Way::Link(_, link) => {
-            let Some((id, outcome)) = link.request(request) else {
+            let is_patient = work.route.repeat != Repeat::Idempotent;
+            let Some((id, outcome)) = link.request(request, is_patient) else {
                 in_flight.end(Seen::Refused, None);
                 return Outcome::Refused(Refusal::not_run(Reason::NoServer));
             };
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -11,8 +11,9 @@
 };
 use crate::{accept::accept, node::Node, tree};
 
-/// A dialler that has said nothing for so long is gone; it says something every second.
-const SILENCE: Duration = Duration::from_secs(4);
+/// A dialler that has said nothing for so long is gone, and the work that it asked for of no use; it
+/// says something every second. One that was only paused is back before.
+const SILENCE: Duration = Duration::from_secs(8);
 
 /// The jobs of one peer by its ids.
 type Jobs = Rc<RefCell<HashMap<u64, RequestId>>>;
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -11,79 +11,155 @@
 use cassiashunt_mesh::{LinkWatch, Watched};
 use cassiashunt_route::OwnerReport;
 use cassiashunt_types::prelude::*;
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::timeout};
 
 use super::{
-    AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest, news,
+    AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest,
+    frame::Ended,
+    news,
     socket::{self, Reader, Sender},
 };
-use crate::{node::Node, tree};
+use crate::{clock, node::Node, tree};
 
 /// The time between two tries to connect, up to twice as long.
 const REDIAL: Duration = Duration::from_millis(150);
 /// How often a link is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// How long a silent peer is waited for at the most: longer than the deadlines of requests that may
+/// not run again.
+const WAIT_ON: Duration = Duration::from_secs(15);
+/// The time between two signs of life to a silent peer.
+const SIGN_EVERY: Duration = Duration::from_secs(1);
 
 /// How a request ended, and the owner's report where it came with it.
 type Ending = (Outcome, Option<OwnerReport>);
 
-/// A connection to one peer, and the requests on it.
+/// A request that waits for its ending.
+#[derive(Debug)]
+struct Pending {
+    tx: oneshot::Sender<Ending>,
+    /// It may not run again, so it waits on for a peer that says nothing.
+    is_patient: bool,
+}
+
+/// One connection and the requests on it.
+#[derive(Debug)]
+struct Connected {
+    tx: Sender,
+    pending: RefCell<HashMap<u64, Pending>>,
+    watch: Cell<LinkWatch>,
+}
+
+impl Connected {
+    fn new(tx: Sender) -> Self {
+        Self {
+            tx,
+            pending: RefCell::default(),
+            watch: Cell::new(LinkWatch::new(clock::now())),
+        }
+    }
+
+    fn send(&self, kind: Kind) -> bool {
+        self.tx.try_send(Frame::from(kind)).is_ok()
+    }
+
+    /// Looks at the connection: asks for a word where the peer says nothing. Whether it is lost.
+    fn look(&self, now: Time) -> bool {
+        let mut watch = self.watch.get();
+        let step = watch.look(now, !self.pending.borrow().is_empty());
+        self.watch.set(watch);
+        match step {
+            Watched::Quiet => false,
+            Watched::Ping { wants_word } => {
+                self.send(Kind::Ping(wants_word));
+                false
+            }
+            Watched::Lost => true,
+        }
+    }
+
+    fn on_heard(&self, now: Time) {
+        let mut watch = self.watch.get();
+        watch.on_heard(now);
+        self.watch.set(watch);
+    }
+
+    fn end(&self, ended: Ended) {
+        let pending = self.pending.borrow_mut().remove(&ended.id);
+        if let Some(pending) = pending {
+            let report = OwnerReport::from_bits(ended.report);
+            // Nobody waits where the request was given up at this moment.
+            let _ = pending.tx.send((Outcome::from_ended(ended), Some(report)));
+        }
+    }
+
+    /// Gives requests up that `is_lost` names; they may have run.
+    fn lose(&self, is_lost: impl Fn(&Pending) -> bool) {
+        let lost: Vec<_> = self
+            .pending
+            .borrow_mut()
+            .extract_if(|_, pending| is_lost(pending))
+            .collect();
+        for (_, pending) in lost {
+            let outcome = Outcome::Refused(Refusal::may_have_run(Reason::Lost));
+            // Nobody waits where the request was given up at this moment.
+            let _ = pending.tx.send((outcome, None));
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.pending.borrow().is_empty()
+    }
+}
+
+/// The way to one peer, and the requests on it.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
-    tx: RefCell<Option<Sender>>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<Ending>>>,
+    current: RefCell<Option<Rc<Connected>>>,
+    /// Connections on which the peer fell silent while requests wait that may not run again.
+    silent: RefCell<Vec<Rc<Connected>>>,
     last: Cell<u64>,
-    watch: Cell<LinkWatch>,
 }
 
 impl Link {
     /// Whether the peer can be asked.
     pub(crate) fn is_up(&self) -> bool {
-        self.tx.borrow().is_some()
+        self.current.borrow().is_some()
     }
 
     /// Whether nothing waits for the peer.
     pub(crate) fn is_idle(&self) -> bool {
-        self.pending.borrow().is_empty()
+        self.current.borrow().as_ref().is_none_or(|it| it.is_idle())
     }
 
     /// Sends a request; nothing where the connection is down or its queue is full, and then the
-    /// peer never sees it.
+    /// peer never sees it. `is_patient` for one that may not run again.
     pub(crate) fn request(
         &self,
         mut request: WorkRequest,
+        is_patient: bool,
     ) -> Option<(u64, oneshot::Receiver<Ending>)> {
+        let current = self.current.borrow().clone()?;
         let id = self.last.get() + 1;
         self.last.set(id);
         request.id = id;
         let (tx, rx) = oneshot::channel();
-        self.pending.borrow_mut().insert(id, tx);
-        if self.send(Kind::Request(request)) {
+        let pending = Pending { tx, is_patient };
+        current.pending.borrow_mut().insert(id, pending);
+        if current.send(Kind::Request(request)) {
             return Some((id, rx));
         }
-        self.pending.borrow_mut().remove(&id);
+        current.pending.borrow_mut().remove(&id);
         None
     }
 
     /// Tells the peer that a request is of no use any more.
     pub(crate) fn cancel(&self, id: u64) {
-        if self.pending.borrow_mut().remove(&id).is_some() {
-            self.send(Kind::Cancel(id));
-        }
-    }
-
-    /// Looks at the connection: asks for a word where the peer says nothing. Whether it is lost.
-    fn look(&self, now: Time) -> bool {
-        let mut watch = self.watch.get();
-        let step = watch.look(now, !self.is_idle());
-        self.watch.set(watch);
-        match step {
-            Watched::Quiet => false,
-            Watched::Ping { wants_word } => {
-                self.send(Kind::Ping(wants_word));
-                false
+        let silent = self.silent.borrow();
+        for connected in self.current.borrow().iter().chain(silent.iter()) {
+            if connected.pending.borrow_mut().remove(&id).is_some() {
+                connected.send(Kind::Cancel(id));
             }
-            Watched::Lost => true,
         }
     }
 
@@ -110,25 +186,14 @@
     }
 
     fn send(&self, kind: Kind) -> bool {
-        let tx = self.tx.borrow();
-        tx.as_ref()
-            .is_some_and(|tx| tx.try_send(Frame::from(kind)).is_ok())
-    }
-
-    fn end(&self, id: u64, outcome: Outcome, report: OwnerReport) {
-        if let Some(tx) = self.pending.borrow_mut().remove(&id) {
-            // Nobody waits where the request was given up at this moment.
-            let _ = tx.send((outcome, Some(report)));
-        }
+        let current = self.current.borrow();
+        current.as_ref().is_some_and(|it| it.send(kind))
     }
 
     /// Requests on a lost connection may have run.
     pub(crate) fn lose_all(&self) {
-        *self.tx.borrow_mut() = None;
-        let lost = std::mem::take(&mut *self.pending.borrow_mut());
-        for (_, tx) in lost {
-            // Nobody waits where the request was given up at this moment.
-            let _ = tx.send((Outcome::Refused(Refusal::may_have_run(Reason::Lost)), None));
+        if let Some(current) = self.current.take() {
+            current.lose(|_| true);
         }
     }
 }
@@ -146,11 +211,16 @@
                 });
                 // The queue is new and has room.
                 let _ = tx.try_send(hello.into());
-                *link.tx.borrow_mut() = Some(tx);
+                let connected = Rc::new(Connected::new(tx));
+                *link.current.borrow_mut() = Some(Rc::clone(&connected));
                 was_up = true;
                 log::info!(peer:% = name; "link-up");
-                let err = read_frames(&node, &name, reader, &link).await.err();
-                log::warn!(peer:% = name, reason:? = err; "link-lost");
+                let end = read_frames(&node, &name, reader, &link, &connected).await;
+                log::warn!(peer:% = name, reason:? = end.reason, silent = end.silent.is_some();
+                    "link-lost");
+                if let Some(reader) = end.silent {
+                    wait_on(&link, connected, reader);
+                }
             }
             Err(err) if was_up => {
                 was_up = false;
@@ -164,44 +234,103 @@
     }
 }
 
+/// How a connection ended.
+struct End {
+    reason: Option<io::Error>,
+    /// The peer says nothing, and the connection may come back to life.
+    silent: Option<Reader>,
+}
+
 async fn read_frames(
     node: &Rc<Node>,
     name: &str,
     mut reader: Reader,
     link: &Rc<Link>,
-) -> io::Result<()> {
-    link.watch.set(LinkWatch::new(crate::clock::now()));
+    connected: &Connected,
+) -> End {
     let mut looks = tokio::time::interval(LOOK_EVERY);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         // Reading keeps what came in so far where it is interrupted.
         let frame = tokio::select! {
             biased;
-            frame = reader.read_frame() => frame?,
+            frame = reader.read_frame() => frame,
             _ = looks.tick() => {
-                if link.look(crate::clock::now()) {
-                    return Err(io::ErrorKind::TimedOut.into());
+                if connected.look(clock::now()) {
+                    return End { reason: None, silent: Some(reader) };
                 }
                 continue;
             }
         };
-        let Some(Frame { kind }) = frame else {
-            return Ok(());
+        let (reason, kind) = match frame {
+            Ok(Some(Frame { kind })) => (None, kind),
+            Ok(None) => {
+                return End {
+                    reason: None,
+                    silent: None,
+                };
+            }
+            Err(err) => (Some(err), None),
         };
-        let now = crate::clock::now();
-        let mut watch = link.watch.get();
-        watch.on_heard(now);
-        link.watch.set(watch);
-        on_frame(node, name, link, now, kind);
+        if reason.is_some() {
+            return End {
+                reason,
+                silent: None,
+            };
+        }
+        let now = clock::now();
+        connected.on_heard(now);
+        match kind {
+            Some(Kind::Ended(ended)) => connected.end(ended),
+            kind => on_frame(node, name, link, now, kind),
+        }
+    }
+}
+
+/// Waits on for a peer that fell silent, with the requests that may not run again: it may only have
+/// been paused, and their answers count until their deadlines. The others are tried elsewhere.
+fn wait_on(link: &Rc<Link>, connected: Rc<Connected>, reader: Reader) {
+    *link.current.borrow_mut() = None;
+    connected.lose(|pending| !pending.is_patient);
+    if connected.is_idle() {
+        return;
+    }
+    link.silent.borrow_mut().push(Rc::clone(&connected));
+    let link = Rc::clone(link);
+    tokio::task::spawn_local(async move {
+        // A request that is given up at its deadline leaves the connection, or this wait ends.
+        let ended = timeout(WAIT_ON, read_endings(&connected, reader)).await;
+        log::info!(ended = ended.is_ok(), left = connected.pending.borrow().len(); "silent-link-over");
+        connected.lose(|_| true);
+        link.silent
+            .borrow_mut()
+            .retain(|it| !Rc::ptr_eq(it, &connected));
+    });
+}
+
+async fn read_endings(connected: &Connected, mut reader: Reader) {
+    let mut signs = tokio::time::interval(SIGN_EVERY);
+    while !connected.is_idle() {
+        let frame = tokio::select! {
+            biased;
+            frame = reader.read_frame() => frame,
+            _ = signs.tick() => {
+                connected.send(Kind::Ping(false));
+                continue;
+            }
+        };
+        match frame {
+            Ok(Some(Frame {
+                kind: Some(Kind::Ended(ended)),
+            })) => connected.end(ended),
+            Ok(Some(_)) => {}
+            Ok(None) | Err(_) => return,
+        }
     }
 }
 
 fn on_frame(node: &Rc<Node>, name: &str, link: &Rc<Link>, now: Time, kind: Option<Kind>) {
     match kind {
-        Some(Kind::Ended(ended)) => {
-            let report = OwnerReport::from_bits(ended.report);
-            link.end(ended.id, Outcome::from_ended(ended), report);
-        }
         Some(Kind::Load(load)) => {
             if node.on_peer_revision(now, Revision(load.table_revision)) {
                 link.send(Kind::AskTable(true));
