Ask a slow store less: watchers first, and gathered changes

Renewals stay at 2 s: a first try at longer leases in large fleets would have made nodes count as out of touch, as the renewal shows that the store answers.

--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -15,13 +15,9 @@
 /// The lease of the entry: links tell at once who lives, so this bounds only how long a node that
 /// never stopped properly is dialled.
 const TTL: Duration = Duration::from_secs(6);
-/// The parts of the lease after each of which it is renewed: two renewals may fail.
-const RENEWALS: u32 = 3;
-/// In a larger fleet leases are longer, and renewals rarer, so that the store is asked as often: a
-/// shortest lease for each so many nodes.
-const NODES_A_TTL: usize = 64;
-/// The longest lease, in shortest ones.
-const MOST_TTLS: usize = 3;
+/// The time between two renewals: two of them may fail. Their answers also show that the store answers
+/// this node, which has to be known more often than keys are out of touch.
+const RENEW_EVERY: Duration = Duration::from_secs(2);
 /// How long the first entry waits for the server's first word: the users' servers tell every 1.5 s.
 const FIRST_WORD: Duration = Duration::from_secs(3);
 
@@ -29,7 +25,6 @@
 #[derive(Default)]
 struct Entry {
     lease: Option<u64>,
-    ttl: Duration,
     /// The entry's revision; not known before the first writing, or after a failed one.
     revision: Option<Revision>,
     written: Option<Announcement>,
@@ -37,17 +32,14 @@
 
 /// Keeps the entry written and its lease renewed.
 pub(crate) async fn announce(node: Rc<Node>, store: Rc<StoreClient>) {
-    let mut entry = Entry {
-        ttl: TTL,
-        ..Entry::default()
-    };
+    let mut entry = Entry::default();
     let mut failures = 0;
     loop {
         let kept = keep(&node, &store, &mut entry).await;
         let span = match kept {
             Ok(()) => {
                 failures = 0;
-                entry.ttl / RENEWALS
+                RENEW_EVERY
             }
             Err(err) => {
                 failures += 1;
@@ -68,13 +60,6 @@
     }
 }
 
-/// The lease of an entry in a fleet as large as this one.
-fn ttl(node: &Node) -> Duration {
-    let times = (node.fleet.borrow().size() / NODES_A_TTL).clamp(1, MOST_TTLS);
-    let least = Duration::from_millis(node.settings().store.min_lease_ms);
-    least.max(TTL * u32::try_from(times).unwrap_or(1))
-}
-
 /// Takes the entry back at a planned stop.
 pub(crate) async fn withdraw(store: &StoreClient, lease: u64) -> Result<(), CallError> {
     store
@@ -93,8 +78,8 @@
         _ => {
             entry.written = None;
             wait_for_first_word(node).await;
-            entry.ttl = ttl(node);
-            let call = new_lease(entry.ttl);
+            let call =
+                new_lease(TTL.max(Duration::from_millis(node.settings().store.min_lease_ms)));
             let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
             let (lease, _) = decode_lease(status, &body)?;
             entry.lease = Some(lease);
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -25,8 +25,11 @@
 const LEAST_BETWEEN: Duration = Duration::from_millis(150);
 /// How long the first reading of the table is waited for.
 const FIRST_READING: Duration = Duration::from_secs(1);
-/// The age of the last proof above which a node that is no prover asks the store itself.
+/// The age of the last proof above which a node asks the store itself that watches it for others.
 const OLD_PROOF: Duration = Duration::from_millis(2_200);
+/// What is left of the bound on withdrawn keys when any other node does so: the whole fleet would
+/// ask a store that is only slow otherwise, and those that watch it bring its answers.
+const LEFT_TO_ASK: Duration = Duration::from_millis(1_800);
 /// How often a node that watches nothing looks whether it is to.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
 /// Nodes that ask the store for all others.
@@ -125,7 +128,13 @@
 /// that ask the store for all others.
 fn is_proven_by_peers(node: &Node) -> bool {
     let age = node.freshness.borrow().age(clock::now());
-    age.is_some_and(|age| age < OLD_PROOF) && !is_among_first_heads(node, PROVERS)
+    let bound = Duration::from_millis(node.settings().bounds.key_withdrawal_ms);
+    let old = if is_watcher(node) {
+        OLD_PROOF
+    } else {
+        OLD_PROOF.max(bound.saturating_sub(LEFT_TO_ASK))
+    };
+    age.is_some_and(|age| age < old) && !is_among_first_heads(node, PROVERS)
 }
 
 /// Any few peers: the store may not answer those either whose duty it is to ask it.
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -18,8 +18,13 @@
 const WATCH: Duration = Duration::from_secs(15);
 /// Entries lapse while the store is away; a server that lives has its entry back in this time.
 const MISSING: Duration = Duration::from_millis(2_500);
-/// After changes, how long the next watch is held back so that many changes come in one answer.
-const GATHER: Duration = Duration::from_millis(300);
+/// After changes, how long the next watch is held back so that many changes come in one answer: so
+/// long for each node, since a rolling restart changes entries all the time.
+const GATHER_A_NODE: Duration = Duration::from_millis(10);
+/// The least such time.
+const LEAST_GATHER: Duration = Duration::from_millis(250);
+/// The longest such time: a server that joins gets work within a few seconds.
+const MOST_GATHER: Duration = Duration::from_millis(1_500);
 /// How often a node that does not watch looks whether it is to.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
 
@@ -50,13 +55,19 @@
             continue;
         }
         match watch_once(node, store).await {
-            Ok(true) => tokio::time::sleep(GATHER).await,
+            Ok(true) => tokio::time::sleep(gather(node)).await,
             Ok(false) => {}
             Err(_) => return,
         }
     }
 }
 
+fn gather(node: &Node) -> Duration {
+    let nodes = u32::try_from(node.fleet.borrow().size()).unwrap_or(u32::MAX);
+    let span = GATHER_A_NODE.saturating_mul(nodes);
+    span.clamp(LEAST_GATHER, MOST_GATHER)
+}
+
 /// Drops the peers whose entries have been missing for long.
 pub(crate) fn drop_missing(node: &Node) {
     let has_dropped = node.fleet.borrow_mut().drop_missing(clock::now(), MISSING);
