Count tokens that nodes hold against the burst, and let them lapse

While a service sheds, requests give their tokens back, so that every node keeps its stock and the home fills its burst up beside it: with 14 nodes and a hot workspace up to 150 tokens more than the burst.

Tokens of the home lapse after 0.5 s, and count against the home's burst until then, and refunds do not outlive them.

--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -4,11 +4,12 @@
 //! at a node without requests, a node delegates its share to the workspace's *home* for a short
 //! time, again and again, and asks the home for tokens. A share makes tokens at one place at a
 //! time: at the home while the delegation is young, at its owner after the delegation has lapsed or
-//! the home was lost. So the sum over all nodes stays within `burst + rate * t` through cuts, kills
+//! the home was lost. Tokens that were handed over lapse, and count against the home's burst until
+//! then, so that what nodes hold is no second burst. So the sum over all nodes stays within `burst + rate * t` through cuts, kills
 //! and pauses, but for the span of a delegation whose owner has lost the home and makes tokens
 //! again while the home still does; the operators' excess covers it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use cassiashunt_types::prelude::*;
 
@@ -16,6 +17,11 @@
 /// break.
 pub const DELEGATION: Duration = Duration::from_millis(900);
 
+/// How long tokens that were handed over may be spent: twice the time for which they are asked ahead.
+const HELD: Duration = Duration::from_millis(500);
+/// How much longer they count at the home, since it handed them over before they arrived.
+const ON_THE_WAY: Duration = Duration::from_millis(100);
+
 /// Settings of one node's allowance of one workspace.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
@@ -62,6 +68,11 @@
     delegated: HashMap<String, Delegated>,
     tokens: f64,
     filled: Time,
+    /// Tokens of the home, and until when they may be spent.
+    held: f64,
+    held_until: Time,
+    /// Tokens that were handed over lately, and when.
+    given: VecDeque<(Time, u32)>,
 }
 
 impl Allowance {
@@ -74,6 +85,9 @@
             delegated: HashMap::new(),
             tokens: 0.0,
             filled: now,
+            held: 0.0,
+            held_until: now,
+            given: VecDeque::new(),
         }
     }
 
@@ -108,10 +122,15 @@
             return Take::Passed;
         }
         self.fill(now);
-        if self.tokens < 1.0 {
+        let from = if self.held >= 1.0 {
+            &mut self.held
+        } else {
+            &mut self.tokens
+        };
+        if *from < 1.0 {
             return Take::Short;
         }
-        self.tokens -= 1.0;
+        *from -= 1.0;
         Take::Passed
     }
 
@@ -120,20 +139,36 @@
         self.fill(now);
         let given = (self.tokens.max(0.0) as u32).min(wanted);
         self.tokens -= f64::from(given);
+        if given > 0 {
+            self.given.push_back((now, given));
+        }
         given
     }
 
-    /// Takes in tokens that another node handed over, or of a request that did not run.
+    /// Takes in tokens that another node handed over.
     pub fn receive(&mut self, now: Time, tokens: u32) {
         self.fill(now);
-        let most = self.opts.burst.max(1.0);
-        self.tokens = (self.tokens + f64::from(tokens)).min(most);
+        if tokens > 0 {
+            let most = self.opts.burst.max(1.0);
+            self.held = (self.held + f64::from(tokens)).min(most);
+            self.held_until = now + HELD;
+        }
+    }
+
+    /// Takes back the token of a request that did not run.
+    pub fn refund(&mut self, now: Time) {
+        self.fill(now);
+        if now < self.held_until {
+            self.held = (self.held + 1.0).min(self.opts.burst.max(1.0));
+        } else {
+            self.tokens = (self.tokens + 1.0).min(self.cap().max(self.tokens));
+        }
     }
 
-    /// The tokens held.
+    /// The tokens that may be spent here.
     #[must_use]
     pub fn tokens(&self) -> f64 {
-        self.tokens
+        self.tokens + self.held
     }
 
     fn shares(&self) -> f64 {
@@ -146,14 +181,22 @@
         (own + delegated).min(1.0)
     }
 
-    /// The most tokens that are kept of what is made here.
+    /// The most tokens that are kept of what is made here, beside those that were handed over.
     fn cap(&self) -> f64 {
-        (self.opts.burst * self.shares()).max(1.0)
+        let given: u32 = self.given.iter().map(|(_, given)| given).sum();
+        (self.opts.burst * self.shares() - f64::from(given)).max(1.0)
     }
 
     fn fill(&mut self, now: Time) {
         let filled = self.filled;
         self.filled = filled.max(now);
+        if now >= self.held_until {
+            self.held = 0.0;
+        }
+        let is_spent = |given: &(Time, u32)| now.since(given.0) >= HELD + ON_THE_WAY;
+        while self.given.front().is_some_and(is_spent) {
+            self.given.pop_front();
+        }
         let mut share_s = 0.0;
         if !self.is_delegating {
             share_s += self.opts.share * now.since(filled).as_secs_f64();
--- a/crates/mesh/tests/allowance.rs
+++ b/crates/mesh/tests/allowance.rs
@@ -165,3 +165,70 @@
     let workspace: Workspace = "shop-1".parse().expect("a plain name");
     assert_eq!(home_of(&some, workspace), home_of(&other, workspace));
 }
+
+/// A home, and nodes that ask it for a quarter of a second of their demand ahead.
+struct Askers {
+    home: Allowance,
+    nodes: Vec<Allowance>,
+    asked: Vec<Time>,
+}
+
+impl Askers {
+    const AHEAD: u32 = 12;
+    const ASK_EVERY: Duration = Duration::from_millis(60);
+
+    fn new() -> Self {
+        let rate = AllowanceOptions {
+            rate: 100.0,
+            burst: 100.0,
+            share: 1.0 / NODES as f64,
+        };
+        let mut node = Allowance::new(at(0), rate);
+        node.set_delegating(at(0), true);
+        Self {
+            home: Allowance::new(at(0), rate),
+            nodes: vec![node; NODES - 1],
+            asked: vec![at(0); NODES - 1],
+        }
+    }
+
+    /// One request at every node; how many of them took a token and kept it.
+    fn step(&mut self, now: Time, is_shed: bool) -> usize {
+        let mut kept = 0;
+        for at in 0..self.nodes.len() {
+            let name = format!("node-{at}");
+            self.home.on_delegated(now, &name, 1.0 / NODES as f64);
+            let mut has_passed = self.nodes[at].take(now) == Take::Passed;
+            if !has_passed && now.since(self.asked[at]) >= Self::ASK_EVERY {
+                self.asked[at] = now;
+                let given = self.home.give(now, Self::AHEAD);
+                self.nodes[at].receive(now, given);
+                has_passed = self.nodes[at].take(now) == Take::Passed;
+            }
+            if has_passed && is_shed {
+                self.nodes[at].refund(now);
+            } else if has_passed {
+                kept += 1;
+            }
+        }
+        kept
+    }
+}
+
+#[test]
+fn tokens_that_nodes_hold_count_against_the_burst() {
+    // The users' hot workspace while its service sheds all of it, and then serves it again.
+    let mut askers = Askers::new();
+    for step in 0..300 {
+        askers.step(at(step * 20), true);
+    }
+    let mut taken = 0;
+    for step in 300..550 {
+        taken += askers.step(at(step * 20), false);
+    }
+    // Rate and burst, and one token of its own at each node.
+    let most = 100 * 5 + 100 + NODES;
+    assert!(taken <= most, "{taken} in 5 s, {most} allowed");
+    // Nothing inside the rate is lost for it.
+    assert!(taken >= 480, "{taken} in 5 s");
+}
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -157,7 +157,7 @@
     /// Gives back the token of a request that did not run.
     pub(crate) fn refund(&self, now: Time, workspace: Workspace) {
         if let Some(entry) = self.entries.borrow_mut().get_mut(&workspace) {
-            entry.allowance.receive(now, 1);
+            entry.allowance.refund(now);
         }
     }
 
