Drop the tokens of a larger share when the share shrinks

The fault is older, but it took the entries 0.1 to 0.5 s then; since nodes announce themselves with their servers it takes up to 3 s, so that every node came to a full burst.

--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -96,15 +96,18 @@
         self.fill(now);
         let is_changed = (opts.rate, opts.burst) != (self.opts.rate, self.opts.burst);
         self.opts = opts;
-        if is_changed {
-            self.tokens = self.tokens.min(self.cap());
-        }
+        // What was made of a larger share is others' now.
+        self.tokens = self.tokens.min(self.cap());
         is_changed
     }
 
     /// Whether the own share makes tokens at another node from now on.
     pub fn set_delegating(&mut self, now: Time, is_delegating: bool) {
         self.fill(now);
+        if is_delegating && !self.is_delegating {
+            self.is_delegating = true;
+            self.tokens = self.tokens.min(self.cap());
+        }
         self.is_delegating = is_delegating;
     }
 
--- a/crates/mesh/tests/allowance.rs
+++ b/crates/mesh/tests/allowance.rs
@@ -232,3 +232,20 @@
     // Nothing inside the rate is lost for it.
     assert!(taken >= 480, "{taken} in 5 s");
 }
+
+#[test]
+fn a_node_that_thought_itself_alone_keeps_no_more_than_its_share() {
+    // All nodes start at once, and learn of each other some time after the table.
+    let mut node = Allowance::new(
+        at(0),
+        AllowanceOptions {
+            share: 1.0,
+            ..options()
+        },
+    );
+    node.set_options(at(3_000), options());
+    let own = BURST / NODES as f64;
+    assert!(node.tokens() <= own, "{} of {own}", node.tokens());
+    node.set_delegating(at(3_000), true);
+    assert!(node.tokens() <= 1.0, "{} beside the home's", node.tokens());
+}
