--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -17,8 +17,8 @@
 /// break.
 pub const DELEGATION: Duration = Duration::from_millis(900);
 
-/// How long tokens that were handed over may be spent: twice the time for which they are asked ahead.
-const HELD: Duration = Duration::from_millis(500);
+/// How long tokens that were handed over may be spent: a little longer than they are asked ahead.
+const HELD: Duration = Duration::from_millis(300);
 /// How much longer they count at the home, since it handed them over before they arrived.
 const ON_THE_WAY: Duration = Duration::from_millis(100);
 
