--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! The live nodes as this one sees them, and the choice among their backend servers.
 
+mod group;
+
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
@@ -15,6 +17,7 @@
 use cassiashunt_types::prelude::*;
 use tokio::task::AbortHandle;
 
+use self::group::Group;
 use crate::{
     link::{Link, Load, keep_link},
     node::Node,
@@ -72,52 +75,6 @@
     missing_since: Option<Time>,
 }
 
-/// The servers of one service.
-struct Group {
-    chooser: Chooser,
-    ways: HashMap<ServerKey, Way>,
-    /// What owners that take work told last.
-    capacities: HashMap<ServerKey, Capacity>,
-}
-
-impl Group {
-    fn on_load(&mut self, now: Time, key: ServerKey, load: &Load) {
-        self.on_report(now, key, OwnerReport::from_bits(load.report));
-        if load.slots > 0 {
-            self.chooser.set_slots(key, load.slots);
-        }
-        if load.is_serving {
-            let capacity = Capacity {
-                slots: f64::from(load.slots),
-                busy: f64::from(load.busy),
-            };
-            self.capacities.insert(key, capacity);
-        }
-    }
-
-    fn on_report(&mut self, now: Time, key: ServerKey, report: OwnerReport) {
-        for changed in self.chooser.on_report(now, key, report) {
-            let failing = self.chooser.failing(changed);
-            let owner = self.ways.get(&changed).map_or("", Way::owner);
-            if self.chooser.is_outlier(changed) {
-                log::warn!(owner = owner, failing = failing; "server-left-out");
-            } else {
-                log::info!(owner = owner, failing = failing; "server-taken-back");
-            }
-        }
-    }
-
-    fn left_out(&self) -> Capacity {
-        let mut sum = Capacity::default();
-        let out = self.capacities.iter();
-        for (_, capacity) in out.filter(|(key, _)| self.chooser.is_outlier(**key)) {
-            sum.slots += capacity.slots;
-            sum.busy += capacity.busy;
-        }
-        sum
-    }
-}
-
 /// The live nodes.
 pub(crate) struct Fleet {
     domain: FailureDomain,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 mod run;
 mod settings;
 mod shed;
+mod standing;
 mod stop;
 mod store;
 mod sums;
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -2,22 +2,19 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     io,
     net::SocketAddr,
     rc::Rc,
 };
 
-use cassiashunt_mesh::{LinkWatch, Watched};
-use cassiashunt_route::OwnerReport;
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, time::timeout};
 
 use super::{
-    AskTokens, Delegate, Frame, Hello, Kind, Outcome, WorkRequest,
-    frame::Ended,
+    AskTokens, Delegate, Frame, Hello, Kind, WorkRequest,
+    connected::{Connected, Ending, Pending},
     news,
-    socket::{self, Reader, Sender},
+    socket::{self, Reader},
 };
 use crate::{clock, node::Node, tree};
 
@@ -31,87 +28,6 @@
 /// The time between two signs of life to a silent peer.
 const SIGN_EVERY: Duration = Duration::from_secs(1);
 
-/// How a request ended, and the owner's report where it came with it.
-type Ending = (Outcome, Option<OwnerReport>);
-
-/// A request that waits for its ending.
-#[derive(Debug)]
-struct Pending {
-    tx: oneshot::Sender<Ending>,
-    /// It may not run again, so it waits on for a peer that says nothing.
-    is_patient: bool,
-}
-
-/// One connection and the requests on it.
-#[derive(Debug)]
-struct Connected {
-    tx: Sender,
-    pending: RefCell<HashMap<u64, Pending>>,
-    watch: Cell<LinkWatch>,
-}
-
-impl Connected {
-    fn new(tx: Sender) -> Self {
-        Self {
-            tx,
-            pending: RefCell::default(),
-            watch: Cell::new(LinkWatch::new(clock::now())),
-        }
-    }
-
-    fn send(&self, kind: Kind) -> bool {
-        self.tx.try_send(Frame::from(kind)).is_ok()
-    }
-
-    /// Looks at the connection: asks for a word where the peer says nothing. Whether it is lost.
-    fn look(&self, now: Time) -> bool {
-        let mut watch = self.watch.get();
-        let step = watch.look(now, !self.pending.borrow().is_empty());
-        self.watch.set(watch);
-        match step {
-            Watched::Quiet => false,
-            Watched::Ping { wants_word } => {
-                self.send(Kind::Ping(wants_word));
-                false
-            }
-            Watched::Lost => true,
-        }
-    }
-
-    fn on_heard(&self, now: Time) {
-        let mut watch = self.watch.get();
-        watch.on_heard(now);
-        self.watch.set(watch);
-    }
-
-    fn end(&self, ended: Ended) {
-        let pending = self.pending.borrow_mut().remove(&ended.id);
-        if let Some(pending) = pending {
-            let report = OwnerReport::from_bits(ended.report);
-            // Nobody waits where the request was given up at this moment.
-            let _ = pending.tx.send((Outcome::from_ended(ended), Some(report)));
-        }
-    }
-
-    /// Gives requests up that `is_lost` names; they may have run.
-    fn lose(&self, is_lost: impl Fn(&Pending) -> bool) {
-        let lost: Vec<_> = self
-            .pending
-            .borrow_mut()
-            .extract_if(|_, pending| is_lost(pending))
-            .collect();
-        for (_, pending) in lost {
-            let outcome = Outcome::Refused(Refusal::may_have_run(Reason::Lost));
-            // Nobody waits where the request was given up at this moment.
-            let _ = pending.tx.send((outcome, None));
-        }
-    }
-
-    fn is_idle(&self) -> bool {
-        self.pending.borrow().is_empty()
-    }
-}
-
 /// The way to one peer, and the requests on it.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -1,6 +1,7 @@
 //! Connections between nodes: requests to owners and their outcomes, loads, transfers of tokens.
 
 mod accept;
+mod connected;
 mod dial;
 mod frame;
 mod news;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -19,8 +19,8 @@
     quota::Quotas,
     settings::Settings,
     shed::Shedding,
+    standing::Standing,
     store::StoreClient,
-    tree::Standing,
     wiring::Widths,
 };
 
