Let a node spend what it made while its home is still empty

With the change before, a node that delegates dropped all but one token at once, and the fresh home had none.

--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -105,8 +105,9 @@
     pub fn set_delegating(&mut self, now: Time, is_delegating: bool) {
         self.fill(now);
         if is_delegating && !self.is_delegating {
-            self.is_delegating = true;
-            self.tokens = self.tokens.min(self.cap());
+            // The home may be empty yet: what was made here is spent meanwhile, or lapses.
+            self.hold(now, self.tokens);
+            self.tokens = 0.0;
         }
         self.is_delegating = is_delegating;
     }
@@ -152,12 +153,16 @@
     pub fn receive(&mut self, now: Time, tokens: u32) {
         self.fill(now);
         if tokens > 0 {
-            let most = self.opts.burst.max(1.0);
-            self.held = (self.held + f64::from(tokens)).min(most);
-            self.held_until = now + HELD;
+            self.hold(now, f64::from(tokens));
         }
     }
 
+    fn hold(&mut self, now: Time, tokens: f64) {
+        let most = self.opts.burst.max(1.0);
+        self.held = (self.held + tokens).min(most);
+        self.held_until = now + HELD;
+    }
+
     /// Takes back the token of a request that did not run.
     pub fn refund(&mut self, now: Time) {
         self.fill(now);
