--- a/crates/mesh/tests/tree.rs
+++ b/crates/mesh/tests/tree.rs
@@ -50,7 +50,9 @@
             mean <= BYTES_A_SECOND,
             "{size} nodes: {mean} bytes a second"
         );
-        most.push(spent.into_iter().fold(0.0, f64::max));
+        let highest = spent.into_iter().fold(0.0, f64::max);
+        println!("{size} nodes: {mean:.0} bytes a second, {highest:.0} at most");
+        most.push(highest);
     }
     // A head bears a cell, whatever the size of the fleet, and the first of a domain its cells.
     assert!(most[2] <= 2.0 * most[0], "{most:?} bytes a second at most");
