Take a node for a home of limits only once it has a table

Loads tell the table's revision; a node without one is passed over as a home. Test a_node_that_has_no_table_yet_is_no_home_of_limits: 429 after 0.83 s before.

--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -395,6 +395,34 @@
     }
 }
 
+#[test]
+fn a_node_that_has_no_table_yet_is_no_home_of_limits() {
+    // The bound of the users' deployments, which a store as slow as this does not break.
+    let withdrawal = Duration::from_secs(5);
+    let mut site = Site::start_with_bound("site-young-home", &["shop", "desk"], withdrawal);
+    site.store
+        .set_fault(Fault::Slow(Duration::from_millis(900)));
+    // One of the two is the home of the only workspace.
+    for restarted in [0, 1] {
+        site.members[restarted].node.kill();
+        site.members[restarted].restart();
+        let other = &site.members[1 - restarted];
+        let request = || read(&other.service);
+        let since = Instant::now();
+        while since.elapsed() < Duration::from_secs(4) {
+            let status = other.status_of(&request());
+            // Before the loss is noticed, the home is asked and nobody answers.
+            let is_noticed = since.elapsed() > Duration::from_millis(600);
+            assert!(
+                status == 200 || !is_noticed,
+                "{status} after {:?}",
+                since.elapsed()
+            );
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
 #[test]
 fn work_at_a_node_that_is_only_silent_for_a_while_is_neither_given_up_nor_run_again() {
     let site = Site::start("site-silent", &["shop", "desk"]);
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -71,6 +71,8 @@
     seen: Time,
     unwanted_since: Option<Time>,
     key: ServerKey,
+    /// It has read a table since its link came up.
+    has_table: bool,
     /// When its entry disappeared from the store.
     missing_since: Option<Time>,
 }
@@ -105,6 +107,12 @@
             .collect()
     }
 
+    /// Whether a peer that can be asked has read a table.
+    pub(crate) fn has_table(&self, name: &str) -> bool {
+        let peer = self.peers.get(name);
+        peer.is_some_and(|peer| peer.has_table && peer.link.is_up())
+    }
+
     /// How many peers can be asked now.
     pub(crate) fn links_up(&self) -> usize {
         self.peers.values().filter(|peer| peer.link.is_up()).count()
@@ -212,6 +220,7 @@
             seen: now,
             unwanted_since: None,
             key,
+            has_table: false,
             missing_since: None,
         };
         self.peers.insert(name.to_owned(), peer);
@@ -315,9 +324,10 @@
 
     /// Takes in what a peer tells of its owner.
     pub(crate) fn on_load(&mut self, now: Time, name: &str, load: &Load) {
-        let Some(peer) = self.peers.get(name) else {
+        let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
+        peer.has_table = load.table_revision > 0;
         let (service, key) = (peer.announcement.service, peer.key);
         if load.service != service.as_str() {
             // Its entry in the store will say which service it has now.
@@ -344,7 +354,8 @@
 
     /// Takes in that a peer can't be asked now.
     pub(crate) fn on_link_lost(&mut self, name: &str) {
-        if let Some(peer) = self.peers.get(name) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.has_table = false;
             let (service, key) = (peer.announcement.service, peer.key);
             self.set_presence(service, key, Presence::Unreachable);
         }
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -86,11 +86,13 @@
         let now = clock::now();
         let own = node.settings().name.clone();
         let live = node.fleet.borrow().live_links();
-        let homes = homes(
-            home_candidates(&node.fleet.borrow(), &own)
-                .into_iter()
-                .filter(|name| *name == own || live.contains_key(name)),
-        );
+        // A node that has just started has no limits to make tokens of before it has a table.
+        let homes = {
+            let fleet = node.fleet.borrow();
+            let mut candidates = home_candidates(&fleet, &own);
+            candidates.retain(|name| *name == own || fleet.has_table(name));
+            homes(candidates.into_iter())
+        };
         let share = 1.0 / node.fleet.borrow().size() as f64;
         for home in homes.iter().filter(|home| **home != own) {
             if let Some(link) = live.get(home) {
