--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -6,6 +6,7 @@
 use cassiashunt_adapter::{Facts, Prepared, prepare};
 use cassiashunt_admit::time_to_come_back;
 use cassiashunt_mesh::{RouteRow, SiteTable, WorkspaceRow};
+use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
 
 use super::{
@@ -87,6 +88,8 @@
         Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
     };
     trace.workspace = workspace.map(|row| row.name);
+    let fingerprint = fingerprint(host, &head, &body, trace.workspace);
+    trace.fingerprint = Some(fingerprint);
     let mut priority = if !is_call && node.is_on_peers_word() {
         spare_priority(route)
     } else {
@@ -132,6 +135,7 @@
             .map_or_else(String::new, |it| it.as_str().into()),
         service: String::new(),
         start_left_us: 0,
+        fingerprint: fingerprint.0,
     };
     let work = Work {
         request,
@@ -155,6 +159,18 @@
     outcome
 }
 
+/// What a request has in common with its other attempts, at whichever node they come in.
+fn fingerprint(
+    host: &str,
+    head: &RequestHead,
+    body: &Bytes,
+    workspace: Option<Workspace>,
+) -> Fingerprint {
+    let workspace = workspace.as_ref().map_or("", Workspace::as_str);
+    let texts = [workspace, host, &head.method, &head.target];
+    Fingerprint::of_parts(texts.into_iter().map(str::as_bytes).chain([&body[..]]))
+}
+
 /// The workspace whose key came with the request; none on a route that is open to all, and for
 /// calls of the backend server.
 fn workspace<'a>(
--- a/crates/sidecar/src/ingress/trace.rs
+++ b/crates/sidecar/src/ingress/trace.rs
@@ -1,5 +1,6 @@
 //! What became of a request, for the one line that explains its end.
 
+use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
 
 use super::{forward::Forwarded, reply::status_of};
@@ -11,6 +12,8 @@
     pub(crate) attempt: String,
     pub(crate) route: Option<Route>,
     pub(crate) workspace: Option<Workspace>,
+    /// What the attempts of one request have in common.
+    pub(crate) fingerprint: Option<Fingerprint>,
     pub(crate) forwarded: Option<Forwarded>,
     /// Where it was shed: the scarcest service, and the part of its priority that fitted there.
     pub(crate) scarcest: Option<(Service, f64)>,
@@ -34,9 +37,10 @@
         let spent_ms = clock::millis(spent);
         if let Some(forwarded) = &self.forwarded {
             let service = forwarded.service.as_ref().map_or("", Service::as_str);
+            let fingerprint = self.fingerprint.unwrap_or(Fingerprint(0));
             log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
-                workspace:% = workspace, service:% = service, owner:% = forwarded.owner,
-                tries = forwarded.tries, spent_ms = spent_ms, table_version = table_version;
+                workspace:% = workspace, fingerprint:% = fingerprint, service:% = service,
+                owner:% = forwarded.owner, tries = forwarded.tries, spent_ms = spent_ms, table_version = table_version;
                 "request-ended");
             return;
         }
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -132,6 +132,9 @@
     /// In which time it starts or is refused, in microseconds; zero for its whole deadline.
     #[prost(uint64, tag = "13")]
     pub(crate) start_left_us: u64,
+    /// The same for all attempts of one request.
+    #[prost(fixed64, tag = "14")]
+    pub(crate) fingerprint: u64,
 }
 
 /// How a request ended.
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, time::timeout};
 
@@ -53,7 +54,7 @@
         Ok(Err(failure)) => {
             is_down = matches!(failure, Failure::Unreachable(_));
             log::warn!(request:% = request.attempt, failure:% = failure, server:% = server,
-                spent_ms = clock::millis(spent); "server-failed");
+                fingerprint:% = Fingerprint(request.fingerprint), spent_ms = clock::millis(spent); "server-failed");
             Outcome::Refused(failure.refusal())
         }
         Err(_) => Outcome::Refused(Refusal::may_have_run(Reason::Deadline)),
--- a/crates/suspect/src/fingerprint.rs
+++ b/crates/suspect/src/fingerprint.rs
@@ -24,6 +24,16 @@
         hash = fnv1a(hash, route.as_str().as_bytes());
         Self(fnv1a(hash, &body_hash.to_be_bytes()))
     }
+
+    /// The fingerprint of the given parts in their order; their lengths count too.
+    #[must_use]
+    pub fn of_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let hash = parts.into_iter().fold(FNV_BASIS, |hash, part| {
+            let length = part.len() as u64;
+            fnv1a(fnv1a(hash, &length.to_be_bytes()), part)
+        });
+        Self(hash)
+    }
 }
 
 fn fnv1a(hash: u64, bytes: &[u8]) -> u64 {
