--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::VecDeque,
     io::{self, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -106,6 +106,21 @@
     is_silent: bool,
     /// Calls made through the node for each request: host and path.
     calls: Vec<(String, String)>,
+    crash: Option<Crash>,
+    /// The server has crashed and is away.
+    is_away: bool,
+    /// How often it started again.
+    restarts: u64,
+    /// Its connections, to be closed at a crash.
+    open: Vec<TcpStream>,
+}
+
+/// What makes the server end, and for how long.
+#[derive(Debug, Clone)]
+struct Crash {
+    /// A part of the first line of the requests under which it ends.
+    under: String,
+    away: Duration,
 }
 
 /// An application server.
@@ -131,13 +146,60 @@
             inner: Arc::default(),
         };
         let accepting = server.clone();
-        thread::spawn(move || {
+        thread::spawn(move || accepting.accept(listener, node));
+        Ok(server)
+    }
+
+    /// Takes connections in, over crashes.
+    fn accept(&self, mut listener: TcpListener, node: SocketAddr) {
+        loop {
             for stream in listener.incoming().flatten() {
-                let server = accepting.clone();
+                if self.is_away() {
+                    break;
+                }
+                if let Ok(clone) = stream.try_clone() {
+                    self.lock().open.push(clone);
+                }
+                let server = self.clone();
                 thread::spawn(move || server.serve(stream, node));
             }
+            drop(listener);
+            let away = self.lock().crash.as_ref().map(|it| it.away);
+            thread::sleep(away.unwrap_or_default());
+            listener = TcpListener::bind(self.address).expect("the port stays the server's");
+            let mut inner = self.lock();
+            inner.is_away = false;
+            inner.restarts += 1;
+        }
+    }
+
+    /// Ends under each request whose first line has this part in it, and starts again after a while.
+    pub fn crash_under(&self, part: &str, away: Duration) {
+        self.lock().crash = Some(Crash {
+            under: part.into(),
+            away,
         });
-        Ok(server)
+    }
+
+    /// Whether it has crashed and has not started again.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.lock().is_away
+    }
+
+    /// Closes all connections and refuses new ones.
+    fn crash(&self) {
+        let open = {
+            let mut inner = self.lock();
+            inner.is_away = true;
+            std::mem::take(&mut inner.open)
+        };
+        for stream in open {
+            // One that is closed already needs no end.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts, so that it drops the listener.
+        let _ = TcpStream::connect(self.address);
     }
 
     /// Where it listens.
@@ -189,7 +251,7 @@
     ) -> io::Result<u16> {
         let body = serde_json::json!({
             "address": self.address.to_string(),
-            "born": 1,
+            "born": 1 + self.lock().restarts,
             "details": {"service": service, "version": "v1", "zone": "east", "slots": 8},
             "status": {"state": state, "sequence": sequence, "warmup_left_ms": 0},
         });
@@ -267,6 +329,10 @@
             return stream.write_all(text.as_bytes()).is_ok();
         }
         let run = self.begin(message, &attempt);
+        if self.ends_under(message) {
+            self.crash();
+            return false;
+        }
         if !self.make_calls(&attempt, node) {
             return stream
                 .write_all(&reply(500, &attempt, b"call failed"))
@@ -348,6 +414,12 @@
         inner.runs.len() - 1
     }
 
+    fn ends_under(&self, message: &Message) -> bool {
+        let inner = self.lock();
+        let crash = inner.crash.as_ref();
+        crash.is_some_and(|it| message.first_line.contains(&it.under))
+    }
+
     fn make_calls(&self, attempt: &str, node: SocketAddr) -> bool {
         let calls = self.lock().calls.clone();
         calls.into_iter().all(|(host, target)| {
