Contain requests under which servers end on the users' platform

Cause: nothing on the platform's node recognised the request. Each attempt has a new id, and bounds held for attempts only. crates/suspect did this for the own interface alone.

Now a node that sees its server die holds it against what was in flight, strikes travel in the tree and are kept in the store over a restart of all nodes, a suspect runs in one place of the fleet where no other suspect does, and the third death refuses it (not run, with the time at which it lapses).

Ruled out: sends that are taken for never having reached a server (no attempt is sent more than max_attempts times). The stand-in's list of connections, which came with the failing test, kept connections open that it should have closed and broke two tests of site.rs until this commit.

--- a/crates/sidecar/src/fleet/group.rs
+++ b/crates/sidecar/src/fleet/group.rs
@@ -4,6 +4,7 @@
 
 use cassiashunt_admit::root::Capacity;
 use cassiashunt_route::{Chooser, OwnerReport, ServerKey};
+use cassiashunt_suspect::{Fingerprint, weight};
 use cassiashunt_types::prelude::*;
 
 use super::Way;
@@ -44,6 +45,16 @@
         }
     }
 
+    /// The server that takes work beside the node with the highest weight for a suspect.
+    pub(super) fn place_of(&self, fingerprint: Fingerprint, own: &str) -> Option<ServerKey> {
+        let name = |key: &ServerKey| match self.ways.get(key) {
+            Some(Way::Link(name, _)) => name,
+            _ => own,
+        };
+        let serving = self.capacities.keys().copied();
+        serving.max_by_key(|key| weight(fingerprint, name(key)))
+    }
+
     pub(super) fn left_out(&self) -> Capacity {
         let mut sum = Capacity::default();
         let out = self.capacities.iter();
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -14,6 +14,7 @@
     Candidate, Chooser, Options as ChooserOptions, Outcome, OwnerReport, Policy, Presence,
     ServerKey,
 };
+use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
 use tokio::task::AbortHandle;
 
@@ -381,6 +382,27 @@
         })
     }
 
+    /// Chooses the one server of a service where a suspect may run. Nodes that reach the same owners
+    /// choose the same. `own` is this node's name.
+    pub(crate) fn choose_one_place(
+        &mut self,
+        now: Time,
+        service: Service,
+        fingerprint: Fingerprint,
+        own: &str,
+        rng: &mut fastrand::Rng,
+    ) -> Option<Chosen> {
+        let group = self.groups.get(&service)?;
+        let place = group.place_of(fingerprint, own)?;
+        let others: Vec<_> = group
+            .ways
+            .keys()
+            .copied()
+            .filter(|it| *it != place)
+            .collect();
+        self.choose(now, service, &others, rng)
+    }
+
     /// Takes in how a request at a chosen server ended, with what its owner reported with it.
     pub(crate) fn done(
         &mut self,
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -4,6 +4,7 @@
 
 use cassiashunt_mesh::{Repeat, RouteRow};
 use cassiashunt_route::{Outcome as Seen, OwnerReport, ServerKey};
+use cassiashunt_suspect::Decision;
 use cassiashunt_types::prelude::*;
 use tokio::time::timeout;
 
@@ -69,14 +70,10 @@
         if left.is_zero() || is_late {
             break Outcome::Refused(last);
         }
-        let chosen = {
-            let mut rng = node.rng.borrow_mut();
-            node.fleet
-                .borrow_mut()
-                .choose(now, service, &tried, &mut rng)
-        };
-        let Some(chosen) = chosen else {
-            break Outcome::Refused(last);
+        let chosen = match choose(node, &work, service, &tried) {
+            Ok(Some(chosen)) => chosen,
+            Ok(None) => break Outcome::Refused(last),
+            Err(refusal) => break Outcome::Refused(refusal),
         };
         tried.push(chosen.key);
         owner.clone_from(&chosen.owner);
@@ -108,6 +105,29 @@
     }
 }
 
+/// Chooses a server that has not been tried. A suspect has only one place to run, so that it never
+/// runs at two servers at once.
+fn choose(
+    node: &Node,
+    work: &Work<'_>,
+    service: Service,
+    tried: &[ServerKey],
+) -> Result<Option<Chosen>, Refusal> {
+    let now = clock::now();
+    let mut rng = node.rng.borrow_mut();
+    let mut fleet = node.fleet.borrow_mut();
+    let fingerprint = work.request.fingerprint();
+    let decision = fingerprint.map_or(Decision::Run, |it| node.suspicion.check(now, it));
+    match (decision, fingerprint) {
+        (Decision::Refuse(refusal), _) => Err(refusal),
+        (Decision::RunAlone, Some(fingerprint)) if tried.is_empty() => {
+            Ok(fleet.choose_one_place(now, service, fingerprint, &node.settings().name, &mut rng))
+        }
+        (Decision::RunAlone, _) => Ok(None),
+        (Decision::Run, _) => Ok(fleet.choose(now, service, tried, &mut rng)),
+    }
+}
+
 /// The outcome of a request that may have run at an earlier try: the last owner's word that it did
 /// not run holds for that owner only.
 fn without_promise(outcome: Outcome) -> Outcome {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -6,7 +6,7 @@
 use cassiashunt_adapter::{Facts, Prepared, prepare};
 use cassiashunt_admit::time_to_come_back;
 use cassiashunt_mesh::{RouteRow, SiteTable, WorkspaceRow};
-use cassiashunt_suspect::Fingerprint;
+use cassiashunt_suspect::{Decision, Fingerprint};
 use cassiashunt_types::prelude::*;
 
 use super::{
@@ -90,6 +90,11 @@
     trace.workspace = workspace.map(|row| row.name);
     let fingerprint = fingerprint(host, &head, &body, trace.workspace);
     trace.fingerprint = Some(fingerprint);
+    let now = clock::now();
+    if let Decision::Refuse(refusal) = node.suspicion.check(now, fingerprint) {
+        trace.strikes = Some(node.suspicion.strikes(now, fingerprint));
+        return Outcome::Refused(refusal);
+    }
     let mut priority = if !is_call && node.is_on_peers_word() {
         spare_priority(route)
     } else {
@@ -254,6 +259,12 @@
 
 fn with_time_to_come_back(node: &Node, outcome: Outcome, facts: &Facts, received: Time) -> Outcome {
     match outcome {
+        // Strikes lapse at their own time, whatever the load.
+        Outcome::Refused(Refusal {
+            reason: Reason::Suspect,
+            retry_after: Some(_),
+            ..
+        }) => outcome,
         Outcome::Refused(refusal) if refusal.verdict == Verdict::NotRun => {
             Outcome::Refused(come_back(node, refusal.reason, facts, received))
         }
--- a/crates/sidecar/src/ingress/trace.rs
+++ b/crates/sidecar/src/ingress/trace.rs
@@ -15,6 +15,8 @@
     /// What the attempts of one request have in common.
     pub(crate) fingerprint: Option<Fingerprint>,
     pub(crate) forwarded: Option<Forwarded>,
+    /// Deaths of servers for which it was refused.
+    pub(crate) strikes: Option<usize>,
     /// Where it was shed: the scarcest service, and the part of its priority that fitted there.
     pub(crate) scarcest: Option<(Service, f64)>,
     /// What it was expected to take at each service.
@@ -35,15 +37,21 @@
         let workspace = self.workspace.as_ref().map_or("", Workspace::as_str);
         let table_version = node.table().map_or(0, |table| table.version);
         let spent_ms = clock::millis(spent);
+        let fingerprint = self.fingerprint.unwrap_or(Fingerprint(0));
         if let Some(forwarded) = &self.forwarded {
             let service = forwarded.service.as_ref().map_or("", Service::as_str);
-            let fingerprint = self.fingerprint.unwrap_or(Fingerprint(0));
             log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
                 workspace:% = workspace, fingerprint:% = fingerprint, service:% = service,
                 owner:% = forwarded.owner, tries = forwarded.tries, spent_ms = spent_ms, table_version = table_version;
                 "request-ended");
             return;
         }
+        if let Some(strikes) = self.strikes {
+            log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
+                workspace:% = workspace, fingerprint:% = fingerprint, strikes = strikes,
+                spent_ms = spent_ms, table_version = table_version; "request-ended");
+            return;
+        }
         if let Some((service, part)) = self.scarcest {
             log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
                 workspace:% = workspace, scarcest:% = service, part = part, cost:% = self.cost,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,8 +1,8 @@
 //! The node beside a backend server on the users' platform.
 //!
 //! One event loop on one thread owns the sockets and timers. What it believes and decides is kept
-//! in the pure parts of `cassiashunt-mesh`, `cassiashunt-admit` and `cassiashunt-route`; what the
-//! platform's bytes mean is kept in `cassiashunt-adapter`.
+//! in the pure parts of `cassiashunt-mesh`, `cassiashunt-admit`, `cassiashunt-route` and
+//! `cassiashunt-suspect`; what the platform's bytes mean is kept in `cassiashunt-adapter`.
 
 mod accept;
 mod budget;
@@ -24,6 +24,7 @@
 mod stop;
 mod store;
 mod sums;
+mod suspicion;
 mod tree;
 mod wiring;
 
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -1,6 +1,7 @@
 //! The messages between nodes.
 
 use bytes::Bytes;
+use cassiashunt_suspect::{Fingerprint, message::News as Strikes};
 use cassiashunt_types::prelude::*;
 
 use crate::clock;
@@ -10,7 +11,7 @@
 pub(crate) struct Frame {
     #[prost(
         oneof = "Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub(crate) kind: Option<Kind>,
 }
@@ -69,6 +70,9 @@
     /// These changes.
     #[prost(message, tag = "17")]
     News(EntryNews),
+    /// Deaths of servers, held against requests.
+    #[prost(message, tag = "18")]
+    Strikes(Strikes),
 }
 
 impl From<Kind> for Frame {
@@ -137,6 +141,13 @@
     pub(crate) fingerprint: u64,
 }
 
+impl WorkRequest {
+    /// What it has in common with other attempts; nothing where the sender does not tell.
+    pub(crate) fn fingerprint(&self) -> Option<Fingerprint> {
+        (self.fingerprint != 0).then_some(Fingerprint(self.fingerprint))
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Ended {
@@ -284,6 +295,9 @@
     /// Up to which it knows all changes of entries.
     #[prost(uint64, tag = "2")]
     pub(crate) entries: u64,
+    /// A digest of the strikes that it knows of.
+    #[prost(fixed64, tag = "3")]
+    pub(crate) strikes: u64,
 }
 
 /// Changes of nodes' entries.
--- a/crates/sidecar/src/link/news.rs
+++ b/crates/sidecar/src/link/news.rs
@@ -1,4 +1,4 @@
-//! Questions for newer tables and entries, and their answers, on either end of a connection.
+//! Questions for newer tables and entries, their answers, and strikes, on either end of a connection.
 
 use std::rc::Rc;
 
@@ -7,6 +7,7 @@
 
 use super::{EntryNews, EntryRow, Kind};
 use crate::{
+    clock,
     node::Node,
     store::{take_in_news, take_in_table},
 };
@@ -33,6 +34,12 @@
             log::info!(peer:% = name, known = known.0, at = row.at; "entries-from-peer");
             take_in_news(node, from_row(row));
         }
+        Kind::Strikes(strikes) => {
+            if node.suspicion.merge(clock::now(), &strikes) {
+                log::info!(peer:% = name, strikes = strikes.strikes.len(); "strikes-from-peer");
+                node.tell_now.notify_one();
+            }
+        }
         other => log::warn!(peer:% = name, frame:? = other; "odd-frame"),
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -21,6 +21,7 @@
     shed::Shedding,
     standing::Standing,
     store::StoreClient,
+    suspicion::Suspicion,
     wiring::Widths,
 };
 
@@ -60,6 +61,7 @@
     pub(crate) standing: Standing,
     pub(crate) widths: Widths,
     pub(crate) owner: Owner,
+    pub(crate) suspicion: Suspicion,
     pub(crate) quotas: Quotas,
     pub(crate) budgets: Budgets,
     pub(crate) splits: Splits,
@@ -111,6 +113,7 @@
             standing: Standing::default(),
             widths: Widths::default(),
             owner: Owner::new(crate::clock::now()),
+            suspicion: Suspicion::default(),
             quotas: Quotas::default(),
             budgets: Budgets::new(ratio, window),
             splits: Splits::default(),
@@ -260,6 +263,7 @@
         Known {
             table: self.table_revision.get().0,
             entries: self.directory.borrow().at().0,
+            strikes: self.suspicion.digest(crate::clock::now()),
         }
     }
 
--- a/crates/sidecar/src/owner/mod.rs
+++ b/crates/sidecar/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! The way to the backend server beside this node: admission, connections, answers.
 
+mod death;
 mod exchange;
 mod pool;
 mod requests;
--- a/crates/sidecar/src/owner/pool.rs
+++ b/crates/sidecar/src/owner/pool.rs
@@ -90,6 +90,11 @@
     Ok(Connection::new(stream))
 }
 
+/// Whether the server's port is closed: the server is not there, and not only slow or cut off.
+pub(super) fn is_refused(err: &io::Error) -> bool {
+    err.kind() == io::ErrorKind::ConnectionRefused
+}
+
 /// How long the server keeps the connection idle, as its answer says.
 fn idle_time(head: &ResponseHead) -> Duration {
     let told = header(&head.headers, "keep-alive").and_then(|value| {
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -1,17 +1,22 @@
 //! Requests for the backend server beside this node: which start, and how they end.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
 
 use cassiashunt_adapter::parent_attempt;
 use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Usage, chain::RouteUse};
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_route::{Failures, OwnerReport};
+use cassiashunt_suspect::{Decision, InFlight};
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, task::AbortHandle};
 
 use super::{
     pool::Pool,
-    run::{End, Reply, run},
+    run::{End, Fate, Reply, run},
     server::{Change, Server},
 };
 use crate::{
@@ -35,21 +40,26 @@
 
 /// The way to the backend server.
 pub(crate) struct Owner {
-    inner: RefCell<Inner>,
+    pub(super) inner: RefCell<Inner>,
+    /// Whether the server is being looked at after a loss.
+    pub(super) is_looking: Cell<bool>,
     pub(super) pool: Pool,
 }
 
-struct Inner {
+pub(super) struct Inner {
     server: Option<Server>,
     /// The server that left last, which may have done so before this node knew it.
     left: Option<String>,
     /// The server's connections are refused; until the next heartbeat.
-    is_down: bool,
+    pub(super) is_down: bool,
     admission: Admission,
     work: HashMap<RequestId, Work>,
     last: RequestId,
     usage: Usage,
     failures: Failures,
+    pub(super) in_flight: InFlight<RequestId>,
+    /// The suspect that waits or runs, or did so last.
+    suspect: Option<RequestId>,
     /// What runs at the server, by the client's id of the attempt, and what it has called.
     running: HashMap<String, (Run, Vec<(Route, u32)>)>,
 }
@@ -74,8 +84,11 @@
                 last: RequestId(0),
                 usage: Usage::default(),
                 failures: Failures::default(),
+                in_flight: InFlight::default(),
+                suspect: None,
                 running: HashMap::new(),
             }),
+            is_looking: Cell::new(false),
             pool: Pool::default(),
         }
     }
@@ -182,6 +195,11 @@
             let _ = tx.send(Outcome::Refused(Refusal::not_run(Reason::BadRequest)));
             return (id, rx);
         };
+        if let Some(refusal) = inner.suspicion(node, id, &request) {
+            // The receiver is in our hands.
+            let _ = tx.send(Outcome::Refused(refusal));
+            return (id, rx);
+        }
         let starts_in = Duration::from_micros(request.start_left_us);
         inner
             .work
@@ -205,6 +223,7 @@
             Some(Work::Running(task, attempt)) => {
                 task.abort();
                 inner.running.remove(&attempt);
+                inner.in_flight.on_unanswered(now, &id);
                 inner.admission.done(now, id, Duration::ZERO, false)
             }
             None => return,
@@ -305,6 +324,7 @@
         log::info!(server:% = server.id, service:% = server.service, slots = server.slots,
             state:? = server.state; "server-seen");
         self.pool.clear();
+        self.on_died(node);
         let old = self.inner.borrow_mut().admission.drain();
         self.apply(node, old);
         {
@@ -342,8 +362,21 @@
         let Some(Work::Waiting(request, deadline, reply)) = inner.work.remove(&id) else {
             return;
         };
+        let now = clock::now();
+        // Servers may have ended under it while it waited.
+        if let Some(refusal) = inner.suspicion(node, id, &request) {
+            // Nobody waits where the request was given up at this moment.
+            let _ = reply.send(Outcome::Refused(refusal));
+            let actions = inner.admission.done(now, id, Duration::ZERO, false);
+            drop(inner);
+            self.apply(node, actions);
+            return;
+        }
+        if let Some(fingerprint) = request.fingerprint() {
+            inner.in_flight.on_sent(now, id, fingerprint);
+        }
         if let Ok(route) = request.route.parse() {
-            inner.usage.on_start(clock::now(), route);
+            inner.usage.on_start(now, route);
             let run = Run {
                 route,
                 priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
@@ -373,21 +406,66 @@
                     .usage
                     .on_end(now, run.route, end.spent, end.is_ok, &calls);
             }
+            inner.take_in_fate(node, id, end.fate);
             if let Some(has_failed) = end.has_failed {
                 inner.failures.on_end(now, has_failed);
             }
             inner.admission.done(now, id, end.spent, end.is_ok)
         };
         self.apply(node, actions);
-        if end.is_down && !std::mem::replace(&mut self.inner.borrow_mut().is_down, true) {
-            log::warn!(server:? = self.server_id(); "server-down");
-            self.pool.clear();
-            node.on_server_changed();
+        match end.fate {
+            Fate::NotSent { is_refused } => self.on_down(node, is_refused),
+            Fate::Unanswered => self.look_after(node),
+            Fate::Answered | Fate::Alive => {}
         }
     }
 }
 
 impl Inner {
+    /// Why a request is not to run now, by the servers that ended under it. A suspect runs where no
+    /// other does, so that a death tells which of them it is.
+    fn suspicion(&mut self, node: &Node, id: RequestId, request: &WorkRequest) -> Option<Refusal> {
+        let decision = node.suspicion.check(clock::now(), request.fingerprint()?);
+        match decision {
+            Decision::Run => None,
+            Decision::Refuse(refusal) => Some(refusal),
+            Decision::RunAlone => {
+                let other = self.suspect.filter(|it| *it != id);
+                if other.is_some_and(|it| self.work.contains_key(&it)) {
+                    return Some(Refusal::not_run(Reason::Suspect));
+                }
+                self.suspect = Some(id);
+                None
+            }
+        }
+    }
+
+    fn take_in_fate(&mut self, node: &Node, id: RequestId, fate: Fate) {
+        let now = clock::now();
+        match fate {
+            Fate::Alive => {
+                self.in_flight.on_answered(now, &id);
+            }
+            Fate::Answered => {
+                let answered = self.in_flight.on_answered(now, &id);
+                let is_cleared = answered.is_some_and(|(fingerprint, sent)| {
+                    node.suspicion.on_finished(now, fingerprint, sent)
+                });
+                if is_cleared {
+                    node.tell_now.notify_one();
+                }
+            }
+            Fate::Unanswered => self.in_flight.on_unanswered(now, &id),
+            Fate::NotSent { .. } => self.in_flight.on_not_sent(&id),
+        }
+    }
+
+    /// Whether the server has said that it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        let server = self.server.as_ref();
+        server.is_some_and(|it| it.state == ServerState::Draining)
+    }
+
     /// Why a request is refused before admission looks at it.
     fn refuses(&self, node: &Node, request: &WorkRequest) -> Option<Reason> {
         let server = self.server.as_ref()?;
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -4,12 +4,18 @@
 
 use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::{
+    sync::oneshot,
+    time::{error::Elapsed, timeout},
+};
 
-use super::exchange::{Failure, exchange};
+use super::{
+    exchange::{Failure, exchange},
+    pool::is_refused,
+};
 use crate::{
     clock,
-    link::{Outcome, WorkRequest},
+    link::{Answer, Outcome, WorkRequest},
     metrics,
     node::Node,
 };
@@ -25,8 +31,36 @@
     pub(super) is_ok: bool,
     /// The server failed it; nothing where that is not known.
     pub(super) has_failed: Option<bool>,
-    /// The server refused the connection.
-    pub(super) is_down: bool,
+    pub(super) fate: Fate,
+}
+
+/// What became of a request at the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fate {
+    /// The server answered.
+    Answered,
+    /// The server said something, but no answer of a run.
+    Alive,
+    /// It ended without an answer.
+    Unanswered,
+    /// It never reached the server; whether the server's port is closed.
+    NotSent {
+        /// The connection was refused.
+        is_refused: bool,
+    },
+}
+
+impl Fate {
+    fn of(ended: &Result<Result<Answer, Failure>, Elapsed>) -> Self {
+        match ended {
+            Ok(Ok(_)) => Self::Answered,
+            Ok(Err(Failure::NotExecuted(_) | Failure::Spoiled(_))) => Self::Alive,
+            Ok(Err(Failure::Lost(_))) | Err(_) => Self::Unanswered,
+            Ok(Err(Failure::Unreachable(err))) => Self::NotSent {
+                is_refused: is_refused(err),
+            },
+        }
+    }
 }
 
 /// Runs one request at the server, to its deadline.
@@ -48,11 +82,10 @@
     )
     .await;
     let spent = clock::now().since(began);
-    let mut is_down = false;
+    let fate = Fate::of(&ended);
     let outcome = match ended {
         Ok(Ok(answer)) => Outcome::Answered(answer),
         Ok(Err(failure)) => {
-            is_down = matches!(failure, Failure::Unreachable(_));
             log::warn!(request:% = request.attempt, failure:% = failure, server:% = server,
                 fingerprint:% = Fingerprint(request.fingerprint), spent_ms = clock::millis(spent); "server-failed");
             Outcome::Refused(failure.refusal())
@@ -69,7 +102,7 @@
         spent,
         is_ok,
         has_failed,
-        is_down,
+        fate,
     };
     owner.finish(&node, id, &end);
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -79,7 +79,7 @@
         Box::pin(store::follow_config(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::prove_config(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::ask_proofs(Rc::clone(&node))),
-        Box::pin(store::remember_costs(Rc::clone(&node), Rc::clone(&store))),
+        Box::pin(store::remember(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::follow_directory(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::announce(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(tick_queue(Rc::clone(&node))),
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -3,15 +3,15 @@
 mod announce;
 mod client;
 mod config;
-mod costs;
 mod directory;
+mod memory;
 mod watch;
 
 pub(crate) use announce::{announce, withdraw};
 pub(crate) use client::StoreClient;
 pub(crate) use config::{ask_proofs, follow_config, prove_config, take_in_table};
-pub(crate) use costs::remember_costs;
 pub(crate) use directory::{drop_missing, follow_directory, take_in_news};
+pub(crate) use memory::remember;
 
 use std::time::Duration;
 
--- a/crates/sidecar/src/tree.rs
+++ b/crates/sidecar/src/tree.rs
@@ -180,7 +180,9 @@
     // A child whose queue is full is answered the next time.
     let _ = tx.try_send(Kind::Down(down).into());
     drop((sums, children));
-    on_known(node, up.known, |kind| tx.try_send(kind.into()).is_ok());
+    on_known(node, name, up.known, |kind| {
+        tx.try_send(kind.into()).is_ok()
+    });
 }
 
 /// Takes in the answer of a parent or another head, or its news.
@@ -197,15 +199,20 @@
         let told: Told = from_row(rest);
         standing.sums.borrow_mut().on_above(now, told);
     }
-    on_known(node, down.known, ask);
+    on_known(node, name, down.known, ask);
 }
 
-/// Asks the other end for what it knows and this node does not.
-fn on_known(node: &Node, known: Option<Known>, ask: impl Fn(Kind) -> bool) {
+/// Asks the other end for what it knows and this node does not, and tells it of strikes where it
+/// knows others.
+fn on_known(node: &Node, name: &str, known: Option<Known>, ask: impl Fn(Kind) -> bool) {
     let Some(known) = known else {
         return;
     };
-    if node.on_peer_revision(clock::now(), Revision(known.table)) {
+    let now = clock::now();
+    if let Some(news) = node.suspicion.news_for(now, name, known.strikes) {
+        ask(Kind::Strikes(news));
+    }
+    if node.on_peer_revision(now, Revision(known.table)) {
         ask(Kind::AskTable(true));
     }
     let own = node.directory.borrow().at();
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -5,7 +5,7 @@
     collections::VecDeque,
     io::{self, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, Weak},
     thread,
     time::{Duration, Instant},
 };
@@ -112,7 +112,7 @@
     /// How often it started again.
     restarts: u64,
     /// Its connections, to be closed at a crash.
-    open: Vec<TcpStream>,
+    open: Vec<Weak<TcpStream>>,
 }
 
 /// What makes the server end, and for how long.
@@ -121,6 +121,8 @@
     /// A part of the first line of the requests under which it ends.
     under: String,
     away: Duration,
+    /// Its connections stay open, and nothing is heard on them.
+    is_silent: bool,
 }
 
 /// An application server.
@@ -154,14 +156,13 @@
     fn accept(&self, mut listener: TcpListener, node: SocketAddr) {
         loop {
             for stream in listener.incoming().flatten() {
-                if self.is_away() {
+                if self.is_away() && !self.is_crash_silent() {
                     break;
                 }
-                if let Ok(clone) = stream.try_clone() {
-                    self.lock().open.push(clone);
-                }
+                let stream = Arc::new(stream);
+                self.lock().open.push(Arc::downgrade(&stream));
                 let server = self.clone();
-                thread::spawn(move || server.serve(stream, node));
+                thread::spawn(move || server.serve(&stream, node));
             }
             drop(listener);
             let away = self.lock().crash.as_ref().map(|it| it.away);
@@ -178,23 +179,40 @@
         self.lock().crash = Some(Crash {
             under: part.into(),
             away,
+            is_silent: false,
+        });
+    }
+
+    /// The same, but like a machine that lost its power: its connections are not seen to end.
+    pub fn fall_silent_under(&self, part: &str, away: Duration) {
+        self.lock().crash = Some(Crash {
+            under: part.into(),
+            away,
+            is_silent: true,
         });
     }
 
+    fn is_crash_silent(&self) -> bool {
+        self.lock().crash.as_ref().is_some_and(|it| it.is_silent)
+    }
+
     /// Whether it has crashed and has not started again.
     #[must_use]
     pub fn is_away(&self) -> bool {
         self.lock().is_away
     }
 
-    /// Closes all connections and refuses new ones.
+    /// Closes all connections and refuses new ones, or lets them hang.
     fn crash(&self) {
+        if self.is_crash_silent() {
+            return self.hang();
+        }
         let open = {
             let mut inner = self.lock();
             inner.is_away = true;
             std::mem::take(&mut inner.open)
         };
-        for stream in open {
+        for stream in open.iter().filter_map(Weak::upgrade) {
             // One that is closed already needs no end.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -283,14 +301,34 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn serve(&self, stream: TcpStream, node: SocketAddr) {
+    /// Says nothing for a while, and then starts again.
+    fn hang(&self) {
+        let away = {
+            let mut inner = self.lock();
+            inner.is_away = true;
+            inner.crash.as_ref().map(|it| it.away)
+        };
+        thread::sleep(away.unwrap_or_default());
+        let mut inner = self.lock();
+        inner.is_away = false;
+        inner.restarts += 1;
+    }
+
+    fn serve(&self, stream: &TcpStream, node: SocketAddr) {
         let Ok(clone) = stream.try_clone() else {
             return;
         };
         let mut reader = BufReader::new(clone);
+        let start = self.lock().restarts;
         // The end of the connection or a reset ends the serving.
         while let Ok(Some(message)) = wire::read(&mut reader) {
-            if !self.answer(&stream, &message, node) {
+            while self.is_away() {
+                thread::sleep(Duration::from_millis(10));
+            }
+            if self.lock().restarts != start {
+                return;
+            }
+            if !self.answer(stream, &message, node) {
                 return;
             }
         }
--- a/crates/suspect/src/coordinator.rs
+++ b/crates/suspect/src/coordinator.rs
@@ -1,4 +1,4 @@
-//! The node that gives permits for a fingerprint.
+//! The node that gives permits for a fingerprint, and the one beside which it runs.
 
 use cassiashunt_types::NodeId;
 
@@ -13,6 +13,12 @@
         .max_by_key(|node| (mix(fingerprint.0 ^ mix(node.0)), *node))
 }
 
+/// The weight of a node, by its name, as the place where a suspect runs; the highest is it.
+#[must_use]
+pub fn weight(fingerprint: Fingerprint, name: &str) -> u64 {
+    mix(fingerprint.0 ^ mix(Fingerprint::of_parts([name.as_bytes()]).0))
+}
+
 /// The finalizer of SplitMix64.
 fn mix(x: u64) -> u64 {
     let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -3,19 +3,23 @@
 //! [`Suspects`] holds the strikes against requests that were in flight when a server died, and
 //! decides whether a request may run. A suspect runs only alone, with a permit that one node of
 //! the fleet gives for its fingerprint ([`Permits`]), so that it is never on two servers at once.
-//! Both are pure: the time is handed in, and messages are `prost` values that others carry.
+//! Where suspects may run beside other requests, all nodes send one to the same server instead
+//! ([`weight`]). All are pure: the time is handed in, and messages are `prost` values that others
+//! carry.
 
 mod coordinator;
 mod fingerprint;
 pub mod holder;
+mod in_flight;
 pub mod message;
 pub mod permits;
 mod strike;
 pub mod suspects;
 
-pub use coordinator::coordinator;
+pub use coordinator::{coordinator, weight};
 pub use fingerprint::Fingerprint;
 pub use holder::Holder;
+pub use in_flight::InFlight;
 pub use permits::Permits;
 pub use strike::Death;
 pub use suspects::{Decision, Suspects};
--- a/crates/suspect/src/message.rs
+++ b/crates/suspect/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between nodes.
 
+use serde::{Deserialize, Serialize};
+
 /// News of strikes; bounded by [`suspects::Options::max_news`](crate::suspects::Options::max_news).
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct News {
@@ -9,7 +11,8 @@
 }
 
 /// One strike.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct StrikeNews {
     /// The request that was in flight.
     #[prost(fixed64, tag = "1")]
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -17,6 +17,10 @@
 pub struct Options {
     /// Servers that a request may kill while it runs alone, before it is refused.
     pub max_strikes: u32,
+    /// Strikes from which on a request runs alone.
+    pub suspect_after: u32,
+    /// Strikes of any kind without which no request is refused.
+    pub refuse_after: u32,
     /// How long a strike counts.
     pub memory: Duration,
     /// Strikes in one message.
@@ -33,6 +37,8 @@
     fn default() -> Self {
         Self {
             max_strikes: 2,
+            suspect_after: 1,
+            refuse_after: 0,
             memory: Duration::from_secs(600),
             max_news: 32,
             sends: 24,
@@ -78,6 +84,23 @@
         self.strike_all(now, death, in_flight, in_flight.len() == 1);
     }
 
+    /// Takes in that a server died with exactly these requests in flight, where suspects run beside
+    /// other requests, but not beside each other: it counts as alone for the only suspect.
+    pub fn on_shared_server_died(&mut self, now: Time, death: Death, in_flight: &[Fingerprint]) {
+        let is_suspect = |it: &&Fingerprint| self.check(now, **it) == Decision::RunAlone;
+        let suspects: Vec<_> = in_flight
+            .iter()
+            .copied()
+            .filter(|it| is_suspect(&it))
+            .collect();
+        let (alone, beside): (Vec<_>, Vec<_>) = match (&suspects[..], in_flight) {
+            ([only], _) | ([], [only]) => in_flight.iter().partition(|it| *it == only),
+            _ => (Vec::new(), in_flight.to_vec()),
+        };
+        self.strike_all(now, death, &alone, true);
+        self.strike_all(now, death, &beside, false);
+    }
+
     /// Takes in that another node was lost with its server while these requests of this node, and
     /// maybe others, were in flight there.
     pub fn on_node_lost(&mut self, now: Time, node: NodeId, in_flight: &[Fingerprint]) {
@@ -128,12 +151,14 @@
                 .filter(|it| self.is_live(now, it) && it.counts())
         };
         let alone = live().filter(|strike| strike.is_alone);
-        if alone.clone().count() >= self.opts.max_strikes as usize {
+        let strikes = live().count();
+        let is_proven = alone.clone().count() >= self.opts.max_strikes as usize;
+        if is_proven && strikes >= self.opts.refuse_after as usize {
             let newest = alone.map(|strike| strike.at).max().unwrap_or(now);
             let left = self.opts.memory.saturating_sub(now.since(newest));
             return Decision::Refuse(Refusal::not_run(Reason::Suspect).retry_after(left));
         }
-        if live().next().is_some() {
+        if strikes >= self.opts.suspect_after.max(1) as usize {
             Decision::RunAlone
         } else {
             Decision::Run
@@ -163,6 +188,36 @@
         self.add(now, Fingerprint(news.fingerprint), death, strike);
     }
 
+    /// All strikes of requests that do not simply run, cleared ones included.
+    #[must_use]
+    pub fn suspected(&self, now: Time) -> Vec<StrikeNews> {
+        let is_suspected = |it: &Fingerprint| self.check(now, *it) != Decision::Run;
+        let keys = self.keys().filter(|(fp, ..)| is_suspected(fp));
+        keys.map(|(fp, death, strike)| to_news(now, fp, death, strike))
+            .collect()
+    }
+
+    /// How many strikes count against a request.
+    #[must_use]
+    pub fn strikes(&self, now: Time, fingerprint: Fingerprint) -> usize {
+        let strikes = self.strikes.get(&fingerprint).into_iter().flatten();
+        let live = strikes.filter(|(_, it)| self.is_live(now, it) && it.counts());
+        live.count()
+    }
+
+    /// The same for two nodes that know the same strikes; zero for none.
+    #[must_use]
+    pub fn digest(&mut self, now: Time) -> u64 {
+        self.forget(now);
+        let digests = self.keys().map(|(fp, death, strike)| {
+            let flags = u8::from(strike.is_alone) | u8::from(strike.is_cleared) << 1;
+            let (fp, owner) = (fp.0.to_be_bytes(), death.owner.0.to_be_bytes());
+            let number = death.number.to_be_bytes();
+            Fingerprint::of_parts([&fp[..], &owner, &number, &[flags]]).0
+        });
+        digests.fold(0, |sum, digest| sum ^ digest)
+    }
+
     /// The news for the next message to another node: new strikes first, then others in turn.
     pub fn news(&mut self, now: Time) -> News {
         self.forget(now);
--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -174,3 +174,64 @@
         Ok(())
     });
 }
+
+/// Two strikes make a suspect, and a third refuses it where it was the only suspect.
+fn shared() -> Suspects {
+    Suspects::new(Options {
+        max_strikes: 1,
+        suspect_after: 2,
+        refuse_after: 3,
+        ..Options::default()
+    })
+}
+
+#[test]
+fn a_request_is_refused_after_three_deaths_in_the_last_of_which_it_was_the_only_suspect() {
+    let mut suspects = shared();
+    suspects.on_shared_server_died(at(1), death(1), &[CRASHER, BESIDE]);
+    assert_eq!(suspects.check(at(1), CRASHER), Decision::Run);
+    suspects.on_shared_server_died(at(2), death(2), &[CRASHER]);
+    assert_eq!(suspects.check(at(2), CRASHER), Decision::RunAlone);
+    suspects.on_shared_server_died(at(3), death(3), &[CRASHER, BESIDE]);
+    assert!(matches!(
+        suspects.check(at(3), CRASHER),
+        Decision::Refuse(_)
+    ));
+    assert_eq!(
+        suspects.check(at(3), BESIDE),
+        Decision::RunAlone,
+        "twice beside it"
+    );
+    suspects.on_finished(BESIDE, at(4));
+    assert_eq!(suspects.check(at(4), BESIDE), Decision::Run);
+}
+
+#[test]
+fn a_request_beside_others_at_many_deaths_is_not_refused() {
+    let mut suspects = shared();
+    for number in 1..=5 {
+        suspects.on_shared_server_died(at(1), death(number), &[CRASHER, BESIDE]);
+        let decision = suspects.check(at(1), BESIDE);
+        assert!(!matches!(decision, Decision::Refuse(_)), "{decision:?}");
+    }
+    suspects.on_finished(BESIDE, at(2));
+    assert_eq!(suspects.check(at(2), BESIDE), Decision::Run);
+}
+
+#[test]
+fn nodes_that_know_the_same_strikes_have_the_same_digest() {
+    let (mut one, mut other) = (shared(), shared());
+    assert_eq!(one.digest(at(1)), 0);
+    one.on_shared_server_died(at(1), death(1), &[CRASHER, BESIDE]);
+    other.on_shared_server_died(at(1), death(2), &[CRASHER]);
+    assert_ne!(one.digest(at(1)), other.digest(at(1)));
+    let (of_one, of_other) = (one.news(at(2)), other.news(at(2)));
+    one.merge(at(2), &of_other);
+    other.merge(at(2), &of_one);
+    assert_eq!(one.digest(at(2)), other.digest(at(2)));
+    one.on_finished(BESIDE, at(2));
+    assert_ne!(one.digest(at(2)), other.digest(at(2)), "a clearing is news");
+    other.merge(at(3), &one.news(at(3)));
+    assert_eq!(one.digest(at(3)), other.digest(at(3)));
+    assert_eq!(one.digest(at(700)), 0, "all have lapsed");
+}
