--- a/cassiashunt/tests/site_crashes.rs
+++ b/cassiashunt/tests/site_crashes.rs
@@ -194,6 +194,9 @@
     let mut site = start("site-crashes-restart");
     send_again_and_again(&site, crashing, Duration::from_secs(3));
     let before = crashes(&site).len();
+    for member in &mut site.members {
+        member.node.kill();
+    }
     for member in &mut site.members {
         member.restart();
     }
