Share sums of capacities and reports of runs; name the shared room of answers

No change of behaviour is meant.

- the mean of runs is a function, where a throw-away Chains was made for it
- Capacity adds up and tells its load, in place of three sums by hand
- SharedRoom, since Store is the platform's store; a rank is computed once for each name when sorting

--- a/crates/admit/src/chain.rs
+++ b/crates/admit/src/chain.rs
@@ -71,18 +71,7 @@
     /// What is known of the runs at each service, to be remembered over a restart of all nodes.
     #[must_use]
     pub fn summary(&self) -> BTreeMap<Service, Vec<RouteUse>> {
-        let mut summary: BTreeMap<Service, Vec<RouteUse>> = BTreeMap::new();
-        for (route, services) in self.runs() {
-            for (service, runs) in services {
-                summary.entry(service).or_default().push(RouteUse {
-                    route,
-                    runs_per_s: runs.rate,
-                    slot_s: runs.slot_s,
-                    calls: runs.calls.into_iter().collect(),
-                });
-            }
-        }
-        summary
+        merge(self.told())
     }
 
     /// Takes in what was known before a restart. It counts until owners have seen runs of their own.
@@ -100,7 +89,7 @@
     pub fn update(&mut self, now: Time) {
         self.reports
             .retain(|_, report| now.since(report.received) <= MAX_AGE);
-        let runs = self.runs();
+        let runs = runs_of(self.told());
         let routes: Vec<_> = runs.keys().copied().collect();
         let costs = routes.into_iter().map(|route| {
             let mut cost = BTreeMap::new();
@@ -129,27 +118,53 @@
         self.paces.get(owner).copied()
     }
 
-    /// The mean of the owners' words, weighted by their runs.
-    fn runs(&self) -> HashMap<Route, BTreeMap<Service, Runs>> {
-        let mut runs: HashMap<Route, BTreeMap<Service, Runs>> = HashMap::new();
-        for report in self.reports.values() {
-            for told in &report.uses {
-                let services = runs.entry(told.route).or_default();
-                let sum = services.entry(report.service).or_default();
-                sum.rate += told.runs_per_s;
-                sum.slot_s += told.runs_per_s * told.slot_s;
-                for (call, count) in &told.calls {
-                    *sum.calls.entry(*call).or_default() += told.runs_per_s * count;
-                }
-            }
+    fn told(&self) -> impl Iterator<Item = (Service, &[RouteUse])> {
+        let reports = self.reports.values();
+        reports.map(|report| (report.service, report.uses.as_slice()))
+    }
+}
+
+/// What was told of the runs at each service, as one word: the mean, weighted by the runs.
+#[must_use]
+pub fn merge<'a>(
+    told: impl Iterator<Item = (Service, &'a [RouteUse])>,
+) -> BTreeMap<Service, Vec<RouteUse>> {
+    let mut merged: BTreeMap<Service, Vec<RouteUse>> = BTreeMap::new();
+    for (route, services) in runs_of(told) {
+        for (service, runs) in services {
+            merged.entry(service).or_default().push(RouteUse {
+                route,
+                runs_per_s: runs.rate,
+                slot_s: runs.slot_s,
+                calls: runs.calls.into_iter().collect(),
+            });
         }
-        for sum in runs.values_mut().flat_map(BTreeMap::values_mut) {
-            let rate = sum.rate.max(f64::MIN_POSITIVE);
-            sum.slot_s /= rate;
-            sum.calls.values_mut().for_each(|count| *count /= rate);
+    }
+    merged
+}
+
+/// The mean of the owners' words, weighted by their runs.
+fn runs_of<'a>(
+    told: impl Iterator<Item = (Service, &'a [RouteUse])>,
+) -> HashMap<Route, BTreeMap<Service, Runs>> {
+    let mut runs: HashMap<Route, BTreeMap<Service, Runs>> = HashMap::new();
+    for (service, uses) in told {
+        for told in uses {
+            let services = runs.entry(told.route).or_default();
+            let sum = services.entry(service).or_default();
+            sum.rate += told.runs_per_s;
+            sum.slot_s += told.runs_per_s * told.slot_s;
+            for (call, count) in &told.calls {
+                *sum.calls.entry(*call).or_default() += told.runs_per_s * count;
+            }
         }
-        runs
     }
+    for sum in runs.values_mut().flat_map(BTreeMap::values_mut) {
+        let rate = sum.rate.max(f64::MIN_POSITIVE);
+        sum.slot_s /= rate;
+        sum.calls.values_mut().for_each(|count| *count /= rate);
+    }
+    runs
 }
 
 fn pace(report: &Report, runs: &HashMap<Route, BTreeMap<Service, Runs>>) -> Option<f64> {
--- a/crates/admit/src/root.rs
+++ b/crates/admit/src/root.rs
@@ -6,7 +6,10 @@
 //! room, and no work is spent on chains that break off. A slow correction follows what the owners
 //! see, since costs are estimates.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    ops::AddAssign,
+};
 
 use cassiashunt_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -73,6 +76,21 @@
     pub busy: f64,
 }
 
+impl Capacity {
+    /// What runs or waits, in parts of the slots; nothing where there are none.
+    #[must_use]
+    pub fn load(&self) -> Option<f64> {
+        (self.slots > 0.0).then(|| self.busy / self.slots)
+    }
+}
+
+impl AddAssign for Capacity {
+    fn add_assign(&mut self, other: Self) {
+        self.slots += other.slots;
+        self.busy += other.busy;
+    }
+}
+
 /// A service at which not all of the demand fits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shortage {
--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -5,9 +5,9 @@
 //! time, again and again, and asks the home for tokens. A share makes tokens at one place at a
 //! time: at the home while the delegation is young, at its owner after the delegation has lapsed or
 //! the home was lost. Tokens that were handed over lapse, and count against the home's burst until
-//! then, so that what nodes hold is no second burst. So the sum over all nodes stays within `burst + rate * t` through cuts, kills
-//! and pauses, but for the span of a delegation whose owner has lost the home and makes tokens
-//! again while the home still does; the operators' excess covers it.
+//! then, so that what nodes hold is no second burst. The sum over all nodes then stays within
+//! `burst + rate * t` through cuts, kills and pauses, but for the span of a delegation whose owner has
+//! lost the home and makes tokens again while the home still does; the operators' excess covers it.
 
 use std::collections::{HashMap, VecDeque};
 
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -3,7 +3,7 @@
 //! Every entry and every removal bears the store's revision, so that they may come from anyone, late
 //! or twice: the newest revision counts.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use cassiashunt_types::prelude::*;
 
@@ -54,10 +54,10 @@
     pub fn on_news(&mut self, news: News) -> Vec<EntryChange> {
         let mut changes = news.changes;
         if news.is_all {
-            let listed = |name: &str| changes.iter().any(|change| change.name == name);
+            let listed: HashSet<_> = changes.iter().map(|change| &change.name).collect();
             let entries = self.entries.iter();
-            let missing =
-                entries.filter(|(name, (revision, _))| *revision <= news.at && !listed(name));
+            let missing = entries
+                .filter(|(name, (revision, _))| *revision <= news.at && !listed.contains(name));
             let gone: Vec<_> = missing
                 .map(|(name, _)| EntryChange {
                     name: name.clone(),
--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -25,7 +25,7 @@
 pub struct ProofPace {
     /// The time between two questions of a prover to the store.
     pub prove: Duration,
-    /// The time between two questions of another node to a prover.
+    /// The time between two questions of a node that the store does not answer to its peers.
     pub ask: Duration,
 }
 
--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -19,7 +19,7 @@
 #[must_use]
 pub fn first_by_rank(live: impl Iterator<Item = String>, count: usize) -> Vec<String> {
     let mut names: Vec<_> = live.collect();
-    names.sort_by_key(|name| std::cmp::Reverse(hash(name, "")));
+    names.sort_by_cached_key(|name| std::cmp::Reverse(rank(name, "")));
     names.truncate(count);
     names
 }
@@ -29,19 +29,15 @@
 pub fn home_of(homes: &[String], workspace: Workspace) -> Option<&str> {
     let by_rank = homes
         .iter()
-        .max_by_key(|name| hash(name, workspace.as_str()));
+        .max_by_key(|name| rank(name, workspace.as_str()));
     by_rank.map(String::as_str)
 }
 
-/// The rank of a node for a purpose; nodes with the same view agree on it.
+/// The rank of a node for a purpose, on which all nodes agree: FNV-1a over both names, 64 bits,
+/// finished by the mixer of `SplitMix64`.
 pub(crate) fn rank(node: &str, purpose: &str) -> u64 {
-    hash(node, purpose)
-}
-
-/// FNV-1a over both names, 64 bits, finished by the mixer of `SplitMix64`.
-fn hash(node: &str, workspace: &str) -> u64 {
     let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in node.bytes().chain([0xff]).chain(workspace.bytes()) {
+    for byte in node.bytes().chain([0xff]).chain(purpose.bytes()) {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     }
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/mesh/src/subset.rs
+++ b/crates/mesh/src/subset.rs
@@ -35,7 +35,7 @@
         return owners.into_iter().map(|(name, _)| name).collect();
     }
     let mut owners = owners;
-    owners.sort_by_key(|(name, _)| std::cmp::Reverse(rank(name, own)));
+    owners.sort_by_cached_key(|(name, _)| std::cmp::Reverse(rank(name, own)));
     let (near, far): (Vec<_>, Vec<_>) = owners
         .into_iter()
         .partition(|(_, domain)| *domain == own_domain);
--- a/crates/mesh/src/sums.rs
+++ b/crates/mesh/src/sums.rs
@@ -9,7 +9,7 @@
 
 use cassiashunt_admit::{
     Priority,
-    chain::{Chains, RouteUse},
+    chain::{RouteUse, merge},
     root::{Capacity, Demand},
 };
 use cassiashunt_types::prelude::*;
@@ -35,9 +35,7 @@
     pub fn add(&mut self, other: &Self) {
         self.nodes += other.nodes;
         for (service, capacity) in &other.capacities {
-            let sum = self.capacities.entry(*service).or_default();
-            sum.slots += capacity.slots;
-            sum.busy += capacity.busy;
+            *self.capacities.entry(*service).or_default() += *capacity;
         }
         for (key, slots) in &other.demand {
             *self.demand.entry(*key).or_default() += slots;
@@ -227,9 +225,20 @@
     /// What all nodes have and ask for.
     #[must_use]
     pub fn total(&self) -> Sum {
-        let mut total = self.rest(false).sum;
-        total.add(&self.own);
-        total
+        self.with_own(self.rest(false).sum)
+    }
+
+    /// What all others have and ask for, and this node.
+    #[must_use]
+    pub fn with_own(&self, mut rest: Sum) -> Sum {
+        rest.add(&self.own);
+        rest
+    }
+
+    /// How often sums are told and how long they count.
+    #[must_use]
+    pub fn times(&self) -> SumTimes {
+        self.times
     }
 
     /// The sums of other failure domains that were told to this node, for its parent.
@@ -264,24 +273,12 @@
         heard.iter().for_each(|it| sum.add(&it.sum));
         let uses = with_uses.then(|| {
             let own = with_own.then_some(&self.own_uses);
-            merge(own.into_iter().chain(heard.iter().map(|it| &it.uses)))
+            let all = own.into_iter().chain(heard.iter().map(|it| &it.uses));
+            merge(
+                all.flatten()
+                    .map(|(service, uses)| (*service, uses.as_slice())),
+            )
         });
         Told { sum, uses }
     }
 }
-
-/// The mean of what was told of runs, weighted by them.
-fn merge<'a>(told: impl Iterator<Item = &'a Uses>) -> Uses {
-    let mut chains = Chains::default();
-    for (at, uses) in told.enumerate() {
-        for (service, uses) in uses {
-            chains.on_report(
-                Time::ZERO,
-                &format!("{at} {service}"),
-                *service,
-                uses.clone(),
-            );
-        }
-    }
-    chains.summary()
-}
--- a/crates/mesh/src/tree.rs
+++ b/crates/mesh/src/tree.rs
@@ -65,7 +65,7 @@
             domains.entry(domain).or_default().push(name);
         }
         for (domain, names) in &mut domains {
-            names.sort_by_key(|name| std::cmp::Reverse(rank(name, domain.as_str())));
+            names.sort_by_cached_key(|name| std::cmp::Reverse(rank(name, domain.as_str())));
         }
         let mut domain = domains.remove(&own_domain).unwrap_or_default();
         let cells = (domain.len() + 1).div_ceil(CELL);
--- a/crates/sidecar/src/fleet/group.rs
+++ b/crates/sidecar/src/fleet/group.rs
@@ -24,11 +24,7 @@
         if load.slots > 0 {
             self.chooser.set_slots(key, load.slots);
         }
-        if load.is_serving {
-            let capacity = Capacity {
-                slots: f64::from(load.slots),
-                busy: f64::from(load.busy),
-            };
+        if let Some(capacity) = load.capacity() {
             self.capacities.insert(key, capacity);
         }
     }
@@ -59,8 +55,7 @@
         let mut sum = Capacity::default();
         let out = self.capacities.iter();
         for (_, capacity) in out.filter(|(key, _)| self.chooser.is_outlier(**key)) {
-            sum.slots += capacity.slots;
-            sum.busy += capacity.busy;
+            sum += *capacity;
         }
         sum
     }
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -186,11 +186,11 @@
     /// The load of the servers of a service that this node can give work, in parts of their slots;
     /// nothing where there are none.
     pub(crate) fn load_in_reach(&self, service: Service) -> Option<f64> {
-        let capacities = self.groups.get(&service)?.capacities.values();
-        let (slots, busy) = capacities.fold((0.0, 0.0), |(slots, busy), it| {
-            (slots + it.slots, busy + it.busy)
-        });
-        (slots > 0.0).then(|| busy / slots)
+        let mut sum = Capacity::default();
+        for capacity in self.groups.get(&service)?.capacities.values() {
+            sum += *capacity;
+        }
+        sum.load()
     }
 
     /// Takes in what a peer announced.
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use connection::{Connection, ReadError};
 pub(crate) use head::{Framing, RequestHead, ResponseHead, has_token, header, is_per_connection};
-pub(crate) use room::Store;
+pub(crate) use room::{Room, SharedRoom};
 
 /// What is written before a body or in place of one.
 pub(crate) fn reason_phrase(status: u16) -> &'static str {
--- a/crates/sidecar/src/http/room.rs
+++ b/crates/sidecar/src/http/room.rs
@@ -9,12 +9,12 @@
 
 /// What the bodies that are being read hold together.
 #[derive(Debug)]
-pub(crate) struct Store {
+pub(crate) struct SharedRoom {
     held: Cell<usize>,
     most: usize,
 }
 
-impl Store {
+impl SharedRoom {
     /// Room for so many bytes.
     pub(crate) fn new(most: usize) -> Self {
         Self {
@@ -26,7 +26,7 @@
     /// Room for one body of at most `max` bytes.
     pub(crate) fn room(&self, max: usize) -> Room<'_> {
         Room {
-            store: Some(self),
+            shared: Some(self),
             held: 0,
             max,
         }
@@ -36,7 +36,7 @@
 /// Room for one body; given back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Room<'a> {
-    store: Option<&'a Store>,
+    shared: Option<&'a SharedRoom>,
     held: usize,
     max: usize,
 }
@@ -45,7 +45,7 @@
     /// Room that is not shared with others.
     pub(crate) fn of_its_own(max: usize) -> Self {
         Self {
-            store: None,
+            shared: None,
             held: 0,
             max,
         }
@@ -63,14 +63,14 @@
     /// Takes in that the body is so long by now.
     pub(crate) fn hold(&mut self, length: usize) -> Result<(), ReadError> {
         self.check(length)?;
-        let Some(store) = self.store else {
+        let Some(shared) = self.shared else {
             return Ok(());
         };
-        let held = store.held.get() + length.saturating_sub(self.held);
-        if held > store.most && length > SMALL {
+        let held = shared.held.get() + length.saturating_sub(self.held);
+        if held > shared.most && length > SMALL {
             return Err(ReadError::NoRoom);
         }
-        store.held.set(held);
+        shared.held.set(held);
         self.held = self.held.max(length);
         Ok(())
     }
@@ -78,8 +78,8 @@
 
 impl Drop for Room<'_> {
     fn drop(&mut self) {
-        if let Some(store) = self.store {
-            store.held.set(store.held.get().saturating_sub(self.held));
+        if let Some(shared) = self.shared {
+            shared.held.set(shared.held.get().saturating_sub(self.held));
         }
     }
 }
--- a/crates/sidecar/src/link/connected.rs
+++ b/crates/sidecar/src/link/connected.rs
@@ -48,7 +48,7 @@
     /// Looks at the connection: asks for a word where the peer says nothing. Whether it is lost.
     pub(super) fn look(&self, now: Time) -> bool {
         let mut watch = self.watch.get();
-        let step = watch.look(now, !self.pending.borrow().is_empty());
+        let step = watch.look(now, !self.is_idle());
         self.watch.set(watch);
         match step {
             Watched::Quiet => false,
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -178,22 +178,15 @@
                 continue;
             }
         };
-        let (reason, kind) = match frame {
-            Ok(Some(Frame { kind })) => (None, kind),
-            Ok(None) => {
+        let kind = match frame {
+            Ok(Some(Frame { kind })) => kind,
+            ended => {
                 return End {
-                    reason: None,
+                    reason: ended.err(),
                     silent: None,
                 };
             }
-            Err(err) => (Some(err), None),
         };
-        if reason.is_some() {
-            return End {
-                reason,
-                silent: None,
-            };
-        }
         let now = clock::now();
         connected.on_heard(now);
         match kind {
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -1,6 +1,7 @@
 //! The messages between nodes.
 
 use bytes::Bytes;
+use cassiashunt_admit::root::Capacity;
 use cassiashunt_suspect::{Fingerprint, message::News as Strikes};
 use cassiashunt_types::prelude::*;
 
@@ -202,6 +203,16 @@
     pub(crate) table_revision: u64,
 }
 
+impl Load {
+    /// What the server has and does; nothing where it takes no work.
+    pub(crate) fn capacity(&self) -> Option<Capacity> {
+        self.is_serving.then(|| Capacity {
+            slots: f64::from(self.slots),
+            busy: f64::from(self.busy),
+        })
+    }
+}
+
 /// What some nodes have and ask for.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct SumRow {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,7 +5,6 @@
     rc::Rc,
 };
 
-use cassiashunt_admit::root::Capacity;
 use cassiashunt_mesh::{Directory, Sum, prelude::*};
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
@@ -269,12 +268,8 @@
 
     /// What this node's server has and its clients ask for.
     pub(crate) fn own_sum(&self) -> Sum {
-        let load = self.load();
-        let capacity = Capacity {
-            slots: f64::from(load.slots),
-            busy: f64::from(load.busy),
-        };
-        let capacities = load.is_serving.then(|| (self.service(), capacity));
+        let capacity = self.load().capacity();
+        let capacities = capacity.map(|capacity| (self.service(), capacity));
         let demand = self.shedding.demand().into_iter();
         Sum {
             nodes: 1,
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -103,7 +103,7 @@
     connection: &mut Connection,
     framing: Framing,
 ) -> Result<Bytes, Failure> {
-    let room = pool.room().room(MAX_ANSWER);
+    let room = pool.room(MAX_ANSWER);
     let body = connection.read_body_within(framing, room).await;
     body.map_err(Failure::Lost)
 }
--- a/crates/sidecar/src/owner/pool.rs
+++ b/crates/sidecar/src/owner/pool.rs
@@ -5,7 +5,7 @@
 use cassiashunt_types::prelude::*;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::http::{Connection, ResponseHead, Store, header};
+use crate::http::{Connection, ResponseHead, Room, SharedRoom, header};
 
 /// How long a new connection to the server on the same machine may take.
 const CONNECT: Duration = Duration::from_millis(1_000);
@@ -31,14 +31,14 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     idle: RefCell<Vec<Idle>>,
-    room: Store,
+    room: SharedRoom,
 }
 
 impl Default for Pool {
     fn default() -> Self {
         Self {
             idle: RefCell::default(),
-            room: Store::new(ANSWER_BYTES),
+            room: SharedRoom::new(ANSWER_BYTES),
         }
     }
 }
@@ -64,9 +64,9 @@
         }
     }
 
-    /// Room for answers.
-    pub(crate) fn room(&self) -> &Store {
-        &self.room
+    /// Room for one answer of at most `max` bytes.
+    pub(crate) fn room(&self, max: usize) -> Room<'_> {
+        self.room.room(max)
     }
 
     /// Drops the connections that are kept too long, and those on which bytes come that nobody asked
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -85,17 +85,14 @@
     pub(crate) fn delegate(&self, node: &Node) {
         let now = clock::now();
         let own = node.settings().name.clone();
-        let live = node.fleet.borrow().live_links();
         // A node that has just started has no limits to make tokens of before it has a table.
-        let homes = {
-            let fleet = node.fleet.borrow();
-            let mut candidates = home_candidates(&fleet, &own);
-            candidates.retain(|name| *name == own || fleet.has_table(name));
-            homes(candidates.into_iter())
-        };
-        let share = 1.0 / node.fleet.borrow().size() as f64;
+        let fleet = node.fleet.borrow();
+        let mut candidates = home_candidates(&fleet, &own);
+        candidates.retain(|name| *name == own || fleet.has_table(name));
+        let homes = homes(candidates.into_iter());
+        let share = 1.0 / fleet.size() as f64;
         for home in homes.iter().filter(|home| **home != own) {
-            if let Some(link) = live.get(home) {
+            if let Some(link) = fleet.link(home) {
                 link.delegate(Delegate {
                     node: own.clone(),
                     share: share as f32,
@@ -109,7 +106,7 @@
             .map(|stepped| now.since(stepped));
         let gain = spent.map_or(0.0, |spent| spent.as_secs_f64() / DEMAND_TIME.as_secs_f64());
         for (workspace, entry) in self.entries.borrow_mut().iter_mut() {
-            let home = home_of(&homes, *workspace).and_then(|home| live.get(home));
+            let home = home_of(&homes, *workspace).and_then(|home| fleet.link(home));
             entry.allowance.set_delegating(now, home.is_some());
             entry.home = home.cloned();
             if let Some(spent) = spent.filter(|spent| !spent.is_zero()) {
--- a/crates/sidecar/src/standing.rs
+++ b/crates/sidecar/src/standing.rs
@@ -20,12 +20,11 @@
     pub(crate) tree: RefCell<Tree>,
     pub(crate) station: RefCell<Station>,
     pub(crate) sums: RefCell<Sums>,
-    pub(crate) times: SumTimes,
     /// The nodes that are told, and when each answered last or was told first.
     pub(crate) answered: RefCell<HashMap<String, Time>>,
     /// Nodes that did not answer, and when that was found.
     passed_over: RefCell<HashMap<String, Time>>,
-    /// Where children are reached, and whether each is another head.
+    /// Where children and other heads are reached.
     pub(crate) children: RefCell<HashMap<String, Child>>,
     pub(crate) uses_told: Cell<Time>,
     was_whole: Cell<bool>,
@@ -34,7 +33,6 @@
 #[derive(Clone)]
 pub(crate) struct Child {
     pub(crate) tx: Sender,
-    pub(crate) is_head: bool,
     pub(crate) uses_told: Time,
 }
 
@@ -44,7 +42,6 @@
             tree: RefCell::default(),
             station: RefCell::new(Station::Head(Vec::new())),
             sums: RefCell::default(),
-            times: SumTimes::default(),
             answered: RefCell::default(),
             passed_over: RefCell::default(),
             children: RefCell::default(),
@@ -55,6 +52,11 @@
 }
 
 impl Standing {
+    /// How often sums are told and how long they count.
+    pub(crate) fn times(&self) -> SumTimes {
+        self.sums.borrow().times()
+    }
+
     /// Whether this node is the first of its failure domain that it knows of, and with which others.
     pub(crate) fn heads(&self) -> Option<Vec<String>> {
         match &*self.station.borrow() {
@@ -68,12 +70,13 @@
     pub(crate) fn sums(&self, now: Time, nodes: usize) -> Option<(Sum, Sum)> {
         let mut sums = self.sums.borrow_mut();
         sums.expire(now);
-        let total = sums.total();
+        let rest = sums.rest(false).sum;
+        let total = sums.with_own(rest.clone());
         let is_whole = f64::from(total.nodes) >= LEAST_KNOWN * nodes as f64;
         if self.was_whole.replace(is_whole) != is_whole {
             log::warn!(whole = is_whole, known = total.nodes, nodes = nodes; "sums-whole");
         }
-        is_whole.then(|| (total, sums.rest(false).sum))
+        is_whole.then_some((total, rest))
     }
 
     /// What runs at all other nodes take and call.
@@ -95,7 +98,7 @@
 
     /// Passes over those who were told and have not answered in time.
     pub(crate) fn look_at_answers(&self, now: Time) {
-        let max_age = self.times.max_age();
+        let max_age = self.times().max_age();
         let answered = self.answered.borrow();
         let silent = answered.iter().filter(|(_, at)| now.since(**at) > max_age);
         for (name, at) in silent {
--- a/crates/sidecar/src/store/watch.rs
+++ b/crates/sidecar/src/store/watch.rs
@@ -15,24 +15,14 @@
     after: Revision,
     span: Duration,
 ) -> Result<(Vec<Change>, Revision), CallError> {
-    let watched = wait(node, store, prefix, after, span).await;
+    let call = cassiashunt_adapter::watch(prefix, after, span);
+    let answer = tokio::select! {
+        answer = store.call(&call, span + CALL_TIMEOUT) => answer,
+        () = node.store_regained.notified() => Err(CallError::GivenUp),
+    };
+    let watched = answer.and_then(|(status, body)| Ok(decode_watch(status, &body)?));
     if let Err(err) = &watched {
         log::info!(prefix = prefix, reason:% = err; "watch-ended");
     }
     watched
 }
-
-async fn wait(
-    node: &Node,
-    store: &StoreClient,
-    prefix: &str,
-    after: Revision,
-    span: Duration,
-) -> Result<(Vec<Change>, Revision), CallError> {
-    let call = cassiashunt_adapter::watch(prefix, after, span);
-    let (status, body) = tokio::select! {
-        answer = store.call(&call, span + CALL_TIMEOUT) => answer?,
-        () = node.store_regained.notified() => return Err(CallError::GivenUp),
-    };
-    Ok(decode_watch(status, &body)?)
-}
--- a/crates/sidecar/src/tree.rs
+++ b/crates/sidecar/src/tree.rs
@@ -62,7 +62,7 @@
 /// Tells this node's words again and again, and at once where there is news.
 pub(crate) async fn tell(node: Rc<Node>) {
     loop {
-        let has_news = tokio::time::timeout(node.standing.times.every, node.tell_now.notified());
+        let has_news = tokio::time::timeout(node.standing.times().every, node.tell_now.notified());
         let has_news = has_news.await.is_ok();
         tell_once(&node);
         if has_news {
@@ -84,7 +84,7 @@
             link.tell(Kind::Up(Up::default()));
         }
     }
-    let with_uses = now.since(standing.uses_told.get()) >= standing.times.uses_every;
+    let with_uses = now.since(standing.uses_told.get()) >= standing.times().uses_every;
     if with_uses {
         standing.uses_told.set(now);
         node.step_uses();
@@ -134,6 +134,7 @@
 pub(crate) fn on_up(node: &Node, name: &str, tx: &Sender, up: &Up) {
     let now = clock::now();
     let standing = &node.standing;
+    let uses_every = standing.times().uses_every;
     let mut sums = standing.sums.borrow_mut();
     let Some(told) = up.sum.as_ref().map(from_row) else {
         sums.on_left(name);
@@ -160,18 +161,16 @@
     let mut children = standing.children.borrow_mut();
     let child = children.entry(name.to_owned()).or_insert_with(|| Child {
         tx: tx.clone(),
-        is_head: up.is_head,
         uses_told: Time::ZERO,
     });
-    child.is_head = up.is_head;
     if !child.tx.same_channel(tx) {
         child.tx = tx.clone();
     }
-    let with_uses = now.since(child.uses_told) >= standing.times.uses_every;
+    let with_uses = now.since(child.uses_told) >= uses_every;
     if with_uses {
         child.uses_told = now;
     }
-    let rest = (!child.is_head).then(|| to_row(sums.rest_for(name, with_uses)));
+    let rest = (!up.is_head).then(|| to_row(sums.rest_for(name, with_uses)));
     let down = Down {
         rest,
         proof: node.proof(now, up.asked_us),
--- a/crates/sidecar/src/wiring.rs
+++ b/crates/sidecar/src/wiring.rs
@@ -25,13 +25,13 @@
         let mut widths = node.widths.of.borrow_mut();
         for service in node.fleet.borrow().owners().into_keys() {
             let whole = capacities.get(&service).copied().unwrap_or_default();
-            if whole.slots <= 0.0 {
+            let Some(load) = whole.load() else {
                 // Nobody serves it, as far as is known.
                 continue;
-            }
+            };
             let in_reach = node.fleet.borrow().load_in_reach(service);
             let width = widths.entry(service).or_default();
-            if width.step(now, in_reach, whole.busy / whole.slots) {
+            if width.step(now, in_reach, load) {
                 log::info!(service:% = service, factor = width.factor(), busy = whole.busy,
                     slots = whole.slots, in_reach = in_reach.unwrap_or(-1.0); "subset-changed");
             }
