Look for strikes to keep without working out costs each second

The look for strikes each second built the whole memory first. It now asks who writes and whether anything is new before. site_crashes and site_store passed.

--- a/crates/sidecar/src/store/memory.rs
+++ b/crates/sidecar/src/store/memory.rs
@@ -32,36 +32,39 @@
     strikes: Vec<StrikeNews>,
 }
 
-impl Memory {
-    fn of(node: &Node) -> Self {
-        Self {
-            costs: node.shedding.summary(),
-            strikes: node.suspicion.summary(clock::now()),
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.costs.is_empty() && self.strikes.is_empty()
-    }
-}
-
 /// Reads what is kept once, and keeps it written where this node is the one to do so.
 pub(crate) async fn remember(node: Rc<Node>, store: Rc<StoreClient>) {
     read(&node, &store).await;
-    let (mut written, mut written_strikes) = (clock::now(), 0);
+    let (mut written, mut known) = (clock::now(), Vec::new());
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let now = clock::now();
-        let memory = Memory::of(&node);
-        let has_strikes = memory.strikes.len() != written_strikes;
-        let is_due = has_strikes || now.since(written) >= WRITE_EVERY;
-        if is_due && !memory.is_empty() && is_among_first_heads(&node, 1) {
-            (written, written_strikes) = (now, memory.strikes.len());
-            write(&store, &memory).await;
+        let strikes = node.suspicion.summary(now);
+        let deaths: Vec<_> = strikes.iter().map(death).collect();
+        let is_due = deaths != known || now.since(written) >= WRITE_EVERY;
+        if !is_due || !is_among_first_heads(&node, 1) {
+            continue;
+        }
+        let costs = node.shedding.summary();
+        if !costs.is_empty() || deaths != known {
+            write(&store, &Memory { costs, strikes }).await;
+            (written, known) = (now, deaths);
         }
     }
 }
 
+/// What does not change of a strike while it grows old.
+fn death(strike: &StrikeNews) -> (u64, u64, u32, bool) {
+    let StrikeNews {
+        fingerprint,
+        owner,
+        number,
+        is_cleared,
+        ..
+    } = *strike;
+    (fingerprint, owner, number, is_cleared)
+}
+
 async fn read(node: &Node, store: &StoreClient) {
     for failures in 1..=READINGS {
         let answer = store.call(&get_stale(costs_key()), CALL_TIMEOUT).await;
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -188,12 +188,14 @@
         self.add(now, Fingerprint(news.fingerprint), death, strike);
     }
 
-    /// All strikes of requests that do not simply run, cleared ones included.
+    /// All strikes of requests that do not simply run, cleared ones included, in a fixed order.
     #[must_use]
     pub fn suspected(&self, now: Time) -> Vec<StrikeNews> {
         let is_suspected = |it: &Fingerprint| self.check(now, *it) != Decision::Run;
-        let keys = self.keys().filter(|(fp, ..)| is_suspected(fp));
-        keys.map(|(fp, death, strike)| to_news(now, fp, death, strike))
+        let mut keys: Vec<_> = self.keys().filter(|(fp, ..)| is_suspected(fp)).collect();
+        keys.sort_unstable_by_key(|(fp, death, _)| (*fp, *death));
+        let news = keys.into_iter();
+        news.map(|(fp, death, strike)| to_news(now, fp, death, strike))
             .collect()
     }
 
