Ask for refusals without servers by requests that are no suspects

Cause: the first no-server came from owners that knew their server's death; the same request then went to one that did not, was in flight there, and is a suspect by design. So the test took one answer for the state of the whole fleet.

--- a/crates/fleet/tests/reasons.rs
+++ b/crates/fleet/tests/reasons.rs
@@ -171,11 +171,21 @@
     for member in &asked.fleet.members {
         member.server.crash();
     }
+    // One that is sent to a server whose death is not known yet becomes a suspect, so each is new.
+    let mut number = 0;
+    let mut target = || {
+        number += 1;
+        format!("/photos?none={number}")
+    };
+    let in_a_row = 4 * asked.fleet.members.len();
     eventually("no server is left", || {
-        let seen = Caller::new(KEY).get(callers(asked.fleet)[0], "/photos?none=1");
-        seen.is_ok_and(|seen| seen.code.as_deref() == Some("no-server"))
+        (0..in_a_row).all(|_| {
+            let seen = Caller::new(KEY).get(callers(asked.fleet)[0], &target());
+            seen.is_ok_and(|seen| seen.code.as_deref() == Some("no-server"))
+        })
     });
-    asked.ask(KEY, "GET /photos?none=1", &[], later(Reason::NoServer));
+    let request = format!("GET {}", target());
+    asked.ask(KEY, &request, &[], later(Reason::NoServer));
 }
 
 /// A surge on slow servers, until one request is shed.
