Hold a server's death against requests though its next start answers first

Cause: an answer of the server cleared what had been lost before it. Where the port is not seen closed (behind a proxy, or a machine that falls silent) the death is only known by the next start's heartbeat, and that start had answered others before, so nothing was left to hold the death against.

An answer now clears only what was lost while its own request was under way, which a new start cannot have had; the rest lapses after 10 s. A server that says it is another one (421) ends the known start.

--- a/crates/sidecar/src/owner/death.rs
+++ b/crates/sidecar/src/owner/death.rs
@@ -51,7 +51,7 @@
     pub(super) fn on_died(&self, node: &Node) {
         let (is_leaving, in_flight) = {
             let mut inner = self.inner.borrow_mut();
-            (inner.is_leaving(), inner.in_flight.on_died())
+            (inner.is_leaving(), inner.in_flight.on_died(clock::now()))
         };
         if is_leaving || in_flight.is_empty() {
             return;
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -416,6 +416,7 @@
         match end.fate {
             Fate::NotSent { is_refused } => self.on_down(node, is_refused),
             Fate::Unanswered => self.look_after(node),
+            Fate::Replaced => self.on_died(node),
             Fate::Answered | Fate::Alive => {}
         }
     }
@@ -456,7 +457,7 @@
                 }
             }
             Fate::Unanswered => self.in_flight.on_unanswered(now, &id),
-            Fate::NotSent { .. } => self.in_flight.on_not_sent(&id),
+            Fate::NotSent { .. } | Fate::Replaced => self.in_flight.on_not_sent(&id),
         }
     }
 
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use cassiashunt_adapter::is_misdirected;
 use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
 use tokio::{
@@ -41,6 +42,8 @@
     Answered,
     /// The server said something, but no answer of a run.
     Alive,
+    /// Another start of the server has its address.
+    Replaced,
     /// It ended without an answer.
     Unanswered,
     /// It never reached the server; whether the server's port is closed.
@@ -54,6 +57,7 @@
     fn of(ended: &Result<Result<Answer, Failure>, Elapsed>) -> Self {
         match ended {
             Ok(Ok(_)) => Self::Answered,
+            Ok(Err(Failure::NotExecuted(status))) if is_misdirected(*status) => Self::Replaced,
             Ok(Err(Failure::NotExecuted(_) | Failure::Spoiled(_))) => Self::Alive,
             Ok(Err(Failure::Lost(_))) | Err(_) => Self::Unanswered,
             Ok(Err(Failure::Unreachable(err))) => Self::NotSent {
--- a/crates/suspect/src/in_flight.rs
+++ b/crates/suspect/src/in_flight.rs
@@ -11,15 +11,19 @@
 
 /// Answers that were under way when the server died may be read for so long after.
 const READ_AFTER_DEATH: Duration = Duration::from_millis(50);
+/// How long after a request was lost its server's death may still be found: servers are back, and
+/// tell so, within seconds.
+const EVIDENCE: Duration = Duration::from_secs(10);
 /// Requests without an answer that are kept; the oldest goes first.
 const MAX_UNANSWERED: usize = 1_024;
 
-/// The requests that a server's death would be held against. An answer shows that the server lives,
-/// and so that what ended without one before did not kill it.
+/// The requests that a server's death would be held against. An answer shows that the server lived
+/// on since its request was sent, and so that what was lost meanwhile did not kill it. An answer to a
+/// later request may come from another start of the server.
 #[derive(Debug)]
 pub struct InFlight<K> {
     running: HashMap<K, (Fingerprint, Time)>,
-    /// Those that ended without an answer since the last one, and when.
+    /// Those that ended without an answer, and when.
     unanswered: VecDeque<(Fingerprint, Time)>,
 }
 
@@ -41,9 +45,12 @@
     /// Takes in that the server answered a request, with whatever status. Returns the request, and
     /// when it was sent.
     pub fn on_answered(&mut self, now: Time, key: &K) -> Option<(Fingerprint, Time)> {
-        let alive = now.before(READ_AFTER_DEATH);
-        self.unanswered.retain(|(_, ended)| *ended > alive);
-        self.running.remove(key)
+        let answered = self.running.remove(key);
+        if let Some((_, sent)) = answered {
+            let alive = sent..=now.before(READ_AFTER_DEATH);
+            self.unanswered.retain(|(_, ended)| !alive.contains(ended));
+        }
+        answered
     }
 
     /// Takes in that a request was lost, given up, or not answered in time.
@@ -70,7 +77,9 @@
     }
 
     /// Takes in that the server died, and returns what was in flight there.
-    pub fn on_died(&mut self) -> Vec<Fingerprint> {
+    pub fn on_died(&mut self, now: Time) -> Vec<Fingerprint> {
+        let outdated = now.before(EVIDENCE);
+        self.unanswered.retain(|(_, ended)| *ended >= outdated);
         let running = self
             .running
             .drain()
