Close the clients' listener before a planned stop ends

The node now takes what waits, closes the listener, finishes what was accepted, and closes all sockets before the last lines are written. A connection that comes in the moment of the close can still be cut off; its request is not read.

--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -4,6 +4,7 @@
 
 use std::{
     io::{Read as _, Write as _},
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -108,6 +109,31 @@
     }
 }
 
+#[test]
+fn a_new_connection_to_a_stopping_node_is_served_or_refused_and_not_cut_off() {
+    let mut site = Site::start("site-stop-accept", &["shop", "desk"]);
+    let (address, is_over) = (site.members[0].requests, AtomicBool::new(false));
+    let cut = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..24 {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    if let Ok(mut stream) = open(address) {
+                        let answer = ask(&mut stream, &read("desk").encode());
+                        cut.fetch_add(usize::from(answer.is_err()), Ordering::Relaxed);
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+            });
+        }
+        site.members[0].node.signal("-TERM");
+        assert_eq!(site.members[0].node.wait(), Some(0));
+        is_over.store(true, Ordering::Relaxed);
+    });
+    // One or two may come in the moment in which the socket closes.
+    assert!(cut.load(Ordering::Relaxed) <= 2, "{cut:?} of 24 cut off");
+}
+
 #[test]
 fn a_refusal_says_not_run_only_of_requests_that_did_not_run() {
     let site = Site::start("site-not-run", &["shop", "desk", "desk"]);
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -25,11 +25,16 @@
 /// How long a client may take to read an answer.
 const READ_ANSWER: Duration = Duration::from_secs(30);
 
-/// Takes connections in.
+/// Takes connections in, until none are wanted; those that wait by then are taken first.
 pub(crate) async fn accept_clients(node: Rc<Node>, listener: TcpListener) {
     loop {
-        let stream = accept(&listener).await;
-        tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+        tokio::select! {
+            biased;
+            stream = accept(&listener) => {
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+            }
+            () = node.accept_no_more.notified() => return,
+        }
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -70,6 +70,8 @@
     pub(crate) listeners: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
     /// When the process was asked to stop.
     pub(crate) stopping: Cell<Option<Time>>,
+    /// Ends the taking in of clients' connections.
+    pub(crate) accept_no_more: Notify,
     /// Requests of clients and of the backend server that have no answer yet.
     pub(crate) open_requests: Cell<usize>,
     /// Tells that the table has been read for the first time.
@@ -120,6 +122,7 @@
             rng: RefCell::new(fastrand::Rng::new()),
             listeners: RefCell::new(Vec::new()),
             stopping: Cell::new(None),
+            accept_no_more: Notify::new(),
             open_requests: Cell::new(0),
             table_read: Notify::new(),
             prove_now: Notify::new(),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -48,6 +48,8 @@
         Ok(()) => log::info!("node-stop"),
         Err(err) => log::error!(reason:% = format!("{err:#}"); "node-failed"),
     }
+    // Sockets close at once: nobody takes in what would come while the last lines are written.
+    drop((tasks, runtime));
     logs::flush();
     std::thread::sleep(logs::LAST_WRITE);
     ended
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -1,7 +1,8 @@
 //! Signals: a planned stop that cuts nothing off, and changed settings.
 
-use std::{path::Path, rc::Rc, time::Duration};
+use std::{path::Path, rc::Rc};
 
+use cassiashunt_types::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
@@ -46,17 +47,25 @@
     node.stopping.set(Some(began));
     log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopping");
     node.owner.drain(node);
-    let grace = Duration::from_secs_f64(node.settings().bounds.grace_s).mul_f64(USED_GRACE);
     tokio::task::spawn_local(withdraw_entry(Rc::clone(node), Rc::clone(store)));
+    finish(node, began, NOTICE).await;
+    // What was accepted by now is read and answered; further clients are refused by the system.
+    node.accept_no_more.notify_one();
+    finish(node, began, Duration::ZERO).await;
+    log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopped");
+}
+
+/// Waits for `least` since the beginning of the stop, and for the end of the work in hand.
+async fn finish(node: &Node, began: Time, least: Duration) {
+    let grace = Duration::from_secs_f64(node.settings().bounds.grace_s).mul_f64(USED_GRACE);
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let spent = clock::now().since(began);
         let is_done = node.open_requests.get() == 0 && node.owner.busy() == 0;
-        if spent >= grace || (is_done && spent >= NOTICE) {
-            break;
+        if spent >= grace || (is_done && spent >= least) {
+            return;
         }
     }
-    log::info!(open = node.open_requests.get(), owned = node.owner.busy(); "stopped");
 }
 
 /// Takes the entry back once peers have heard of the stop from this node itself.
