Soak real nodes under faults from outside

A crate and program of its own, since a process of the product starts no other: nodes of the users' platform as processes, proxies and signals from outside, faults drawn from a seed, a judge whose every check is shown to find a planted fault.

--- /dev/null
+++ b/cassiashunt/tests/soak.rs
@@ -0,0 +1,45 @@
+//! A short soak of the real program. Seeds that failed once stay here, with their cause.
+
+use std::{path::PathBuf, time::Duration};
+
+use cassiashunt_soak::{Options, faults::Mix, run};
+
+/// How long each seed has load and faults.
+const SPAN: Duration = Duration::from_secs(10);
+
+fn soak(seed: u64) {
+    let folder = format!("cassiashunt-soak-{seed}-{}", std::process::id());
+    let opts = Options {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_cassiashunt")),
+        folder: std::env::temp_dir().join(folder),
+        seed,
+        mix: Mix::of_seed(seed),
+        nodes: 6,
+        span: SPAN,
+    };
+    let report = run(&opts).expect("the fleet can be started");
+    println!("seed {seed} {:?}: {report}", opts.mix);
+    assert!(
+        report.violations.is_empty(),
+        "logs: {}",
+        opts.folder.display()
+    );
+    assert!(report.served > 0);
+    // Kept where a promise was broken.
+    let _ = std::fs::remove_dir_all(&opts.folder);
+}
+
+#[test]
+fn seed_3_connections_were_cut_off_while_a_stopping_node_still_listened() {
+    soak(3);
+}
+
+#[test]
+fn seed_4_a_crash_was_forgotten_since_the_next_start_answered_before_its_heartbeat() {
+    soak(4);
+}
+
+#[test]
+fn seed_5_all_kinds_of_faults() {
+    soak(5);
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,198 @@
+//! What goes wrong, and when.
+
+use std::time::Duration;
+
+use cassiashunt_standin::site::{Behaviour, Fault as StoreFault};
+
+use crate::proxy::Fault as LinkFault;
+
+/// Which faults a run has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mix {
+    /// Planned stops and changes of the table only: nothing may be cut off.
+    Planned,
+    /// The same, and servers that fail or end under requests.
+    Servers,
+    /// All kinds.
+    All,
+}
+
+impl Mix {
+    /// The mix that a seed has where none is asked for.
+    #[must_use]
+    pub fn of_seed(seed: u64) -> Self {
+        match seed % 3 {
+            0 => Self::Planned,
+            1 => Self::Servers,
+            _ => Self::All,
+        }
+    }
+
+    /// The mix with this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "planned" => Some(Self::Planned),
+            "servers" => Some(Self::Servers),
+            "all" => Some(Self::All),
+            _ => None,
+        }
+    }
+
+    fn kinds(self) -> &'static [Kind] {
+        const KINDS: [Kind; 12] = [
+            Kind::Stop,
+            Kind::Keys,
+            Kind::Table,
+            Kind::Behaviour,
+            Kind::Crash,
+            Kind::Kill,
+            Kind::Pause,
+            Kind::Store,
+            Kind::StoreOfOne,
+            Kind::ServerLink,
+            Kind::ClientLink,
+            Kind::Compact,
+        ];
+        match self {
+            Self::Planned => &KINDS[..3],
+            Self::Servers => &KINDS[..5],
+            Self::All => &KINDS,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Stop,
+    Keys,
+    Table,
+    Behaviour,
+    Crash,
+    Kill,
+    Pause,
+    Store,
+    StoreOfOne,
+    ServerLink,
+    ClientLink,
+    Compact,
+}
+
+/// One fault; nodes and servers by number.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// A node is asked to stop, and starts again after the fault's time.
+    Stop(usize),
+    /// A node is killed, and starts again after the fault's time.
+    Kill(usize),
+    /// A node stands still.
+    Pause(usize),
+    /// A key is withdrawn, and another given.
+    Keys,
+    /// A table without other changes is put in force.
+    Table,
+    /// A server does this with all requests.
+    Serve(usize, Behaviour),
+    /// Somebody sends requests under which servers end.
+    Crash,
+    /// The store fails for all.
+    Store(StoreFault),
+    /// The store fails for one node.
+    StoreOfOne(usize, StoreFault),
+    /// The connections of a node to its server.
+    ServerLink(usize, LinkFault),
+    /// The connections of clients to a node.
+    ClientLink(usize, LinkFault),
+    /// The store forgets its history.
+    Compact,
+}
+
+/// A fault at its time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Planned {
+    /// From the start of the load.
+    pub at: Duration,
+    /// How long it lasts.
+    pub span: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// The pause between two faults, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 100..900;
+/// How long a fault lasts, in milliseconds.
+const SPAN_MS: std::ops::Range<u64> = 200..2_500;
+
+/// The faults of a seed over a time, for so many nodes.
+#[must_use]
+pub fn schedule(seed: u64, mix: Mix, nodes: usize, span: Duration) -> Vec<Planned> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut at = Duration::from_millis(rng.u64(PAUSE_MS));
+    let mut planned = Vec::new();
+    while at < span {
+        let kinds = mix.kinds();
+        let kind = kinds[rng.usize(..kinds.len())];
+        planned.push(Planned {
+            at,
+            span: Duration::from_millis(rng.u64(SPAN_MS)),
+            fault: draw(kind, nodes, &mut rng),
+        });
+        at += Duration::from_millis(rng.u64(PAUSE_MS));
+    }
+    planned
+}
+
+fn draw(kind: Kind, nodes: usize, rng: &mut fastrand::Rng) -> Fault {
+    let node = rng.usize(..nodes);
+    match kind {
+        Kind::Stop => Fault::Stop(node),
+        Kind::Kill => Fault::Kill(node),
+        Kind::Pause => Fault::Pause(node),
+        Kind::Keys => Fault::Keys,
+        Kind::Table => Fault::Table,
+        Kind::Behaviour => Fault::Serve(node, behaviour(rng)),
+        Kind::Crash => Fault::Crash,
+        Kind::Store => Fault::Store(store_fault(rng)),
+        Kind::StoreOfOne => Fault::StoreOfOne(node, store_fault(rng)),
+        Kind::ServerLink => Fault::ServerLink(node, link_fault(rng)),
+        Kind::ClientLink => Fault::ClientLink(node, link_fault(rng)),
+        Kind::Compact => Fault::Compact,
+    }
+}
+
+fn behaviour(rng: &mut fastrand::Rng) -> Behaviour {
+    let late = Duration::from_millis(rng.u64(5..300));
+    let all = [
+        Behaviour::Shed,
+        Behaviour::LoseAnswer,
+        Behaviour::Truncate,
+        Behaviour::Unsigned,
+        Behaviour::StaleFirst,
+        Behaviour::Extra,
+        Behaviour::Slow(late),
+        Behaviour::Unframed,
+        Behaviour::UnframedReset,
+        Behaviour::LateCopy(late),
+    ];
+    all[rng.usize(..all.len())].clone()
+}
+
+fn store_fault(rng: &mut fastrand::Rng) -> StoreFault {
+    let all = [
+        StoreFault::Silent,
+        StoreFault::Busy,
+        StoreFault::LoseAnswers,
+        StoreFault::Slow(Duration::from_millis(rng.u64(50..600))),
+    ];
+    all[rng.usize(..all.len())]
+}
+
+fn link_fault(rng: &mut fastrand::Rng) -> LinkFault {
+    let all = [
+        LinkFault::Delay(Duration::from_millis(rng.u64(5..200))),
+        LinkFault::Silent,
+        LinkFault::OneWay,
+        LinkFault::Reset,
+    ];
+    all[rng.usize(..all.len())]
+}
--- /dev/null
+++ b/crates/soak/src/history.rs
@@ -0,0 +1,217 @@
+//! What clients and servers saw, and which promises it breaks.
+
+use std::{
+    collections::HashMap,
+    fmt,
+    time::{Duration, Instant},
+};
+
+use crate::faults::Mix;
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The client got an answer.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// A success has the whole body that belongs to the request.
+        is_own: bool,
+    },
+    /// The connection ended without a whole answer.
+    Broken,
+    /// No answer came long after the client's time.
+    Silent,
+}
+
+/// A request as its client saw it.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// Its path.
+    pub target: String,
+    /// It may run once at most.
+    pub is_write: bool,
+    /// The key that came with it.
+    pub key: String,
+    /// When it was sent.
+    pub began: Instant,
+    /// When its outcome was known.
+    pub ended: Instant,
+    /// Its outcome.
+    pub outcome: Outcome,
+}
+
+/// A run as its server saw it.
+#[derive(Debug, Clone)]
+pub struct Ran {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// The path.
+    pub target: String,
+    /// The workspace that the node named.
+    pub workspace: String,
+    /// When it began.
+    pub at: Instant,
+}
+
+/// What all clients and servers saw in one run.
+#[derive(Debug, Clone)]
+pub struct History {
+    /// The faults that were played.
+    pub mix: Mix,
+    /// All requests.
+    pub sent: Vec<Sent>,
+    /// All runs.
+    pub ran: Vec<Ran>,
+    /// Keys that were withdrawn, and when that was acknowledged.
+    pub withdrawn: Vec<(String, Instant)>,
+}
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.what)
+    }
+}
+
+/// A withdrawn key works no longer than this after the withdrawal's acknowledgement.
+pub const WITHDRAWAL: Duration = Duration::from_secs(5);
+/// Within it all nodes know of a server's end.
+pub const CONTACT: Duration = Duration::from_secs(3);
+/// Sends of a request later than [`CONTACT`] after it ended its third server.
+pub const MOST_LATER: usize = 3;
+/// A request may cross the end of its connection, unread, for so long after its sending.
+pub const CROSSING: Duration = Duration::from_millis(200);
+/// The part of the path of requests under which servers end.
+pub const CRASHING: &str = "/read/crashing";
+/// The workspace of all keys.
+pub const WORKSPACE: &str = "first-shop";
+
+impl History {
+    /// The promises that it breaks.
+    #[must_use]
+    pub fn violations(&self) -> Vec<Violation> {
+        let mut runs: HashMap<&str, Vec<&Ran>> = HashMap::new();
+        for ran in &self.ran {
+            runs.entry(&ran.attempt).or_default().push(ran);
+        }
+        let of = |sent: &Sent| {
+            runs.get(sent.attempt.as_str())
+                .map_or(&[][..], Vec::as_slice)
+        };
+        let each = self.sent.iter().flat_map(|sent| {
+            let ran = of(sent);
+            [
+                whole_and_own(sent, ran),
+                at_most_once(sent, ran),
+                honest(sent, ran),
+                allowed(sent),
+                self.withdrawn_in_time(sent, ran),
+                self.not_cut_off(sent, ran),
+            ]
+        });
+        let mut found: Vec<_> = each.flatten().collect();
+        found.extend(self.asked());
+        found.extend(self.contained());
+        found
+    }
+
+    /// Every run belongs to a request of a client, and names its workspace.
+    fn asked(&self) -> Vec<Violation> {
+        let sent: HashMap<_, _> = self.sent.iter().map(|it| (&it.attempt, it)).collect();
+        let is_unasked = |ran: &&Ran| {
+            let of = sent.get(&ran.attempt);
+            of.is_none_or(|of| of.target != ran.target) || ran.workspace != WORKSPACE
+        };
+        let unasked = self.ran.iter().filter(is_unasked);
+        unasked
+            .map(|ran| violation("only what was asked runs", format!("{ran:?}")))
+            .collect()
+    }
+
+    /// No run with a key that was withdrawn before the request was sent.
+    fn withdrawn_in_time(&self, sent: &Sent, ran: &[&Ran]) -> Option<Violation> {
+        let (_, at) = self.withdrawn.iter().find(|(key, _)| *key == sent.key)?;
+        let is_late = sent.began > *at + WITHDRAWAL && !ran.is_empty();
+        let after = sent.began.saturating_duration_since(*at);
+        is_late.then(|| violation("withdrawn keys stop", format!("{after:?} later: {sent:?}")))
+    }
+
+    /// Planned work cuts nothing off.
+    fn not_cut_off(&self, sent: &Sent, ran: &[&Ran]) -> Option<Violation> {
+        if self.mix != Mix::Planned {
+            return None;
+        }
+        let took = sent.ended.saturating_duration_since(sent.began);
+        let is_cut = match sent.outcome {
+            Outcome::Silent => true,
+            Outcome::Broken => !ran.is_empty() || took > CROSSING,
+            Outcome::Answered { status, .. } => matches!(status, 502 | 504),
+        };
+        is_cut.then(|| violation("planned work cuts nothing off", format!("{sent:?}")))
+    }
+
+    /// Requests under which servers end are contained, where all nodes hear of each other.
+    fn contained(&self) -> Option<Violation> {
+        if self.mix == Mix::All {
+            return None;
+        }
+        let crashes = self.ran.iter().filter(|it| it.target.contains(CRASHING));
+        let mut at: Vec<_> = crashes.map(|ran| ran.at).collect();
+        at.sort_unstable();
+        let third = at.get(2)?;
+        let later = at.iter().filter(|it| **it > *third + CONTACT).count();
+        let what = || format!("{} servers ended, {later} of them late", at.len());
+        (later > MOST_LATER).then(|| violation("crashing requests are contained", what()))
+    }
+}
+
+fn violation(promise: &'static str, what: String) -> Violation {
+    Violation { promise, what }
+}
+
+fn whole_and_own(sent: &Sent, ran: &[&Ran]) -> Option<Violation> {
+    let Outcome::Answered {
+        status: 200..=299,
+        is_own,
+    } = sent.outcome
+    else {
+        return None;
+    };
+    let is_good = is_own && !ran.is_empty();
+    (!is_good).then(|| violation("successes are whole and one's own", format!("{sent:?}")))
+}
+
+fn at_most_once(sent: &Sent, ran: &[&Ran]) -> Option<Violation> {
+    let is_twice = sent.is_write && ran.len() > 1;
+    is_twice.then(|| violation("at most once", format!("{} runs: {sent:?}", ran.len())))
+}
+
+/// 429 and 503, and likewise 408 and 421, promise that the request never runs.
+fn honest(sent: &Sent, ran: &[&Ran]) -> Option<Violation> {
+    let Outcome::Answered { status, .. } = sent.outcome else {
+        return None;
+    };
+    let is_promise = matches!(status, 408 | 421 | 429 | 503);
+    let is_broken = is_promise && !ran.is_empty();
+    is_broken.then(|| violation("what is said not to run does not", format!("{sent:?}")))
+}
+
+/// The lasting key and the routes are in every table.
+fn allowed(sent: &Sent) -> Option<Violation> {
+    let Outcome::Answered { status, .. } = sent.outcome else {
+        return None;
+    };
+    let is_denied = sent.key == crate::keys::LASTING && matches!(status, 400 | 401 | 403 | 404);
+    is_denied.then(|| violation("what every table allows is not denied", format!("{sent:?}")))
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,423 @@
+//! One run: a fleet, its load, its faults, and the judgement.
+
+use std::{
+    collections::BTreeMap,
+    fmt, fs,
+    path::PathBuf,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use cassiashunt_standin::site::{Behaviour, Fault as StoreFault};
+use eyre::{WrapErr as _, ensure};
+use rustix::process::Signal;
+
+use crate::{
+    client::Client,
+    faults::{Fault, Mix, Planned, schedule},
+    history::{CRASHING, History, Ran, Sent, Violation},
+    keys::{Keys, LASTING},
+    proxy::Fault as LinkFault,
+    site::{Member, SERVICES, Site},
+};
+
+/// Clients of each node.
+const CLIENTS: usize = 2;
+/// The longest pause of a client between two requests, in milliseconds.
+const PAUSE_MS: u64 = 30;
+/// The time between two heartbeats of a server.
+const BEAT_EVERY: Duration = Duration::from_millis(300);
+/// How long a server that ended is away.
+const AWAY: Duration = Duration::from_millis(600);
+/// How long the fleet may take to serve everywhere, at its start and after the last fault.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// How long a planned stop may take.
+const GRACE: Duration = Duration::from_secs(6);
+/// Violations of one promise that are printed.
+const MAX_SHOWN: usize = 3;
+/// The most memory that a node may use, in kilobytes.
+const MEMORY_KB: u64 = 64 * 1024;
+
+/// What is to be run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The program of the nodes.
+    pub binary: PathBuf,
+    /// Where settings and logs go; made where it is not there.
+    pub folder: PathBuf,
+    /// What the faults are drawn from.
+    pub seed: u64,
+    /// Which faults.
+    pub mix: Mix,
+    /// Nodes, each with a server.
+    pub nodes: usize,
+    /// How long there is load and faults.
+    pub span: Duration,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// The faults that were played.
+    pub planned: Vec<Planned>,
+    /// Requests, and how many of them were served.
+    pub sent: usize,
+    /// Requests that were served.
+    pub served: usize,
+    /// The most memory that a node used, in kilobytes.
+    pub peak_kb: u64,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            sent,
+            served,
+            peak_kb,
+            ..
+        } = self;
+        let faults = self.planned.len();
+        write!(
+            f,
+            "{faults} faults, {served} of {sent} served, peak {peak_kb} KB"
+        )?;
+        let mut counts = BTreeMap::new();
+        for violation in &self.violations {
+            let count = counts.entry(violation.promise).or_insert(0);
+            *count += 1;
+            if *count <= MAX_SHOWN {
+                write!(f, "\n  {violation}")?;
+            }
+        }
+        for (promise, count) in counts {
+            write!(f, "\n  {promise}: {count} times")?;
+        }
+        Ok(())
+    }
+}
+
+/// Plays one seed.
+///
+/// # Errors
+///
+/// Where the fleet can't be started; broken promises are in the report.
+pub fn run(opts: &Options) -> eyre::Result<Report> {
+    ensure!(
+        opts.nodes >= SERVICES.len(),
+        "too few nodes for the services"
+    );
+    fs::create_dir_all(&opts.folder).wrap_err("can't make the folder")?;
+    let site = Site::new(&opts.folder, opts.nodes).wrap_err("can't start the stand-ins")?;
+    let soak = Soak {
+        opts,
+        site,
+        keys: Keys::default(),
+        sent: Mutex::default(),
+        others: Mutex::default(),
+        is_over: AtomicBool::new(false),
+        is_crashing: AtomicBool::new(false),
+    };
+    soak.play()
+}
+
+struct Soak<'a> {
+    opts: &'a Options,
+    site: Site,
+    keys: Keys,
+    sent: Mutex<Vec<Sent>>,
+    /// Violations that the history does not show.
+    others: Mutex<Vec<Violation>>,
+    is_over: AtomicBool,
+    /// Whether somebody sends requests under which servers end.
+    is_crashing: AtomicBool,
+}
+
+impl Soak<'_> {
+    fn play(&self) -> eyre::Result<Report> {
+        let (version, keys) = self.keys.table();
+        self.site.put_table(version, &keys);
+        for member in &self.site.members {
+            member.server.crash_under(CRASHING, AWAY);
+            member
+                .start(&self.opts.binary)
+                .wrap_err("can't start a node")?;
+        }
+        let planned = {
+            let Options {
+                seed,
+                mix,
+                nodes,
+                span,
+                ..
+            } = *self.opts;
+            schedule(seed, mix, nodes, span)
+        };
+        let began = thread::scope(|scope| {
+            scope.spawn(|| self.beat());
+            let began = self.wait_until_served();
+            if began {
+                for at in 0..self.site.members.len() * CLIENTS {
+                    scope.spawn(move || self.call(at));
+                }
+                scope.spawn(|| self.send_crashing());
+                self.disturb(&planned);
+                if !self.wait_until_served() {
+                    self.add("the fleet recovers", format!("not within {RECOVERY:?}"));
+                }
+            }
+            self.is_over.store(true, Ordering::Release);
+            began
+        });
+        ensure!(began, "the fleet does not serve within {RECOVERY:?}");
+        Ok(self.judge(planned))
+    }
+
+    fn judge(&self, planned: Vec<Planned>) -> Report {
+        let mut peak_kb = 0;
+        for (at, member) in self.site.members.iter().enumerate() {
+            if let Some(process) = member.process().as_mut() {
+                peak_kb = peak_kb.max(process.peak_kb().unwrap_or_default());
+                if let Some(status) = process.ended() {
+                    self.add(
+                        "nodes do not end by themselves",
+                        format!("node-{at}: {status}"),
+                    );
+                }
+            }
+        }
+        if peak_kb > MEMORY_KB {
+            self.add("memory is bounded", format!("{peak_kb} KB"));
+        }
+        let history = self.history();
+        let is_served = |sent: &&Sent| {
+            matches!(
+                sent.outcome,
+                crate::history::Outcome::Answered { status: 200, .. }
+            )
+        };
+        let mut violations = history.violations();
+        violations.extend(lock(&self.others).drain(..));
+        Report {
+            planned,
+            sent: history.sent.len(),
+            served: history.sent.iter().filter(is_served).count(),
+            peak_kb,
+            violations,
+        }
+    }
+
+    fn history(&self) -> History {
+        let runs = self.site.members.iter().flat_map(|it| it.server.runs());
+        let ran = runs.map(|run| Ran {
+            target: run.first_line.split(' ').nth(1).unwrap_or_default().into(),
+            workspace: run.header("x-tenant").unwrap_or_default().into(),
+            attempt: run.attempt,
+            at: run.at,
+        });
+        History {
+            mix: self.opts.mix,
+            sent: lock(&self.sent).clone(),
+            ran: ran.collect(),
+            withdrawn: self.keys.withdrawn(),
+        }
+    }
+
+    fn add(&self, promise: &'static str, what: String) {
+        lock(&self.others).push(Violation { promise, what });
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Acquire)
+    }
+
+    /// Sends the heartbeats of all servers.
+    fn beat(&self) {
+        let mut sequence = 0;
+        while !self.is_over() {
+            sequence += 1;
+            for member in self.site.members.iter().filter(|it| !it.server.is_away()) {
+                // The node may be stopped.
+                let _ = member
+                    .server
+                    .beat(member.heartbeats, member.service, "ready", sequence);
+            }
+            thread::sleep(BEAT_EVERY);
+        }
+    }
+
+    /// A client of a node; through the proxy where its connections may be disturbed.
+    fn client(&self, member: &Member) -> Client {
+        Client::new(match self.opts.mix {
+            Mix::All => member.from_clients.address(),
+            Mix::Planned | Mix::Servers => member.requests,
+        })
+    }
+
+    /// Whether every node serves every service soon.
+    fn wait_until_served(&self) -> bool {
+        let until = Instant::now() + RECOVERY;
+        self.site.members.iter().all(|member| {
+            SERVICES.iter().all(|service| {
+                let mut client = self.client(member);
+                loop {
+                    let target = format!("/{service}/read/{:x}", fastrand::u64(..));
+                    let sent = client.send(target, false, LASTING.into());
+                    let is_served = sent.is_some_and(|sent| {
+                        let outcome = sent.outcome;
+                        lock(&self.sent).push(sent);
+                        matches!(
+                            outcome,
+                            crate::history::Outcome::Answered { status: 200, .. }
+                        )
+                    });
+                    if is_served || Instant::now() >= until {
+                        break is_served;
+                    }
+                    thread::sleep(Duration::from_millis(50));
+                }
+            })
+        })
+    }
+
+    /// One client's requests, all to the same node.
+    fn call(&self, at: usize) {
+        let member = &self.site.members[at % self.site.members.len()];
+        let mut client = self.client(member);
+        while !self.is_over() {
+            let service = SERVICES[fastrand::usize(..SERVICES.len())];
+            let is_write = fastrand::u8(..3) == 0;
+            let kind = if is_write { "write" } else { "read" };
+            let target = format!("/{service}/{kind}/{:x}", fastrand::u64(..));
+            if let Some(sent) = client.send(target, is_write, self.keys.draw()) {
+                lock(&self.sent).push(sent);
+            }
+            thread::sleep(Duration::from_millis(fastrand::u64(..PAUSE_MS)));
+        }
+    }
+
+    /// Sends the request under which servers end, at any node, while it is asked for.
+    fn send_crashing(&self) {
+        while !self.is_over() {
+            thread::sleep(Duration::from_millis(fastrand::u64(20..150)));
+            if !self.is_crashing.load(Ordering::Acquire) {
+                continue;
+            }
+            let members = &self.site.members;
+            let member = &members[fastrand::usize(..members.len())];
+            let mut client = self.client(member);
+            let target = format!("/{}{CRASHING}", SERVICES[1]);
+            if let Some(sent) = client.send(target, false, LASTING.into()) {
+                lock(&self.sent).push(sent);
+            }
+        }
+    }
+
+    /// Begins and ends the faults at their times; all are over when it returns.
+    fn disturb(&self, planned: &[Planned]) {
+        let began = Instant::now();
+        thread::scope(|scope| {
+            for one in planned {
+                let wait = one.at.saturating_sub(began.elapsed());
+                thread::sleep(wait);
+                scope.spawn(move || {
+                    self.begin(&one.fault);
+                    thread::sleep(one.span);
+                    self.end(&one.fault);
+                });
+            }
+            thread::sleep(self.opts.span.saturating_sub(began.elapsed()));
+        });
+        self.heal();
+    }
+
+    fn begin(&self, fault: &Fault) {
+        let member = |at: &usize| &self.site.members[*at];
+        match fault {
+            Fault::Stop(at) => self.stop(*at),
+            Fault::Kill(at) => drop(member(at).process().take()),
+            Fault::Pause(at) => signal(member(at), Signal::STOP),
+            Fault::Keys | Fault::Table => {
+                let is_withdrawn = *fault == Fault::Keys;
+                let put = |version, keys: &[String]| self.site.put_table(version, keys);
+                self.keys.change(is_withdrawn, put);
+            }
+            Fault::Serve(at, behaviour) => member(at).server.set_usual(behaviour.clone()),
+            Fault::Crash => self.is_crashing.store(true, Ordering::Release),
+            Fault::Store(fault) => self.site.store.set_fault(*fault),
+            Fault::StoreOfOne(at, fault) => member(at).to_store.set_fault(*fault),
+            Fault::ServerLink(at, fault) => member(at).to_server.set_fault(*fault),
+            Fault::ClientLink(at, fault) => member(at).from_clients.set_fault(*fault),
+            Fault::Compact => self.site.store.compact(),
+        }
+    }
+
+    fn end(&self, fault: &Fault) {
+        let member = |at: &usize| &self.site.members[*at];
+        match fault {
+            Fault::Stop(at) | Fault::Kill(at) => {
+                if let Err(err) = member(at).start(&self.opts.binary) {
+                    self.add("nodes start again", format!("node-{at}: {err}"));
+                }
+            }
+            Fault::Pause(at) => signal(member(at), Signal::CONT),
+            Fault::Serve(at, _) => member(at).server.set_usual(Behaviour::Serve),
+            Fault::Crash => self.is_crashing.store(false, Ordering::Release),
+            Fault::Store(_) => self.site.store.set_fault(StoreFault::None),
+            Fault::StoreOfOne(at, _) => member(at).to_store.set_fault(StoreFault::None),
+            Fault::ServerLink(at, _) => member(at).to_server.set_fault(LinkFault::None),
+            Fault::ClientLink(at, _) => member(at).from_clients.set_fault(LinkFault::None),
+            Fault::Keys | Fault::Table | Fault::Compact => {}
+        }
+    }
+
+    /// Asks a node to stop, and waits for its end.
+    fn stop(&self, at: usize) {
+        let mut process = self.site.members[at].process();
+        let Some(running) = process.as_mut() else {
+            return;
+        };
+        // A paused process stops when it goes on.
+        running.signal(Signal::TERM);
+        running.signal(Signal::CONT);
+        match running.wait(GRACE) {
+            Some(status) if status.success() => {}
+            Some(status) => self.add("planned stops end well", format!("node-{at}: {status}")),
+            None => self.add("planned stops end in time", format!("node-{at}")),
+        }
+        *process = None;
+    }
+
+    /// Ends whatever is left of the faults.
+    fn heal(&self) {
+        self.is_crashing.store(false, Ordering::Release);
+        self.site.store.set_fault(StoreFault::None);
+        for at in 0..self.site.members.len() {
+            for fault in [
+                Fault::Stop(at),
+                Fault::Pause(at),
+                Fault::Serve(at, Behaviour::Serve),
+                Fault::StoreOfOne(at, StoreFault::None),
+                Fault::ServerLink(at, LinkFault::None),
+                Fault::ClientLink(at, LinkFault::None),
+            ] {
+                self.end(&fault);
+            }
+        }
+    }
+}
+
+fn signal(member: &Member, signal: Signal) {
+    if let Some(process) = member.process().as_mut() {
+        process.signal(signal);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/soak/tests/history.rs
@@ -0,0 +1,184 @@
+//! The judge finds each kind of planted fault, and nothing in a good history.
+
+use std::time::{Duration, Instant};
+
+use cassiashunt_soak::{
+    History,
+    faults::{Mix, schedule},
+    history::{CONTACT, CRASHING, Outcome, Ran, Sent, WITHDRAWAL, WORKSPACE},
+};
+
+const SERVED: Outcome = Outcome::Answered {
+    status: 200,
+    is_own: true,
+};
+
+fn refused(status: u16) -> Outcome {
+    Outcome::Answered {
+        status,
+        is_own: true,
+    }
+}
+
+fn sent(began: Instant, is_write: bool, outcome: Outcome) -> Sent {
+    Sent {
+        attempt: "one".into(),
+        target: "/desk/read/1".into(),
+        is_write,
+        key: "key-that-lasts".into(),
+        began,
+        ended: began + Duration::from_millis(20),
+        outcome,
+    }
+}
+
+fn ran(at: Instant) -> Ran {
+    Ran {
+        attempt: "one".into(),
+        target: "/desk/read/1".into(),
+        workspace: WORKSPACE.into(),
+        at,
+    }
+}
+
+fn history(mix: Mix, sent: Sent, ran: Vec<Ran>) -> History {
+    History {
+        mix,
+        sent: vec![sent],
+        ran,
+        withdrawn: Vec::new(),
+    }
+}
+
+fn promises(history: &History) -> Vec<&'static str> {
+    let violations = history.violations().into_iter();
+    violations.map(|it| it.promise).collect()
+}
+
+#[test]
+fn a_good_history_breaks_nothing() {
+    let now = Instant::now();
+    let good = history(Mix::Planned, sent(now, true, SERVED), vec![ran(now)]);
+    assert!(promises(&good).is_empty());
+    let refused = history(Mix::Planned, sent(now, true, refused(503)), Vec::new());
+    assert!(promises(&refused).is_empty());
+}
+
+#[test]
+fn a_success_that_is_not_whole_or_never_ran_is_found() {
+    let now = Instant::now();
+    let foreign = Outcome::Answered {
+        status: 200,
+        is_own: false,
+    };
+    let foreign = history(Mix::All, sent(now, false, foreign), vec![ran(now)]);
+    assert_eq!(promises(&foreign), ["successes are whole and one's own"]);
+    let made_up = history(Mix::All, sent(now, false, SERVED), Vec::new());
+    assert_eq!(promises(&made_up), ["successes are whole and one's own"]);
+}
+
+#[test]
+fn a_second_run_and_a_run_after_a_promise_are_found() {
+    let now = Instant::now();
+    let twice = history(Mix::All, sent(now, true, SERVED), vec![ran(now), ran(now)]);
+    assert_eq!(promises(&twice), ["at most once"]);
+    for status in [408, 421, 429, 503] {
+        let lie = history(Mix::All, sent(now, false, refused(status)), vec![ran(now)]);
+        assert_eq!(promises(&lie), ["what is said not to run does not"]);
+    }
+}
+
+#[test]
+fn a_denial_of_what_every_table_allows_is_found() {
+    for status in [400, 401, 403, 404] {
+        let now = Instant::now();
+        let denied = history(Mix::All, sent(now, false, refused(status)), Vec::new());
+        assert_eq!(promises(&denied), ["what every table allows is not denied"]);
+    }
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_or_for_another_workspace_is_found() {
+    let now = Instant::now();
+    let mut smuggled = history(Mix::All, sent(now, false, SERVED), vec![ran(now)]);
+    smuggled.ran.push(Ran {
+        attempt: "two".into(),
+        ..ran(now)
+    });
+    assert_eq!(promises(&smuggled), ["only what was asked runs"]);
+    let borrowed = Ran {
+        workspace: "another".into(),
+        ..ran(now)
+    };
+    let borrowed = history(Mix::All, sent(now, false, SERVED), vec![borrowed]);
+    assert_eq!(promises(&borrowed), ["only what was asked runs"]);
+}
+
+#[test]
+fn a_withdrawn_key_that_works_too_long_is_found() {
+    let now = Instant::now();
+    let key = "key-1".to_owned();
+    let late = now + WITHDRAWAL + Duration::from_millis(1);
+    for (began, count) in [(now + WITHDRAWAL, 0), (late, 1)] {
+        let request = Sent {
+            key: key.clone(),
+            ..sent(began, false, SERVED)
+        };
+        let mut history = history(Mix::All, request, vec![ran(began)]);
+        history.withdrawn.push((key.clone(), now));
+        assert_eq!(promises(&history).len(), count);
+    }
+}
+
+#[test]
+fn planned_work_that_cuts_a_request_off_is_found() {
+    let now = Instant::now();
+    let cases = [
+        (Outcome::Broken, vec![ran(now)]),
+        (Outcome::Silent, Vec::new()),
+        (refused(502), vec![ran(now)]),
+        (refused(504), Vec::new()),
+    ];
+    for (outcome, runs) in cases {
+        let cut = history(Mix::Planned, sent(now, false, outcome), runs.clone());
+        assert_eq!(promises(&cut), ["planned work cuts nothing off"]);
+        let other = history(Mix::All, sent(now, false, outcome), runs);
+        assert!(promises(&other).is_empty());
+    }
+    let late = Sent {
+        ended: now + Duration::from_secs(1),
+        ..sent(now, false, Outcome::Broken)
+    };
+    let late = history(Mix::Planned, late, Vec::new());
+    assert_eq!(promises(&late), ["planned work cuts nothing off"]);
+}
+
+#[test]
+fn a_crashing_request_that_is_sent_on_is_found() {
+    let now = Instant::now();
+    let target = format!("/desk{CRASHING}");
+    let request = Sent {
+        target: target.clone(),
+        ..sent(now, false, Outcome::Broken)
+    };
+    let run = |at| Ran {
+        target: target.clone(),
+        ..ran(at)
+    };
+    let late = now + CONTACT + Duration::from_millis(1);
+    for (count, found) in [(3, 0), (4, 1)] {
+        let mut runs = vec![run(now); 3];
+        runs.extend(vec![run(late); count]);
+        let history = history(Mix::Servers, request.clone(), runs);
+        assert_eq!(promises(&history).len(), found);
+    }
+}
+
+#[test]
+fn a_seed_has_the_same_faults_each_time() {
+    let span = Duration::from_secs(20);
+    for mix in [Mix::Planned, Mix::Servers, Mix::All] {
+        assert_eq!(schedule(7, mix, 6, span), schedule(7, mix, 6, span));
+        assert_ne!(schedule(7, mix, 6, span), schedule(8, mix, 6, span));
+    }
+}
