Treat an answer whose status is none as no answer

Cause: the head's parser takes any three digits as a status. A server in trouble that sends 000 (or 099, 600 and above) had it passed on as it was, and a caller's HTTP library ends there or worse.

Change: a status outside 100 to 599 is a malformed answer: the server's failure, logged with its cause, 502 or another try.

--- /dev/null
+++ b/cassiashunt/tests/site_noise.rs
@@ -0,0 +1,358 @@
+//! Bytes that make no sense, and values at the ends of their ranges, at every address of a node.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use cassiashunt_standin::site::{Behaviour, Request, ask, open};
+use serde_json::{Value, json};
+use support::{
+    eventually,
+    site::{KEY, Member, Site, read, table, write},
+};
+
+/// The target for a node's memory.
+const MEMORY: u64 = 64 << 20;
+/// Noisy connections to each address.
+const CONNECTIONS: usize = 150;
+/// How long a noisy connection waits for an answer.
+const PATIENCE: Duration = Duration::from_millis(20);
+/// The contact time of the users' sheets.
+const CONTACT: Duration = Duration::from_secs(3);
+
+fn site(name: &str) -> Site {
+    Site::start(name, &["shop", "desk"])
+}
+
+/// No node ended or panicked, each one serves both services, within its memory.
+fn expect_sound(site: &Site, what: &str) {
+    for member in &site.members {
+        for service in ["shop", "desk"] {
+            eventually(what, || {
+                let answer = member.ask(&read(service));
+                answer.is_ok_and(|it| it.status == 200)
+            });
+        }
+        let log = member.log();
+        assert!(!log.contains("panicked"), "{what}: {log}");
+        let peak = member.node.spent().0;
+        assert!(peak <= MEMORY, "{what}: {peak} bytes at peak");
+    }
+}
+
+/// A valid message with some of its bytes changed, cut out, doubled or moved.
+fn damage(rng: &mut fastrand::Rng, valid: &[u8]) -> Vec<u8> {
+    let mut bytes = valid.to_vec();
+    for _ in 0..rng.usize(1..=4) {
+        let at = rng.usize(..bytes.len().max(1));
+        let end = (at + rng.usize(1..=16)).min(bytes.len());
+        match rng.u8(..5) {
+            0 if at < bytes.len() => bytes[at] = rng.u8(..),
+            1 => drop(bytes.drain(at..end)),
+            2 => {
+                let piece = bytes[at..end].to_vec();
+                bytes.splice(at..at, piece);
+            }
+            3 => bytes.truncate(at.max(1)),
+            _ => bytes
+                .splice(at..at, (0..8).map(|_| rng.u8(..)))
+                .for_each(drop),
+        }
+    }
+    bytes
+}
+
+/// Sends each to the address on a connection of its own, and reads what comes for a moment.
+fn send_each(to: SocketAddr, messages: impl Iterator<Item = Vec<u8>>) {
+    for message in messages {
+        let mut stream = TcpStream::connect(to).expect("the node listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("not zero");
+        // The node may close before the last byte.
+        let _ = stream.write_all(&message);
+        let _ = stream.read(&mut [0; 1_024]);
+    }
+}
+
+fn frame(payload: &[u8]) -> Vec<u8> {
+    let len = u32::try_from(payload.len()).expect("short");
+    [&len.to_be_bytes()[..], payload].concat()
+}
+
+/// A peer's first message: tag 1, with an incarnation and a name.
+fn hello() -> Vec<u8> {
+    let name = b"node-of-noise";
+    let mut inner = vec![0x08, 0x2a, 0x12, name.len() as u8];
+    inner.extend_from_slice(name);
+    let mut kind = vec![0x0a, inner.len() as u8];
+    kind.extend(inner);
+    frame(&kind)
+}
+
+#[test]
+fn noise_at_every_address_harms_nobody() {
+    let site = site("noise");
+    let member = &site.members[0];
+    let rng = &mut fastrand::Rng::with_seed(18);
+    let request = write("desk").encode();
+    let body =
+        r#"{"details":{"service":"shop","slots":8},"status":{"state":"ready","sequence":9}}"#;
+    let beat = format!(
+        "POST /-/rpc?call=instances.heartbeat&of=i-shop-0 HTTP/1.1\r\nHost: n\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let ready = b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n";
+    for (to, valid) in [
+        (member.requests, request.as_slice()),
+        (member.heartbeats, beat.as_bytes()),
+        (member.ready, ready),
+        (member.peers, &hello()),
+    ] {
+        let damaged = (0..CONNECTIONS).map(|_| damage(rng, valid));
+        let damaged: Vec<_> = damaged.collect();
+        send_each(to, damaged.into_iter());
+        let random = (0..CONNECTIONS / 3).map(|_| {
+            let len = rng.usize(1..2_000);
+            (0..len).map(|_| rng.u8(..)).collect()
+        });
+        send_each(to, random.collect::<Vec<_>>().into_iter());
+    }
+    restore(member);
+    expect_sound(&site, "noise at every address");
+}
+
+/// Noise may have told the node that its server is of another kind, or leaves.
+fn restore(member: &Member) {
+    let beat = |sequence| {
+        member
+            .server
+            .beat(member.heartbeats, &member.service, "ready", sequence)
+    };
+    assert_eq!(beat(u64::MAX).expect("the node answers"), 200);
+}
+
+#[test]
+fn frames_of_random_fields_from_a_peer_harm_nobody() {
+    let site = site("noise-frames");
+    let member = &site.members[0];
+    let rng = &mut fastrand::Rng::with_seed(19);
+    let conversations = (0..CONNECTIONS).map(|_| {
+        let mut bytes = hello();
+        for _ in 0..rng.usize(1..6) {
+            bytes.extend(frame(&fields(rng, 0)));
+        }
+        bytes
+    });
+    send_each(member.peers, conversations.collect::<Vec<_>>().into_iter());
+    expect_sound(&site, "random frames");
+}
+
+/// Well-formed protocol buffer fields with numbers at the ends of their ranges.
+fn fields(rng: &mut fastrand::Rng, depth: u32) -> Vec<u8> {
+    let mut out = Vec::new();
+    let count = if depth == 0 { 1 } else { rng.usize(0..5) };
+    for _ in 0..count {
+        let number = if depth == 0 {
+            rng.u8(1..=18)
+        } else {
+            rng.u8(1..=14)
+        };
+        let kind = if depth == 0 {
+            2
+        } else {
+            *rng.choice(&[0, 1, 2, 2, 5]).expect("some")
+        };
+        varint(&mut out, u64::from(number) << 3 | kind);
+        match kind {
+            0 => varint(
+                &mut out,
+                *rng.choice(&[0, 1, 7, u64::from(u32::MAX), u64::MAX])
+                    .expect("some"),
+            ),
+            1 => {
+                let ends = [f64::NAN, f64::INFINITY, -1.0, f64::MAX, 0.0, 5.0];
+                out.extend(rng.choice(ends).expect("some").to_le_bytes());
+            }
+            5 => out.extend(
+                rng.choice([f32::NAN, f32::MAX, -1.0, 0.0])
+                    .expect("some")
+                    .to_le_bytes(),
+            ),
+            _ => {
+                let inner = match rng.u8(..4) {
+                    0 => b"shop".to_vec(),
+                    1 => b"first-shop".to_vec(),
+                    _ if depth < 4 => fields(rng, depth + 1),
+                    _ => Vec::new(),
+                };
+                varint(&mut out, inner.len() as u64);
+                out.extend(inner);
+            }
+        }
+    }
+    out
+}
+
+fn varint(out: &mut Vec<u8>, mut value: u64) {
+    while value >= 0x80 {
+        out.push((value & 0x7f) as u8 | 0x80);
+        value >>= 7;
+    }
+    out.push(value as u8);
+}
+
+#[test]
+fn a_time_that_a_client_can_not_mean_is_the_usual_one_and_none_left_is_a_refusal() {
+    let site = site("noise-client");
+    let member = &site.members[0];
+    for (value, status) in [
+        ("18446744073709551615", 200),
+        ("99999999999999999999", 200),
+        ("-1", 200),
+        ("1e9", 200),
+        ("", 200),
+        ("0", 503),
+    ] {
+        let request = Request {
+            headers: vec![("X-Timeout-Ms".into(), value.into())],
+            ..read("desk")
+        };
+        assert_eq!(member.status_of(&request), status, "{value:?}");
+    }
+    expect_sound(&site, "times at the ends of their range");
+}
+
+#[test]
+fn values_at_the_ends_of_their_ranges_in_a_heartbeat_harm_nobody() {
+    let site = site("noise-beat");
+    let member = &site.members[1];
+    for (slots, warm_up, born) in [
+        (u64::from(u32::MAX), u64::MAX, u64::MAX),
+        (0, u64::MAX, 0),
+        (u64::MAX, 0, 0),
+        (u64::from(u32::MAX), 0, 1),
+    ] {
+        let body = json!({"details": {"service": "desk", "slots": slots}, "born": born,
+            "status": {"state": "ready", "sequence": 1_000, "warmup_left_ms": warm_up}});
+        let body = body.to_string();
+        let beat = format!(
+            "POST /-/rpc?call=instances.heartbeat&of=i-desk-1 HTTP/1.1\r\nHost: n\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = ask(
+            &mut open(member.heartbeats).expect("it listens"),
+            beat.as_bytes(),
+        );
+        answer.expect("the node answers");
+        for _ in 0..20 {
+            site.members[0]
+                .ask(&read("desk"))
+                .expect("the node answers");
+        }
+        restore(member);
+    }
+    expect_sound(&site, "heartbeats at the ends of their ranges");
+}
+
+/// The table of these tests with one value of one row replaced.
+fn with(version: u64, kind: &str, field: &str, value: Value) -> Value {
+    let mut table = table(version, &[KEY]);
+    let rows = table["resources"].as_array_mut().expect("rows");
+    for row in rows.iter_mut().filter(|it| it["type"] == kind) {
+        row["spec"][field] = value.clone();
+    }
+    table
+}
+
+#[test]
+fn tables_with_values_at_the_ends_of_their_ranges_harm_nobody() {
+    let site = site("noise-table");
+    let ends = || {
+        [
+            json!(0),
+            json!(-1),
+            json!(1e308),
+            json!(u64::MAX),
+            json!("x"),
+            json!(null),
+        ]
+    };
+    let mut version = 1;
+    for (kind, fields) in [
+        (
+            "routes",
+            &[
+                "timeout_ms",
+                "goal_ms",
+                "priority",
+                "max_attempts",
+                "split",
+                "prefix",
+            ][..],
+        ),
+        ("tenants", &["rate_per_s", "burst", "priority", "api_keys"]),
+        (
+            "limits",
+            &[
+                "header_bytes",
+                "body_bytes",
+                "header_timeout_ms",
+                "idle_timeout_ms",
+            ],
+        ),
+    ] {
+        for field in fields {
+            for value in ends() {
+                version += 1;
+                site.put_table(&with(version, kind, field, value));
+                thread::sleep(PATIENCE);
+                for member in &site.members {
+                    // What the table makes of it is its own affair; an answer comes, or a close.
+                    let _ = member.ask(&read("desk"));
+                }
+            }
+        }
+    }
+    site.put_table(&table(version + 1, &[KEY]));
+    thread::sleep(CONTACT);
+    expect_sound(&site, "tables at the ends of their ranges");
+}
+
+#[test]
+fn answers_of_the_server_with_values_at_the_ends_of_their_ranges_harm_nobody() {
+    let site = site("noise-answer");
+    let member = &site.members[1];
+    let rng = &mut fastrand::Rng::with_seed(20);
+    for n in 0..45 {
+        let length = rng.choice(["-1", "18446744073709551616", "0x10", "5, 5", "+3"]);
+        let length = length.expect("some");
+        let status = rng
+            .choice(["000", "99", "99999", "-12", "200"])
+            .expect("some");
+        let head = match n % 3 {
+            0 => format!(
+                "HTTP/1.1 {status} OK\r\nX-Attempt-Id: {{attempt}}\r\nContent-Length: {length}\r\n\r\n"
+            ),
+            1 => format!(
+                "HTTP/9.9 {status}\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n"
+            ),
+            _ => String::from_utf8_lossy(&damage(
+                rng,
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 2\r\n\r\nok",
+            ))
+            .into_owned(),
+        };
+        member
+            .server
+            .do_next(Behaviour::endless(&head, b"", Duration::from_secs(1)));
+        let answer = site.members[0]
+            .ask(&read("desk"))
+            .expect("the node answers");
+        assert!((200..600).contains(&answer.status), "{}", answer.status);
+    }
+    expect_sound(&site, "answers at the ends of their ranges");
+}
--- a/crates/sidecar/src/http/head.rs
+++ b/crates/sidecar/src/http/head.rs
@@ -5,6 +5,8 @@
 
 /// The most header fields of one message.
 const MAX_FIELDS: usize = 96;
+/// RFC 9110, section 15: no other status has a meaning that a caller could rely on.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 
 /// Fields that concern one connection only, or that are set anew on the next.
 const PER_CONNECTION: [&str; 10] = [
@@ -131,6 +133,9 @@
             return Err(Malformed("head"));
         }
         let status = res.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(Malformed("status"));
+        }
         let headers = owned(res.headers)?;
         let has_no_body = method == "HEAD" || status < 200 || status == 204 || status == 304;
         let framing = if has_no_body {
