Claim ports by blocks where nodes come back to theirs

Change: cassiashunt_standin::ports: a process claims blocks of 50 ports, each by a listener on its first port for as long as it lives; fleet, process tests and soak take theirs from it.

--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -2,33 +2,21 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::atomic::{AtomicU16, Ordering},
+    net::{SocketAddr, TcpStream},
     thread,
     time::Duration,
 };
 
-use cassiashunt_standin::site::{Answer, Door, Request, Server, Store, ask, open};
+use cassiashunt_standin::{
+    ports::free_address,
+    site::{Answer, Door, Request, Server, Store, ask, open},
+};
 use serde_json::{Value, json};
 
 use super::{Folder, Process, eventually, path};
 
-/// Ports of test fleets lie below those of outgoing connections, which would take them.
-const FIRST_PORT: u16 = 14_000;
-static TAKEN: AtomicU16 = AtomicU16::new(0);
-
-fn port() -> u16 {
-    let spread = (std::process::id() % 400) as u16 * 40;
-    loop {
-        let at = FIRST_PORT + (spread + TAKEN.fetch_add(1, Ordering::Relaxed)) % 16_000;
-        if TcpListener::bind(("127.0.0.1", at)).is_ok() {
-            return at;
-        }
-    }
-}
-
 fn address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port()))
+    free_address().expect("loopback has free ports")
 }
 
 /// A node with its server.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,17 +1,14 @@
 //! A platform stand-in, backend servers and nodes.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU16, Ordering},
-    },
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
 use cassiashunt_node::{Addresses, Node, Settings, Stopped, Wiring, settings};
-use cassiashunt_standin::{platform, server};
+use cassiashunt_standin::{platform, ports::free_address, server};
 use cassiashunt_table::{Change, KeyRecord, KeyState};
 use cassiashunt_types::prelude::*;
 use eyre::{Result, bail};
@@ -31,16 +28,6 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// How long the sockets of a node that has ended may take to close.
 const PORT_PATIENCE: Duration = Duration::from_secs(5);
-/// The first port that nodes are given, and how many there are.
-const FIRST_PORT: u16 = 10_000;
-const PORTS: u16 = 20_000;
-/// How far apart the ports of two processes begin.
-const PORT_STRIDE: u32 = 211;
-/// Counts the ports that were looked at.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-/// Tries to find a port that is free for TCP and UDP.
-const PORT_TRIES: usize = 100;
-
 /// One backend server of a fleet.
 #[derive(Debug, Clone)]
 pub struct ServerOptions {
@@ -273,7 +260,7 @@
 
     fn start_member(&self, number: usize) -> Result<Member> {
         let spec = &self.opts.servers[number];
-        let callers = free_port()?;
+        let callers = free_address()?;
         let standin = server::Options {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             service: spec.service.as_str().into(),
@@ -300,8 +287,8 @@
         let settings = Settings {
             node: settings::Place {
                 callers,
-                peers: free_port()?,
-                operators: free_port()?,
+                peers: free_address()?,
+                operators: free_address()?,
                 failure_domain: spec.domain,
                 other_failure_domains: domains.filter(|domain| *domain != spec.domain).collect(),
                 secret: SECRET.into(),
@@ -376,18 +363,3 @@
         }
     }
 }
-
-/// A loopback address that is free for TCP and UDP, below the ports that outgoing connections take,
-/// so that a node that has ended finds its own free again.
-fn free_port() -> Result<SocketAddr> {
-    for _ in 0..PORT_TRIES {
-        let step = u32::from(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
-        let offset = (std::process::id().wrapping_mul(PORT_STRIDE) + step) % u32::from(PORTS);
-        let port = FIRST_PORT + u16::try_from(offset)?;
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
-            return Ok(addr);
-        }
-    }
-    bail!("no port on loopback is free for both TCP and UDP")
-}
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -2,24 +2,19 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU16, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use cassiashunt_standin::site::{Door, Server, Store};
+use cassiashunt_standin::{
+    ports::free_address,
+    site::{Door, Server, Store},
+};
 use serde_json::{Value, json};
 
 use crate::{process::Process, proxy::Proxy};
 
-/// Ports of nodes lie below those of outgoing connections, which would take them.
-const FIRST_PORT: u16 = 14_000;
-const PORTS: u16 = 16_000;
-static TAKEN: AtomicU16 = AtomicU16::new(0);
-
 /// The bound on withdrawn keys, in milliseconds.
 pub(crate) const WITHDRAWAL_MS: u64 = 5_000;
 /// The services, in turn.
@@ -82,7 +77,8 @@
 
 fn member(folder: &Path, store: &Store, at: usize) -> io::Result<Member> {
     let service = SERVICES[at % SERVICES.len()];
-    let [requests, peers, ready, heartbeats] = [(); 4].map(|()| free_address());
+    let (requests, peers) = (free_address()?, free_address()?);
+    let (ready, heartbeats) = (free_address()?, free_address()?);
     let server = Server::start(&format!("i-{service}-{at}"), requests)?;
     let (to_server, to_store) = (Proxy::start(server.address())?, store.open_door()?);
     let domain = DOMAINS[at % DOMAINS.len()];
@@ -126,17 +122,6 @@
     })
 }
 
-fn free_address() -> SocketAddr {
-    let spread = (std::process::id() % 400) as u16 * 40;
-    loop {
-        let at = spread.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + at));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// A table with an idempotent and another route to each service.
 fn table(version: u64, keys: &[String]) -> Value {
     let routes = SERVICES.iter().flat_map(|service| {
