--- a/crates/mesh/tests/handover.rs
+++ b/crates/mesh/tests/handover.rs
@@ -41,9 +41,7 @@
 
 fn faults() -> impl Iterator<Item = Fault> + Clone {
     let kinds = [Fault::Switch, Fault::Cut, Fault::Pause, Fault::Restart];
-    let of_nodes = kinds
-        .into_iter()
-        .flat_map(|kind| (0..NODES).map(move |node| kind(node)));
+    let of_nodes = kinds.into_iter().flat_map(|kind| (0..NODES).map(kind));
     of_nodes.chain([Fault::Lose])
 }
 
