--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -43,6 +43,14 @@
     pub outcome: Outcome,
 }
 
+impl Sent {
+    /// Whether it was answered with success.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        matches!(self.outcome, Outcome::Answered { status: 200, .. })
+    }
+}
+
 /// A run as its server saw it.
 #[derive(Debug, Clone)]
 pub struct Ran {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -195,18 +195,12 @@
             self.add("memory is bounded", format!("{peak_kb} KB"));
         }
         let history = self.history();
-        let is_served = |sent: &&Sent| {
-            matches!(
-                sent.outcome,
-                crate::history::Outcome::Answered { status: 200, .. }
-            )
-        };
         let mut violations = history.violations();
         violations.extend(lock(&self.others).drain(..));
         Report {
             planned,
             sent: history.sent.len(),
-            served: history.sent.iter().filter(is_served).count(),
+            served: history.sent.iter().filter(|it| it.is_served()).count(),
             peak_kb,
             violations,
         }
@@ -269,12 +263,9 @@
                     let target = format!("/{service}/read/{:x}", fastrand::u64(..));
                     let sent = client.send(target, false, LASTING.into());
                     let is_served = sent.is_some_and(|sent| {
-                        let outcome = sent.outcome;
+                        let is_served = sent.is_served();
                         lock(&self.sent).push(sent);
-                        matches!(
-                            outcome,
-                            crate::history::Outcome::Answered { status: 200, .. }
-                        )
+                        is_served
                     });
                     if is_served || Instant::now() >= until {
                         break is_served;
