Free the control address of an ended node of the own interface

A process that ends frees the port anyway; fleets within one process did not.

Change: only the duties (receiver and worker) keep the socket open; all others send through a weak handle. Handles are plain clones, two fallible dups are gone.

Before: a_killed_node_leaves_its_addresses_while_a_call_of_it_is_under_way fails (address in use after 1 s).

--- a/crates/node/src/duty/membership.rs
+++ b/crates/node/src/duty/membership.rs
@@ -1,6 +1,6 @@
 //! Who is in the fleet.
 
-use std::{net::SocketAddr, sync::Arc, time::SystemTime};
+use std::{net::SocketAddr, time::SystemTime};
 
 use cassiashunt_admit::{Level, Priority, Signal};
 use cassiashunt_member::{
@@ -27,13 +27,13 @@
 pub(super) struct Membership {
     pub members: Members,
     roster: Roster,
-    net: Arc<Net>,
+    net: Net,
     calls: Ring<Request>,
     ticks: u32,
 }
 
 impl Membership {
-    pub(super) fn new(shared: &Shared, net: Arc<Net>, calls: Ring<Request>) -> Self {
+    pub(super) fn new(shared: &Shared, net: Net, calls: Ring<Request>) -> Self {
         let place = &shared.settings.node;
         let server = shared.settings.server.as_ref();
         let me = Record {
--- a/crates/node/src/duty/threads.rs
+++ b/crates/node/src/duty/threads.rs
@@ -18,6 +18,7 @@
     service::{Options as Every, Subscription},
 };
 use cassiashunt_types::prelude::*;
+use cassiashunt_wire::Seal;
 
 use super::{
     event::Event,
@@ -63,17 +64,15 @@
         let (tx, rx) = sync_channel(EVENTS);
         shared.control.set_events(tx.clone());
         let addr = socket.local_addr()?;
-        let net = Arc::new(Net::new(
-            socket,
-            shared.control.seal().clone(),
-            shared.wiring.clone(),
-        ));
-        shared.limits.set_net(net.try_clone()?);
-        shared.once.set_net(net.try_clone()?);
-        shared.suspects.set_net(net.try_clone()?);
+        let socket = Arc::new(socket);
+        let seal = shared.control.seal().clone();
+        let net = Net::new(Arc::downgrade(&socket), seal.clone(), shared.wiring.clone());
+        shared.limits.set_net(net.clone());
+        shared.once.set_net(net.clone());
+        shared.suspects.set_net(net.clone());
         let (calls, fetches) = (Ring::new(CALLS), Ring::new(FETCHES));
         let is_stopped = Arc::new(AtomicBool::new(false));
-        start_receiver(&net, &is_stopped, &tx)?;
+        start_receiver(&socket, seal, &is_stopped, &tx)?;
         start_callers(shared, &calls, &tx)?;
         let (fetching, ring, fetched) = (Arc::clone(shared), fetches.clone(), tx.clone());
         spawn("fetch", move || fetch::run(&fetching, &ring, &fetched))?;
@@ -82,7 +81,11 @@
             fetches: fetches.clone(),
         };
         let worker = Worker::new(shared, net, rings);
-        spawn("control", move || worker.run(&rx))?;
+        spawn("control", move || {
+            worker.run(&rx);
+            // Its goodbye was the last datagram of this node.
+            drop(socket);
+        })?;
         let mut subscriptions = start_owner_duties(shared, timer)?;
         subscriptions.push(start_limits(shared, timer)?);
         let period = cassiashunt_member::Options::default().period;
@@ -141,13 +144,14 @@
 }
 
 fn start_receiver(
-    net: &Arc<Net>,
+    socket: &Arc<UdpSocket>,
+    seal: Seal,
     is_stopped: &Arc<AtomicBool>,
     tx: &SyncSender<Event>,
 ) -> io::Result<()> {
-    let (net, is_stopped, tx) = (Arc::clone(net), Arc::clone(is_stopped), tx.clone());
+    let (socket, is_stopped, tx) = (Arc::clone(socket), Arc::clone(is_stopped), tx.clone());
     spawn("control-receive", move || {
-        udp::receive(&net, &is_stopped, &tx)
+        udp::receive(&socket, &seal, &is_stopped, &tx);
     })?;
     Ok(())
 }
--- a/crates/node/src/duty/udp.rs
+++ b/crates/node/src/duty/udp.rs
@@ -1,26 +1,35 @@
 //! Receives sealed datagrams.
 
-use std::sync::{
-    atomic::{AtomicBool, Ordering},
-    mpsc::SyncSender,
+use std::{
+    net::UdpSocket,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        mpsc::SyncSender,
+    },
 };
 
+use cassiashunt_wire::Seal;
 use metrics::counter;
 
-use super::{event::Event, net::Net};
+use super::event::Event;
 
 /// The largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// Receives until `is_stopped`; the thread is woken by a datagram from here.
-pub(super) fn receive(net: &Net, is_stopped: &AtomicBool, tx: &SyncSender<Event>) {
+pub(super) fn receive(
+    socket: &UdpSocket,
+    seal: &Seal,
+    is_stopped: &AtomicBool,
+    tx: &SyncSender<Event>,
+) {
     let mut buf = vec![0; DATAGRAM_BYTES];
     while !is_stopped.load(Ordering::Acquire) {
-        let Ok((len, from)) = net.socket().recv_from(&mut buf) else {
+        let Ok((len, from)) = socket.recv_from(&mut buf) else {
             continue;
         };
         counter!("cassiashunt_control_received_bytes_total").increment(len as u64);
-        match net.seal().open(&buf[..len]) {
+        match seal.open(&buf[..len]) {
             Ok(envelope) => {
                 if tx.send(Event::Datagram { from, envelope }).is_err() {
                     return;
--- a/crates/node/src/duty/worker.rs
+++ b/crates/node/src/duty/worker.rs
@@ -46,7 +46,7 @@
 /// The control thread.
 pub(super) struct Worker {
     shared: Weak<Shared>,
-    net: Arc<Net>,
+    net: Net,
     rings: Rings,
     membership: Membership,
     freshness: Freshness,
@@ -62,12 +62,12 @@
 }
 
 impl Worker {
-    pub(super) fn new(shared: &Arc<Shared>, net: Arc<Net>, rings: Rings) -> Self {
+    pub(super) fn new(shared: &Arc<Shared>, net: Net, rings: Rings) -> Self {
         let domain = shared.settings.node.failure_domain;
         let freshness = Duration::from_millis(shared.settings.times.freshness_ms);
         Self {
             shared: Arc::downgrade(shared),
-            membership: Membership::new(shared, Arc::clone(&net), rings.calls.clone()),
+            membership: Membership::new(shared, net.clone(), rings.calls.clone()),
             freshness: Freshness::new(shared, rings.calls.clone()),
             spreading: Spreading::default(),
             shards: Shards::new(shared.id, domain, freshness),
