--- a/crates/sidecar/src/store/memory.rs
+++ b/crates/sidecar/src/store/memory.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, rc::Rc};
 
-use cassiashunt_adapter::{costs_key, decode_item, decode_txn, get_stale, txn};
+use cassiashunt_adapter::{decode_item, decode_txn, get_stale, memory_key, txn};
 use cassiashunt_admit::chain::RouteUse;
 use cassiashunt_suspect::message::{News, StrikeNews};
 use cassiashunt_types::prelude::*;
@@ -70,7 +70,7 @@
 
 async fn read(node: &Node, store: &StoreClient) {
     for failures in 1..=READINGS {
-        let answer = store.call(&get_stale(costs_key()), CALL_TIMEOUT).await;
+        let answer = store.call(&get_stale(memory_key()), CALL_TIMEOUT).await;
         let read = answer.and_then(|(status, body)| Ok(decode_item(status, &body)?));
         match read {
             Ok(None) => return,
@@ -101,7 +101,7 @@
 async fn write(store: &StoreClient, memory: &Memory) -> eyre::Result<()> {
     let value = serde_json::to_vec(memory)?;
     // The last writer wins: any of these summaries will do.
-    let call = txn(&[], &[(costs_key(), &value, 0)]);
+    let call = txn(&[], &[(memory_key(), &value, 0)]);
     let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
     decode_txn(status, &body)?;
     Ok(())
