Look for free ports without listening on them

A port was tried by listening on it; a child that another test starts at that moment keeps the listener until its program begins, takes the connection that should show that the node listens, or the heartbeat, and resets it.

Ruled out: the node's own close of a control connection, which comes after 15 s of idleness or a malformed call.

Change: a port is tried by a connection, which leaves nothing behind.

--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     ops::Range,
     sync::{Mutex, PoisonError},
 };
@@ -21,7 +21,10 @@
 }
 
 impl Ports {
-    /// A port that is free for TCP and UDP.
+    /// A port on which nobody listens.
+    ///
+    /// It is asked for by a connection: a listener opened to try it would stay open in a child that is
+    /// started meanwhile, until its program begins, and take connections that are then reset.
     ///
     /// # Errors
     ///
@@ -32,8 +35,7 @@
                 Some(port) => port,
                 None => self.claim()?,
             };
-            if UdpSocket::bind(loopback(port)).is_ok() && TcpListener::bind(loopback(port)).is_ok()
-            {
+            if TcpStream::connect(loopback(port)).is_err() {
                 return Ok(port);
             }
         }
