Write a node's test settings and table once

crates/soak/src/site.rs had copies of the settings file and the operators' table of cassiashunt/tests/support/site.rs, with the platform's names outside platform/ and its stand-in. Both call cassiashunt_standin::site now (Addresses, NodeSettings, table); the soak's second constant for the bound on withdrawn keys goes too. The soak's table gains the public route of the tests, which no client of it calls; all else is as it was.

--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -7,18 +7,13 @@
     time::Duration,
 };
 
-use cassiashunt_standin::{
-    ports::free_address,
-    site::{Answer, Door, Request, Server, Store, ask, open},
+use cassiashunt_standin::site::{
+    self, Addresses, Answer, Door, NodeSettings, Request, Server, Store, ask, open,
 };
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::{Folder, Process, eventually, path};
 
-fn address() -> SocketAddr {
-    free_address().expect("loopback has free ports")
-}
-
 /// A node with its server.
 pub struct Member {
     pub name: String,
@@ -74,6 +69,8 @@
     withdrawal: Duration,
 }
 
+/// Requests a second that the workspace may send.
+const RATE: u32 = 400;
 /// The key that the first table gives.
 pub const KEY: &str = "key-of-the-first-shop";
 
@@ -102,38 +99,28 @@
     }
 
     pub fn add(&mut self, service: &str) {
-        let requests = address();
+        let addresses = Addresses::free().expect("loopback has free ports");
+        let Addresses {
+            requests,
+            peers,
+            ready,
+            heartbeats,
+        } = addresses;
         let at = self.members.len();
         let server = Server::start(&format!("i-{service}-{at}"), requests);
         let server = server.expect("loopback has free ports");
         let door = self.store.open_door().expect("loopback has free ports");
-        let (peers, ready, heartbeats) = (address(), address(), address());
         let name = format!("node-{at}");
-        let text = format!(
-            r#"
-name = "{name}"
-domain = "east"
-service = "{service}"
-[addresses]
-requests = "{requests}"
-peers = "{peers}"
-ready = "{ready}"
-heartbeats = "{heartbeats}"
-server = "{}"
-[store]
-address = "{}"
-min-lease-ms = 1000
-[bounds]
-key-withdrawal-ms = {}
-grace-s = 6.0
-retry-ratio = 0.2
-retry-slack = 40
-retry-window-s = 10
-"#,
-            server.address(),
-            door.address(),
-            self.withdrawal.as_millis(),
-        );
+        let text = NodeSettings {
+            name: &name,
+            domain: "east",
+            service,
+            addresses,
+            server: server.address(),
+            store: door.address(),
+            withdrawal: self.withdrawal,
+        }
+        .to_toml();
         let settings = self.folder.write(&format!("{name}.toml"), &text);
         let log = self.folder.write(&format!("{name}.log"), "");
         let mut node = Process::start_logged(&["sidecar", path(&settings)], &log);
@@ -229,30 +216,7 @@
     }
 }
 
-/// A table with routes to the services shop and desk, and one workspace with these keys.
+/// The operators' table with these keys of the workspace.
 pub fn table(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, public: bool| {
-        json!({"type": "routes", "meta": {"name": name}, "spec": {
-            "host": "shop.example", "prefix": prefix, "kind": kind, "timeout_ms": 1_500,
-            "goal_ms": 800, "priority": 1, "service": service, "max_attempts": 2,
-            "public": public,
-        }})
-    };
-    let service = |name: &str| json!({"type": "services", "meta": {"name": name}, "spec": {"health_path": "/health"}});
-    json!({"version": version, "resources": [
-        route("shop-read", "/shop/read/", "idempotent", "shop", false),
-        route("shop-write", "/shop/write/", "non_idempotent", "shop", false),
-        route("desk-read", "/desk/read/", "idempotent", "desk", false),
-        route("desk-write", "/desk/write/", "non_idempotent", "desk", false),
-        route("desk-call", "/desk/call/", "idempotent", "desk", true),
-        service("shop"),
-        service("desk"),
-        {"type": "tenants", "meta": {"name": "first-shop"}, "spec": {
-            "api_keys": keys, "priority": 1, "rate_per_s": 400, "burst": 400,
-        }},
-        {"type": "limits", "meta": {}, "spec": {
-            "header_bytes": 4_096, "body_bytes": 65_536, "header_timeout_ms": 1_000,
-            "idle_timeout_ms": 5_000,
-        }},
-    ]})
+    site::table(version, keys, RATE)
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -7,16 +7,12 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use cassiashunt_standin::{
-    ports::free_address,
-    site::{Door, Server, Store},
-};
-use serde_json::{Value, json};
+use cassiashunt_standin::site::{Addresses, Door, NodeSettings, Server, Store, table};
 
-use crate::{process::Process, proxy::Proxy};
+use crate::{history::WITHDRAWAL, process::Process, proxy::Proxy};
 
-/// The bound on withdrawn keys, in milliseconds.
-pub(crate) const WITHDRAWAL_MS: u64 = 5_000;
+/// Requests a second that the workspace may send: more than all clients do.
+const RATE: u32 = 5_000;
 /// The services, in turn.
 pub(crate) const SERVICES: [&str; 2] = ["shop", "desk"];
 const DOMAINS: [&str; 3] = ["east", "west", "south"];
@@ -71,49 +67,33 @@
     /// Puts a table with these keys in force.
     pub(crate) fn put_table(&self, version: u64, keys: &[String]) {
         self.store
-            .put("op/config", &table(version, keys).to_string());
+            .put("op/config", &table(version, keys, RATE).to_string());
     }
 }
 
 fn member(folder: &Path, store: &Store, at: usize) -> io::Result<Member> {
     let service = SERVICES[at % SERVICES.len()];
-    let (requests, peers) = (free_address()?, free_address()?);
-    let (ready, heartbeats) = (free_address()?, free_address()?);
-    let server = Server::start(&format!("i-{service}-{at}"), requests)?;
+    let addresses = Addresses::free()?;
+    let server = Server::start(&format!("i-{service}-{at}"), addresses.requests)?;
     let (to_server, to_store) = (Proxy::start(server.address())?, store.open_door()?);
-    let domain = DOMAINS[at % DOMAINS.len()];
-    let text = format!(
-        r#"
-name = "node-{at}"
-domain = "{domain}"
-service = "{service}"
-[addresses]
-requests = "{requests}"
-peers = "{peers}"
-ready = "{ready}"
-heartbeats = "{heartbeats}"
-server = "{}"
-[store]
-address = "{}"
-min-lease-ms = 1000
-[bounds]
-key-withdrawal-ms = {WITHDRAWAL_MS}
-grace-s = 6.0
-retry-ratio = 0.2
-retry-slack = 40
-retry-window-s = 10
-"#,
-        to_server.address(),
-        to_store.address(),
-    );
+    let text = NodeSettings {
+        name: &format!("node-{at}"),
+        domain: DOMAINS[at % DOMAINS.len()],
+        service,
+        addresses,
+        server: to_server.address(),
+        store: to_store.address(),
+        withdrawal: WITHDRAWAL,
+    }
+    .to_toml();
     let settings = folder.join(format!("node-{at}.toml"));
     fs::write(&settings, text)?;
     Ok(Member {
         server,
         service,
-        heartbeats,
-        requests,
-        from_clients: Proxy::start(requests)?,
+        heartbeats: addresses.heartbeats,
+        requests: addresses.requests,
+        from_clients: Proxy::start(addresses.requests)?,
         to_server,
         to_store,
         process: Mutex::new(None),
@@ -121,34 +101,3 @@
         log: folder.join(format!("node-{at}.log")),
     })
 }
-
-/// A table with an idempotent and another route to each service.
-fn table(version: u64, keys: &[String]) -> Value {
-    let routes = SERVICES.iter().flat_map(|service| {
-        let route = |name: &str, kind: &str| {
-            json!({"type": "routes", "meta": {"name": format!("{service}-{name}")}, "spec": {
-                "host": "shop.example", "prefix": format!("/{service}/{name}/"), "kind": kind,
-                "timeout_ms": 1_500, "goal_ms": 800, "priority": 1, "service": service,
-                "max_attempts": 2, "public": false,
-            }})
-        };
-        [
-            route("read", "idempotent"),
-            route("write", "non_idempotent"),
-        ]
-    });
-    let services = SERVICES.iter().map(|service| {
-        json!({"type": "services", "meta": {"name": service}, "spec": {"health_path": "/health"}})
-    });
-    let others = [
-        json!({"type": "tenants", "meta": {"name": "first-shop"}, "spec": {
-            "api_keys": keys, "priority": 1, "rate_per_s": 5_000, "burst": 5_000,
-        }}),
-        json!({"type": "limits", "meta": {}, "spec": {
-            "header_bytes": 4_096, "body_bytes": 65_536, "header_timeout_ms": 1_000,
-            "idle_timeout_ms": 5_000,
-        }}),
-    ];
-    let resources: Vec<_> = routes.chain(services).chain(others).collect();
-    json!({"version": version, "resources": resources})
-}
