Handle signals before a node reads its settings or opens a listener

Cause: the handlers were installed by stop.rs, the last step of the start: after the settings were read, logs and metrics were set up, and five or six listeners were open. Until then the default action of a signal applies.

Evidence, on the code before (debug build): the settings come through a named pipe, the signal is sent while the node reads them.

Now the handlers come first, and tokio keeps a signal that arrives before it is awaited: the node finishes its start, stops in order, and exits with 0; a SIGHUP reloads the settings once the node runs.

What remains is the time from the start of the process to its handlers, which the process can't shorten to nothing.

--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -95,6 +95,10 @@
         (peak, Duration::from_millis(10 * ticks))
     }
 
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .args([signal, &self.0.id().to_string()])
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -22,6 +22,7 @@
 mod run;
 mod settings;
 mod shed;
+mod signals;
 mod stop;
 mod store;
 mod sum_rows;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -14,6 +14,7 @@
     node::Node,
     peer_links,
     settings::Settings,
+    signals::Signals,
     stop,
     store::{self, StoreClient},
     tree,
@@ -36,15 +37,20 @@
 ///
 /// Fails if the settings are unusable or if it can't listen on an address.
 pub fn run(path: &Path) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    // Before anything else: an unhandled signal ends the process.
+    let signals = {
+        let _runtime = runtime.enter();
+        Signals::install()?
+    };
     let settings = Settings::read(path)?;
     logs::init(&settings.name)?;
     log::info!(settings:% = path.display(), version:% = env!("CARGO_PKG_VERSION"); "node-start");
     let metrics_handle = metrics::install()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     let tasks = LocalSet::new();
-    let result = tasks.block_on(&runtime, serve(settings, path, metrics_handle));
+    let result = tasks.block_on(&runtime, serve(settings, path, metrics_handle, signals));
     match &result {
         Ok(()) => log::info!("node-stop"),
         Err(err) => log::error!(reason:% = format!("{err:#}"); "node-failed"),
@@ -61,6 +67,7 @@
     settings: Settings,
     path: &Path,
     metrics_handle: PrometheusHandle,
+    signals: Signals,
 ) -> eyre::Result<()> {
     let addresses = settings.addresses.clone();
     let store = Rc::new(StoreClient::new(settings.store.address));
@@ -109,7 +116,8 @@
             metrics_handle,
         )));
     }
-    stop::wait_and_drain(&node, &store, path).await
+    stop::wait_and_drain(&node, &store, path, signals).await;
+    Ok(())
 }
 
 async fn listen(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -1,14 +1,14 @@
-//! Signal handling: a graceful stop that interrupts no request, and reloaded settings.
+//! What signals ask for: a graceful stop that interrupts no request, and reloaded settings.
 
 use std::{path::Path, rc::Rc};
 
 use cassiashunt_types::prelude::*;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     clock,
     node::Node,
     settings::Settings,
+    signals::{SignalRequest, Signals},
     store::{StoreClient, withdraw},
 };
 
@@ -25,19 +25,12 @@
     node: &Rc<Node>,
     store: &Rc<StoreClient>,
     path: &Path,
-) -> eyre::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hup.recv() => reload(node, path),
-        }
+    mut signals: Signals,
+) {
+    while signals.next().await == SignalRequest::Reload {
+        reload(node, path);
     }
     drain(node, store).await;
-    Ok(())
 }
 
 /// Finishes pending requests. Nothing is awaited between the last check and the end, so that no
