Log what a stop leaves unanswered

`request-cut` names each request that was read completely and had no answer when the stop ended, with the times of both since the stop began. `stopped` has the connections that are still being closed and how long the stop took. `answer-unwritten` names an answer that its client did not take.

--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    open_request::OpenRequest,
     reply::Reply,
     request::{Incoming, handle},
 };
@@ -39,19 +40,21 @@
     }
 }
 
-/// Counts a request in `Node::open_requests` until dropped.
-struct OpenRequest<'a>(&'a Node);
+/// Counts a connection in `Node::closing_connections` until dropped.
+struct ClosingConnection<'a>(&'a Node);
 
-impl<'a> OpenRequest<'a> {
+impl<'a> ClosingConnection<'a> {
     fn new(node: &'a Node) -> Self {
-        node.open_requests.set(node.open_requests.get() + 1);
+        let closing = &node.closing_connections;
+        closing.set(closing.get() + 1);
         Self(node)
     }
 }
 
-impl Drop for OpenRequest<'_> {
+impl Drop for ClosingConnection<'_> {
     fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
+        let closing = &self.0.closing_connections;
+        closing.set(closing.get().saturating_sub(1));
     }
 }
 
@@ -69,24 +72,28 @@
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return,
         }
-        let open = OpenRequest::new(&node);
+        let mut open = OpenRequest::new(&node);
         let read = read_request(&mut connection, limits).await;
+        let mut attempt = String::new();
         let (reply, is_head) = match read {
             Ok((head, body)) => {
                 let closes = !head.keep_alive;
                 let is_head = head.method == "HEAD";
                 let client_headers = read_client_headers(head.pairs());
-                let attempt = client_headers.attempt.clone();
+                attempt = client_headers.attempt.clone().unwrap_or_default();
+                let received = clock::now();
+                open.on_read(&attempt, received);
                 let incoming = Incoming {
                     head,
                     client_headers,
                     body,
-                    received: clock::now(),
+                    received,
                 };
                 let reply = tokio::select! {
                     reply = handle(&node, incoming) => reply,
                     () = connection.wait_closed() => {
-                        log::info!(request:% = attempt.unwrap_or_default(); "request-cancelled");
+                        open.on_ended();
+                        log::info!(request:% = attempt; "request-cancelled");
                         return;
                     }
                 };
@@ -99,11 +106,14 @@
         let closes = reply.closes || node.is_stopping();
         let bytes = reply.encode(is_head, closes);
         let written = timeout(ANSWER_WRITE_TIMEOUT, connection.write(&bytes)).await;
+        open.on_ended();
         if !matches!(written, Ok(Ok(()))) {
+            log::info!(request:% = attempt; "answer-unwritten");
             return;
         }
         drop(open);
         if closes {
+            let _closing = ClosingConnection::new(&node);
             connection.finish().await;
             return;
         }
--- a/crates/sidecar/src/ingress/mod.rs
+++ b/crates/sidecar/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod forward;
+mod open_request;
 mod reply;
 mod request;
 mod split;
--- /dev/null
+++ b/crates/sidecar/src/ingress/open_request.rs
@@ -0,0 +1,47 @@
+//! Counts requests that are open, for the drain of a stop.
+
+use cassiashunt_types::prelude::*;
+
+use crate::{clock, node::Node};
+
+/// Counts a request in `Node::open_requests` until dropped, and logs one that a stop cuts off.
+pub(crate) struct OpenRequest<'a> {
+    node: &'a Node,
+    /// The attempt id and when the request was read completely; `None` before that and after its
+    /// end.
+    unanswered: Option<(String, Time)>,
+}
+
+impl<'a> OpenRequest<'a> {
+    pub(crate) fn new(node: &'a Node) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self {
+            node,
+            unanswered: None,
+        }
+    }
+
+    /// Records that the request has been read completely.
+    pub(crate) fn on_read(&mut self, attempt: &str, at: Time) {
+        self.unanswered = Some((attempt.to_owned(), at));
+    }
+
+    /// Records that the request needs no answer any more: it was answered, or its client has left.
+    pub(crate) fn on_ended(&mut self) {
+        self.unanswered = None;
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        let open = self.node.open_requests.get();
+        self.node.open_requests.set(open.saturating_sub(1));
+        let Some((attempt, read_at)) = self.unanswered.take() else {
+            return;
+        };
+        if let Some(began) = self.node.stopping.get() {
+            log::warn!(request:% = attempt, read_ms = clock::millis(read_at.since(began)),
+                since_stop_ms = clock::millis(clock::now().since(began)); "request-cut");
+        }
+    }
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -75,6 +75,8 @@
     pub(crate) stop_accepting: Notify,
     /// Unanswered requests of clients and of the backend server.
     pub(crate) open_requests: Cell<usize>,
+    /// Connections of clients that are being closed after their last answer.
+    pub(crate) closing_connections: Cell<usize>,
     /// Notified when the table has been read from the store; the first proof waits for it.
     pub(crate) table_read: Notify,
     /// Wakes the task that proves the table to be the newest.
@@ -125,6 +127,7 @@
             stopping: Cell::new(None),
             stop_accepting: Notify::new(),
             open_requests: Cell::new(0),
+            closing_connections: Cell::new(0),
             table_read: Notify::new(),
             prove_now: Notify::new(),
             store_regained: Notify::new(),
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -45,7 +45,9 @@
     // Connections accepted so far are still served; the system refuses further ones.
     node.stop_accepting.notify_one();
     wait_for_requests(node, began, Duration::ZERO).await;
-    log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(); "stopped");
+    log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
+        closing = node.closing_connections.get(), spent_ms = clock::millis(clock::now().since(began));
+        "stopped");
 }
 
 /// Waits until `min_wait` has passed since the start of the stop and no request is pending, or
