Refuse what a stopping node reads too late to answer

What callers saw: a request on a kept connection was taken up to 5.58 s after SIGTERM, passed on, and lost its connection when the process ended.

The cause: a stop had an end but no rule for what it still takes. Accepting ended at the first moment without a pending request after 2.6 s, and under load there is none; kept connections were read until the process ended, at 0.93 of the grace time, whatever was pending.

The evidence: site_stop.rs, a_request_that_is_read_late_in_a_stop_is_not_given_up, on the code before:

5 of 48 requests: LOST: Fate { is_repeatable: false, sent: 4.750179028s, limit: 1.5s, end: Closed, ended: 5.669412931s, runs: [Work { from: 4.750609322s, until: 5.650609322s }] } LOST: Fate { is_repeatable: true, sent: 5.440223606s, limit: 1.5s, end: Closed, ended: 5.669480812s, runs: [Work { from: 5.441711368s, until: 6.341711368s }] } LOST: Fate { is_repeatable: false, sent: 4.970084267s, limit: 1.5s, end: Closed, ended: 5.669507971s, runs: [Work { from: 4.97034149s, until: 5.87034149s }] }

and two more; the same five in a second run. It passes with this commit.

Why this fix works: `mesh::StopSchedule` takes every request during the notice, which ends before the 3 s that the users' rule excuses. Later it takes only what reaches its own time limit before the stop ends; the rest is refused as not run, with a delay to retry after, and its connection closed in order. The decision is made when the request is whole, so a body that arrives over seconds counts from its end. Calls of a run that is still at work at the own server are always taken: they decide whether a request that was taken before succeeds, and they end with it.

Ruled out: closing idle kept connections when the notice ends. A request that comes on one later now gets an answer that says when to come back, which a closed connection does not.

--- /dev/null
+++ b/cassiashunt/tests/site_stop.rs
@@ -0,0 +1,303 @@
+//! What clients see of a node that is asked to stop, judged by the users' rules.
+
+mod support;
+
+use std::{
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
+    sync::Mutex,
+    thread,
+    time::{Duration, Instant},
+};
+
+use cassiashunt_standin::site::{Behaviour, Fault, Request, ask, open};
+use support::{
+    eventually,
+    site::{Site, WORKSPACE_KEY, read, write},
+    stop::{End, Fate, GRACE, Work, broken_rules},
+};
+
+/// The timeout of all routes in the table of [`Site::start`].
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Sends the pieces of a request with a pause between them, and reads its answer.
+fn send(
+    stream: &mut TcpStream,
+    request: &Request,
+    pieces: &[&[u8]],
+    pause: Duration,
+    began: Instant,
+) -> Fate {
+    let mut fate = Fate {
+        attempt: request.attempt.clone(),
+        is_repeatable: request.method == "GET",
+        sent: Duration::ZERO,
+        limit: ms(request.timeout_ms).min(ROUTE_TIMEOUT),
+        end: End::Closed,
+        ended: Duration::ZERO,
+        runs: Vec::new(),
+    };
+    for (at, piece) in pieces.iter().enumerate() {
+        if at > 0 {
+            thread::sleep(pause);
+        }
+        fate.sent = began.elapsed();
+        if stream.write_all(piece).is_err() {
+            fate.ended = began.elapsed();
+            return fate;
+        }
+    }
+    if let Ok(answer) = ask(stream, b"") {
+        fate.end = End::Answered(answer.status);
+    }
+    fate.ended = began.elapsed();
+    fate
+}
+
+fn send_whole(stream: &mut TcpStream, request: &Request, began: Instant) -> Fate {
+    send(stream, request, &[&request.encode()], Duration::ZERO, began)
+}
+
+/// Adds what the servers ran, each run taking `work`.
+fn with_runs(site: &Site, fates: Vec<Fate>, work: Duration, began: Instant) -> Vec<Fate> {
+    let runs: Vec<_> = site
+        .members
+        .iter()
+        .flat_map(|it| it.server.runs())
+        .collect();
+    let add_runs = |fate: Fate| {
+        let own = runs.iter().filter(|run| run.attempt == fate.attempt);
+        let runs = own.map(|run| {
+            let from = run.at.saturating_duration_since(began);
+            let until = from + work;
+            Work { from, until }
+        });
+        Fate {
+            runs: runs.collect(),
+            ..fate
+        }
+    };
+    fates.into_iter().map(add_runs).collect()
+}
+
+/// Connections that have been idle for longer than this may be closed: four fifths of the time in the
+/// table.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// A connection to send on at this time: one that was kept before the stop, or a new one.
+fn connection_for(at: Duration, node: SocketAddr) -> Option<TcpStream> {
+    (at < MAX_IDLE).then(|| kept_connection(node))
+}
+
+/// A kept connection: one that has had an answer.
+fn kept_connection(node: SocketAddr) -> TcpStream {
+    let mut stream = open(node).expect("cannot connect to the node");
+    let answer = ask(&mut stream, &read("desk").encode()).expect("no answer from the node");
+    assert_eq!(answer.header("connection"), None);
+    stream
+}
+
+fn sleep_until(began: Instant, at: Duration) {
+    thread::sleep(at.saturating_sub(began.elapsed()));
+}
+
+/// Clients that send on new connections, one request after the other, until the node is gone.
+fn send_constantly(node: SocketAddr, began: Instant, fates: &Mutex<Vec<Fate>>) {
+    while began.elapsed() < GRACE {
+        if let Ok(mut stream) = open(node) {
+            let fate = send_whole(&mut stream, &read("desk"), began);
+            fates.lock().expect("a client panicked").push(fate);
+        }
+        thread::sleep(ms(20));
+    }
+}
+
+/// A node that was asked to stop took requests from kept connections up to its end, and gave up
+/// those that were at work then.
+#[test]
+fn a_request_that_is_read_late_in_a_stop_is_not_given_up() {
+    let mut site = Site::start("stop-late", &["shop", "desk", "desk", "desk"]);
+    let node = site.members[0].requests;
+    let late: Vec<_> = (0..22_u64).map(|at| ms(600 + at * 230)).collect();
+    let connections: Vec<_> = late.iter().map(|at| connection_for(*at, node)).collect();
+    let work = ms(900);
+    for member in &site.members[1..] {
+        member.server.set_usual(Behaviour::Slow(work));
+    }
+    let fates = Mutex::new(Vec::new());
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| send_constantly(node, began, &fates));
+        }
+        for (kind, (at, kept)) in late.into_iter().zip(connections).enumerate() {
+            let fates = &fates;
+            scope.spawn(move || {
+                sleep_until(began, at);
+                let Some(mut stream) = kept.or_else(|| open(node).ok()) else {
+                    return;
+                };
+                let request = if kind % 2 == 0 {
+                    read("desk")
+                } else {
+                    write("desk")
+                };
+                let bytes = request.encode();
+                let (start, end) = bytes.split_at(bytes.len() - 2);
+                let fate = match kind % 3 {
+                    0 => send(&mut stream, &request, &[start, end], ms(700), began),
+                    _ => send_whole(&mut stream, &request, began),
+                };
+                fates.lock().expect("a client panicked").push(fate);
+            });
+        }
+    });
+    assert_eq!(site.members[0].node.wait(), Some(0));
+    let fates = fates.into_inner().expect("a client panicked");
+    let fates = with_runs(&site, fates, work, began);
+    let broken = broken_rules(&fates);
+    assert!(
+        broken.is_empty(),
+        "{} of {} requests:\n{}",
+        broken.len(),
+        fates.len(),
+        broken.join("\n")
+    );
+    assert!(
+        fates.iter().any(|it| it.end == End::Answered(200)),
+        "no request was served: {fates:?}"
+    );
+}
+
+/// The table of [`Site::start`] with another timeout for all routes.
+fn table_with_timeout(timeout: Duration) -> serde_json::Value {
+    let mut table = support::site::table(2, &[WORKSPACE_KEY]);
+    let resources = table["resources"].as_array_mut();
+    for resource in resources.expect("`resources` is not an array") {
+        if resource["type"] == "routes" {
+            let timeout_ms = u64::try_from(timeout.as_millis()).expect("a short timeout");
+            resource["spec"]["timeout_ms"] = timeout_ms.into();
+        }
+    }
+    table
+}
+
+#[test]
+fn further_signals_and_a_silent_store_do_not_disturb_a_stop() {
+    let mut site = Site::start("stop-signals", &["shop", "desk"]);
+    site.members[1].server.set_usual(Behaviour::Slow(ms(1_300)));
+    let node = site.members[0].requests;
+    let mut partial = open(node).expect("cannot connect to the node");
+    partial
+        .write_all(b"GET /desk")
+        .expect("cannot send to the node");
+    let client = thread::spawn(move || ask(&mut open(node)?, &write("desk").encode()));
+    thread::sleep(ms(300));
+    site.store.set_fault(Fault::Silent);
+    let began = Instant::now();
+    for signal in ["-HUP", "-TERM", "-HUP", "-TERM", "-INT"] {
+        site.members[0].node.signal(signal);
+    }
+    sleep_until(began, ms(2_000));
+    site.members[0].node.signal("-TERM");
+    let answer = client.join().expect("the client panicked");
+    assert_eq!(answer.expect("no answer from the node").status, 200);
+    assert_eq!(site.members[0].node.wait(), Some(0));
+    assert!(began.elapsed() < GRACE, "{:?}", began.elapsed());
+}
+
+#[test]
+fn the_check_of_fates_rejects_bad_histories() {
+    let work = |from, until| Work {
+        from: ms(from),
+        until: ms(until),
+    };
+    let fate = |sent, end, ended, runs: &[Work]| Fate {
+        attempt: "a".into(),
+        is_repeatable: false,
+        sent: ms(sent),
+        limit: ms(2_000),
+        end,
+        ended: ms(ended),
+        runs: runs.to_vec(),
+    };
+    let allowed = [
+        fate(100, End::Answered(200), 900, &[work(100, 900)]),
+        fate(5_000, End::Answered(503), 5_010, &[]),
+        // Not read before the connection closed.
+        fate(5_500, End::Closed, 5_550, &[]),
+        // At work in the last sixth, sent within 3 s.
+        fate(2_900, End::Closed, 5_300, &[work(3_500, 7_000)]),
+        fate(3_900, End::Answered(504), 5_900, &[work(3_900, 7_000)]),
+    ];
+    assert_eq!(broken_rules(&allowed), Vec::<String>::new());
+    let broken = [
+        // Sent later than 3 s, or broken off before the last sixth.
+        (
+            "LOST",
+            fate(3_100, End::Closed, 5_050, &[work(3_100, 6_000)]),
+        ),
+        (
+            "LOST",
+            fate(3_900, End::Answered(502), 5_500, &[work(3_900, 7_000)]),
+        ),
+        (
+            "LOST",
+            fate(2_900, End::Closed, 4_800, &[work(2_900, 7_000)]),
+        ),
+        // The server had answered.
+        (
+            "LOST",
+            fate(4_000, End::Closed, 5_500, &[work(4_000, 4_500)]),
+        ),
+        ("LOST", fate(5_000, End::Closed, 5_500, &[])),
+        (
+            "REFUSED",
+            fate(100, End::Answered(503), 900, &[work(100, 900)]),
+        ),
+        (
+            "TWICE",
+            fate(
+                100,
+                End::Answered(200),
+                900,
+                &[work(100, 300), work(400, 900)],
+            ),
+        ),
+    ];
+    for (rule, fate) in broken {
+        let found = broken_rules(std::slice::from_ref(&fate));
+        assert_eq!(found.len(), 1, "{fate:?}");
+        assert!(found[0].starts_with(rule), "{found:?}");
+    }
+}
+
+#[test]
+fn calls_of_a_run_are_served_while_its_node_stops() {
+    let mut site = Site::start("stop-calls", &["shop", "desk"]);
+    site.put_table(&table_with_timeout(ms(8_000)));
+    thread::sleep(ms(1_500));
+    let calls = [
+        ("shop.example", "/desk/call/1"),
+        ("shop.example", "/desk/call/2"),
+    ];
+    site.members[0].server.set_calls(&calls);
+    // The second call is made later than 2.8 s after SIGTERM.
+    site.members[1].server.do_next(Behaviour::Slow(ms(2_900)));
+    let request = Request {
+        timeout_ms: 8_000,
+        ..write("shop")
+    };
+    let (ingress, bytes) = (site.members[1].requests, request.encode());
+    let client = thread::spawn(move || ask(&mut open(ingress)?, &bytes));
+    eventually("the request runs", || site.runs_of(&request) == 1);
+    site.members[0].node.signal("-TERM");
+    let answer = client.join().expect("the client panicked");
+    assert_eq!(answer.expect("no answer from the node").status, 200);
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod site;
+pub mod stop;
 
 use std::{
     fs,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -10,6 +10,7 @@
 mod homes;
 mod link_watch;
 mod report_age;
+mod stop_schedule;
 mod subset;
 mod sums;
 mod table;
@@ -24,6 +25,7 @@
 pub use homes::{first_by_rank, home_of, homes};
 pub use link_watch::{LinkAction, LinkWatch, LinkWatchOptions};
 pub use report_age::ReportAge;
+pub use stop_schedule::StopSchedule;
 pub use subset::{SUBSET_SIZE, SubsetWidth, subset};
 pub use sums::{Origin, Sum, SumReport, SumTimes, Sums, Uses};
 pub use table::{
--- /dev/null
+++ b/crates/mesh/src/stop_schedule.rs
@@ -0,0 +1,54 @@
+//! What a node that was asked to stop still takes, and when it ends.
+
+use cassiashunt_types::prelude::*;
+
+/// How long all requests are taken after the node stops being ready. Readiness is checked once a
+/// second, and two failed checks take the node out of rotation.
+const NOT_READY_NOTICE: Duration = Duration::from_millis(2_600);
+/// The largest fraction of the grace period that the notice takes.
+const MAX_NOTICE_FRACTION: f64 = 0.45;
+/// The fraction of the grace period after which the process ends. The rest is for its exit.
+const END_FRACTION: f64 = 0.93;
+/// The time between the time limit of a request and the end by which its answer is written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
+/// The course of a graceful stop: a notice during which all requests are taken, a time in which only
+/// those are taken that end before the stop does, and the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSchedule {
+    began: Time,
+    grace: Duration,
+}
+
+impl StopSchedule {
+    /// A stop that was asked for at `began`; the process is killed `grace` later.
+    #[must_use]
+    pub const fn new(began: Time, grace: Duration) -> Self {
+        Self { began, grace }
+    }
+
+    /// When the node was asked to stop.
+    #[must_use]
+    pub const fn began(&self) -> Time {
+        self.began
+    }
+
+    /// When the notice is over.
+    #[must_use]
+    pub fn notice_ends(&self) -> Time {
+        self.began + NOT_READY_NOTICE.min(self.grace.mul_f64(MAX_NOTICE_FRACTION))
+    }
+
+    /// When the process ends, whatever is pending.
+    #[must_use]
+    pub fn ends(&self) -> Time {
+        self.began + self.grace.mul_f64(END_FRACTION)
+    }
+
+    /// Whether to take a request that was read completely at `now` and whose time limit is
+    /// `deadline`. What is taken after the notice is not cut off by the end.
+    #[must_use]
+    pub fn takes(&self, now: Time, deadline: Time) -> bool {
+        now < self.notice_ends() || deadline + ANSWER_MARGIN <= self.ends()
+    }
+}
--- a/crates/sidecar/src/ingress/open_request.rs
+++ b/crates/sidecar/src/ingress/open_request.rs
@@ -39,7 +39,8 @@
         let Some((attempt, read_at)) = self.unanswered.take() else {
             return;
         };
-        if let Some(began) = self.node.stopping.get() {
+        if let Some(stop) = self.node.stopping.get() {
+            let began = stop.began();
             log::warn!(request:% = attempt, read_ms = clock::millis(read_at.since(began)),
                 since_stop_ms = clock::millis(clock::now().since(began)); "request-cut");
         }
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -112,14 +112,30 @@
         priority(&table, route, workspace)
     };
     let mut depth = 0;
+    let mut is_chain_call = false;
     if is_call {
         depth = 1;
         // A call inherits the priority of the request that makes it.
         if let Some(run) = node.owner.on_call(route.name, &trace.attempt) {
             priority = run.priority;
             depth = run.depth.saturating_add(1);
+            is_chain_call = true;
         }
     }
+    let timeout = client_headers
+        .timeout
+        .unwrap_or(DEFAULT_TIMEOUT)
+        .min(route.timeout);
+    let deadline = received + timeout;
+    // A call whose run is still at work is needed by a request that was taken before.
+    if !is_chain_call && is_too_late(node, &trace.attempt, deadline) {
+        return Outcome::Refused(refusal_with_retry_after(
+            node,
+            Reason::Draining,
+            &client_headers,
+            received,
+        ));
+    }
     if let Some(row) = workspace
         && !quota::admit(node, row.name).await
     {
@@ -144,10 +160,6 @@
             received,
         ));
     }
-    let timeout = client_headers
-        .timeout
-        .unwrap_or(DEFAULT_TIMEOUT)
-        .min(route.timeout);
     let message = WorkRequest {
         id: 0,
         attempt: trace.attempt.clone(),
@@ -169,7 +181,7 @@
     let req = ForwardRequest {
         message,
         route,
-        deadline: received + timeout,
+        deadline,
         retry_kind: match (node.shedding.is_chain(route.name), is_call) {
             (true, _) => RetryKind::Chain,
             (false, true) => RetryKind::LeafCall,
@@ -188,6 +200,17 @@
     outcome
 }
 
+/// Whether a request came too late in a stop to be taken.
+fn is_too_late(node: &Node, attempt: &str, deadline: Time) -> bool {
+    let now = clock::now();
+    let Some(stop) = node.stopping.get().filter(|it| !it.takes(now, deadline)) else {
+        return false;
+    };
+    log::info!(request:% = attempt, since_stop_ms = clock::millis(now.since(stop.began())),
+        left_ms = clock::millis(deadline.since(now)); "request-too-late");
+    true
+}
+
 /// The fingerprint that all attempts of one request share, whichever node receives them.
 fn fingerprint(
     host: &str,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use cassiashunt_mesh::{Directory, Sum, prelude::*};
+use cassiashunt_mesh::{Directory, StopSchedule, Sum, prelude::*};
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
 
@@ -69,8 +69,8 @@
     pub(crate) rng: RefCell<fastrand::Rng>,
     /// The queues of the peers that receive this node's load reports.
     pub(crate) load_recipients: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
-    /// When the process was asked to stop.
-    pub(crate) stopping: Cell<Option<Time>>,
+    /// The course of the stop; `None` before the process is asked to stop.
+    pub(crate) stopping: Cell<Option<StopSchedule>>,
     /// Stops accepting clients' connections.
     pub(crate) stop_accepting: Notify,
     /// Unanswered requests of clients and of the backend server.
