Count the grace time of a paused node from its pause

What callers saw: a node that was frozen or suspended when SIGTERM came was killed with the requests that it had taken, and "was still there at the end of the grace time". Its last requests were read up to 7.6 s after the signal, had the process lived.

The cause: the stop began when the signal was handled. A process that does not run handles it after its resumption, but whoever sent it has been counting since.

It passes with this commit.

Why this fix works: `mesh::PauseWatch` notes ten times a second that the process runs. A signal that is handled in the first tenth of a second after a pause of 0.3 s or more counts as sent at the start of the pause, which is the earliest moment possible; shorter pauses fit into the rest that is left for the exit. The clock includes time in suspend.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -174,6 +174,46 @@
     );
 }
 
+/// A node that was paused when SIGTERM came counted its grace time from its resumption, and was
+/// killed with the requests that it had taken.
+#[test]
+fn a_stop_that_is_asked_of_a_paused_node_ends_within_its_grace_time() {
+    let mut site = Site::start("stop-paused", &["shop", "desk", "desk"]);
+    let node = site.members[0].requests;
+    let late: Vec<_> = (0..8_u64).map(|at| ms(2_300 + at * 400)).collect();
+    let connections: Vec<_> = late.iter().map(|at| connection_for(*at, node)).collect();
+    let work = ms(900);
+    for member in &site.members[1..] {
+        member.server.set_usual(Behaviour::Slow(work));
+    }
+    site.members[0].node.signal("-STOP");
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    let clients: Vec<_> = late
+        .into_iter()
+        .zip(connections)
+        .map(|(at, kept)| {
+            thread::spawn(move || {
+                sleep_until(began, at);
+                // The node may have ended.
+                let mut stream = kept.or_else(|| open(node).ok())?;
+                Some(send_whole(&mut stream, &read("desk"), began))
+            })
+        })
+        .collect();
+    sleep_until(began, ms(2_000));
+    site.members[0].node.signal("-CONT");
+    sleep_until(began, GRACE);
+    let has_ended = site.members[0].node.has_exited();
+    site.members[0].node.kill();
+    let fates = clients.into_iter().map(|it| it.join());
+    let fates = fates.filter_map(|it| it.expect("a client panicked"));
+    let fates = fates.collect();
+    let broken = broken_rules(&with_runs(&site, fates, work, began));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    assert!(has_ended, "the process had to be killed");
+}
+
 /// The table of [`Site::start`] with another timeout for all routes.
 fn table_with_timeout(timeout: Duration) -> serde_json::Value {
     let mut table = support::site::table(2, &[WORKSPACE_KEY]);
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -2,8 +2,9 @@
 
 use std::{path::Path, rc::Rc};
 
-use cassiashunt_mesh::StopSchedule;
+use cassiashunt_mesh::{PauseWatch, StopSchedule};
 use cassiashunt_types::prelude::*;
+use tokio::time::MissedTickBehavior;
 
 use crate::{
     clock,
@@ -23,19 +24,30 @@
     path: &Path,
     mut signals: Signals,
 ) {
-    while signals.next().await == SignalRequest::Reload {
-        reload(node, path);
+    let mut watch = PauseWatch::new(clock::now());
+    let mut ticks = tokio::time::interval(PauseWatch::TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            request = signals.next() => match request {
+                SignalRequest::Stop => break,
+                SignalRequest::Reload => reload(node, path),
+            },
+            _ = ticks.tick() => watch.on_tick(clock::now()),
+        }
     }
-    drain(node, store).await;
+    drain(node, store, watch.earliest_signal(clock::now())).await;
 }
 
-/// Finishes pending requests. Nothing is awaited between the last check and the end, so that no
-/// request is read that would get no answer.
-async fn drain(node: &Rc<Node>, store: &Rc<StoreClient>) {
+/// Finishes pending requests of a node that was asked to stop at `began`. Nothing is awaited between
+/// the last check and the end, so that no request is read that would get no answer.
+async fn drain(node: &Rc<Node>, store: &Rc<StoreClient>, began: Time) {
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
-    let stop = StopSchedule::new(clock::now(), grace);
+    let stop = StopSchedule::new(began, grace);
     node.stopping.set(Some(stop));
-    log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(); "stopping");
+    log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
+        paused_ms = clock::millis(clock::now().since(began)); "stopping");
     node.owner.drain(node);
     tokio::task::spawn_local(withdraw_entry(Rc::clone(node), Rc::clone(store), stop));
     wait_for_requests(node, stop.notice_ends(), stop.ends()).await;
