Deliver the outcomes of a stopping owner before its process ends

What callers saw: 502 for a request that ran well at a server whose node was stopped meanwhile: the answer was ready and was not delivered.

Cause: a request stopped counting as pending when its run ended. Its outcome was then still in a channel, in the link's queue or in the socket's send buffer; the stop saw no pending request, and the process ended with what it had not written. The link was closed with unread bytes of the peer (reports come all the time), so the system reset it and dropped what it had not delivered. The same class of fault: work is counted until it is handed on, not until it is delivered.

Evidence, on the code before: an owner stops while its peer is paused for 3 s; the answer of 12 MB is ready 0.6 s after the stop began and doesn't fit the sockets' buffers.

test an_owner_that_stops_delivers_an_answer_that_its_peer_reads_late ... FAILED left: 502, right: 200

Now a stopping node closes the links that peers opened in order, once no request is pending: it reads no further requests, waits for the outcomes of those that it read, sends a last frame (GoAway), closes its side, and discards what the peer sends until the peer closes, for half a second at most. Clients' requests that arrive meanwhile are waited for once more.

Ruled out: two nodes that stop at the same time, 20 ms or 300 ms apart, with clients at each that wait for the other's owner; nodes_that_stop_together_answer_what_they_run_for_each_other passed before and passes now.

--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -1,4 +1,4 @@
-//! Signals around a node's start.
+//! Stops of nodes whose peers still wait for them, and stops requested during a node's start.
 
 mod support;
 
@@ -11,8 +11,115 @@
     time::{Duration, Instant},
 };
 
-use cassiashunt_standin::site::{Addresses, NodeSettings};
-use support::{Folder, Process, eventually, listens, path};
+use cassiashunt_standin::site::{Addresses, Answer, Behaviour, NodeSettings, Request, ask, open};
+use support::{
+    Folder, Process, eventually, listens, path,
+    site::{Site, WORKSPACE_KEY, table, write},
+};
+
+/// Longer than a stopping node without requests takes to end.
+const IDLE_STOP_TIME: Duration = Duration::from_millis(3_000);
+/// The time that the requests of these tests have.
+const REQUEST_TIMEOUT_MS: u64 = 8_000;
+
+/// A write with time enough to outlast a stop.
+fn patient_write(service: &str) -> Request {
+    Request {
+        timeout_ms: REQUEST_TIMEOUT_MS,
+        ..write(service)
+    }
+}
+
+/// Lets requests of all routes take [`REQUEST_TIMEOUT_MS`].
+fn put_patient_table(site: &Site) {
+    let mut patient = table(2, &[WORKSPACE_KEY]);
+    let resources = patient["resources"].as_array_mut();
+    for resource in resources.expect("`resources` is not an array") {
+        if resource["type"] == "routes" {
+            resource["spec"]["timeout_ms"] = REQUEST_TIMEOUT_MS.into();
+        }
+    }
+    site.put_table(&patient);
+    for member in &site.members {
+        eventually("the table is in force", || {
+            let log = member.log();
+            let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
+            lines.any(|line| line.contains("\"version\":2"))
+        });
+    }
+}
+
+/// Sends a request on a thread of its own.
+fn ask_aside(site: &Site, at: usize, request: &Request) -> thread::JoinHandle<Answer> {
+    let (address, bytes) = (site.members[at].requests, request.encode());
+    thread::spawn(move || {
+        let mut stream = open(address).expect("cannot connect to the node");
+        ask(&mut stream, &bytes).expect("the connection was cut off")
+    })
+}
+
+#[test]
+fn an_owner_that_stops_delivers_an_answer_that_its_peer_reads_late() {
+    const ANSWER_BYTES: usize = 12 << 20;
+    let mut site = Site::start("site-late-reader", &["shop", "desk"]);
+    put_patient_table(&site);
+    let work = Duration::from_millis(600);
+    site.members[1]
+        .server
+        .do_next(Behaviour::Long(work, ANSWER_BYTES));
+    let request = patient_write("desk");
+    let client = ask_aside(&site, 0, &request);
+    eventually("the request runs", || site.runs_of(&request) == 1);
+    site.members[0].node.signal("-STOP");
+    site.members[1].node.signal("-TERM");
+    thread::sleep(IDLE_STOP_TIME);
+    site.members[0].node.signal("-CONT");
+    let answer = client.join().expect("the client thread panicked");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.len(), ANSWER_BYTES);
+    assert_eq!(site.members[1].node.wait(), Some(0));
+}
+
+#[test]
+fn nodes_that_stop_together_answer_what_they_run_for_each_other() {
+    let mut site = Site::start("site-stop-together", &["shop", "desk"]);
+    for member in &site.members {
+        member
+            .server
+            .set_usual(Behaviour::Slow(Duration::from_millis(1_200)));
+    }
+    for gap in [0, 20, 300] {
+        let requests: Vec<_> = (0..12)
+            .map(|at| (at % 2, write(["desk", "shop"][at % 2])))
+            .collect();
+        let clients: Vec<_> = requests
+            .iter()
+            .map(|(at, request)| ask_aside(&site, *at, request))
+            .collect();
+        eventually("the requests run", || {
+            requests.iter().all(|(_, it)| site.runs_of(it) == 1)
+        });
+        site.members[0].node.signal("-TERM");
+        thread::sleep(Duration::from_millis(gap));
+        site.members[1].node.signal("-TERM");
+        for client in clients {
+            let answer = client.join().expect("the client thread panicked");
+            assert_eq!(answer.status, 200, "with {gap} ms between the stops");
+        }
+        for member in &mut site.members {
+            assert_eq!(member.node.wait(), Some(0));
+            member.restart();
+        }
+        for member in &site.members {
+            eventually("the node listens", || listens(member.heartbeats));
+            let beat = member
+                .server
+                .beat(member.heartbeats, &member.service, "ready", 1);
+            assert_eq!(beat.expect("no answer from the node"), 200);
+        }
+        site.wait_until_serving();
+    }
+}
 
 /// A node of its own, whose store doesn't answer.
 struct LoneNode {
--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -9,6 +9,8 @@
 const MAX_NOTICE_FRACTION: f64 = 0.45;
 /// The fraction of the grace period after which the process ends. The rest is for its exit.
 const END_FRACTION: f64 = 0.93;
+/// The fraction of the grace period by which the links to peers are closed.
+const LINKS_CLOSED_FRACTION: f64 = 0.97;
 /// The time between the time limit of a request and the end by which its answer is written.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
@@ -45,6 +47,12 @@
         self.began + self.grace.mul_f64(END_FRACTION)
     }
 
+    /// When the links to peers are closed, whatever is not delivered.
+    #[must_use]
+    pub fn links_close(&self) -> Time {
+        self.began + self.grace.mul_f64(LINKS_CLOSED_FRACTION)
+    }
+
     /// Whether to take a request that was read completely at `now` and whose time limit is
     /// `deadline`. What is taken after the notice is not cut off by the end.
     #[must_use]
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -191,6 +191,12 @@
         connection.on_received(now);
         match kind {
             Some(Kind::Ended(ended)) => connection.complete(ended),
+            Some(Kind::GoAway(_)) => {
+                return ConnectionEnd {
+                    reason: None,
+                    unresponsive: None,
+                };
+            }
             kind => on_frame(node, name, link, now, kind),
         }
     }
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -12,7 +12,7 @@
 pub(crate) struct Frame {
     #[prost(
         oneof = "Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub(crate) kind: Option<Kind>,
 }
@@ -75,6 +75,9 @@
     /// Strikes: server crashes that count against requests.
     #[prost(message, tag = "18")]
     Strikes(Strikes),
+    /// The last frame of an accepting node that stops: all outcomes were sent before it.
+    #[prost(bool, tag = "19")]
+    GoAway(bool),
 }
 
 impl From<Kind> for Frame {
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -8,7 +8,7 @@
 mod socket;
 mod state_sync;
 
-pub(crate) use accept::accept_peers;
+pub(crate) use accept::{accept_peers, close_accepted};
 pub(crate) use dial::{Link, keep_link};
 pub(crate) use frame::{
     Answer, AskTokens, CallCount, CapacityEntry, Delegate, DemandEntry, Down, EntryChanges,
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -12,12 +12,12 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::mpsc,
-    task::AbortHandle,
+    task::JoinHandle,
     time::timeout,
 };
 use tokio_util::codec::{Decoder as _, Encoder as _, LengthDelimitedCodec};
 
-use super::Frame;
+use super::{Frame, Kind};
 
 /// The longest frame: a body at the operators' limit plus its headers.
 const MAX_FRAME_BYTES: usize = 65 << 20;
@@ -28,6 +28,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most frames that may wait to be written.
 const MAX_QUEUED_FRAMES: usize = 4_096;
+/// How long a peer may take to close its side of a connection that this node has closed.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// No further frames are added to a write of this size.
 const WRITE_BATCH_BYTES: usize = 32 * 1024;
 /// An empty buffer with more capacity than this is freed.
@@ -63,7 +65,7 @@
     let writer = tokio::task::spawn_local(write_frames(write, rx));
     let reader = Reader {
         read,
-        writer: writer.abort_handle(),
+        writer,
         buf: BytesMut::new(),
         codec: codec(),
     };
@@ -74,7 +76,7 @@
 #[derive(Debug)]
 pub(crate) struct Reader {
     read: OwnedReadHalf,
-    writer: AbortHandle,
+    writer: JoinHandle<()>,
     buf: BytesMut,
     codec: LengthDelimitedCodec,
 }
@@ -111,20 +113,46 @@
             }
         }
     }
+
+    /// Waits until the last frame is written and the peer has closed the connection; what it sends
+    /// until then is discarded. Closing a socket with unread bytes resets the connection, and
+    /// frames that are not delivered yet would be lost.
+    pub(crate) async fn finish(mut self) {
+        let Self {
+            read, writer, buf, ..
+        } = &mut self;
+        let discard = async {
+            loop {
+                buf.clear();
+                if matches!(read.read_buf(buf).await, Ok(0) | Err(_)) {
+                    return;
+                }
+            }
+        };
+        tokio::pin!(discard);
+        tokio::select! {
+            _ = writer => {}
+            () = &mut discard => return,
+        }
+        // A peer that neither reads nor closes is left to the system.
+        let _ = timeout(PEER_CLOSE_TIMEOUT, discard).await;
+    }
 }
 
-/// Writes frames until the queue is closed or the connection fails. Queued frames are batched into
-/// one write.
+/// Writes frames until the queue is closed, `GoAway` is written or the connection fails, and closes
+/// this side of the connection. Queued frames are batched into one write.
 async fn write_frames(mut write: OwnedWriteHalf, mut rx: mpsc::Receiver<Frame>) {
     let mut codec = codec();
     let mut buf = BytesMut::new();
-    while let Some(frame) = rx.recv().await {
+    let mut is_last = false;
+    while !is_last && let Some(frame) = rx.recv().await {
         let mut next = Some(frame);
         while let Some(frame) = next {
+            is_last = matches!(frame.kind, Some(Kind::GoAway(_)));
             if let Err(err) = codec.encode(Bytes::from(frame.encode_to_vec()), &mut buf) {
                 log::warn!(reason:% = err; "frame-too-long");
             }
-            next = (buf.len() < WRITE_BATCH_BYTES)
+            next = (!is_last && buf.len() < WRITE_BATCH_BYTES)
                 .then(|| rx.try_recv().ok())
                 .flatten();
         }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -8,6 +8,7 @@
 use cassiashunt_mesh::{Directory, StopSchedule, Sum, prelude::*};
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     aggregation::Aggregation,
@@ -69,6 +70,10 @@
     pub(crate) rng: RefCell<fastrand::Rng>,
     /// The queues of the peers that receive this node's load reports.
     pub(crate) load_recipients: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
+    /// Closes the connections that peers have opened.
+    pub(crate) closing_links: CancellationToken,
+    /// Notified when they are closed.
+    pub(crate) links_closed: Notify,
     /// The course of the stop; `None` before the process is asked to stop.
     pub(crate) stopping: Cell<Option<StopSchedule>>,
     /// Stops accepting clients' connections.
@@ -124,6 +129,8 @@
             shedding: Shedding::default(),
             rng: RefCell::new(fastrand::Rng::new()),
             load_recipients: RefCell::new(Vec::new()),
+            closing_links: CancellationToken::new(),
+            links_closed: Notify::new(),
             stopping: Cell::new(None),
             stop_accepting: Notify::new(),
             open_requests: Cell::new(0),
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -7,7 +7,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::{
-    clock,
+    clock, link,
     node::Node,
     settings::Settings,
     signals::{SignalRequest, Signals},
@@ -54,6 +54,9 @@
     // Connections accepted so far are still served; the system refuses further ones.
     node.stop_accepting.notify_one();
     wait_for_requests(node, stop.notice_ends(), stop.ends()).await;
+    // Clients' requests may arrive meanwhile.
+    link::close_accepted(node, stop.links_close().since(clock::now())).await;
+    wait_for_requests(node, stop.notice_ends(), stop.ends()).await;
     log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
         closing = node.closing_connections.get(),
         spent_ms = clock::millis(clock::now().since(stop.began())); "stopped");
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -35,6 +35,8 @@
     Extra,
     /// Runs it for so long.
     Slow(Duration),
+    /// Runs it for so long, and answers with a body of so many bytes.
+    Long(Duration, usize),
     /// Answers before it has read the body, and keeps the connection.
     Early,
     /// Answers without a length and closes.
@@ -405,6 +407,11 @@
                 }
                 stream.write_all(&whole).is_ok()
             }
+            Behaviour::Long(span, bytes) => {
+                thread::sleep(span);
+                let whole = reply(200, &attempt, &vec![b'a'; bytes]);
+                stream.write_all(&whole).is_ok()
+            }
             Behaviour::Unframed => {
                 let _ = stream.write_all(&unframed(&attempt, &body));
                 false
