Wait for closing connections before a stopping node ends

What callers saw: the connection of the last answers of a stop was reset as soon as the client sent anything more, which can take an answer with it that is still on its way.

The cause: a request was no longer counted once its answer had been written to the socket. The drain saw no open request and ended the process while `Connection::finish` was still reading what the client sent before it knew of the close.

Why this fix works: once no request is pending and no connection is accepted any more, the drain also waits for the connections that are being closed. They don't keep the node accepting: under load there is always one.

Ruled out: that Linux takes the answer itself from a client that has received it; that was not seen. The test shows the reset, not a lost answer.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -174,6 +174,36 @@
     );
 }
 
+/// The process of a stopping node ended as soon as the last answer was written, and the next bytes of
+/// its client met a reset.
+#[test]
+fn the_last_answer_of_a_stop_is_not_followed_by_a_reset() {
+    let mut site = Site::start("stop-reset", &["shop", "desk"]);
+    let mut stream = kept_connection(site.members[0].requests);
+    let work = ms(1_300);
+    site.members[1].server.set_usual(Behaviour::Slow(work));
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    sleep_until(began, ms(1_450));
+    let request = read("desk");
+    stream
+        .write_all(&request.encode())
+        .expect("cannot send to the node");
+    eventually("the request runs", || site.runs_of(&request) == 1);
+    thread::sleep(work + ms(200));
+    // Sent before the answer was read, as by a client that does not know yet of the close.
+    stream
+        .write_all(&read("desk").encode())
+        .expect("cannot send to the node");
+    thread::sleep(ms(100));
+    let error = stream.take_error().expect("cannot read the socket's error");
+    assert!(error.is_none(), "{error:?}");
+    let answer = ask(&mut stream, b"").expect("no answer from the node");
+    assert_eq!(answer.status, 200);
+    drop(stream);
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
+
 /// A node that was paused when SIGTERM came counted its grace time from its resumption, and was
 /// killed with the requests that it had taken.
 #[test]
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -50,25 +50,36 @@
         paused_ms = clock::millis(clock::now().since(began)); "stopping");
     node.owner.drain(node);
     tokio::task::spawn_local(withdraw_entry(Rc::clone(node), Rc::clone(store), stop));
-    wait_for_requests(node, stop.notice_ends(), stop.ends()).await;
+    wait_until(stop.ends(), |now| {
+        now >= stop.notice_ends() && !has_pending_requests(node)
+    })
+    .await;
     // Connections accepted so far are still served; the system refuses further ones.
     node.stop_accepting.notify_one();
-    wait_for_requests(node, stop.notice_ends(), stop.ends()).await;
+    wait_until(stop.ends(), |_| !is_busy(node)).await;
     // Clients' requests may arrive meanwhile.
     link::close_accepted(node, stop.links_close().since(clock::now())).await;
-    wait_for_requests(node, stop.notice_ends(), stop.ends()).await;
+    wait_until(stop.ends(), |_| !is_busy(node)).await;
     log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
         closing = node.closing_connections.get(),
         spent_ms = clock::millis(clock::now().since(stop.began())); "stopped");
 }
 
-/// Waits until no request is pending, but not before `earliest` nor beyond `latest`.
-async fn wait_for_requests(node: &Node, earliest: Time, latest: Time) {
+fn has_pending_requests(node: &Node) -> bool {
+    node.open_requests.get() > 0 || node.owner.pending_requests() > 0
+}
+
+/// Whether a request is pending or a connection is being closed after its last answer.
+fn is_busy(node: &Node) -> bool {
+    has_pending_requests(node) || node.closing_connections.get() > 0
+}
+
+/// Waits until the condition holds, but not beyond `latest`.
+async fn wait_until(latest: Time, is_done: impl Fn(Time) -> bool) {
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let now = clock::now();
-        let is_done = node.open_requests.get() == 0 && node.owner.pending_requests() == 0;
-        if now >= latest || (is_done && now >= earliest) {
+        if now >= latest || is_done(now) {
             return;
         }
     }
