Answer pipelined requests of a stopping node's clients

What callers saw: of requests that were sent behind one another on one connection, only the first was answered after SIGTERM. The others had been read and got a closed connection.

The cause: each answer of a stopping node closed its connection, whether or not the next request lay in the connection's buffer already. `Connection::finish` then dropped it.

The evidence: site_stop.rs, pipelined_requests_are_all_answered_in_a_stop, on the code before:

It passes with this commit.

Why this fix works: the answer closes the connection only if nothing that was read lies behind it; the last one of those requests does. Each of them is taken or refused by the stop's schedule like any other. What arrives after the answer crosses the close, as before.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    io::Write as _,
+    io::{self, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     sync::Mutex,
     thread,
@@ -204,6 +204,38 @@
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
 
+/// Requests that a client had sent behind another one were read, and dropped with the connection when
+/// the first was answered in a stop.
+#[test]
+fn pipelined_requests_are_all_answered_in_a_stop() {
+    let mut site = Site::start("stop-pipelined", &["shop", "desk"]);
+    let node = site.members[0].requests;
+    let connections: Vec<_> = (0..2).map(|_| kept_connection(node)).collect();
+    let work = ms(400);
+    site.members[1].server.set_usual(Behaviour::Slow(work));
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    let clients = connections.into_iter().zip([ms(300), ms(2_100)]);
+    let clients: Vec<_> = clients
+        .map(|(mut stream, at)| {
+            thread::spawn(move || {
+                sleep_until(began, at);
+                let requests: Vec<_> = (0..3).flat_map(|_| read("desk").encode()).collect();
+                stream.write_all(&requests)?;
+                let mut answers = String::new();
+                stream.read_to_string(&mut answers)?;
+                io::Result::Ok(answers)
+            })
+        })
+        .collect();
+    for client in clients {
+        let answers = client.join().expect("the client panicked");
+        let answers = answers.expect("the connection was reset");
+        assert_eq!(answers.matches("HTTP/1.1 ").count(), 3, "{answers}");
+    }
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
+
 /// A node that was paused when SIGTERM came counted its grace time from its resumption, and was
 /// killed with the requests that it had taken.
 #[test]
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -103,7 +103,8 @@
             Err(Some(reply)) => (reply, false),
             Err(None) => return,
         };
-        let closes = reply.closes || node.is_stopping();
+        // What was sent behind the request has been read and is answered, too.
+        let closes = reply.closes || (node.is_stopping() && !connection.has_leftover());
         let bytes = reply.encode(is_head, closes);
         let written = timeout(ANSWER_WRITE_TIMEOUT, connection.write(&bytes)).await;
         open.on_ended();
