Answer what is pending at the end of a stop

What callers saw: a closed connection for each request that was still at work, or still being read, when the process ended. A closed connection promises nothing, so a request that never ran could not be sent again.

The cause: the drain ended the process whatever was pending. Nothing told the tasks that served the requests, so they were dropped without an answer and nobody was told that their work was in vain.

The evidence: site_stop.rs, what_is_pending_at_the_end_of_a_stop_is_answered, on the code before:

no answer to the first request: Kind(UnexpectedEof)

It passes with this commit.

Why this fix works: at 0.9 of the grace time, in the sixth in which work may be broken off, requests that are still pending are cancelled where they are, as when their client leaves. They are answered 502 if their forwarding had begun, and 503 otherwise, as are those that are not whole. 0.03 of the grace time is left for writing, as before 0.07 for the exit. What is taken after the notice has a time limit that ends before that moment, so only requests from the notice, and calls of runs that end with the process, are given up.

Cost: requests from the notice have 0.18 s of the 6 s less to end by themselves.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -276,6 +276,57 @@
     assert!(has_ended, "the process had to be killed");
 }
 
+/// Requests that were still pending at the end of a stop got a closed connection.
+#[test]
+fn what_is_pending_at_the_end_of_a_stop_is_answered() {
+    let mut site = Site::start("stop-pending", &["shop", "desk"]);
+    site.put_table(&table_with_timeout(ms(8_000)));
+    thread::sleep(ms(1_500));
+    let node = site.members[0].requests;
+    let kept: Vec<_> = (0..3).map(|_| kept_connection(node)).collect();
+    let [mut early, mut late, mut partial] =
+        <[TcpStream; 3]>::try_from(kept).expect("three connections were opened");
+    let server = &site.members[1].server;
+    server.set_usual(Behaviour::Slow(ms(7_500)));
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    let long = |request| Request {
+        timeout_ms: 8_000,
+        ..request
+    };
+    let (ran, refused, incomplete) = (long(write("desk")), long(write("desk")), write("desk"));
+    let sent_ran = ran.encode();
+    let sent_refused = refused.encode();
+    let sent_incomplete = incomplete.encode();
+    let (early, late, partial) = thread::scope(|scope| {
+        let early = scope.spawn(move || ask(&mut early, &sent_ran));
+        let late = scope.spawn(move || {
+            sleep_until(began, ms(3_500));
+            let answer = ask(&mut late, &sent_refused);
+            (answer, began.elapsed())
+        });
+        let partial = scope.spawn(move || {
+            sleep_until(began, ms(2_800));
+            ask(&mut partial, &sent_incomplete[..sent_incomplete.len() - 3])
+        });
+        let early = early.join().expect("the client panicked");
+        let late = late.join().expect("the client panicked");
+        (early, late, partial.join().expect("the client panicked"))
+    });
+    assert_eq!(site.members[0].node.wait(), Some(0));
+    assert!(began.elapsed() < GRACE, "{:?}", began.elapsed());
+    // It was still at work in the last sixth of the grace time, and may have run.
+    assert_eq!(early.expect("no answer to the first request").status, 502);
+    let (late, answered) = late;
+    let late = late.expect("no answer to the late request");
+    assert_eq!(late.status, 503);
+    assert!(late.header("retry-after").is_some());
+    assert!(answered < GRACE - GRACE / 6, "refused after {answered:?}");
+    assert_eq!(partial.expect("no answer to a partial request").status, 503);
+    assert_eq!(site.runs_of(&ran), 1);
+    assert_eq!(site.runs_of(&refused) + site.runs_of(&incomplete), 0);
+}
+
 /// The table of [`Site::start`] with another timeout for all routes.
 fn table_with_timeout(timeout: Duration) -> serde_json::Value {
     let mut table = support::site::table(2, &[WORKSPACE_KEY]);
--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -7,15 +7,19 @@
 const NOT_READY_NOTICE: Duration = Duration::from_millis(2_600);
 /// The largest fraction of the grace period that the notice takes.
 const MAX_NOTICE_FRACTION: f64 = 0.45;
-/// The fraction of the grace period after which the process ends. The rest is for its exit.
+/// The fraction of the grace period after which pending requests are given up. It is later than five
+/// sixths, up to which requests at work must not be broken off.
+const GIVE_UP_FRACTION: f64 = 0.9;
+/// The fraction of the grace period after which no answer to a client is waited for.
 const END_FRACTION: f64 = 0.93;
 /// The fraction of the grace period by which the links to peers are closed.
 const LINKS_CLOSED_FRACTION: f64 = 0.97;
-/// The time between the time limit of a request and the end by which its answer is written.
+/// The time between the time limit of a request and the moment at which it would be given up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
 /// The course of a graceful stop: a notice during which all requests are taken, a time in which only
-/// those are taken that end before the stop does, and the end.
+/// those are taken that end before the stop does, a moment for the answers to those that are given up,
+/// and the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopSchedule {
     began: Time,
@@ -41,7 +45,13 @@
         self.began + NOT_READY_NOTICE.min(self.grace.mul_f64(MAX_NOTICE_FRACTION))
     }
 
-    /// When the process ends, whatever is pending.
+    /// When pending requests are given up, and answered accordingly.
+    #[must_use]
+    pub fn gives_up(&self) -> Time {
+        self.began + self.grace.mul_f64(GIVE_UP_FRACTION)
+    }
+
+    /// When clients' requests are no longer waited for, whatever is pending.
     #[must_use]
     pub fn ends(&self) -> Time {
         self.began + self.grace.mul_f64(END_FRACTION)
@@ -54,9 +64,9 @@
     }
 
     /// Whether to take a request that was read completely at `now` and whose time limit is
-    /// `deadline`. What is taken after the notice is not cut off by the end.
+    /// `deadline`. What is taken after the notice is not given up later.
     #[must_use]
     pub fn takes(&self, now: Time, deadline: Time) -> bool {
-        now < self.notice_ends() || deadline + ANSWER_MARGIN <= self.ends()
+        now < self.notice_ends() || deadline + ANSWER_MARGIN <= self.gives_up()
     }
 }
--- a/crates/mesh/tests/stop_schedule.rs
+++ b/crates/mesh/tests/stop_schedule.rs
@@ -26,12 +26,19 @@
         for limit in (0..8_000).step_by(50) {
             let deadline = ms(now + limit);
             let is_taken = stop.takes(ms(now), deadline);
-            assert!(!is_taken || deadline < stop.ends(), "{now} {limit}");
+            assert!(!is_taken || deadline < stop.gives_up(), "{now} {limit}");
         }
     }
     assert!(stop.takes(ms(53_000), ms(54_000)), "a short one is taken");
 }
 
+#[test]
+fn requests_are_given_up_in_the_last_sixth_of_the_grace_time_and_before_the_end() {
+    let stop = StopSchedule::new(ms(50_000), GRACE);
+    assert!(stop.gives_up() > ms(55_000));
+    assert!(stop.gives_up() < stop.ends());
+}
+
 #[test]
 fn a_short_grace_time_leaves_time_for_what_was_taken() {
     for grace in [500, 1_000, 2_000, 4_000] {
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -73,7 +73,11 @@
             Ok(Err(_)) | Err(_) => return,
         }
         let mut open = OpenRequest::new(&node);
-        let read = read_request(&mut connection, limits).await;
+        let read = tokio::select! {
+            biased;
+            read = read_request(&mut connection, limits) => read,
+            () = node.giving_up.notified() => Err(Some(Reply::closing(503))),
+        };
         let mut attempt = String::new();
         let (reply, is_head) = match read {
             Ok((head, body)) => {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -49,7 +49,12 @@
 pub(crate) async fn handle(node: &Rc<Node>, incoming: Incoming) -> Reply {
     let received = incoming.received;
     let mut trace = Trace::default();
-    let outcome = answer(node, incoming, &mut trace).await;
+    let outcome = tokio::select! {
+        biased;
+        outcome = answer(node, incoming, &mut trace) => outcome,
+        // Dropping the other future cancels the request wherever it is.
+        () = node.giving_up.notified() => Outcome::Refused(give_up(node, &trace, received)),
+    };
     trace.end(node, &outcome, clock::now().since(received));
     match outcome {
         Outcome::Answered(answer) => Reply::from_answer(answer),
@@ -57,6 +62,19 @@
     }
 }
 
+/// Ends a request that a stop gives up. Only one that was not forwarded is certain not to run.
+fn give_up(node: &Node, trace: &Trace, received: Time) -> Refusal {
+    let began = node.stopping.get().map_or(received, |it| it.began());
+    log::warn!(request:% = trace.attempt, read_ms = clock::millis(received.since(began)),
+        since_stop_ms = clock::millis(clock::now().since(began)), forwarded = trace.is_forwarded;
+        "request-given-up");
+    if trace.is_forwarded {
+        Refusal::may_have_run(Reason::Draining)
+    } else {
+        Refusal::not_run(Reason::Draining)
+    }
+}
+
 async fn answer(node: &Rc<Node>, incoming: Incoming, trace: &mut Trace) -> Outcome {
     let Incoming {
         head,
@@ -189,6 +207,7 @@
         },
         start_by: (!is_call).then(|| received + max_start_wait(route)),
     };
+    trace.is_forwarded = true;
     let forwarded = forward(node, req).await;
     if let (Some(row), Outcome::Refused(refusal)) = (workspace, &forwarded.outcome)
         && refusal.verdict == Verdict::NotRun
--- a/crates/sidecar/src/ingress/trace.rs
+++ b/crates/sidecar/src/ingress/trace.rs
@@ -14,6 +14,8 @@
     pub(crate) workspace: Option<Workspace>,
     /// Shared by all attempts of one request.
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// Whether its forwarding has begun.
+    pub(crate) is_forwarded: bool,
     pub(crate) forwarded: Option<Forwarded>,
     /// Strikes (server crashes that it may have caused) for which it was refused.
     pub(crate) strikes: Option<usize>,
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -50,21 +50,31 @@
         paused_ms = clock::millis(clock::now().since(began)); "stopping");
     node.owner.drain(node);
     tokio::task::spawn_local(withdraw_entry(Rc::clone(node), Rc::clone(store), stop));
-    wait_until(stop.ends(), |now| {
+    wait_until(stop.gives_up(), |now| {
         now >= stop.notice_ends() && !has_pending_requests(node)
     })
     .await;
     // Connections accepted so far are still served; the system refuses further ones.
     node.stop_accepting.notify_one();
-    wait_until(stop.ends(), |_| !is_busy(node)).await;
-    // Clients' requests may arrive meanwhile.
+    finish_requests(node, stop).await;
     link::close_accepted(node, stop.links_close().since(clock::now())).await;
-    wait_until(stop.ends(), |_| !is_busy(node)).await;
+    // Requests of clients may have arrived meanwhile.
+    finish_requests(node, stop).await;
     log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
         closing = node.closing_connections.get(),
         spent_ms = clock::millis(clock::now().since(stop.began())); "stopped");
 }
 
+/// Waits until no request is pending, and gives up those that still are at the end.
+async fn finish_requests(node: &Node, stop: StopSchedule) {
+    wait_until(stop.gives_up(), |_| !is_busy(node)).await;
+    if is_busy(node) {
+        // The tasks that serve the clients' requests answer them.
+        node.giving_up.notify_waiters();
+        wait_until(stop.ends(), |_| !is_busy(node)).await;
+    }
+}
+
 fn has_pending_requests(node: &Node) -> bool {
     node.open_requests.get() > 0 || node.owner.pending_requests() > 0
 }
@@ -77,11 +87,11 @@
 /// Waits until the condition holds, but not beyond `latest`.
 async fn wait_until(latest: Time, is_done: impl Fn(Time) -> bool) {
     loop {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let now = clock::now();
         if now >= latest || is_done(now) {
             return;
         }
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
 }
 
