Tell peers which of their requests a stopping owner never read

What callers saw: 502 for a request that may not run twice and that never reached a server: it was on its way to an owner that stopped, and the closed link was taken for a lost answer.

Cause: the end of a link says nothing about the requests on it, so all of them count as "may have run".

Evidence, on the code before: an owner takes a request, sends GoAway and closes; another server is idle.

test a_request_that_a_leaving_owner_did_not_read_is_not_reported_as_lost ... FAILED left: 502, right: 200 (3 of 3 runs)

GoAway now means that a request without an outcome before it was not run and never will be, so the caller's node tries another owner. That holds under every interleaving: frames of one connection arrive in order; the stopping owner reads nothing after it has begun to close the link; each request that it read has its outcome in the queue before GoAway, one that is cancelled at the end of the grace time as "may have run"; and a request that the caller cancelled is no longer pending there. A link that ends without GoAway still counts as lost.

--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -4,14 +4,18 @@
 
 use std::{
     fs,
-    io::Write as _,
+    io::{Read as _, Write as _},
+    net::{TcpListener, TcpStream},
     path::PathBuf,
     process::Command,
+    sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::{Duration, Instant},
 };
 
+use cassiashunt_mesh::prelude::*;
 use cassiashunt_standin::site::{Addresses, Answer, Behaviour, NodeSettings, Request, ask, open};
+use cassiashunt_types::prelude::*;
 use support::{
     Folder, Process, eventually, listens, path,
     site::{Site, WORKSPACE_KEY, table, write},
@@ -121,6 +125,85 @@
     }
 }
 
+/// An owner of `desk` without a node: it takes one request from each link, and says that it goes
+/// away instead of an outcome.
+struct LeavingOwner(TcpListener);
+
+impl LeavingOwner {
+    /// The frame of a load report: serving `desk` with eight slots.
+    const LOAD: &[u8] = b"\x2a\x0a\x10\x01\x1a\x04desk\x20\x08";
+    const GO_AWAY: &[u8] = b"\x98\x01\x01";
+    /// The first byte of the frame of a request.
+    const REQUEST: u8 = 0x12;
+
+    fn announce(site: &Site) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind a port on loopback");
+        let address = listener.local_addr().expect("the listener has no address");
+        let announcement = Announcement {
+            incarnation: NodeId::random(),
+            address: address.to_string(),
+            domain: "east".parse().expect("not a failure domain"),
+            service: "desk".parse().expect("not a service"),
+            slots: 8,
+            state: ServerState::Ready,
+            is_cold: false,
+            is_stopping: false,
+        };
+        let entry = serde_json::to_string(&announcement).expect("cannot write the entry");
+        let key = cassiashunt_adapter::node_key("leaving");
+        site.store.put(&key, &entry);
+        Self(listener)
+    }
+
+    /// Serves so many links, each until it has taken a request; `taken` counts those.
+    fn serve(&self, links: usize, taken: &AtomicUsize) {
+        thread::scope(|scope| {
+            for mut stream in self.0.incoming().flatten().take(links) {
+                scope.spawn(move || {
+                    write_frame(&mut stream, Self::LOAD);
+                    while read_frame(&mut stream).first() != Some(&Self::REQUEST) {}
+                    taken.fetch_add(1, Ordering::Relaxed);
+                    write_frame(&mut stream, Self::GO_AWAY);
+                });
+            }
+        });
+    }
+}
+
+fn write_frame(stream: &mut TcpStream, frame: &[u8]) {
+    let length = u32::try_from(frame.len()).expect("the frame is too long");
+    let sent = stream.write_all(&[&length.to_be_bytes(), frame].concat());
+    sent.expect("the node closed the link");
+}
+
+fn read_frame(stream: &mut TcpStream) -> Vec<u8> {
+    let mut length = [0; 4];
+    let read = stream.read_exact(&mut length);
+    read.expect("the node closed the link");
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    let read = stream.read_exact(&mut frame);
+    read.expect("the node closed the link");
+    frame
+}
+
+#[test]
+fn a_request_that_a_leaving_owner_did_not_read_is_not_reported_as_lost() {
+    let site = Site::start("site-unread", &["shop", "desk"]);
+    let (owner, taken) = (LeavingOwner::announce(&site), AtomicUsize::new(0));
+    thread::scope(|scope| {
+        scope.spawn(|| owner.serve(site.members.len(), &taken));
+        for member in &site.members {
+            let before = taken.load(Ordering::Relaxed);
+            eventually("the owner takes a request", || {
+                let request = write("desk");
+                assert_eq!(member.status_of(&request), 200);
+                assert_eq!(site.runs_of(&request), 1);
+                taken.load(Ordering::Relaxed) > before
+            });
+        }
+    });
+}
+
 /// A node of its own, whose store doesn't answer.
 struct LoneNode {
     folder: Folder,
--- a/crates/sidecar/src/link/connection.rs
+++ b/crates/sidecar/src/link/connection.rs
@@ -78,15 +78,23 @@
 
     /// Fails the requests for which `is_affected` holds; they may have run.
     pub(super) fn fail_pending(&self, is_affected: impl Fn(&Pending) -> bool) {
-        let lost: Vec<_> = self
+        self.refuse_pending(Refusal::may_have_run(Reason::Lost), is_affected);
+    }
+
+    /// Ends all requests after `GoAway`: the peer has sent the outcomes of those that it read.
+    pub(super) fn on_go_away(&self) {
+        self.refuse_pending(Refusal::not_run(Reason::Draining), |_| true);
+    }
+
+    fn refuse_pending(&self, refusal: Refusal, is_affected: impl Fn(&Pending) -> bool) {
+        let refused: Vec<_> = self
             .pending
             .borrow_mut()
             .extract_if(|_, pending| is_affected(pending))
             .collect();
-        for (_, pending) in lost {
-            let outcome = Outcome::Refused(Refusal::may_have_run(Reason::Lost));
+        for (_, pending) in refused {
             // The receiver is dropped if the request was cancelled meanwhile.
-            let _ = pending.tx.send((outcome, None));
+            let _ = pending.tx.send((Outcome::Refused(refusal), None));
         }
     }
 
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -192,6 +192,7 @@
         match kind {
             Some(Kind::Ended(ended)) => connection.complete(ended),
             Some(Kind::GoAway(_)) => {
+                connection.on_go_away();
                 return ConnectionEnd {
                     reason: None,
                     unresponsive: None,
@@ -240,6 +241,9 @@
             Ok(Some(Frame {
                 kind: Some(Kind::Ended(ended)),
             })) => connection.complete(ended),
+            Ok(Some(Frame {
+                kind: Some(Kind::GoAway(_)),
+            })) => connection.on_go_away(),
             Ok(Some(_)) => {}
             Ok(None) | Err(_) => return,
         }
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -75,7 +75,8 @@
     /// Strikes: server crashes that count against requests.
     #[prost(message, tag = "18")]
     Strikes(Strikes),
-    /// The last frame of an accepting node that stops: all outcomes were sent before it.
+    /// The last frame of an accepting node that stops. A request without an outcome before it was
+    /// not run and never will be.
     #[prost(bool, tag = "19")]
     GoAway(bool),
 }
