Bound the strikes that a node sends to a peer in a second

Cause: strikes for a peer whose digest differs were held back for a second only while both digests stayed the same. While servers crash they change all the time, so each report of the aggregation tree, and each update that a change sets off, was answered with up to 1,024 strikes. The queue to a peer is bounded in frames (4,096), not in bytes: such frames fill some 100 MB for one peer that reads slowly. The class of fault: a bound on the number of messages where their size isn't bounded.

Evidence, on the code before: a peer that reports another digest each time to a node with 1,024 strikes.

test a_peer_is_told_of_no_more_strikes_in_a_second_than_a_node_keeps ... FAILED 102400 strikes in 5 s (100 reports in the first) test strikes_for_a_peer_that_reads_slowly_do_not_fill_the_memory ... FAILED bytes (3,000 reports; 1.66 s of processor time)

Now the next message has to wait in proportion to the length of the last: a peer is sent at most 1,024 strikes a second, and news of a few strikes still go out within milliseconds. Both tests pass, and so does site_crashes (7 of 7).

Not the cause: the square of the fleet. A node exchanges strikes with its parent, its children and other heads only (read, not run).

--- a/crates/sidecar/src/suspicion.rs
+++ b/crates/sidecar/src/suspicion.rs
@@ -19,7 +19,8 @@
 const REFUSE_AFTER_CRASHES: u32 = 3;
 /// The most requests with strikes that are kept and sent in one message.
 const MAX_SUSPECTS: usize = 1_024;
-/// The time after which strikes are resent to a peer whose digest still differs.
+/// The time after which strikes are resent to a peer whose digest still differs, and in which a peer
+/// is sent at most `MAX_SUSPECTS` strikes.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The strikes that this node knows.
@@ -36,6 +37,20 @@
     at: Time,
     /// The digests of this node and of the peer at that time.
     digests: (u64, u64),
+    /// The number of strikes in the message.
+    strikes: usize,
+}
+
+impl SentStrikes {
+    /// When the next message may follow, if the digests are `digests` by then. After a long message
+    /// it has to wait even where they changed: they change all the time while servers crash, and
+    /// messages would fill the queue of a peer that reads slowly.
+    fn next_at(&self, digests: (u64, u64)) -> Time {
+        if digests == self.digests {
+            return self.at + RESEND_INTERVAL;
+        }
+        self.at + RESEND_INTERVAL.mul_f64(self.strikes as f64 / MAX_SUSPECTS as f64)
+    }
 }
 
 impl Default for Suspicion {
@@ -87,7 +102,7 @@
     }
 
     /// The strikes to send to a peer whose digest is `known`; `None` where it knows the same
-    /// strikes or was sent them within `RESEND_INTERVAL`.
+    /// strikes or was sent strikes too recently.
     pub(crate) fn strikes_for(&self, now: Time, peer: &str, known: u64) -> Option<StrikeUpdate> {
         let digests = (self.digest(now), known);
         if digests.0 == known {
@@ -95,11 +110,17 @@
         }
         let mut sent = self.sent.borrow_mut();
         sent.retain(|_, it| now.since(it.at) < RESEND_INTERVAL);
-        if sent.get(peer).is_some_and(|it| it.digests == digests) {
+        if sent.get(peer).is_some_and(|it| now < it.next_at(digests)) {
             return None;
         }
-        sent.insert(peer.to_owned(), SentStrikes { at: now, digests });
-        Some(self.suspects.borrow_mut().next_update(now))
+        let update = self.suspects.borrow_mut().next_update(now);
+        let message = SentStrikes {
+            at: now,
+            digests,
+            strikes: update.strikes.len(),
+        };
+        sent.insert(peer.to_owned(), message);
+        Some(update)
     }
 
     /// Merges the strikes of a peer. Returns whether any of them was new.
