Believe a refusal of the server only with the id of the request

What callers saw: a server that writes an earlier refusal once more, on a kept connection and while the next request runs, made the node answer 503 for that request (REFUSED), or send it to a second server, where it ran again (TWICE). A repeated 421 also counted as a replaced server.

Cause: `finish` took X-Not-Executed, or 421, before it looked for an attempt id. An answer without an id was not stale, so a refusal without one was taken for the answer to whatever request was sent last. Refusals with the id of another request were already skipped.

Why it works: servers echo the id of each request that has one, refusals too, so a refusal without an id can't be told from an earlier one and may mean anything: 502, may have run. A refusal with the id is that of this attempt: a connection is not used again after a refusal, and no owner is tried twice for one attempt. A request without an id gets a connection of its own, on which the answer without an id (400 of the server) can only be its own.

Stand-in: its 503 and 421 had no id, unlike those of the platform; they echo it now. A refusal without an id stays as `ShedWithoutId`.

--- /dev/null
+++ b/cassiashunt/tests/site_odd_answers.rs
@@ -0,0 +1,129 @@
+//! Refusals that are not the server's answer to the request.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use cassiashunt_standin::site::{Behaviour, ask, open, refusal};
+use support::site::{Site, read, write};
+
+/// How long a request runs after the server has repeated an earlier refusal.
+const RUN_TIME: Duration = Duration::from_millis(60);
+
+/// The refusals that a server may send without the id of an attempt, or with that of another one.
+fn earlier_refusals() -> Vec<Vec<u8>> {
+    let statuses = [503, 429, 421, 400].into_iter();
+    statuses
+        .flat_map(|status| {
+            [
+                refusal(status, None),
+                refusal(status, Some("another-attempt")),
+            ]
+        })
+        .collect()
+}
+
+/// Leaves a kept connection between a node and the server beside it.
+fn keep_connection(site: &Site, at: usize) {
+    let member = &site.members[at];
+    assert_eq!(member.status_of(&read(&member.service)), 200);
+}
+
+#[test]
+fn a_repeated_refusal_on_a_kept_connection_is_not_taken_for_the_answer_to_the_next_request() {
+    let site = Site::start("odd-refusal", &["shop"]);
+    for first in earlier_refusals() {
+        let what = String::from_utf8_lossy(&first).into_owned();
+        keep_connection(&site, 0);
+        site.members[0].server.do_next(Behaviour::After {
+            first,
+            runs: RUN_TIME,
+        });
+        let request = write("shop");
+        let status = site.members[0].status_of(&request);
+        assert!(matches!(status, 200 | 502), "{status} after {what}");
+        assert_eq!(site.runs_of(&request), 1, "{what}");
+    }
+}
+
+#[test]
+fn a_repeated_refusal_on_a_kept_connection_does_not_make_a_request_run_at_a_second_server() {
+    let site = Site::start("odd-refusal-twice", &["desk", "desk"]);
+    for first in earlier_refusals() {
+        let what = String::from_utf8_lossy(&first).into_owned();
+        for at in [0, 1] {
+            // The request may be sent to either server.
+            keep_connection(&site, 0);
+            keep_connection(&site, 1);
+            site.members[at].server.set_usual(Behaviour::After {
+                first: first.clone(),
+                runs: RUN_TIME,
+            });
+            let requests: Vec<_> = (0..6).map(|_| write("desk")).collect();
+            for request in &requests {
+                let status = site.members[0].status_of(request);
+                assert!(matches!(status, 200 | 502), "{status} after {what}");
+            }
+            site.members[at].server.set_usual(Behaviour::Serve);
+            thread::sleep(2 * RUN_TIME);
+            for request in &requests {
+                assert_eq!(site.runs_of(request), 1, "{what}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_refusal_that_arrives_between_two_requests_does_not_refuse_the_second() {
+    let site = Site::start("odd-refusal-late", &["shop"]);
+    let member = &site.members[0];
+    let after = Duration::from_millis(10);
+    for (n, late) in earlier_refusals().into_iter().cycle().take(80).enumerate() {
+        member.server.do_next(Behaviour::Then { late, after });
+        member
+            .server
+            .do_next(Behaviour::Slow(Duration::from_millis(20)));
+        assert_eq!(member.status_of(&read("shop")), 200);
+        thread::sleep(Duration::from_millis([0, 8, 9, 10, 12][n % 5]));
+        let request = write("shop");
+        let status = member.status_of(&request);
+        let runs = site.runs_of(&request);
+        assert!(
+            matches!((status, runs), (200, 1) | (502, 0..=1)),
+            "{status} after {runs} runs"
+        );
+    }
+}
+
+#[test]
+fn a_refusal_counts_as_not_run_only_with_the_id_of_the_request() {
+    let site = Site::start("odd-refusal-id", &["shop"]);
+    for (behaviour, expected) in [(Behaviour::Shed, 503), (Behaviour::ShedWithoutId, 502)] {
+        for _ in 0..3 {
+            // The first request is sent on a kept connection, the second on a new one.
+            keep_connection(&site, 0);
+            for _ in 0..2 {
+                site.members[0].server.do_next(behaviour.clone());
+                let request = write("shop");
+                let status = site.members[0].status_of(&request);
+                assert_eq!(status, expected, "{behaviour:?}");
+                assert_eq!(site.runs_of(&request), 0);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_refused_request_without_an_id_is_reported_as_not_run() {
+    let site = Site::start("odd-refusal-no-id", &["shop"]);
+    keep_connection(&site, 0);
+    site.members[0].server.do_next(Behaviour::ShedWithoutId);
+    let bytes = String::from_utf8_lossy(&write("shop").encode())
+        .lines()
+        .filter(|line| !line.starts_with("X-Attempt-Id"))
+        .collect::<Vec<_>>()
+        .join("\r\n");
+    let mut stream = open(site.members[0].requests).expect("cannot connect to the node");
+    let answer = ask(&mut stream, bytes.as_bytes()).expect("no answer from the node");
+    assert_eq!(answer.status, 503);
+}
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -63,7 +63,9 @@
     request: &WorkRequest,
     remaining: Duration,
 ) -> Result<Answer, Failure> {
-    let pooled = pool.take(crate::clock::now());
+    // On a kept connection, nothing tells the answer to a request without an id from a late one.
+    let has_id = !request.attempt.is_empty();
+    let pooled = has_id.then(|| pool.take(crate::clock::now())).flatten();
     let mut connection = match pooled {
         Some(connection) => connection,
         None => pool::connect(address).await.map_err(Failure::Unreachable)?,
@@ -85,6 +87,7 @@
             .as_ref()
             .is_some_and(|it| *it != request.attempt);
         if !is_stale {
+            check_refusal(&head, &response_headers, has_id)?;
             return finish(pool, connection, head, &response_headers, is_sent).await;
         }
         if head.framing == Framing::UntilClose {
@@ -120,9 +123,6 @@
     response_headers: &ResponseHeaders,
     is_sent: bool,
 ) -> Result<Answer, Failure> {
-    if is_not_executed(head.status, response_headers) {
-        return Err(Failure::NotExecuted(head.status));
-    }
     check_head(&head, response_headers)?;
     let body = read_body(pool, &mut connection, head.framing).await?;
     let is_reusable = head.keep_alive && is_sent && !connection.has_leftover();
@@ -136,6 +136,22 @@
     })
 }
 
+/// Fails if the server states that it did not run the request. A refusal without the request's id
+/// may be that of an earlier request.
+fn check_refusal(
+    head: &ResponseHead,
+    response_headers: &ResponseHeaders,
+    has_id: bool,
+) -> Result<(), Failure> {
+    if !is_not_executed(head.status, response_headers) {
+        Ok(())
+    } else if has_id && response_headers.attempt.is_none() {
+        Err(Failure::InvalidAnswer("refusal without an attempt id"))
+    } else {
+        Err(Failure::NotExecuted(head.status))
+    }
+}
+
 /// Checks that the head can be of the server's answer to this request.
 fn check_head(head: &ResponseHead, response_headers: &ResponseHeaders) -> Result<(), Failure> {
     let is_success = (200..300).contains(&head.status);
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -8,6 +8,6 @@
 mod wire;
 
 pub use client::{Answer, Request, ask, open};
-pub use server::{ATTEMPT, Behaviour, Run, Server};
+pub use server::{ATTEMPT, Behaviour, Run, Server, refusal};
 pub use settings::{Addresses, NodeSettings, table};
 pub use store::{Door, Fault, Store};
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -54,6 +54,23 @@
     },
     /// Answers whole, and sends the same answer once more after so long, on the same connection.
     LateCopy(Duration),
+    /// Says that it did not run it, in an answer without the attempt's id.
+    ShedWithoutId,
+    /// Sends these bytes, which may be an earlier answer once more, then runs it for so long and
+    /// answers whole.
+    After {
+        /// What comes first.
+        first: Vec<u8>,
+        /// How long it runs.
+        runs: Duration,
+    },
+    /// Answers whole, and sends these bytes after so long, on the same connection.
+    Then {
+        /// What comes later.
+        late: Vec<u8>,
+        /// How much later.
+        after: Duration,
+    },
 }
 
 impl Behaviour {
@@ -356,17 +373,20 @@
             .header("x-expected-instance")
             .is_some_and(|it| it != self.id)
         {
-            let text = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
-            return stream.write_all(text.as_bytes()).is_ok();
+            return stream.write_all(&refusal(421, Some(&attempt))).is_ok();
         }
         let behaviour = {
             let mut inner = self.lock();
             let usual = inner.usual.clone();
             inner.next.pop_front().unwrap_or(usual)
         };
-        if behaviour == Behaviour::Shed {
-            let text = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-            return stream.write_all(text.as_bytes()).is_ok();
+        let refused = match behaviour {
+            Behaviour::Shed => Some(refusal(503, Some(&attempt))),
+            Behaviour::ShedWithoutId => Some(refusal(503, None)),
+            _ => None,
+        };
+        if let Some(bytes) = refused {
+            return stream.write_all(&bytes).is_ok();
         }
         let run = self.begin(message, &attempt);
         if self.ends_under(message) {
@@ -440,7 +460,25 @@
                 });
                 stream.write_all(&whole).is_ok()
             }
-            Behaviour::Serve | Behaviour::Early | Behaviour::Shed => {
+            Behaviour::After { first, runs } => {
+                if stream.write_all(&first).is_err() {
+                    return false;
+                }
+                thread::sleep(runs);
+                stream.write_all(&whole).is_ok()
+            }
+            Behaviour::Then { late, after } => {
+                let Ok(mut copy) = stream.try_clone() else {
+                    return false;
+                };
+                thread::spawn(move || {
+                    thread::sleep(after);
+                    // The caller may have closed.
+                    let _ = copy.write_all(&late);
+                });
+                stream.write_all(&whole).is_ok()
+            }
+            Behaviour::Serve | Behaviour::Early | Behaviour::Shed | Behaviour::ShedWithoutId => {
                 stream.write_all(&whole).is_ok()
             }
         }
@@ -513,6 +551,20 @@
     [head.as_bytes(), body].concat()
 }
 
+/// Says that a request was not run; 421 says so by itself.
+#[must_use]
+pub fn refusal(status: u16, attempt: Option<&str>) -> Vec<u8> {
+    let mut head = format!("HTTP/1.1 {status} Word\r\nContent-Length: 0\r\n");
+    if status != 421 {
+        head.push_str("X-Not-Executed: 1\r\n");
+    }
+    if let Some(attempt) = attempt {
+        head.push_str(&format!("X-Attempt-Id: {attempt}\r\n"));
+    }
+    head.push_str("\r\n");
+    head.into_bytes()
+}
+
 fn unframed(attempt: &str, body: &str) -> Vec<u8> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n{body}"
