Reject an answer whose head ends before the empty line that was searched for

What callers saw: a 200 with a part of the body missing, framed as whole, of a server that ends the lines of its head by bare line feeds.

Cause: `head_end` looks for CRLF CRLF, the parser also accepts bare line feeds. With a head that ends in LF CRLF, the first CRLF CRLF lies in the body; the parser stopped at the end of the head, and the bytes up to that CRLF CRLF were dropped with it.

Requests were not affected, since `RequestHead` rejects bare line feeds.

The case that operators reported, a head that ends in the middle, can't be taken for a whole one: `head_end` needs the empty line.

--- a/cassiashunt/tests/site_odd_answers.rs
+++ b/cassiashunt/tests/site_odd_answers.rs
@@ -1,10 +1,10 @@
-//! Refusals that are not the server's answer to the request.
+//! Refusals that are not the server's answer to the request, and answers that end early.
 
 mod support;
 
 use std::{thread, time::Duration};
 
-use cassiashunt_standin::site::{Behaviour, ask, open, refusal};
+use cassiashunt_standin::site::{Behaviour, Request, ask, open, refusal};
 use support::site::{Site, read, write};
 
 /// How long a request runs after the server has repeated an earlier refusal.
@@ -127,3 +127,99 @@
     let answer = ask(&mut stream, bytes.as_bytes()).expect("no answer from the node");
     assert_eq!(answer.status, 503);
 }
+
+/// Heads and chunked bodies that a server may break off at any byte.
+const ANSWERS: [&str; 6] = [
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwhole",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n3;a=b\r\nwho\r\n2\r\nle\r\n0\r\nX-Trailer: t\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n",
+    "HTTP/1.1 304 Not Modified\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s\r\n\r\n",
+];
+
+/// Checks that a request whose answer consists of these bytes gets 502, and runs once.
+fn assert_not_an_answer(site: &Site, sent: &str, is_slow: bool, is_reset: bool) {
+    let ask = || {
+        let request = write("shop");
+        site.members[0].server.do_next(Behaviour::Cut {
+            sent: sent.into(),
+            is_slow,
+            is_reset,
+        });
+        let answer = site.members[0].ask(&request);
+        let status = answer.expect("no answer from the node").status;
+        assert_eq!(site.runs_of(&request), 1);
+        status
+    };
+    let mut status = ask();
+    if status == 504 {
+        // The stand-in did not get to close the connection before the deadline.
+        status = ask();
+    }
+    assert_eq!(status, 502, "{sent:?}, slow {is_slow}, reset {is_reset}");
+}
+
+#[test]
+fn an_answer_that_ends_at_any_byte_is_not_passed_on_as_a_complete_one() {
+    let site = Site::start("odd-cut", &["shop"]);
+    for answer in ANSWERS {
+        for cut in 0..answer.len() {
+            let is_reset = cut % 3 == 1;
+            assert_not_an_answer(&site, &answer[..cut], false, is_reset);
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_arrives_bytewise_and_ends_early_is_not_passed_on_as_a_complete_one() {
+    let site = Site::start("odd-cut-slow", &["shop"]);
+    for answer in ANSWERS {
+        for cut in [17, answer.len() - 3, answer.len() - 1] {
+            assert_not_an_answer(&site, &answer[..cut], true, cut % 2 == 0);
+        }
+    }
+}
+
+#[test]
+fn an_answer_with_bare_line_feeds_is_not_passed_on_without_a_part_of_its_body() {
+    let site = Site::start("odd-line-feeds", &["shop"]);
+    let head = "HTTP/1.1 200 OK\nX-Attempt-Id: {attempt}\nX-Response-Signature: s\n";
+    for sent in [
+        head.to_owned(),
+        format!("{head}\n"),
+        format!("{head}\r\n"),
+        // The end of the head lies within the body.
+        format!("{head}\r\nthe first part\r\n\r\nthe second part"),
+        format!("{head}Content-Length: 31\n\r\nthe first part\r\n\r\nthe second part"),
+        format!("{head}Content-Length: 13\n\r\nthe first part\r\n\r\nthe second part"),
+    ] {
+        assert_not_an_answer(&site, &sent, false, false);
+    }
+}
+
+#[test]
+fn an_idempotent_request_whose_answer_ends_early_is_tried_at_another_server() {
+    let site = Site::start("odd-cut-retry", &["shop", "desk", "desk"]);
+    site.members[1].server.do_next(Behaviour::Cut {
+        sent: b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n".to_vec(),
+        is_slow: false,
+        is_reset: false,
+    });
+    let mut runs = 0;
+    for _ in 0..12 {
+        let request: Request = read("desk");
+        let answer = site.members[0].ask(&request);
+        let answer = answer.expect("no answer from the node");
+        assert_eq!(answer.status, 200);
+        assert_eq!(
+            answer.body,
+            format!("answer to {}", request.attempt).into_bytes()
+        );
+        runs += site.runs_of(&request);
+    }
+    assert_eq!(
+        runs, 13,
+        "the request with the lost answer was not tried again"
+    );
+}
--- a/crates/sidecar/src/http/head.rs
+++ b/crates/sidecar/src/http/head.rs
@@ -129,7 +129,8 @@
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
         let mut res = httparse::Response::new(&mut fields);
         let parsed = res.parse(bytes).map_err(|_| Malformed("head"))?;
-        if parsed.is_partial() {
+        // The parser accepts bare line feeds, so its head may end before the last empty line.
+        if parsed != httparse::Status::Complete(bytes.len()) {
             return Err(Malformed("head"));
         }
         let status = res.code.unwrap_or_default();
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -71,6 +71,15 @@
         /// How much later.
         after: Duration,
     },
+    /// Runs it, sends only these bytes, and closes the connection.
+    Cut {
+        /// What is sent.
+        sent: Vec<u8>,
+        /// The bytes come one at a time.
+        is_slow: bool,
+        /// The connection is reset instead of closed in order.
+        is_reset: bool,
+    },
 }
 
 impl Behaviour {
@@ -85,7 +94,7 @@
     }
 }
 
-/// Stands for the id of the attempt in the bytes of [`Behaviour::Endless`].
+/// Stands for the id of the attempt in the bytes of [`Behaviour::Endless`] and [`Behaviour::Cut`].
 pub const ATTEMPT: &str = "{attempt}";
 /// The most that an endless answer sends, for callers that never close.
 const ENDLESS_BYTES: usize = 2 << 30;
@@ -478,6 +487,26 @@
                 });
                 stream.write_all(&whole).is_ok()
             }
+            Behaviour::Cut {
+                sent,
+                is_slow,
+                is_reset,
+            } => {
+                let sent = String::from_utf8_lossy(&sent).replace(ATTEMPT, &attempt);
+                let piece = if is_slow { 1 } else { sent.len().max(1) };
+                for bytes in sent.as_bytes().chunks(piece) {
+                    // The end of the connection is the fault; nobody reads an error of this write.
+                    let _ = stream.write_all(bytes);
+                    if is_slow {
+                        thread::sleep(Duration::from_millis(1));
+                    }
+                }
+                if is_reset {
+                    thread::sleep(Duration::from_millis(30));
+                    reset(stream);
+                }
+                false
+            }
             Behaviour::Serve | Behaviour::Early | Behaviour::Shed | Behaviour::ShedWithoutId => {
                 stream.write_all(&whole).is_ok()
             }
