Answer 502 where the server gives a promise of "not run" for a request that it ran

What callers saw: a server's 408, 429 or 503 without X-Not-Executed was passed on as it came. Clients take these statuses as the promise that the request has not run and never will (REFUSED), while only X-Not-Executed, or 421, states that for a server. An earlier refusal that lacks the field would pass this way, too.

Evidence, before: a_status_that_promises_not_run_is_not_passed_on_for_a_request_that_has_run: "HTTP/1.1 408 Word\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n": left: 408, right: 502, with one run at the server It passes now: such an answer counts as invalid, so it becomes 502, may have run, without the server's signature. An idempotent request may be tried at another server.

--- a/cassiashunt/tests/site_odd_answers.rs
+++ b/cassiashunt/tests/site_odd_answers.rs
@@ -223,3 +223,17 @@
         "the request with the lost answer was not tried again"
     );
 }
+
+#[test]
+fn a_status_that_promises_not_run_is_not_passed_on_for_a_request_that_has_run() {
+    let site = Site::start("odd-promise", &["shop"]);
+    for status in [408, 429, 503] {
+        let head = format!("HTTP/1.1 {status} Word\r\nX-Attempt-Id: {{attempt}}\r\n");
+        for rest in [
+            "Content-Length: 0\r\n\r\n",
+            "X-Response-Signature: s\r\nContent-Length: 4\r\n\r\nbusy",
+        ] {
+            assert_not_an_answer(&site, &format!("{head}{rest}"), false, false);
+        }
+    }
+}
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cassiashunt_adapter::{
-    ResponseHeaders, is_not_executed, read_response_headers, server_headers,
+    ResponseHeaders, is_not_executed, promises_not_run, read_response_headers, server_headers,
 };
 use cassiashunt_types::prelude::*;
 
@@ -158,6 +158,11 @@
     if response_headers.attempt.is_none() {
         return Err(Failure::InvalidAnswer("answer without an attempt id"));
     }
+    if promises_not_run(head.status) {
+        return Err(Failure::InvalidAnswer(
+            "status of a refusal without the statement that it did not run",
+        ));
+    }
     if is_success && !response_headers.is_signed {
         return Err(Failure::InvalidAnswer("success without a signature"));
     }
