Keep a peer whose entry was replaced by one with an unusable address

What callers saw: another writer replaces a node's entry by a copy with port 0, 65536 or an address that nobody listens on. The other nodes dropped the peer with its link, and the requests on the link got 502 although their server had run them (LOST). Entries with port 0, 0.0.0.0 or a multicast address under other names were added as peers: they took their part of each limit, so callers within their rate got 429, and they were dialled for ever. A copy of a node's entry under another name made the node its own peer, which reports its sums to itself.

Cause: `Fleet::on_announced` removed the known peer before it parsed the new address, and any socket address counted as one that can be dialled.

Ruled out by the same tests, also before: nesting of 30,000 levels, unfinished nesting, numbers out of range, wrong types, missing fields, NUL bytes and strings of 60 kB end no node and keep none from following the list; entries are decoded one by one. So do odd costs and strikes in the persisted state.

Stand-in: its store now has pages of 500 items or 1 MB, as the platform's.

--- /dev/null
+++ b/cassiashunt/tests/site_odd_entries.rs
@@ -0,0 +1,222 @@
+//! Entries that another writer leaves among those of the nodes.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use cassiashunt_standin::site::{Behaviour, open};
+use serde_json::{Value, json};
+use support::{
+    eventually,
+    site::{Site, read, write},
+};
+
+/// The prefix of the nodes' entries.
+const NODES: &str = "cassiashunt/nodes/";
+/// The memory target of a node.
+const MAX_NODE_MEMORY_BYTES: u64 = 64 << 20;
+/// How long a change of an entry takes to reach all nodes: two delays of a watch.
+const SPREAD_TIME: Duration = Duration::from_millis(1_000);
+
+fn entry(site: &Site, at: usize) -> Value {
+    let value = site.store.value(&format!("{NODES}node-{at}"));
+    let value = value.expect("the node has no entry");
+    serde_json::from_slice(&value).expect("the entry is not JSON")
+}
+
+/// The entry with one field replaced by this JSON text.
+fn with_field(entry: &Value, field: &str, text: &str) -> Vec<u8> {
+    let mut entry = entry.clone();
+    entry[field] = json!("REPLACED");
+    entry.to_string().replace("\"REPLACED\"", text).into_bytes()
+}
+
+/// Entries that name no node to use, made from one that does.
+fn odd_entries(entry: &Value) -> Vec<Vec<u8>> {
+    let address = entry["address"].as_str().unwrap_or_default();
+    let host = address.split(':').next().unwrap_or_default();
+    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let mut odd = vec![
+        Vec::new(),
+        b"\0\0\0\0".to_vec(),
+        b"null".to_vec(),
+        b"[]".to_vec(),
+        b"{}".to_vec(),
+        b"\"node\"".to_vec(),
+        vec![0xff; 100],
+        nested(30_000).into_bytes(),
+        [b"[".repeat(60_000), Vec::new()].concat(),
+        "{\"a\":".repeat(10_000).into_bytes(),
+        format!("\"{}\"", "x".repeat(60_000)).into_bytes(),
+        format!("\"{}\"", "\\u0000".repeat(9_000)).into_bytes(),
+    ];
+    let mut replace = |field: &str, text: &str| odd.push(with_field(entry, field, text));
+    for port in ["0", "65536", "99999", "-1", "1e400", "", "8080 "] {
+        replace("address", &format!("\"{host}:{port}\""));
+    }
+    for address in [
+        "\"\"",
+        "\"0.0.0.0:80\"",
+        "\"[::]:80\"",
+        "\"224.0.0.1:80\"",
+        "7",
+        "[]",
+    ] {
+        replace("address", address);
+    }
+    for number in [
+        "1e400",
+        "-1",
+        "1.5",
+        "4294967296",
+        "99999999999999999999",
+        "\"8\"",
+        "[8]",
+        "null",
+    ] {
+        replace("slots", number);
+    }
+    for number in ["1e400", "-1", "99999999999999999999", "\"1\"", "null"] {
+        replace("incarnation", number);
+    }
+    for text in ["\"odd\"", "3", "null", "{}", &nested(1_000)] {
+        replace("state", text);
+        replace("is-stopping", text);
+    }
+    for text in [
+        "\"\"",
+        "3",
+        "null",
+        "\"a name with spaces\"",
+        &nested(1_000),
+    ] {
+        replace("service", text);
+        replace("domain", text);
+    }
+    for field in [
+        "incarnation",
+        "address",
+        "domain",
+        "service",
+        "slots",
+        "state",
+    ] {
+        let mut entry = entry.clone();
+        entry.as_object_mut().expect("no object").remove(field);
+        odd.push(entry.to_string().into_bytes());
+    }
+    odd
+}
+
+fn assert_serving(site: &Site, what: &str) {
+    for member in &site.members {
+        for service in ["shop", "desk"] {
+            assert_eq!(member.status_of(&read(service)), 200, "{what}");
+        }
+        let log = member.log();
+        assert!(!log.contains("panicked"), "{what}: {log}");
+    }
+}
+
+#[test]
+fn an_odd_entry_in_place_of_a_peers_entry_does_not_interrupt_requests_to_it() {
+    let site = Site::start("odd-peer", &["shop", "desk"]);
+    let own = entry(&site, 1);
+    for odd in odd_entries(&own) {
+        let what = String::from_utf8_lossy(&odd[..odd.len().min(300)]).into_owned();
+        site.members[1]
+            .server
+            .do_next(Behaviour::Slow(Duration::from_millis(500)));
+        let request = write("desk");
+        thread::scope(|scope| {
+            let status = scope.spawn(|| site.members[0].status_of(&request));
+            eventually("the request runs", || site.runs_of(&request) == 1);
+            site.store.put_bytes(&format!("{NODES}node-1"), &odd);
+            assert_eq!(status.join().expect("no answer"), 200, "{what}");
+        });
+        assert_serving(&site, &what);
+    }
+}
+
+#[test]
+fn a_thousand_odd_entries_end_no_node_and_hide_no_other_entry() {
+    let mut site = Site::start("odd-many", &["shop", "desk"]);
+    let odd = odd_entries(&entry(&site, 1));
+    let names = ["", "/", "node-1/", "node-1\0", "node-", "\u{fc}", "node-10"];
+    for n in 0..1_000 {
+        let name = if n < names.len() {
+            names[n].to_owned()
+        } else {
+            format!("{n:0width$}", width = 1 + n % 150)
+        };
+        site.store
+            .put_bytes(&format!("{NODES}{name}"), &odd[n % odd.len()]);
+    }
+    thread::sleep(SPREAD_TIME);
+    assert_serving(&site, "1,000 odd entries");
+    // A node that starts among them is found, and finds the others.
+    site.add("desk");
+    eventually("the new node serves", || {
+        site.members[2].status_of(&read("shop")) == 200
+    });
+    eventually("requests reach the new node", || {
+        let before = site.members[2].server.runs().len();
+        assert_eq!(site.members[0].status_of(&read("desk")), 200);
+        site.members[2].server.runs().len() > before
+    });
+    // Nor is a node that restarts kept from reading them.
+    site.members[0].node.kill();
+    site.members[0].restart();
+    let (heartbeats, requests) = (site.members[0].heartbeats, site.members[0].requests);
+    eventually("the node listens", || {
+        open(heartbeats).is_ok() && open(requests).is_ok()
+    });
+    site.wait_until_serving();
+    for member in &site.members {
+        let log = member.log();
+        assert!(!log.contains("panicked"), "{log}");
+        let peak = member.node.resource_usage().0;
+        assert!(peak <= MAX_NODE_MEMORY_BYTES, "peak memory of {peak} bytes");
+    }
+}
+
+#[test]
+fn an_entry_with_the_own_address_of_a_node_adds_no_peer_to_it() {
+    let site = Site::start("odd-self", &["shop", "desk"]);
+    let copy = entry(&site, 0);
+    site.store.put(&format!("{NODES}a-copy"), &copy.to_string());
+    thread::sleep(SPREAD_TIME);
+    assert_serving(&site, "a copy of an entry");
+    let log = site.members[0].log();
+    let is_link = |line: &&str| line.contains("\"link-up\"") && line.contains("a-copy");
+    assert_eq!(log.lines().find(is_link), None);
+}
+
+#[test]
+fn odd_persisted_state_does_not_keep_a_node_from_serving() {
+    let mut site = Site::start("odd-state", &["shop", "desk"]);
+    let nested = "[".repeat(60_000);
+    let route = |numbers: &str| {
+        format!(
+            "{{\"costs\":{{\"desk\":[{{\"route\":\"desk-read\",\"runs_per_s\":{numbers},\"slot_s\":{numbers},\"calls\":[[\"desk-read\",{numbers}]]}}]}},\"strikes\":[]}}"
+        )
+    };
+    for text in [
+        nested,
+        "{\"costs\":[],\"strikes\":{}}".into(),
+        route("1e400"),
+        route("1e308"),
+        route("-1e308"),
+        route("0"),
+        "{\"strikes\":[{\"fingerprint\":18446744073709551615,\"owner\":0,\"number\":4294967295,\"age-ms\":4294967295,\"is-alone\":true,\"is-cleared\":false}]}".into(),
+    ] {
+        site.store.put("cassiashunt/costs", &text);
+        site.members[0].node.kill();
+        site.members[0].restart();
+        let (heartbeats, requests) = (site.members[0].heartbeats, site.members[0].requests);
+        eventually("the node listens", || open(heartbeats).is_ok() && open(requests).is_ok());
+        site.wait_until_serving();
+        let log = site.members[0].log();
+        assert!(!log.contains("panicked"), "{log}");
+    }
+}
--- a/crates/mesh/src/announce.rs
+++ b/crates/mesh/src/announce.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of backend servers, and announcements of their nodes.
 
+use std::net::SocketAddr;
+
 use cassiashunt_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -57,3 +59,14 @@
     /// Whether the node itself is stopping.
     pub is_stopping: bool,
 }
+
+impl Announcement {
+    /// The address at which peers reach the node; `None` if no connection can be made to it.
+    #[must_use]
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        let address: SocketAddr = self.address.parse().ok()?;
+        let ip = address.ip();
+        let is_usable = address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
+        is_usable.then_some(address)
+    }
+}
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -199,17 +199,18 @@
         sum.load()
     }
 
-    /// Handles the announcement of a peer in the store.
-    pub(crate) fn on_announced(&mut self, name: &str, announcement: Announcement) {
+    /// Handles the announcement of a peer in the store, which is reached at `address`.
+    pub(crate) fn on_announced(
+        &mut self,
+        name: &str,
+        announcement: Announcement,
+        address: SocketAddr,
+    ) {
         let now = crate::clock::now();
         if self.update(now, name, &announcement) {
             return;
         }
         self.remove_peer(name);
-        let Ok(address) = announcement.address.parse::<SocketAddr>() else {
-            log::warn!(peer:% = name, address:% = announcement.address; "odd-announcement");
-            return;
-        };
         log::info!(peer:% = name, service:% = announcement.service, slots = announcement.slots;
             "peer-seen");
         let link = Rc::new(Link::default());
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -174,16 +174,28 @@
     }
 }
 
-/// Handles a written entry. One that can't be parsed is ignored.
+/// Handles a written entry. One that names no peer counts as missing: another writer has replaced
+/// the peer's entry, and the peer may still be alive.
 fn on_put(node: &Rc<Node>, name: &str, value: &[u8]) {
     if name == node.settings().name {
         return;
     }
-    match serde_json::from_slice::<Announcement>(value) {
-        Ok(announcement) => {
-            let mut fleet = node.fleet.borrow_mut();
-            fleet.on_announced(name, announcement);
+    let mut fleet = node.fleet.borrow_mut();
+    let announcement = match serde_json::from_slice::<Announcement>(value) {
+        Ok(announcement) => announcement,
+        Err(err) => {
+            log::warn!(name:% = name, reason:% = err; "entry-unreadable");
+            return fleet.on_missing(clock::now(), name);
+        }
+    };
+    let own_address = node.settings().addresses.peers;
+    match announcement.peer_address() {
+        Some(address) if address != own_address => {
+            fleet.on_announced(name, announcement, address);
+        }
+        _ => {
+            log::warn!(peer:% = name, address:% = announcement.address; "odd-announcement");
+            fleet.on_missing(clock::now(), name);
         }
-        Err(err) => log::warn!(name:% = name, reason:% = err; "entry-unreadable"),
     }
 }
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -14,6 +14,10 @@
 
 use super::wire;
 
+/// The most items of a page, and the bytes from which a page gets no further item.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
 /// How the store fails.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -147,6 +151,20 @@
         self.shared.1.notify_all();
     }
 
+    /// Writes bytes as another writer does, without a lease.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.lock().put(key, STANDARD.encode(value), 0);
+        self.shared.1.notify_all();
+    }
+
+    /// The value of a key.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let inner = self.lock();
+        let item = inner.items.get(key)?;
+        STANDARD.decode(&item.value).ok()
+    }
+
     /// How it fails from now on.
     pub fn set_fault(&self, fault: Fault) {
         self.lock().fault = fault;
@@ -384,10 +402,16 @@
         let found = self.items.iter().filter(|(key, _)| {
             key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
         });
-        let items: Vec<_> = found.map(|(key, item)| told(key, item)).collect();
+        let mut found = found.map(|(key, item)| told(key, item)).peekable();
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        while let Some(item) = found.next_if(|_| items.len() < PAGE_ITEMS && bytes < PAGE_BYTES) {
+            bytes += item.to_string().len();
+            items.push(item);
+        }
+        let has_more = found.peek().is_some();
         (
             200,
-            json!({"items": items, "has_more": false, "at": self.revision}),
+            json!({"items": items, "has_more": has_more, "at": self.revision}),
         )
     }
 
