Write a node's own entry again where another writer has replaced it

What callers saw: a node whose entry in the store was overwritten by another writer never wrote it again, for as long as its lease and its own state did not change. Nodes that started later did not find it, and a peer that lost its link to it dropped it.

Cause: `on_put` ignored every write of the own entry; only its removal made the node write again.

Evidence, before: an_entry_that_another_writer_replaced_is_written_again: condition not met within 20s: the node writes its entry again It passes now, as does the same check after each odd entry of an_odd_entry_in_place_of_a_peers_entry_does_not_interrupt_requests_to_it.

Why it works: the node keeps the value that it last wrote, or is writing, and the revision of its last write. A later write with another value is not its own, or one of its own that was late, and is overwritten under the condition on its revision. Late events of older writes are not newer than that revision, so they cause no write. The entry of an earlier start is ignored until the first write.

The revision is compared as elsewhere in this module: after a restore of the store this rule, too, needs the era.

--- a/cassiashunt/tests/site_odd_entries.rs
+++ b/cassiashunt/tests/site_odd_entries.rs
@@ -135,6 +135,39 @@
             assert_eq!(status.join().expect("no answer"), 200, "{what}");
         });
         assert_serving(&site, &what);
+        eventually("the node writes its entry again", || {
+            let value = site.store.value(&format!("{NODES}node-1"));
+            value.is_some_and(|it| serde_json::from_slice(&it).ok() == Some(own.clone()))
+        });
+    }
+}
+
+#[test]
+fn an_entry_that_another_writer_replaced_is_written_again() {
+    let site = Site::start("odd-own", &["shop", "desk"]);
+    for at in [0, 1] {
+        let own = entry(&site, at);
+        let other = entry(&site, 1 - at);
+        let foreign = [
+            json!({}),
+            // The entry of another node, and the own one with other values.
+            other.clone(),
+            json!({"address": other["address"], "incarnation": own["incarnation"],
+                "domain": own["domain"], "service": own["service"], "slots": 8, "state": "ready",
+                "is-cold": false, "is-stopping": false}),
+        ];
+        for value in foreign {
+            site.store
+                .put(&format!("{NODES}node-{at}"), &value.to_string());
+            eventually("the node writes its entry again", || {
+                entry(&site, at) == own
+            });
+            // The nodes may reach each other only once the entry is back.
+            eventually("all nodes serve", || {
+                let mut members = site.members.iter();
+                members.all(|it| it.status_of(&read("desk")) == 200)
+            });
+        }
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -91,8 +91,10 @@
     /// Makes the watches of the store start over: connections that hung during its outage deliver
     /// nothing more.
     pub(crate) store_regained: Notify,
-    /// Whether this node's entry was removed from the store.
+    /// Whether this node's entry was removed from the store or replaced by another writer.
     pub(crate) is_entry_lost: Cell<bool>,
+    /// The entry that this node last wrote, or is writing, and the revision of its last write.
+    pub(crate) own_entry: RefCell<(Revision, Vec<u8>)>,
     /// The lease of this node's entry in the store.
     pub(crate) lease: Cell<Option<u64>>,
     /// Wakes the task that keeps this node's entry in the store.
@@ -142,6 +144,7 @@
             prove_now: Notify::new(),
             store_regained: Notify::new(),
             is_entry_lost: Cell::new(false),
+            own_entry: RefCell::default(),
             lease: Cell::new(None),
             announce: Notify::new(),
         }
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -134,10 +134,12 @@
     let revision = entry.revision.take().unwrap_or_default();
     let value = serde_json::to_vec(&announcement).unwrap_or_default();
     let call = txn(&[(&key, revision)], &[(&key, &value, lease)]);
+    node.own_entry.borrow_mut().1 = value;
     let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
     match decode_txn(status, &body)? {
         TxnOutcome::Committed(revision) => {
             entry.revision = Some(revision);
+            node.own_entry.borrow_mut().0 = revision;
             entry.written = Some(announcement);
         }
         TxnOutcome::Conflict(items) => {
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -149,6 +149,9 @@
     let changes = node.directory.borrow_mut().on_update(update);
     for change in &changes {
         match &change.value {
+            Some(value) if change.name == node.settings().name => {
+                on_own_put(node, change.revision, value);
+            }
             Some(value) => on_put(node, &change.name, value),
             None => on_removed(node, &change.name),
         }
@@ -174,12 +177,24 @@
     }
 }
 
+/// Handles a write of this node's own entry, which is written again if it was not this node's.
+fn on_own_put(node: &Rc<Node>, revision: Revision, value: &[u8]) {
+    let is_replaced = {
+        let own_entry = node.own_entry.borrow();
+        let (own_revision, own_value) = &*own_entry;
+        // The entry of an earlier start is known before the first write.
+        !own_value.is_empty() && revision > *own_revision && value != own_value
+    };
+    if is_replaced {
+        log::warn!(revision = revision.0; "entry-replaced");
+        node.is_entry_lost.set(true);
+        node.announce.notify_one();
+    }
+}
+
 /// Handles a written entry. One that names no peer counts as missing: another writer has replaced
 /// the peer's entry, and the peer may still be alive.
 fn on_put(node: &Rc<Node>, name: &str, value: &[u8]) {
-    if name == node.settings().name {
-        return;
-    }
     let mut fleet = node.fleet.borrow_mut();
     let announcement = match serde_json::from_slice::<Announcement>(value) {
         Ok(announcement) => announcement,
