Bound what odd entries take of a node's memory and log

What was seen: each node keeps the values of all entries, twice while they are among the latest changes, and passes them on to the others, whatever their length. And the reason why one can't be parsed was logged with the whole value, up to 60 kB of another writer's text a line.

Evidence, before: a_thousand_odd_entries_end_no_node_and_hide_no_other_entry: the log has whole values of odd entries an_entry_too_long_for_a_node_replaces_the_older_one_and_takes_no_memory (mesh): the value was kept (by reading; the test was written with the change) Both pass now: a value of more than 4 KiB, where an announcement has a few hundred bytes, counts as empty under the same revision, so that the order of changes holds; and no text in a log line is longer than 512 bytes.

--- a/cassiashunt/tests/site_odd_entries.rs
+++ b/cassiashunt/tests/site_odd_entries.rs
@@ -208,6 +208,10 @@
     for member in &site.members {
         let log = member.log();
         assert!(!log.contains("panicked"), "{log}");
+        assert!(
+            !log.contains(&"x".repeat(1_000)) && !log.contains(&"\\u0000".repeat(1_000)),
+            "the log has whole values of odd entries"
+        );
         let peak = member.node.resource_usage().0;
         assert!(peak <= MAX_NODE_MEMORY_BYTES, "peak memory of {peak} bytes");
     }
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -11,6 +11,9 @@
 /// behind gets all entries.
 const MAX_LOGGED_CHANGES: usize = 1_024;
 
+/// The longest entry that is kept. Longer ones are not announcements of nodes, and count as empty.
+const MAX_ENTRY_BYTES: usize = 4 * 1_024;
+
 /// A change of one entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntryChange {
@@ -53,6 +56,10 @@
     /// Applies an update. Returns the changes that were new, including removals.
     pub fn on_update(&mut self, update: DirectoryUpdate) -> Vec<EntryChange> {
         let mut changes = update.changes;
+        let values = changes.iter_mut().filter_map(|it| it.value.as_mut());
+        for value in values.filter(|it| it.len() > MAX_ENTRY_BYTES) {
+            *value = Vec::new();
+        }
         if update.is_full {
             let listed: HashSet<_> = changes.iter().map(|change| &change.name).collect();
             let entries = self.entries.iter();
--- a/crates/mesh/tests/directory.rs
+++ b/crates/mesh/tests/directory.rs
@@ -164,3 +164,20 @@
     }
     entries
 }
+
+#[test]
+fn an_entry_too_long_for_a_node_replaces_the_older_one_and_takes_no_memory() {
+    let mut directory = Directory::default();
+    directory.on_update(update(5, true, &[put("a", 3), put("b", 5)]));
+    let long = EntryChange {
+        value: Some(vec![b'x'; 60_000]),
+        ..put("a", 7)
+    };
+    let applied = directory.on_update(update(7, false, &[long]));
+    let empty = EntryChange {
+        value: Some(Vec::new()),
+        ..put("a", 7)
+    };
+    assert_eq!(applied, std::slice::from_ref(&empty));
+    assert_eq!(directory.update_since(Revision(5)).changes, [empty]);
+}
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -26,6 +26,8 @@
 const MAX_QUEUED_BATCHES: usize = 4;
 /// The number of lines in a second above which lines below warning level are dropped and counted.
 const MAX_LINES_PER_S: u32 = 400;
+/// The longest text of a value in a line: some values come from clients and other writers.
+const MAX_TEXT_BYTES: usize = 512;
 /// The time between two batches.
 pub(crate) const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -147,7 +149,11 @@
         let plain = value.to_u64().map(Json::from);
         let plain = plain.or_else(|| value.to_bool().map(Json::from));
         let plain = plain.or_else(|| value.to_f64().map(Json::from));
-        let value = plain.unwrap_or_else(|| value.to_string().into());
+        let value = plain.unwrap_or_else(|| {
+            let mut text = value.to_string();
+            text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+            text.into()
+        });
         self.0.insert(key.as_str().into(), value);
         Ok(())
     }
