Saturate the count of nodes in sums

A peer's report with a count of nodes near the end of its range made the addition overflow: a panic in builds with overflow checks, which ended the task that sends reports, so that the node no longer took part in the tree; a wrapped, small count in the others, with which sums count as incomplete.

Evidence, before: counts_of_nodes_at_the_end_of_their_range_add_up_to_the_largest_count: panicked at crates/mesh/src/sums.rs:36:9: attempt to add with overflow It passes now. Only a peer sends such counts, so no caller was seen to be affected.

--- a/crates/mesh/src/sums.rs
+++ b/crates/mesh/src/sums.rs
@@ -33,7 +33,7 @@
 impl Sum {
     /// Adds the capacity and demand of other nodes.
     pub fn add(&mut self, other: &Self) {
-        self.nodes += other.nodes;
+        self.nodes = self.nodes.saturating_add(other.nodes);
         for (service, capacity) in &other.capacities {
             *self.capacities.entry(*service).or_default() += *capacity;
         }
