Read on after a page of the store whose last items can't be read

What callers could see: a full page of items that can't be read ended the list although the store had more, and the nodes on later pages counted as removed.

Cause: the key to continue from was that of the last readable item. Without one, `read_all` stopped and applied what it had as the whole list.

Not covered: an item of the page itself, not its value, that nests deeper than 128 levels or holds a number like 1e400 makes the whole page unreadable. Only the store writes items; the node then keeps what it has and reads again later.

--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -93,9 +93,9 @@
         // Pages are not a consistent snapshot; a watch from the first page's revision delivers the
         // changes made while they are read.
         first_at.get_or_insert(page.at);
-        after = page.items.last().map(|item| item.key.clone());
         changes.extend(page.items.into_iter().filter_map(put_change));
-        if !page.has_more || after.is_none() {
+        after = page.next_after;
+        if after.is_none() {
             break;
         }
     }
