Log the store's era where its tables, entries and watches are logged

An answer that is ignored after the store came back from a copy left no line, and no line told from which era an answer was. `store-restored` states the old and the new era; table-in-force, table-older, watch-ended and entries-from-peer state era and revision. No decision uses the era yet.

--- a/crates/sidecar/src/link/state_sync.rs
+++ b/crates/sidecar/src/link/state_sync.rs
@@ -31,7 +31,8 @@
         }
         Kind::Entries(row) => {
             let known = node.directory.borrow().revision();
-            log::info!(peer:% = name, known = known.0, at = row.revision; "entries-from-peer");
+            log::info!(peer:% = name, era = node.store_era(), known = known.0, at = row.revision;
+                "entries-from-peer");
             apply_entries(node, from_row(row));
         }
         Kind::Strikes(strikes) => {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -170,6 +170,11 @@
         self.table.borrow().clone()
     }
 
+    /// The store's era, as far as this node knows.
+    pub(crate) fn store_era(&self) -> u64 {
+        self.store.era()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
     }
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use cassiashunt_adapter::{Call, StoreError};
+use cassiashunt_adapter::{Call, StoreError, decode_era};
 use cassiashunt_types::Time;
 use tokio::{net::TcpStream, time::timeout};
 
@@ -64,6 +64,8 @@
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     last_answer: Cell<Option<Time>>,
+    /// The highest era of an answer; `None` before the first answer.
+    era: Cell<Option<u64>>,
 }
 
 impl StoreClient {
@@ -72,6 +74,7 @@
             address,
             idle: RefCell::new(Vec::new()),
             last_answer: Cell::new(None),
+            era: Cell::new(None),
         }
     }
 
@@ -80,6 +83,20 @@
         self.last_answer.get()
     }
 
+    /// The store's era, as far as this node knows from answers.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.get().unwrap_or_default()
+    }
+
+    fn on_era(&self, era: u64) {
+        let known = self.era.replace(self.era.get().max(Some(era)));
+        if let Some(known) = known
+            && known < era
+        {
+            log::warn!(known = known, era = era; "store-restored");
+        }
+    }
+
     /// Makes one call and returns status and body. A connection on which no answer arrives in time
     /// is closed and not reused.
     pub(crate) async fn call(
@@ -109,6 +126,7 @@
         let request = self.encode(call);
         let exchanged = connection.exchange_head(&request, call.method).await;
         let (head, _) = exchanged.map_err(CallError::Lost)?;
+        self.on_era(decode_era(head.pairs()));
         let body = connection.read_body(head.framing, MAX_ANSWER_BYTES).await;
         let body = body.map_err(CallError::Lost)?;
         let mut idle = self.idle.borrow_mut();
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -222,7 +222,12 @@
 /// Puts a newer table in force. One that can't be decoded only updates the revision, so that it is
 /// not fetched again.
 fn apply(node: &Node, revision: Revision, value: Bytes) {
-    if revision <= node.table_revision.get() {
+    let known = node.table_revision.get();
+    if revision <= known {
+        if revision < known {
+            log::info!(era = node.store_era(), revision = revision.0, known_revision = known.0;
+                "table-older");
+        }
         return;
     }
     node.table_revision.set(revision);
@@ -240,10 +245,11 @@
     };
     let known_version = node.table().map_or(0, |table| table.version);
     if table.version <= known_version {
-        log::warn!(version = table.version, known = known_version; "table-older");
+        log::warn!(era = node.store_era(), revision = revision.0, version = table.version,
+            known = known_version; "table-older");
         return;
     }
-    log::info!(version = table.version, revision = revision.0,
+    log::info!(era = node.store_era(), version = table.version, revision = revision.0,
         routes = table.routes().len(), workspaces = table.workspaces().len(); "table-in-force");
     *node.table.borrow_mut() = Some(Rc::new(table));
     node.set_limits();
--- a/crates/sidecar/src/store/watch.rs
+++ b/crates/sidecar/src/store/watch.rs
@@ -23,7 +23,7 @@
     };
     let watched = answer.and_then(|(status, body)| Ok(decode_watch(status, &body)?));
     if let Err(err) = &watched {
-        log::info!(prefix = prefix, reason:% = err; "watch-ended");
+        log::info!(prefix = prefix, era = store.era(), after = after.0, reason:% = err; "watch-ended");
     }
     watched
 }
