Let the stand-in of the store come back from a copy

A copy holds items, history, revision and leases with what is left of them. A restore raises Store-Era, which is in every answer, gives out revisions and lease ids again, and answers 410 to a watch after a revision that it lacks. The store can also be away: it closes connections without an answer.

--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -10,4 +10,4 @@
 pub use client::{Answer, Request, ask, open};
 pub use server::{ATTEMPT, Behaviour, Run, Server, refusal};
 pub use settings::{Addresses, NodeSettings, table};
-pub use store::{Door, Fault, Store};
+pub use store::{Door, Fault, Snapshot, Store};
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -32,6 +32,8 @@
     LoseAnswers,
     /// It answers so much later.
     Slow(Duration),
+    /// It closes connections without an answer.
+    Away,
 }
 
 #[derive(Debug, Clone)]
@@ -51,12 +53,24 @@
     compacted: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
     revision: u64,
+    /// The number of times it was restored from a copy.
+    era: u64,
     fault: Fault,
     calls: u64,
     /// Of these, readings and watches of the operators' table.
     table_calls: u64,
 }
 
+/// What the store held at one moment.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    items: BTreeMap<String, Item>,
+    history: Vec<(u64, String, Option<Item>)>,
+    /// Each lease's time to live and what was left of it.
+    leases: BTreeMap<u64, (Duration, Duration)>,
+    revision: u64,
+}
+
 /// Another address of the store.
 #[derive(Debug)]
 pub struct Door {
@@ -102,6 +116,7 @@
             compacted: 0,
             leases: BTreeMap::new(),
             revision: 1,
+            era: 0,
             fault: Fault::None,
             calls: 0,
             table_calls: 0,
@@ -179,6 +194,52 @@
         self.shared.1.notify_all();
     }
 
+    /// Copies what the store holds now.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let mut inner = self.lock();
+        inner.expire();
+        let now = Instant::now();
+        let leases = inner.leases.iter();
+        Snapshot {
+            items: inner.items.clone(),
+            history: inner.history.clone(),
+            leases: leases
+                .map(|(id, (ttl, until))| (*id, (*ttl, until.saturating_duration_since(now))))
+                .collect(),
+            revision: inner.revision,
+        }
+    }
+
+    /// Replaces everything by a copy, which starts another era. Revisions and leases since then are
+    /// given out again; leases run on with what was left of them.
+    pub fn restore(&self, snapshot: &Snapshot) {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let leases = snapshot.leases.iter();
+        inner.items.clone_from(&snapshot.items);
+        inner.history.clone_from(&snapshot.history);
+        inner.leases = leases
+            .map(|(id, (ttl, left))| (*id, (*ttl, now + *left)))
+            .collect();
+        inner.revision = snapshot.revision;
+        inner.compacted = inner.compacted.min(snapshot.revision);
+        inner.era += 1;
+        self.shared.1.notify_all();
+    }
+
+    /// Deletes a key as the operator does.
+    pub fn delete(&self, key: &str) {
+        self.lock().delete(key);
+        self.shared.1.notify_all();
+    }
+
+    /// The revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Calls so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -232,12 +293,13 @@
                 inner.table_calls += u64::from(is_of_table);
             }
             let fault = self.fault(door);
-            let (status, body) = match fault {
-                Fault::Busy => (503, json!({})),
+            let (era, (status, body)) = match fault {
+                Fault::Busy => (self.lock().era, (503, json!({}))),
                 Fault::Silent => {
                     self.wait_for_end_of(Fault::Silent, door);
                     return;
                 }
+                Fault::Away => return,
                 Fault::None | Fault::LoseAnswers | Fault::Slow(_) => self.answer(&message),
             };
             // It may have fallen silent while a watch was waiting.
@@ -245,6 +307,9 @@
                 self.wait_for_end_of(Fault::Silent, door);
                 return;
             }
+            if self.fault(door) == Fault::Away {
+                return;
+            }
             match fault {
                 Fault::LoseAnswers => continue,
                 Fault::Slow(span) => thread::sleep(span),
@@ -252,7 +317,7 @@
             }
             let body = body.to_string();
             let text = format!(
-                "HTTP/1.1 {status} Word\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} Word\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if stream.write_all(text.as_bytes()).is_err() {
@@ -267,7 +332,8 @@
         }
     }
 
-    fn answer(&self, message: &wire::Message) -> (u16, Value) {
+    /// The era in which a call is carried out, with the answer.
+    fn answer(&self, message: &wire::Message) -> (u64, (u16, Value)) {
         let target = message.word(1);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let value = |name: &str| {
@@ -277,23 +343,23 @@
                 .map(|(_, value)| value)
                 .unwrap_or_default()
         };
+        if path == "/-/kv-watch" {
+            let wait = Duration::from_millis(value("wait_ms").parse().unwrap_or(0));
+            return self.watch(value("prefix"), value("after").parse().unwrap_or(0), wait);
+        }
         let body: Value = serde_json::from_slice(&message.body).unwrap_or(Value::Null);
         let last = path.rsplit('/').next().unwrap_or_default();
-        match (message.word(0), path) {
-            ("GET", "/-/kv-key") => self.lock().get(value("key")),
-            ("GET", "/-/kv-range") => self.lock().range(value("prefix"), value("after")),
-            ("GET", "/-/kv-watch") => {
-                let wait = Duration::from_millis(value("wait_ms").parse().unwrap_or(0));
-                self.watch(value("prefix"), value("after").parse().unwrap_or(0), wait)
-            }
+        let mut inner = self.lock();
+        let answer = match (message.word(0), path) {
+            ("GET", "/-/kv-key") => inner.get(value("key")),
+            ("GET", "/-/kv-range") => inner.range(value("prefix"), value("after")),
             ("POST", "/-/kv-txn") => {
-                let answer = self.lock().txn(&body);
+                let answer = inner.txn(&body);
                 self.shared.1.notify_all();
                 answer
             }
             ("POST", "/-/kv-lease") => {
                 let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
-                let mut inner = self.lock();
                 let lease = 1_000 + inner.leases.len() as u64;
                 inner.leases.insert(lease, (ttl, Instant::now() + ttl));
                 (
@@ -301,11 +367,8 @@
                     json!({"lease": lease, "ttl_ms": ttl.as_millis() as u64}),
                 )
             }
-            ("POST", _) if path.starts_with("/-/kv-keep/") => {
-                self.lock().keep(last.parse().unwrap_or(0))
-            }
+            ("POST", _) if path.starts_with("/-/kv-keep/") => inner.keep(last.parse().unwrap_or(0)),
             ("DELETE", _) if path.starts_with("/-/kv-lease-end/") => {
-                let mut inner = self.lock();
                 if let Some((_, until)) = inner.leases.get_mut(&last.parse().unwrap_or(0)) {
                     *until = Instant::now();
                 }
@@ -313,16 +376,17 @@
                 (200, json!({}))
             }
             _ => (404, json!({})),
-        }
+        };
+        (inner.era, answer)
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u64, (u16, Value)) {
         let until = Instant::now() + wait;
         let mut inner = self.lock();
         loop {
             inner.expire();
-            if after < inner.compacted {
-                return (410, json!({}));
+            if after < inner.compacted || after > inner.revision {
+                return (inner.era, (410, json!({})));
             }
             let new = inner
                 .history
@@ -335,7 +399,8 @@
                 })
                 .collect();
             if !events.is_empty() || Instant::now() >= until {
-                return (200, json!({"events": events, "at": inner.revision}));
+                let body = json!({"events": events, "at": inner.revision});
+                return (inner.era, (200, body));
             }
             let waited = self.shared.1.wait_timeout(inner, Duration::from_millis(50));
             inner = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
