Order what the store says by era first, and tables in force by version alone

Cause: a bare revision ordered everything read from the store: the known table, proofs, entries, watches and what peers offer each other. It also stood for two questions at once, which table is in force and which item was read last. A lease was taken for the own one as long as a renewal succeeded.

Fix: StoreRevision is an era and a revision; positions of a later era are newer. StoreClient reads Store-Era of every answer, and an answer of an earlier era than the known one is a failure. KnownTable keeps the position of the newest item apart from the version in force: only the version decides what is in force, so nothing older comes back; peers hand out the table in force, so that a node which never saw a lost table gets it. A proof is of an item in an era; a condition that passes in another era proves nothing and the table is read. The directory starts over with a complete list of a new era. Watches start over. A lease and an entry are forgotten with their era and written again at once; costs and strikes too. Frames have new fields; without them the era is 0.

Ruled out: entries that are not read again in time and servers that come back: those tests passed before.

--- a/cassiashunt/tests/site_restored.rs
+++ b/cassiashunt/tests/site_restored.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use cassiashunt_standin::site::{Fault, Request, Snapshot};
+use cassiashunt_standin::site::{self, Fault, Request, Snapshot};
 use serde_json::{Value, json};
 use support::{
     eventually,
-    site::{Member, Site, WORKSPACE_KEY, read, read_with_key, table},
+    site::{Member, Site, WORKSPACE_KEY, read, read_with_key},
 };
 
 /// The bounds in the platform's deployments: on a withdrawn key, on a change of the table, and the
@@ -40,6 +40,12 @@
     site.store.set_fault(Fault::None);
 }
 
+/// The operators' table with these keys, without a rate limit: how tokens are shared under load is
+/// tested elsewhere.
+fn table(version: u64, keys: &[&str]) -> Value {
+    site::table(version, keys, 0)
+}
+
 fn key(version: u64) -> String {
     format!("key-{version}")
 }
@@ -86,7 +92,13 @@
         for member in &site.members {
             let status = member.status_of(&read_with_key("shop", &key(version)));
             let after = since.elapsed();
-            assert_eq!(status, 200, "{}, version {version}, {after:?}", member.name);
+            assert_eq!(
+                status,
+                200,
+                "{}, version {version}, {after:?}: {}",
+                member.name,
+                last_failures(member)
+            );
             for key in older {
                 let status = member.status_of(&read_with_key("desk", key));
                 assert_eq!(status, 401, "{}, older key {key}, {after:?}", member.name);
@@ -107,6 +119,19 @@
     table
 }
 
+/// The last lines of a node's log about requests that were not answered by a server.
+fn last_failures(member: &Member) -> String {
+    // The node writes its log with a delay.
+    thread::sleep(Duration::from_secs(1));
+    let log = member.log();
+    let lines = log.lines().filter(|line| {
+        let is_of_request = line.contains("\"request-ended\"") || line.contains("-retried\"");
+        is_of_request && !line.contains("\"status\":200") && !line.contains("\"status\":401")
+    });
+    let lines: Vec<_> = lines.collect();
+    lines[lines.len().saturating_sub(3)..].join("\n")
+}
+
 fn entry(name: &str) -> String {
     format!("cassiashunt/nodes/{name}")
 }
@@ -177,6 +202,12 @@
     eventually("the new start has the newest table", || {
         accepts(&site.members[1], 2)
     });
+    let started = Instant::now();
+    while started.elapsed() < CONTACT {
+        let status = site.members[1].status_of(&read("shop"));
+        assert_ne!(status, 200, "older key, {:?}", started.elapsed());
+        thread::sleep(Duration::from_millis(50));
+    }
     assert_stays_in_force(&site, 2, &[WORKSPACE_KEY], KEY_WITHDRAWAL);
 }
 
@@ -325,10 +356,7 @@
     restore(&site, &snapshot);
     let returned = Instant::now();
     eventually("the entry is back", || {
-        site.store
-            .keys("cassiashunt/nodes/")
-            .iter()
-            .any(|key| *key == joined)
+        site.store.keys("cassiashunt/nodes/").contains(&joined)
     });
     assert!(
         returned.elapsed() < CONTACT,
@@ -364,7 +392,14 @@
     while returned.elapsed() < ENTRY_LEASE + CONVERGENCE {
         for member in &site.members {
             let status = member.status_of(&read("desk"));
-            assert_eq!(status, 200, "{}: {:?}", member.name, returned.elapsed());
+            assert_eq!(
+                status,
+                200,
+                "{}: {:?}: {}",
+                member.name,
+                returned.elapsed(),
+                last_failures(member)
+            );
         }
         thread::sleep(Duration::from_millis(50));
     }
--- a/crates/mesh/tests/directory.rs
+++ b/crates/mesh/tests/directory.rs
@@ -3,7 +3,7 @@
 use cassiashunt_property::check;
 use std::collections::BTreeMap;
 
-use cassiashunt_mesh::{Directory, DirectoryUpdate, EntryChange};
+use cassiashunt_mesh::{Directory, DirectoryUpdate, EntryChange, StoreRevision};
 use cassiashunt_types::prelude::*;
 
 fn put(name: &str, revision: u64) -> EntryChange {
@@ -22,13 +22,31 @@
 }
 
 fn update(at: u64, is_full: bool, changes: &[EntryChange]) -> DirectoryUpdate {
+    update_in_era(0, at, is_full, changes)
+}
+
+fn update_in_era(era: u64, at: u64, is_full: bool, changes: &[EntryChange]) -> DirectoryUpdate {
     DirectoryUpdate {
-        revision: Revision(at),
+        revision: StoreRevision::new(era, Revision(at)),
         is_full,
         changes: changes.to_vec(),
     }
 }
 
+/// Lets a node ask another for what it lacks.
+fn sync(node: &mut Directory, peer: &Directory) {
+    let (own, known) = (node.revision(), peer.revision());
+    if known > own {
+        let is_same_era = own.era == known.era;
+        let since = if is_same_era {
+            own.revision
+        } else {
+            Revision(0)
+        };
+        node.on_update(peer.update_since(since));
+    }
+}
+
 #[test]
 fn an_older_change_does_not_restore_a_removed_entry() {
     let mut directory = Directory::default();
@@ -118,8 +136,8 @@
                     let all: Vec<_> = stored.iter().map(|(name, at)| put(name, *at)).collect();
                     nodes[at].on_update(update(revision, true, &all));
                 }
-                1 if nodes[at].revision() > Revision(0) => {
-                    let since = nodes[at].revision();
+                1 if nodes[at].revision().revision > Revision(0) => {
+                    let since = nodes[at].revision().revision;
                     let newer: Vec<_> = history
                         .iter()
                         .filter(|change| change.revision > since)
@@ -129,7 +147,7 @@
                 }
                 2 => {
                     let from = u.int_in_range(0..=3)?;
-                    let update = nodes[from].update_since(nodes[at].revision());
+                    let update = nodes[from].update_since(nodes[at].revision().revision);
                     nodes[at].on_update(update);
                 }
                 _ => {}
@@ -140,7 +158,7 @@
             .expect("there are four nodes");
         let reference = nodes[newest].clone();
         for node in &mut nodes {
-            let since = node.revision();
+            let since = node.revision().revision;
             node.on_update(reference.update_since(since));
             assert_eq!(
                 entries(node),
@@ -153,6 +171,139 @@
     });
 }
 
+#[test]
+fn a_full_list_of_a_new_era_replaces_entries_with_higher_revisions() {
+    let mut directory = Directory::default();
+    directory.on_update(update(9, true, &[put("a", 3), put("b", 9)]));
+    let list = [put("a", 2), put("c", 5)];
+    let changes = directory.on_update(update_in_era(1, 5, true, &list));
+    assert_eq!(changes, [put("a", 2), put("c", 5), removal("b", 5)]);
+    assert_eq!(
+        directory.on_update(update_in_era(1, 6, false, &[put("b", 6)])),
+        [put("b", 6)],
+        "a revision below one of the era before"
+    );
+}
+
+#[test]
+fn an_entry_with_the_same_value_in_a_new_era_is_no_change() {
+    let mut directory = Directory::default();
+    directory.on_update(update(9, true, &[put("a", 3)]));
+    let changes = directory.on_update(update_in_era(1, 5, true, &[put("a", 3)]));
+    assert!(changes.is_empty());
+    assert_eq!(directory.revision(), StoreRevision::new(1, Revision(5)));
+}
+
+#[test]
+fn an_update_of_an_older_era_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.on_update(update_in_era(1, 5, true, &[put("a", 3)]));
+    let known = entries(&directory);
+    for is_full in [false, true] {
+        let late = update(90, is_full, &[put("a", 80), put("b", 90)]);
+        assert!(directory.on_update(late).is_empty());
+    }
+    assert_eq!(entries(&directory), known);
+}
+
+#[test]
+fn only_a_full_list_starts_a_new_era() {
+    let mut directory = Directory::default();
+    directory.on_update(update(9, true, &[put("a", 3)]));
+    let partial = update_in_era(1, 7, false, &[put("b", 7)]);
+    assert!(directory.on_update(partial).is_empty());
+    assert_eq!(directory.revision(), StoreRevision::new(0, Revision(9)));
+}
+
+#[test]
+fn a_node_of_an_older_era_gets_all_entries() {
+    let (mut old, mut new) = (Directory::default(), Directory::default());
+    old.on_update(update(9, true, &[put("a", 3), put("b", 9)]));
+    new.on_update(update_in_era(1, 4, true, &[put("a", 3)]));
+    new.on_update(update_in_era(1, 6, false, &[put("c", 6)]));
+    sync(&mut old, &new);
+    assert_eq!(entries(&old), entries(&new));
+    assert_eq!(old.revision(), new.revision());
+}
+
+#[test]
+fn nodes_of_different_eras_converge_to_the_entries_of_the_newest() {
+    check(|u| {
+        // The store's history in its current era, and copies of it to restore.
+        let mut stored: BTreeMap<String, u64> = BTreeMap::new();
+        let mut history: Vec<EntryChange> = Vec::new();
+        let (mut era, mut revision) = (0, 1);
+        let mut copy = (stored.clone(), history.clone(), revision);
+        let mut nodes = vec![Directory::default(); 4];
+        let mut in_flight: Vec<DirectoryUpdate> = Vec::new();
+        for _ in 1..u.int_in_range(2..=80)? {
+            let at = u.int_in_range(0..=3)?;
+            match u.int_in_range(0..=8)? {
+                0 => copy = (stored.clone(), history.clone(), revision),
+                1 => {
+                    (stored, history, revision) = copy.clone();
+                    era += 1;
+                }
+                2 | 3 => {
+                    revision += 1;
+                    let name = ["a", "b", "c", "d", "e"][u.int_in_range(0..=4)?];
+                    if u.ratio(1, 3)? && stored.remove(name).is_some() {
+                        history.push(removal(name, revision));
+                    } else {
+                        stored.insert(name.into(), revision);
+                        history.push(put(name, revision));
+                    }
+                }
+                4 => {
+                    let all: Vec<_> = stored.iter().map(|(name, at)| put(name, *at)).collect();
+                    nodes[at].on_update(update_in_era(era, revision, true, &all));
+                }
+                5 if nodes[at].revision().era == era => {
+                    let since = nodes[at].revision().revision;
+                    let newer = history.iter().filter(|change| change.revision > since);
+                    let newer: Vec<_> = newer.cloned().collect();
+                    nodes[at].on_update(update_in_era(era, revision, false, &newer));
+                }
+                6 => {
+                    let from = u.int_in_range(0..=3)?;
+                    let peer = nodes[from].clone();
+                    sync(&mut nodes[at], &peer);
+                }
+                7 => {
+                    let since = Revision(u.int_in_range(0..=revision)?);
+                    in_flight.push(nodes[at].update_since(since));
+                }
+                // An answer that arrives late.
+                _ => {
+                    let known = nodes[at].revision();
+                    let late = in_flight.iter().position(|it| it.revision.era < known.era);
+                    if let Some(late) = late {
+                        let before = entries(&nodes[at]);
+                        assert!(nodes[at].on_update(in_flight.swap_remove(late)).is_empty());
+                        assert_eq!(entries(&nodes[at]), before);
+                    }
+                }
+            }
+        }
+        let all: Vec<_> = stored.iter().map(|(name, at)| put(name, *at)).collect();
+        nodes[0].on_update(update_in_era(era, revision, true, &all));
+        let reference = nodes[0].clone();
+        for node in &mut nodes {
+            sync(node, &reference);
+            assert_eq!(entries(node), stored_entries(&stored));
+            assert_eq!(node.revision(), reference.revision());
+        }
+        Ok(())
+    });
+}
+
+fn stored_entries(stored: &BTreeMap<String, u64>) -> BTreeMap<String, Revision> {
+    let entries = stored.iter();
+    entries
+        .map(|(name, at)| (name.clone(), Revision(*at)))
+        .collect()
+}
+
 fn entries(directory: &Directory) -> BTreeMap<String, Revision> {
     let mut entries = BTreeMap::new();
     // A node that knows nothing gets all entries, or all changes since the first revision.
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -336,7 +336,8 @@
         let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
-        peer.has_table = load.table_revision > 0;
+        // A node of an earlier release states only the revision.
+        peer.has_table = load.table_version > 0 || load.table_revision > 0;
         let (service, key) = (peer.announcement.service, peer.key);
         if load.service != service.as_str() {
             // Its new service will be in its entry in the store.
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -253,7 +253,7 @@
 fn on_frame(node: &Rc<Node>, name: &str, link: &Rc<Link>, now: Time, kind: Option<Kind>) {
     match kind {
         Some(Kind::Load(load)) => {
-            if node.on_peer_revision(now, Revision(load.table_revision)) {
+            if node.on_peer_table(now, load.known_table()) {
                 link.send(Kind::AskTable(true));
             }
             node.fleet.borrow_mut().on_load(now, name, &load);
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cassiashunt_admit::chain_admission::Capacity;
+use cassiashunt_mesh::{KnownTable, StoreRevision};
 use cassiashunt_suspect::{Fingerprint, message::StrikeUpdate as Strikes};
 use cassiashunt_types::prelude::*;
 
@@ -205,9 +206,23 @@
     /// The store's revision of the newest table that the node has read.
     #[prost(uint64, tag = "8")]
     pub(crate) table_revision: u64,
+    /// The store's era of that revision.
+    #[prost(uint64, tag = "9")]
+    pub(crate) table_era: u64,
+    /// The version of the table in force; zero before the first.
+    #[prost(uint64, tag = "10")]
+    pub(crate) table_version: u64,
 }
 
 impl Load {
+    /// Which table the sender has.
+    pub(crate) fn known_table(&self) -> KnownTable {
+        KnownTable {
+            at: StoreRevision::new(self.table_era, Revision(self.table_revision)),
+            version: self.table_version,
+        }
+    }
+
     /// The server's slots and how many are busy; `None` where it accepts no requests.
     pub(crate) fn capacity(&self) -> Option<Capacity> {
         self.is_serving.then(|| Capacity {
@@ -314,6 +329,30 @@
     /// A digest of the known strikes.
     #[prost(fixed64, tag = "3")]
     pub(crate) strikes: u64,
+    /// The store's era of `table`.
+    #[prost(uint64, tag = "4")]
+    pub(crate) table_era: u64,
+    /// The store's era of `entries`.
+    #[prost(uint64, tag = "5")]
+    pub(crate) entries_era: u64,
+    /// The version of the table in force; zero before the first. The store may have lost it.
+    #[prost(uint64, tag = "6")]
+    pub(crate) table_version: u64,
+}
+
+impl KnownState {
+    /// Which table the sender has.
+    pub(crate) fn known_table(&self) -> KnownTable {
+        KnownTable {
+            at: StoreRevision::new(self.table_era, Revision(self.table)),
+            version: self.table_version,
+        }
+    }
+
+    /// The store's position up to which the sender knows all changes of entries.
+    pub(crate) fn known_entries(&self) -> StoreRevision {
+        StoreRevision::new(self.entries_era, Revision(self.entries))
+    }
 }
 
 /// Changes of nodes' entries in the store.
@@ -327,6 +366,9 @@
     pub(crate) is_full: bool,
     #[prost(message, repeated, tag = "3")]
     pub(crate) changes: Vec<EntryRow>,
+    /// The store's era of all revisions of this message.
+    #[prost(uint64, tag = "4")]
+    pub(crate) era: u64,
 }
 
 /// A change of one entry.
@@ -397,15 +439,39 @@
     /// The time that the request stated, by the asker's clock, in microseconds.
     #[prost(uint64, tag = "3")]
     pub(crate) asked_us: u64,
+    /// The store's era of `revision`.
+    #[prost(uint64, tag = "4")]
+    pub(crate) era: u64,
+    /// The version of the sender's table in force. The store may have lost it.
+    #[prost(uint64, tag = "5")]
+    pub(crate) version: u64,
 }
 
 /// The operators' table as it was read from the store.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Table {
+    /// The store had no newer table than this one up to this revision, unless it had lost this one.
     #[prost(uint64, tag = "1")]
     pub(crate) revision: u64,
     #[prost(bytes = "bytes", tag = "2")]
     pub(crate) value: Bytes,
+    /// The store's era of `revision`.
+    #[prost(uint64, tag = "3")]
+    pub(crate) era: u64,
+    /// The operators' version of the table; zero where it can't be decoded.
+    #[prost(uint64, tag = "4")]
+    pub(crate) version: u64,
+}
+
+impl Table {
+    /// The store's position up to which the sender compared this table with the store's.
+    pub(crate) fn at(&self) -> StoreRevision {
+        StoreRevision::new(self.era, Revision(self.revision))
+    }
+
+    pub(crate) fn set_at(&mut self, at: StoreRevision) {
+        (self.era, self.revision) = (at.era, at.revision.0);
+    }
 }
 
 /// A node's request for rate-limit tokens that it lacks.
--- a/crates/sidecar/src/link/state_sync.rs
+++ b/crates/sidecar/src/link/state_sync.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cassiashunt_mesh::{DirectoryUpdate, EntryChange};
+use cassiashunt_mesh::{DirectoryUpdate, EntryChange, StoreRevision};
 use cassiashunt_types::prelude::*;
 
 use super::{EntryChanges, EntryRow, Kind};
@@ -17,12 +17,16 @@
 pub(super) fn on_frame(node: &Rc<Node>, name: &str, kind: Kind, send: impl Fn(Kind) -> bool) {
     match kind {
         Kind::AskTable(_) => {
-            if let Some(table) = node.table_value.borrow().clone() {
-                send(Kind::Table(table));
+            let (in_force, refused) = (&node.table_value, &node.refused_table);
+            for table in [in_force, refused] {
+                if let Some(table) = table.borrow().clone() {
+                    send(Kind::Table(table));
+                }
             }
         }
         Kind::Table(table) => {
-            log::info!(peer:% = name, revision = table.revision; "table-from-peer");
+            log::info!(peer:% = name, era = table.era, revision = table.revision,
+                version = table.version; "table-from-peer");
             apply_table(node, table);
         }
         Kind::AskEntries(since) => {
@@ -31,8 +35,8 @@
         }
         Kind::Entries(row) => {
             let known = node.directory.borrow().revision();
-            log::info!(peer:% = name, era = node.store_era(), known = known.0, at = row.revision;
-                "entries-from-peer");
+            log::info!(peer:% = name, known_era = known.era, known = known.revision.0, era = row.era,
+                at = row.revision; "entries-from-peer");
             apply_entries(node, from_row(row));
         }
         Kind::Strikes(strikes) => {
@@ -52,7 +56,8 @@
         value: change.value.map(Into::into),
     });
     EntryChanges {
-        revision: update.revision.0,
+        era: update.revision.era,
+        revision: update.revision.revision.0,
         is_full: update.is_full,
         changes: changes.collect(),
     }
@@ -65,7 +70,7 @@
         value: change.value.map(|value| value.to_vec()),
     });
     DirectoryUpdate {
-        revision: Revision(row.revision),
+        revision: StoreRevision::new(row.era, Revision(row.revision)),
         is_full: row.is_full,
         changes: changes.collect(),
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use cassiashunt_mesh::{Directory, StopSchedule, Sum, prelude::*};
+use cassiashunt_mesh::{Directory, KnownTable, StopSchedule, StoreRevision, Sum, prelude::*};
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -21,7 +21,7 @@
     quota::Quotas,
     settings::Settings,
     shed::Shedding,
-    store::StoreClient,
+    store::{Lease, StoreClient},
     suspicion::Suspicion,
 };
 
@@ -39,18 +39,23 @@
     pub(crate) incarnation: NodeId,
     /// The table in force; `None` before the first.
     pub(crate) table: RefCell<Option<Rc<SiteTable>>>,
-    /// The store's revision of the newest table that was received, in force or not.
-    pub(crate) table_revision: Cell<Revision>,
-    /// The newest such revision that a peer has read.
-    peer_revision: Cell<Revision>,
+    /// Which tables were received, in force or not.
+    pub(crate) known_table: Cell<KnownTable>,
+    /// The position of the newest table that a peer has read.
+    peer_revision: Cell<StoreRevision>,
     /// When a peer was first known to have a newer table; `None` while none has.
     outdated_since: Cell<Option<Time>>,
-    /// When a peer was last asked for a newer table.
-    table_requested_at: Cell<Option<Time>>,
+    /// When a peer was last asked for a newer table; `None` once one was received.
+    pub(crate) table_requested_at: Cell<Option<Time>>,
     /// Wakes the task that sends reports through the aggregation tree.
     pub(crate) report_now: Notify,
-    /// The newest table as stored, for peers that can't reach the store.
+    /// The table in force as stored, for peers that can't reach the store or that the store has
+    /// lost it for.
     pub(crate) table_value: RefCell<Option<Table>>,
+    /// The store's newest item, if it can't be decoded here.
+    pub(crate) refused_table: RefCell<Option<Table>>,
+    /// The version of a peer's table that can't be decoded here, so that it is not requested again.
+    pub(crate) refused_version: Cell<u64>,
     /// The store does not answer this node.
     pub(crate) is_store_lost: Cell<bool>,
     pub(crate) freshness: RefCell<Freshness>,
@@ -93,10 +98,10 @@
     pub(crate) store_regained: Notify,
     /// Whether this node's entry was removed from the store or replaced by another writer.
     pub(crate) is_entry_lost: Cell<bool>,
-    /// The entry that this node last wrote, or is writing, and the revision of its last write.
-    pub(crate) own_entry: RefCell<(Revision, Vec<u8>)>,
+    /// The entry that this node last wrote, or is writing, and the position of its last write.
+    pub(crate) own_entry: RefCell<(StoreRevision, Vec<u8>)>,
     /// The lease of this node's entry in the store.
-    pub(crate) lease: Cell<Option<u64>>,
+    pub(crate) lease: Cell<Option<Lease>>,
     /// Wakes the task that keeps this node's entry in the store.
     pub(crate) announce: Notify,
 }
@@ -112,12 +117,14 @@
             store,
             incarnation: NodeId::random(),
             table: RefCell::new(None),
-            table_revision: Cell::new(Revision(0)),
-            peer_revision: Cell::new(Revision(0)),
+            known_table: Cell::default(),
+            peer_revision: Cell::default(),
             outdated_since: Cell::new(None),
             table_requested_at: Cell::new(None),
             report_now: Notify::new(),
             table_value: RefCell::new(None),
+            refused_table: RefCell::new(None),
+            refused_version: Cell::new(0),
             is_store_lost: Cell::new(false),
             freshness: RefCell::new(Freshness::new(bound)),
             was_fresh: Cell::new(false),
@@ -170,9 +177,9 @@
         self.table.borrow().clone()
     }
 
-    /// The store's era, as far as this node knows.
-    pub(crate) fn store_era(&self) -> u64 {
-        self.store.era()
+    /// Records the store's era as known to a peer, whose state of that era was applied.
+    pub(crate) fn on_peer_era(&self, era: u64) {
+        self.store.on_era(era);
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -188,8 +195,11 @@
     /// This node's proof that its table is the newest, for peers.
     pub(crate) fn proof(&self, now: Time, asked_us: u64) -> Option<Proof> {
         let age = self.freshness.borrow().age(now)?;
+        let KnownTable { at, version } = self.known_table.get();
         Some(Proof {
-            revision: self.table_revision.get().0,
+            revision: at.revision.0,
+            era: at.era,
+            version,
             age_us: crate::clock::micros(age),
             asked_us,
         })
@@ -199,39 +209,47 @@
     /// may have been delayed.
     pub(crate) fn on_proof(&self, now: Time, proof: &Proof) {
         let asked = Time::from_micros(proof.asked_us);
-        if asked <= now && proof.revision == self.table_revision.get().0 {
+        let peer = KnownTable {
+            at: StoreRevision::new(proof.era, Revision(proof.revision)),
+            version: proof.version,
+        };
+        if asked <= now && self.known_table.get().is_proven_by(peer) {
             let proven = asked.before(Duration::from_micros(proof.age_us));
             self.freshness.borrow_mut().prove(proven);
         }
     }
 
     /// Records which table a peer has. Returns whether to ask the peer for it.
-    pub(crate) fn on_peer_revision(&self, now: Time, revision: Revision) -> bool {
-        if revision > self.peer_revision.get() {
-            self.peer_revision.set(revision);
-        }
-        if !self.is_outdated() {
+    pub(crate) fn on_peer_table(&self, now: Time, peer: KnownTable) -> bool {
+        self.peer_revision
+            .set(self.peer_revision.get().max(peer.at));
+        if self.is_outdated() {
+            let since = self.outdated_since.get().unwrap_or(now);
+            self.outdated_since.set(Some(since));
+            if now.since(since) >= PEER_TABLE_TIMEOUT {
+                self.prove_now.notify_one();
+            }
+        } else {
             self.outdated_since.set(None);
-            self.table_requested_at.set(None);
-            return false;
-        }
-        let since = self.outdated_since.get().unwrap_or(now);
-        self.outdated_since.set(Some(since));
-        if now.since(since) >= PEER_TABLE_TIMEOUT {
-            self.prove_now.notify_one();
         }
         let requested_at = self.table_requested_at.get();
         let is_due = requested_at.is_none_or(|asked| now.since(asked) >= TABLE_REQUEST_INTERVAL);
-        let is_requested = revision > self.table_revision.get() && is_due;
+        let is_refused = peer.version <= self.refused_version.get();
+        let usable = KnownTable {
+            version: if is_refused { 0 } else { peer.version },
+            ..peer
+        };
+        let is_requested = self.known_table.get().is_behind(usable) && is_due;
         if is_requested {
             self.table_requested_at.set(Some(now));
         }
         is_requested
     }
 
-    /// Whether a peer has a newer table.
+    /// Whether a peer has read a newer table from the store. One that only a peer has, because the
+    /// store has lost it, is no reason to ask the store.
     pub(crate) fn is_outdated(&self) -> bool {
-        self.peer_revision.get() > self.table_revision.get()
+        self.peer_revision.get() > self.known_table.get().at
     }
 
     /// Divides the limits of the table in force among the live nodes.
@@ -250,7 +268,8 @@
         if self.was_fresh.replace(is_fresh) != is_fresh {
             let age = self.freshness.borrow().age(now);
             log::warn!(fresh = is_fresh, proof_age_ms = age.map_or(0, crate::clock::millis),
-                table_revision = self.table_revision.get().0; "keys-fresh");
+                era = self.known_table.get().at.era,
+                table_revision = self.known_table.get().at.revision.0; "keys-fresh");
         }
         is_fresh
     }
@@ -280,16 +299,22 @@
                 .shedding
                 .pace(&self.settings().name)
                 .unwrap_or_default() as f32,
-            table_revision: self.table_revision.get().0,
+            table_revision: self.known_table.get().at.revision.0,
+            table_era: self.known_table.get().at.era,
+            table_version: self.known_table.get().version,
         }
     }
 
     /// Which state this node holds, for comparison by peers.
     pub(crate) fn known_state(&self) -> KnownState {
+        let (table, entries) = (self.known_table.get(), self.directory.borrow().revision());
         KnownState {
-            table: self.table_revision.get().0,
-            entries: self.directory.borrow().revision().0,
+            table: table.at.revision.0,
+            entries: entries.revision.0,
             strikes: self.suspicion.digest(crate::clock::now()),
+            table_era: table.at.era,
+            entries_era: entries.era,
+            table_version: table.version,
         }
     }
 
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -5,7 +5,7 @@
 use cassiashunt_adapter::{
     TxnOutcome, decode_lease, decode_txn, end_lease, new_lease, node_key, renew_lease, txn,
 };
-use cassiashunt_mesh::prelude::*;
+use cassiashunt_mesh::{StoreRevision, prelude::*};
 use cassiashunt_types::prelude::*;
 use tokio::time::timeout;
 
@@ -21,15 +21,38 @@
 /// How long the first entry waits for the server's first heartbeat; servers send one every 1.5 s.
 const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The known state of this node's entry.
+/// A lease, which holds in one era of the store only: after a restore its id may be another's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Lease {
+    era: u64,
+    id: u64,
+}
+
+/// The known state of this node's entry, in one era of the store.
 #[derive(Default)]
 struct OwnEntry {
+    era: u64,
     lease: Option<u64>,
     /// The entry's revision; `None` before the first write and after a failed one.
     revision: Option<Revision>,
     written: Option<Announcement>,
 }
 
+impl OwnEntry {
+    /// Forgets what was written in another era: a restore may have lost it. Returns whether the
+    /// known state is of this era.
+    fn enter_era(&mut self, era: u64) -> bool {
+        let is_same = self.era == era;
+        if !is_same {
+            *self = Self {
+                era,
+                ..Self::default()
+            };
+        }
+        is_same
+    }
+}
+
 /// Keeps the entry written and its lease renewed.
 pub(crate) async fn announce(node: Rc<Node>, store: Rc<StoreClient>) {
     let mut entry = OwnEntry::default();
@@ -47,8 +70,11 @@
                 node.jittered(backoff(failures), 1.0)
             }
         };
-        // The next step is the same whether notified or timed out.
-        let _ = timeout(delay, node.announce.notified()).await;
+        tokio::select! {
+            () = tokio::time::sleep(delay) => {}
+            () = node.announce.notified() => {}
+            () = store.restored() => {}
+        }
     }
 }
 
@@ -61,9 +87,12 @@
 }
 
 /// Removes the entry at a graceful stop by ending its lease.
-pub(crate) async fn withdraw(store: &StoreClient, lease: u64) -> Result<(), CallError> {
+pub(crate) async fn withdraw(store: &StoreClient, lease: Lease) -> Result<(), CallError> {
+    if lease.era != store.era() {
+        return Err(CallError::Restored);
+    }
     store
-        .call(&end_lease(lease), CALL_TIMEOUT)
+        .call(&end_lease(lease.id), CALL_TIMEOUT)
         .await
         .map(|_| ())
 }
@@ -77,18 +106,27 @@
         // Peers learn of the stop over their links; the entry is removed with its lease.
         return Ok(());
     }
-    let lease = match entry.lease {
-        Some(lease) if renew(store, lease).await? => lease,
-        _ => {
+    entry.enter_era(store.era());
+    let renewed = match entry.lease {
+        Some(lease) => renew(store, entry, lease).await?.then_some(lease),
+        None => None,
+    };
+    let lease = match renewed {
+        Some(lease) => lease,
+        None => {
             entry.written = None;
             wait_for_first_heartbeat(node).await;
             let call = new_lease(
                 ENTRY_LEASE.max(Duration::from_millis(node.settings().store.min_lease_ms)),
             );
-            let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
-            let (lease, _) = decode_lease(status, &body)?;
+            let answer = store.call(&call, CALL_TIMEOUT).await?;
+            let (lease, _) = decode_lease(answer.status, &answer.body)?;
+            entry.enter_era(answer.era);
             entry.lease = Some(lease);
-            node.lease.set(Some(lease));
+            node.lease.set(Some(Lease {
+                era: answer.era,
+                id: lease,
+            }));
             lease
         }
     };
@@ -111,10 +149,12 @@
     Ok(())
 }
 
-async fn renew(store: &StoreClient, lease: u64) -> Result<bool, CallError> {
-    let (status, _) = store.call(&renew_lease(lease), CALL_TIMEOUT).await?;
-    match status {
-        200 => Ok(true),
+/// Renews the lease. Returns `false` if it has ended, or if the store has been restored since it was
+/// granted.
+async fn renew(store: &StoreClient, entry: &mut OwnEntry, lease: u64) -> Result<bool, CallError> {
+    let answer = store.call(&renew_lease(lease), CALL_TIMEOUT).await?;
+    match answer.status {
+        200 => Ok(entry.enter_era(answer.era)),
         404 => Ok(false),
         other => Err(cassiashunt_adapter::StoreError::Status(other).into()),
     }
@@ -135,11 +175,17 @@
     let value = serde_json::to_vec(&announcement).unwrap_or_default();
     let call = txn(&[(&key, revision)], &[(&key, &value, lease)]);
     node.own_entry.borrow_mut().1 = value;
-    let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
-    match decode_txn(status, &body)? {
+    let answer = store.call(&call, CALL_TIMEOUT).await?;
+    let outcome = decode_txn(answer.status, &answer.body)?;
+    if !entry.enter_era(answer.era) {
+        // The entry may now hang on a lease of another node.
+        node.announce.notify_one();
+        return Ok(());
+    }
+    match outcome {
         TxnOutcome::Committed(revision) => {
             entry.revision = Some(revision);
-            node.own_entry.borrow_mut().0 = revision;
+            node.own_entry.borrow_mut().0 = StoreRevision::new(entry.era, revision);
             entry.written = Some(announcement);
         }
         TxnOutcome::Conflict(items) => {
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use cassiashunt_adapter::{Call, StoreError, decode_era};
 use cassiashunt_types::Time;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpStream, sync::Notify, time::timeout};
 
 use super::CALL_TIMEOUT;
 use crate::{
@@ -28,6 +28,10 @@
 pub(crate) enum CallError {
     /// The watch was abandoned to be started again.
     Abandoned,
+    /// The answer is of an earlier era than one that is known.
+    OlderEra,
+    /// The store has been restored from a copy since the state that the call refers to was read.
+    Restored,
     /// No answer arrived in time; the call may have been executed, or may still be.
     TimedOut,
     /// The connection could not be opened.
@@ -42,6 +46,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Abandoned => f.write_str("abandoned to start a new watch"),
+            Self::OlderEra => f.write_str("an answer from before the store was restored"),
+            Self::Restored => f.write_str("the store was restored"),
             Self::TimedOut => f.write_str("no answer in time"),
             Self::Unreachable(err) => write!(f, "unreachable: {err}"),
             Self::Lost(err) => write!(f, "connection lost: {err}"),
@@ -58,14 +64,24 @@
     }
 }
 
+/// An answer of the store.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// The era in which the store carried out the call.
+    pub(crate) era: u64,
+    pub(crate) status: u16,
+    pub(crate) body: Bytes,
+}
+
 /// An HTTP client of the store with kept-alive connections.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     last_answer: Cell<Option<Time>>,
-    /// The highest era of an answer; `None` before the first answer.
+    /// The highest known era; `None` before the first answer.
     era: Cell<Option<u64>>,
+    restored: Notify,
 }
 
 impl StoreClient {
@@ -75,6 +91,7 @@
             idle: RefCell::new(Vec::new()),
             last_answer: Cell::new(None),
             era: Cell::new(None),
+            restored: Notify::new(),
         }
     }
 
@@ -83,32 +100,35 @@
         self.last_answer.get()
     }
 
-    /// The store's era, as far as this node knows from answers.
+    /// The store's era, as far as this node knows.
     pub(crate) fn era(&self) -> u64 {
         self.era.get().unwrap_or_default()
     }
 
-    fn on_era(&self, era: u64) {
+    /// Records an era that the store has reached, as stated by an answer or known to a peer.
+    pub(crate) fn on_era(&self, era: u64) {
         let known = self.era.replace(self.era.get().max(Some(era)));
         if let Some(known) = known
             && known < era
         {
             log::warn!(known = known, era = era; "store-restored");
+            self.restored.notify_waiters();
         }
     }
 
-    /// Makes one call and returns status and body. A connection on which no answer arrives in time
-    /// is closed and not reused.
-    pub(crate) async fn call(
-        &self,
-        call: &Call,
-        limit: Duration,
-    ) -> Result<(u16, Bytes), CallError> {
+    /// Resolves when the store is next known to have been restored from a copy.
+    pub(crate) async fn restored(&self) {
+        self.restored.notified().await;
+    }
+
+    /// Makes one call. An answer of an earlier era than the known one is a failure. A connection on
+    /// which no answer arrives in time is closed and not reused.
+    pub(crate) async fn call(&self, call: &Call, limit: Duration) -> Result<Answer, CallError> {
         let began = crate::clock::now();
         let exchanged = timeout(limit, self.exchange(call)).await;
         let exchanged = exchanged.unwrap_or(Err(CallError::TimedOut));
         let end = match &exchanged {
-            Ok((status, _)) if *status < 500 && *status != 429 => "answered",
+            Ok(answer) if answer.status < 500 && answer.status != 429 => "answered",
             Ok(_) => "refused",
             Err(CallError::TimedOut) => "silent",
             Err(_) => "lost",
@@ -121,19 +141,27 @@
         exchanged
     }
 
-    async fn exchange(&self, call: &Call) -> Result<(u16, Bytes), CallError> {
+    async fn exchange(&self, call: &Call) -> Result<Answer, CallError> {
         let mut connection = self.connection().await?;
         let request = self.encode(call);
         let exchanged = connection.exchange_head(&request, call.method).await;
         let (head, _) = exchanged.map_err(CallError::Lost)?;
-        self.on_era(decode_era(head.pairs()));
+        let era = decode_era(head.pairs());
+        self.on_era(era);
         let body = connection.read_body(head.framing, MAX_ANSWER_BYTES).await;
         let body = body.map_err(CallError::Lost)?;
+        if era < self.era() {
+            return Err(CallError::OlderEra);
+        }
         let mut idle = self.idle.borrow_mut();
         if head.keep_alive && !connection.has_leftover() && idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(connection);
         }
-        Ok((head.status, body))
+        Ok(Answer {
+            era,
+            status: head.status,
+            body,
+        })
     }
 
     async fn connection(&self) -> Result<Connection, CallError> {
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use cassiashunt_adapter::{
-    CONFIG_PREFIX, Change, TxnOutcome, config_key, decode_listing, decode_table, decode_txn, range,
-    txn,
+    CONFIG_PREFIX, Change, Item, TxnOutcome, config_key, decode_listing, decode_table, decode_txn,
+    range, txn,
 };
-use cassiashunt_mesh::ProofPace;
+use cassiashunt_mesh::{KnownTable, ProofPace, StoreRevision};
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
@@ -160,102 +160,162 @@
 /// while the store has accepted no newer table; a conflict returns the newer one.
 async fn prove_once(node: &Rc<Node>, store: &StoreClient) -> Result<(), CallError> {
     let asked = clock::now();
-    let revision = node.table_revision.get();
-    let call = txn(&[(config_key(), revision)], &[]);
-    let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
-    match decode_txn(status, &body)? {
-        TxnOutcome::Committed(_) => {}
-        TxnOutcome::Conflict(items) => {
-            let found = items.into_iter().find(|item| item.key == config_key());
-            if let Some(item) = found {
-                apply(node, item.revision, item.value.into());
-            }
-        }
-        TxnOutcome::NoLease => return Ok(()),
+    let known = node.known_table.get().at;
+    if known.era < store.era() {
+        return read_config(node, store).await.map(|_| ());
     }
-    if node.table_revision.get() >= revision {
-        node.freshness.borrow_mut().prove(asked);
+    let call = txn(&[(config_key(), known.revision)], &[]);
+    let answer = store.call(&call, CALL_TIMEOUT).await?;
+    match decode_txn(answer.status, &answer.body)? {
+        TxnOutcome::Committed(_) if answer.era == known.era => {}
+        // The revision may have been given out again for another table.
+        TxnOutcome::Committed(_) => return read_config(node, store).await.map(|_| ()),
+        TxnOutcome::Conflict(items) => on_items(node, answer.era, items),
+        TxnOutcome::NoLease => return Ok(()),
     }
+    node.freshness.borrow_mut().prove(asked);
     Ok(())
 }
 
 /// Reads the table and returns the store's revision at that time, to watch from. A watch from the
 /// table's own revision would be refused once the store has discarded that part of its history.
-async fn read_config(node: &Rc<Node>, store: &StoreClient) -> Result<Revision, CallError> {
+async fn read_config(node: &Rc<Node>, store: &StoreClient) -> Result<StoreRevision, CallError> {
     let asked = clock::now();
     let call = range(config_key(), None);
-    let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
-    let listing = decode_listing(status, &body)?;
-    let found = listing
-        .items
-        .into_iter()
-        .find(|item| item.key == config_key());
-    if let Some(item) = found {
-        apply(node, item.revision, item.value.into());
+    let answer = store.call(&call, CALL_TIMEOUT).await?;
+    let listing = decode_listing(answer.status, &answer.body)?;
+    on_items(node, answer.era, listing.items);
+    if node.known_table.get().version > 0 {
         node.freshness.borrow_mut().prove(asked);
     }
     node.table_read.notify_one();
-    Ok(listing.at)
+    Ok(StoreRevision::new(answer.era, listing.at))
+}
+
+/// Applies the table among the store's current items. A copy from which the store was restored may
+/// have none; the table in force then stays.
+fn on_items(node: &Node, era: u64, items: Vec<Item>) {
+    match items.into_iter().find(|item| item.key == config_key()) {
+        Some(item) => apply_item(node, era, item),
+        None => {
+            let at = StoreRevision::new(era, Revision(0));
+            if record_item(node, at) {
+                confirm_in_force(node);
+            }
+        }
+    }
 }
 
 async fn watch_config(
     node: &Rc<Node>,
     store: &StoreClient,
-    after: Revision,
-) -> Result<Revision, CallError> {
+    after: StoreRevision,
+) -> Result<StoreRevision, CallError> {
     let (changes, at) = watch(node, store, CONFIG_PREFIX, after, WATCH_TIMEOUT).await?;
     for change in changes {
         if let Change::Put(item) = change
             && item.key == config_key()
         {
-            apply(node, item.revision, item.value.into());
+            apply_item(node, at.era, item);
         }
     }
     Ok(at)
 }
 
-/// Applies a table received from a peer.
-pub(crate) fn apply_table(node: &Node, table: Table) {
-    apply(node, Revision(table.revision), table.value);
+fn apply_item(node: &Node, era: u64, item: Item) {
+    let at = StoreRevision::new(era, item.revision);
+    let known = node.known_table.get().at;
+    if record_item(node, at) {
+        apply(node, at, item.value.into());
+    } else if at < known {
+        log_older(at, 0, node.known_table.get());
+    }
 }
 
-/// Puts a newer table in force. One that can't be decoded only updates the revision, so that it is
-/// not fetched again.
-fn apply(node: &Node, revision: Revision, value: Bytes) {
-    let known = node.table_revision.get();
-    if revision <= known {
-        if revision < known {
-            log::info!(era = node.store_era(), revision = revision.0, known_revision = known.0;
-                "table-older");
+/// Applies a table received from a peer. It may be in force there without being the store's newest,
+/// if the store has lost it.
+pub(crate) fn apply_table(node: &Node, table: Table) {
+    let at = table.at();
+    node.on_peer_era(at.era);
+    let is_newest = record_item(node, at);
+    let known = node.known_table.get();
+    if is_newest || table.version > known.version {
+        apply(node, at, table.value);
+        if node.known_table.get().version < table.version {
+            node.refused_version.set(table.version);
         }
-        return;
+    } else if at < known.at {
+        log_older(at, table.version, known);
     }
-    node.table_revision.set(revision);
-    let decoded = decode_table(&value);
-    *node.table_value.borrow_mut() = Some(Table {
-        revision: revision.0,
-        value,
-    });
-    let table = match decoded {
+}
+
+/// Records the position of an item. Returns whether it is the newest so far.
+fn record_item(node: &Node, at: StoreRevision) -> bool {
+    let mut known = node.known_table.get();
+    let is_newest = known.on_item(at);
+    if is_newest {
+        node.known_table.set(known);
+        node.table_requested_at.set(None);
+        *node.refused_table.borrow_mut() = None;
+        node.report_now.notify_one();
+    }
+    is_newest
+}
+
+/// Puts a table in force unless the one in force is as new by the operators' version.
+fn apply(node: &Node, at: StoreRevision, value: Bytes) {
+    let table = match decode_table(&value) {
         Ok(table) => table,
         Err(err) => {
-            log::error!(revision = revision.0, reason:% = err; "table-refused");
+            log::error!(era = at.era, revision = at.revision.0, reason:% = err; "table-refused");
+            let mut refused = Table {
+                value,
+                ..Table::default()
+            };
+            refused.set_at(at);
+            *node.refused_table.borrow_mut() = Some(refused);
             return;
         }
     };
-    let known_version = node.table().map_or(0, |table| table.version);
-    if table.version <= known_version {
-        log::warn!(era = node.store_era(), revision = revision.0, version = table.version,
-            known = known_version; "table-older");
+    let mut known = node.known_table.get();
+    if !known.on_table(table.version) {
+        log_older(at, table.version, known);
+        confirm_in_force(node);
         return;
     }
-    log::info!(era = node.store_era(), version = table.version, revision = revision.0,
+    node.known_table.set(known);
+    node.table_requested_at.set(None);
+    log::info!(version = table.version, era = at.era, revision = at.revision.0,
         routes = table.routes().len(), workspaces = table.workspaces().len(); "table-in-force");
+    let mut in_force = Table {
+        version: table.version,
+        value,
+        ..Table::default()
+    };
+    in_force.set_at(at);
+    *node.table_value.borrow_mut() = Some(in_force);
     *node.table.borrow_mut() = Some(Rc::new(table));
+    if node.refused_table.borrow().is_none() {
+        confirm_in_force(node);
+    }
     node.set_limits();
     node.report_now.notify_one();
 }
 
+/// Records that the table in force was compared with the newest item of the store, so that peers
+/// which receive it need not read that item.
+fn confirm_in_force(node: &Node) {
+    if let Some(table) = node.table_value.borrow_mut().as_mut() {
+        table.set_at(node.known_table.get().at);
+    }
+}
+
+fn log_older(at: StoreRevision, version: u64, known: KnownTable) {
+    log::info!(era = at.era, revision = at.revision.0, version = version,
+        known_era = known.at.era, known_revision = known.at.revision.0, known = known.version;
+        "table-older");
+}
+
 async fn sleep_jittered(node: &Node, span: Duration) {
     tokio::time::sleep(node.jittered(span, JITTER_FRACTION)).await;
 }
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use cassiashunt_adapter::{Change, Item, decode_listing, node_prefix, range};
-use cassiashunt_mesh::{DirectoryUpdate, EntryChange, prelude::*};
+use cassiashunt_mesh::{DirectoryUpdate, EntryChange, StoreRevision, prelude::*};
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
@@ -88,11 +88,14 @@
     let mut first_at = None;
     loop {
         let call = range(node_prefix(), after.as_deref());
-        let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
-        let page = decode_listing(status, &body)?;
+        let answer = store.call(&call, CALL_TIMEOUT).await?;
+        let page = decode_listing(answer.status, &answer.body)?;
         // Pages are not a consistent snapshot; a watch from the first page's revision delivers the
         // changes made while they are read.
-        first_at.get_or_insert(page.at);
+        let at = *first_at.get_or_insert(StoreRevision::new(answer.era, page.at));
+        if at.era != answer.era {
+            return Err(CallError::Restored);
+        }
         changes.extend(page.items.into_iter().filter_map(put_change));
         after = page.next_after;
         if after.is_none() {
@@ -145,12 +148,14 @@
 
 /// Applies entries that this node or another read from the store.
 pub(crate) fn apply_entries(node: &Rc<Node>, update: DirectoryUpdate) {
+    node.on_peer_era(update.revision.era);
+    let era = update.revision.era;
     let before = node.directory.borrow().revision();
     let changes = node.directory.borrow_mut().on_update(update);
     for change in &changes {
         match &change.value {
             Some(value) if change.name == node.settings().name => {
-                on_own_put(node, change.revision, value);
+                on_own_put(node, StoreRevision::new(era, change.revision), value);
             }
             Some(value) => on_put(node, &change.name, value),
             None => on_removed(node, &change.name),
@@ -178,15 +183,15 @@
 }
 
 /// Handles a write of this node's own entry, which is written again if it was not this node's.
-fn on_own_put(node: &Rc<Node>, revision: Revision, value: &[u8]) {
+fn on_own_put(node: &Rc<Node>, at: StoreRevision, value: &[u8]) {
     let is_replaced = {
         let own_entry = node.own_entry.borrow();
-        let (own_revision, own_value) = &*own_entry;
+        let (own_at, own_value) = &*own_entry;
         // The entry of an earlier start is known before the first write.
-        !own_value.is_empty() && revision > *own_revision && value != own_value
+        !own_value.is_empty() && at > *own_at && value != own_value
     };
     if is_replaced {
-        log::warn!(revision = revision.0; "entry-replaced");
+        log::warn!(era = at.era, revision = at.revision.0; "entry-replaced");
         node.is_entry_lost.set(true);
         node.announce.notify_one();
     }
--- a/crates/sidecar/src/store/persisted.rs
+++ b/crates/sidecar/src/store/persisted.rs
@@ -38,11 +38,16 @@
 pub(crate) async fn keep_persisted(node: Rc<Node>, store: Rc<StoreClient>) {
     read(&node, &store).await;
     let (mut written_at, mut written_strikes) = (clock::now(), Vec::new());
+    let mut written_era = store.era();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = clock::now();
         let strikes = node.suspicion.suspected(now);
         let strike_keys: Vec<_> = strikes.iter().map(strike_key).collect();
+        if store.era() != written_era {
+            // What was written may be lost.
+            (written_era, written_strikes) = (store.era(), Vec::new());
+        }
         let is_due = strike_keys != written_strikes || now.since(written_at) >= WRITE_INTERVAL;
         if !is_due || !is_among_first_heads(&node, 1) {
             continue;
@@ -52,7 +57,7 @@
             continue;
         }
         match write(&store, &Persisted { costs, strikes }).await {
-            Ok(()) => (written_at, written_strikes) = (now, strike_keys),
+            Ok(era) => (written_at, written_strikes, written_era) = (now, strike_keys, era),
             Err(err) => log::info!(reason:% = err; "memory-unwritten"),
         }
     }
@@ -75,7 +80,7 @@
         let answer = store
             .call(&get_stale(saved_state_key()), CALL_TIMEOUT)
             .await;
-        let read = answer.and_then(|(status, body)| Ok(decode_item(status, &body)?));
+        let read = answer.and_then(|answer| Ok(decode_item(answer.status, &answer.body)?));
         match read {
             Ok(None) => return,
             Ok(Some(item)) => return restore(node, &item.value),
@@ -102,11 +107,12 @@
     }
 }
 
-async fn write(store: &StoreClient, persisted: &Persisted) -> eyre::Result<()> {
+/// Writes the state and returns the store's era in which it holds.
+async fn write(store: &StoreClient, persisted: &Persisted) -> eyre::Result<u64> {
     let value = serde_json::to_vec(persisted)?;
     // The last writer wins; any node's summary is good enough.
     let call = txn(&[], &[(saved_state_key(), &value, 0)]);
-    let (status, body) = store.call(&call, CALL_TIMEOUT).await?;
-    decode_txn(status, &body)?;
-    Ok(())
+    let answer = store.call(&call, CALL_TIMEOUT).await?;
+    decode_txn(answer.status, &answer.body)?;
+    Ok(answer.era)
 }
--- a/crates/sidecar/src/tree.rs
+++ b/crates/sidecar/src/tree.rs
@@ -220,11 +220,17 @@
     if let Some(strikes) = node.suspicion.strikes_for(now, name, known.strikes) {
         ask(Kind::Strikes(strikes));
     }
-    if node.on_peer_revision(now, Revision(known.table)) {
+    if node.on_peer_table(now, known.known_table()) {
         ask(Kind::AskTable(true));
     }
-    let own = node.directory.borrow().revision();
-    if Revision(known.entries) > own {
-        ask(Kind::AskEntries(own.0));
+    let (own, peer) = (node.directory.borrow().revision(), known.known_entries());
+    if peer > own {
+        // Revisions of an older era are not comparable with the peer's: it sends all entries.
+        let is_same_era = peer.era == own.era;
+        ask(Kind::AskEntries(if is_same_era {
+            own.revision.0
+        } else {
+            0
+        }));
     }
 }
