Test overlapping stops with clients of random timing

120 clients send one request each at two nodes that stop within 0.9 s of one another: at random times up to 6.8 s after SIGTERM, in up to three pieces, with random time limits and a random time of work at the servers. The check is the one of the other tests of a stop.

`SEED` repeats a run; without it the seed is random and printed on failure.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -102,7 +102,7 @@
 }
 
 fn sleep_until(began: Instant, at: Duration) {
-    thread::sleep(at.saturating_sub(began.elapsed()));
+    thread::sleep((began + at).saturating_duration_since(Instant::now()));
 }
 
 /// Clients that send on new connections, one request after the other, until the node is gone.
@@ -454,3 +454,88 @@
     assert_eq!(answer.expect("no answer from the node").status, 200);
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
+
+/// A client that sends one request, at a random time and in random pieces.
+struct RandomClient {
+    node: usize,
+    at: Duration,
+    request: Request,
+    /// The request arrives in this many pieces, with a pause between them.
+    pieces: usize,
+    pause: Duration,
+}
+
+impl RandomClient {
+    fn new(rng: &mut fastrand::Rng) -> Self {
+        let request = if rng.bool() {
+            read("desk")
+        } else {
+            write("desk")
+        };
+        Self {
+            node: rng.usize(..2),
+            at: ms(rng.u64(..6_800)),
+            request: Request {
+                timeout_ms: rng.u64(200..4_000),
+                ..request
+            },
+            pieces: rng.usize(1..4),
+            pause: ms(rng.u64(..600)),
+        }
+    }
+
+    fn send(self, node: SocketAddr, began: Instant) -> Option<Fate> {
+        sleep_until(began, self.at);
+        // The node may have ended.
+        let mut stream = open(node).ok()?;
+        let bytes = self.request.encode();
+        let pieces: Vec<_> = bytes.chunks(bytes.len().div_ceil(self.pieces)).collect();
+        Some(Fate {
+            limit: ms(self.request.timeout_ms),
+            ..send(&mut stream, &self.request, &pieces, self.pause, began)
+        })
+    }
+}
+
+/// Two nodes stop at nearly the same time, one of them the owner of a server that the other uses. The
+/// variable `SEED` sets the schedule.
+#[test]
+fn overlapping_stops_lose_no_request_of_random_clients() {
+    let seed = std::env::var("SEED").ok().and_then(|it| it.parse().ok());
+    let seed = seed.unwrap_or_else(|| fastrand::u64(..));
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut site = Site::start("stop-random", &["shop", "desk", "desk", "desk"]);
+    // Longer than any client's time limit.
+    site.put_table(&table_with_timeout(ms(4_000)));
+    thread::sleep(ms(1_500));
+    let work = ms(rng.u64(50..1_400));
+    for member in &site.members[1..] {
+        member.server.set_usual(Behaviour::Slow(work));
+    }
+    let first = Instant::now();
+    let began = [first, first + ms(rng.u64(..900))];
+    let nodes = [site.members[0].requests, site.members[1].requests];
+    let clients: Vec<_> = (0..120)
+        .map(|_| {
+            let client = RandomClient::new(&mut rng);
+            let at = client.node;
+            thread::spawn(move || (at, client.send(nodes[at], began[at])))
+        })
+        .collect();
+    for (member, began) in site.members.iter().zip(began) {
+        sleep_until(began, Duration::ZERO);
+        member.node.signal("-TERM");
+    }
+    for member in &mut site.members[..2] {
+        assert_eq!(member.node.wait(), Some(0));
+    }
+    let fates = clients.into_iter().map(|it| it.join());
+    let fates: Vec<_> = fates.map(|it| it.expect("a client panicked")).collect();
+    let broken = began.into_iter().enumerate().flat_map(|(at, began)| {
+        let own = fates.iter().filter(|(node, _)| *node == at);
+        let own = own.filter_map(|(_, fate)| fate.clone()).collect();
+        broken_rules(&with_runs(&site, own, work, began))
+    });
+    let broken: Vec<_> = broken.collect();
+    assert!(broken.is_empty(), "SEED={seed}:\n{}", broken.join("\n"));
+}
