Give calls of a stopping node's server no more time than is left

What callers saw: a call that a run makes late in a stop was passed on with its whole time limit, which may end after the stop. Its server would still be at work when the node gives it up.

The cause: calls of runs that are still at work are exempt from the refusal of late requests, since their parents were taken before; their time limit was left as it was.

The evidence: site_stop.rs, calls_of_a_run_are_served_while_its_node_stops, with the new assertion, on the code before:

its server may work on it for 6.420815585s

Why this fix works: such a call gets the latest time limit that the schedule allows, so its server stops by itself in time, and the call is answered before the stop gives up. The parent ends with the node anyway.

A consequence: an owner that expects the call to take longer than that refuses it, not run. The last call is now one that its owner expects to end in time.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -435,13 +435,23 @@
     let mut site = Site::start("stop-calls", &["shop", "desk"]);
     site.put_table(&table_with_timeout(ms(8_000)));
     thread::sleep(ms(1_500));
+    let call = |target| ("shop.example", target);
     let calls = [
-        ("shop.example", "/desk/call/1"),
-        ("shop.example", "/desk/call/2"),
+        "/desk/call/1",
+        "/desk/call/2",
+        "/desk/call/3",
+        "/desk/call/4",
     ];
+    let calls: Vec<_> = calls
+        .into_iter()
+        .chain(["/desk/call/last"])
+        .map(call)
+        .collect();
     site.members[0].server.set_calls(&calls);
-    // The second call is made later than 2.8 s after SIGTERM.
-    site.members[1].server.do_next(Behaviour::Slow(ms(2_900)));
+    // The last call is made 3.4 s after SIGTERM.
+    for _ in 0..4 {
+        site.members[1].server.do_next(Behaviour::Slow(ms(850)));
+    }
     let request = Request {
         timeout_ms: 8_000,
         ..write("shop")
@@ -449,9 +459,22 @@
     let (ingress, bytes) = (site.members[1].requests, request.encode());
     let client = thread::spawn(move || ask(&mut open(ingress)?, &bytes));
     eventually("the request runs", || site.runs_of(&request) == 1);
+    let began = Instant::now();
     site.members[0].node.signal("-TERM");
     let answer = client.join().expect("the client panicked");
     assert_eq!(answer.expect("no answer from the node").status, 200);
+    let runs = site.members[1].server.runs();
+    let call = runs
+        .iter()
+        .find(|it| it.first_line.contains("/desk/call/last"));
+    let call = call.expect("the last call did not run");
+    let limit = call.header("x-timeout-ms").and_then(|it| it.parse().ok());
+    let limit = ms(limit.expect("no valid x-timeout-ms header"));
+    let stops_by = call.at.saturating_duration_since(began) + limit;
+    assert!(
+        stops_by < GRACE,
+        "its server may work on it for {stops_by:?}"
+    );
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
 
--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -63,10 +63,17 @@
         self.began + self.grace.mul_f64(LINKS_CLOSED_FRACTION)
     }
 
+    /// The latest time limit of what is taken after the notice: it is answered before the stop gives
+    /// up.
+    #[must_use]
+    pub fn last_deadline(&self) -> Time {
+        self.gives_up().before(ANSWER_MARGIN)
+    }
+
     /// Whether to take a request that was read completely at `now` and whose time limit is
     /// `deadline`. What is taken after the notice is not given up later.
     #[must_use]
     pub fn takes(&self, now: Time, deadline: Time) -> bool {
-        now < self.notice_ends() || deadline + ANSWER_MARGIN <= self.gives_up()
+        now < self.notice_ends() || deadline <= self.last_deadline()
     }
 }
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -144,16 +144,15 @@
         .timeout
         .unwrap_or(DEFAULT_TIMEOUT)
         .min(route.timeout);
-    let deadline = received + timeout;
-    // A call whose run is still at work is needed by a request that was taken before.
-    if !is_chain_call && is_too_late(node, &trace.attempt, deadline) {
+    let deadline = deadline_in_stop(node, &trace.attempt, received + timeout, is_chain_call);
+    let Some(deadline) = deadline else {
         return Outcome::Refused(refusal_with_retry_after(
             node,
             Reason::Draining,
             &client_headers,
             received,
         ));
-    }
+    };
     if let Some(row) = workspace
         && !quota::admit(node, row.name).await
     {
@@ -219,15 +218,24 @@
     outcome
 }
 
-/// Whether a request came too late in a stop to be taken.
-fn is_too_late(node: &Node, attempt: &str, deadline: Time) -> bool {
+/// The time limit of a request, which a stop may shorten; `None` if it came too late to be taken. A
+/// call whose run is still at work is always taken, since a request that was taken before needs it.
+fn deadline_in_stop(
+    node: &Node,
+    attempt: &str,
+    deadline: Time,
+    is_chain_call: bool,
+) -> Option<Time> {
     let now = clock::now();
     let Some(stop) = node.stopping.get().filter(|it| !it.takes(now, deadline)) else {
-        return false;
+        return Some(deadline);
     };
+    if is_chain_call {
+        return Some(stop.last_deadline());
+    }
     log::info!(request:% = attempt, since_stop_ms = clock::millis(now.since(stop.began())),
         left_ms = clock::millis(deadline.since(now)); "request-too-late");
-    true
+    None
 }
 
 /// The fingerprint that all attempts of one request share, whichever node receives them.
