Close links by 0.95 of the grace time instead of 0.97

Where a peer doesn't close its side, closing the links could last until 0.97 of the grace time, and 50 ms more went by in a check for requests that can't be waited for any more: 5.9 s of 6 s, which leaves little for a slow machine.

--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -13,7 +13,7 @@
 /// The fraction of the grace period after which no answer to a client is waited for.
 const END_FRACTION: f64 = 0.93;
 /// The fraction of the grace period by which the links to peers are closed.
-const LINKS_CLOSED_FRACTION: f64 = 0.97;
+const LINKS_CLOSED_FRACTION: f64 = 0.95;
 /// The time between the time limit of a request and the moment at which it would be given up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
