Play planned stops of several manners in the soak, with slow servers

The soak's stops found none of the cuts that the users report: its servers answered at once, its clients paused 30 ms at most, and a stop was one SIGTERM. The mix "stops" (--mix stops; seeds without it have the faults they had) adds SIGTERM right after SIGHUP, a second SIGTERM, a pause (SIGSTOP, SIGCONT), a stop without the store, stops that overlap, servers that work 50 ms to 4.5 s on a request, and clients that use a kept connection again after up to 3 s.

The other mixes are judged as before, but for one case: a SIGTERM may end a process that neither handles signals nor listens yet.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -3,26 +3,31 @@
 use std::{
     io,
     net::{SocketAddr, TcpStream},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use cassiashunt_standin::site::{Request, ask, open};
 
 use crate::history::{Outcome, Sent};
 
-/// How long a client waits, in milliseconds.
-const TIMEOUT_MS: u64 = 2_000;
-
 /// One client of one node.
 #[derive(Debug)]
 pub(crate) struct Client {
+    number: usize,
     node: SocketAddr,
+    limit: Duration,
     kept: Option<TcpStream>,
 }
 
 impl Client {
-    pub(crate) fn new(node: SocketAddr) -> Self {
-        Self { node, kept: None }
+    /// A client of the node with this number and address, whose requests have so long.
+    pub(crate) fn new(number: usize, node: SocketAddr, limit: Duration) -> Self {
+        Self {
+            number,
+            node,
+            limit,
+            kept: None,
+        }
     }
 
     /// Sends one request; nothing where the node takes no connection.
@@ -35,7 +40,7 @@
             method: if is_write { "POST" } else { "GET" },
             target,
             key: Some(key.clone()),
-            timeout_ms: TIMEOUT_MS,
+            timeout_ms: u64::try_from(self.limit.as_millis()).unwrap_or(u64::MAX),
             body: if is_write {
                 b"a deposit".to_vec()
             } else {
@@ -63,10 +68,12 @@
         };
         Some(Sent {
             attempt: request.attempt,
+            node: self.number,
             target: request.target,
             is_write,
             key,
             began,
+            limit: self.limit,
             ended,
             outcome,
         })
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,6 +15,8 @@
     Servers,
     /// All kinds.
     All,
+    /// Planned stops of several manners, also together, of nodes with slow servers.
+    Stops,
 }
 
 impl Mix {
@@ -35,6 +37,7 @@
             "planned" => Some(Self::Planned),
             "servers" => Some(Self::Servers),
             "all" => Some(Self::All),
+            "stops" => Some(Self::Stops),
             _ => None,
         }
     }
@@ -58,6 +61,7 @@
             Self::Planned => &KINDS[..3],
             Self::Servers => &KINDS[..5],
             Self::All => &KINDS,
+            Self::Stops => &[Kind::StopIn, Kind::SlowServer, Kind::SlowServer],
         }
     }
 }
@@ -76,6 +80,23 @@
     ServerLink,
     ClientLink,
     Compact,
+    StopIn,
+    SlowServer,
+}
+
+/// How a node is asked to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    /// By one SIGTERM.
+    Plain,
+    /// By SIGTERM right after SIGHUP.
+    AfterReload,
+    /// By SIGTERM, and once more after so long.
+    Twice(Duration),
+    /// By SIGTERM; after so long it stands still for so long.
+    Paused(Duration, Duration),
+    /// By SIGTERM, while the store doesn't answer it.
+    WithoutStore,
 }
 
 /// One fault; nodes and servers by number.
@@ -83,6 +104,8 @@
 pub enum Fault {
     /// A node is asked to stop, and starts again after the fault's time.
     Stop(usize),
+    /// The same, in a manner of its own.
+    StopIn(usize, Manner),
     /// A node is killed, and starts again after the fault's time.
     Kill(usize),
     /// A node stands still.
@@ -123,6 +146,9 @@
 /// How long a fault lasts, in milliseconds.
 const SPAN_MS: std::ops::Range<u64> = 200..2_500;
 
+/// How long a slow server works on a request, in milliseconds.
+const SLOW_MS: std::ops::Range<u64> = 50..4_500;
+
 /// The faults of a seed over a time, for so many nodes.
 #[must_use]
 pub fn schedule(seed: u64, mix: Mix, nodes: usize, span: Duration) -> Vec<Planned> {
@@ -157,9 +183,26 @@
         Kind::ServerLink => Fault::ServerLink(node, link_fault(rng)),
         Kind::ClientLink => Fault::ClientLink(node, link_fault(rng)),
         Kind::Compact => Fault::Compact,
+        Kind::StopIn => Fault::StopIn(node, manner(rng)),
+        Kind::SlowServer => {
+            let span = Duration::from_millis(rng.u64(SLOW_MS));
+            Fault::Serve(node, Behaviour::Slow(span))
+        }
     }
 }
 
+fn manner(rng: &mut fastrand::Rng) -> Manner {
+    let mut drawn = |ms| Duration::from_millis(rng.u64(ms));
+    let all = [
+        Manner::Plain,
+        Manner::AfterReload,
+        Manner::Twice(drawn(0..3_000)),
+        Manner::Paused(drawn(0..2_500), drawn(50..800)),
+        Manner::WithoutStore,
+    ];
+    all[rng.usize(..all.len())]
+}
+
 fn behaviour(rng: &mut fastrand::Rng) -> Behaviour {
     let late = Duration::from_millis(rng.u64(5..300));
     let all = [
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -57,9 +57,21 @@
 
     /// The most memory that it has used, in kilobytes.
     pub(crate) fn peak_kb(&self) -> Option<u64> {
+        self.status("VmHWM:")?.parse().ok()
+    }
+
+    /// Whether it handles a signal; it doesn't in the first moments after its start.
+    pub(crate) fn handles(&self, signal: Signal) -> bool {
+        let mask = self.status("SigCgt:");
+        let mask = mask.and_then(|it| u64::from_str_radix(&it, 16).ok());
+        mask.is_some_and(|it| it >> (signal.as_raw() - 1) & 1 == 1)
+    }
+
+    /// The first word of a line of `/proc/PID/status`.
+    fn status(&self, name: &str) -> Option<String> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
-        line.split_whitespace().nth(1)?.parse().ok()
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next().map(str::to_owned)
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,8 @@
 use std::{
     collections::BTreeMap,
     fmt, fs,
+    net::TcpStream,
+    os::unix::process::ExitStatusExt as _,
     path::PathBuf,
     sync::{
         Mutex, PoisonError,
@@ -18,8 +20,8 @@
 
 use crate::{
     client::Client,
-    faults::{Fault, Mix, Planned, schedule},
-    history::{CRASHING, History, Ran, Sent, Violation},
+    faults::{Fault, Manner, Mix, Planned, schedule},
+    history::{CRASHING, GRACE, History, Ran, Sent, Stop, Violation},
     keys::{Keys, LASTING},
     proxy::Fault as LinkFault,
     site::{Member, SERVICES, Site},
@@ -29,14 +31,23 @@
 const CLIENTS: usize = 2;
 /// The longest pause of a client between two requests, in milliseconds.
 const PAUSE_MS: u64 = 30;
+/// Further clients of each node that keep their connections for long pauses, where nodes stop while
+/// servers are slow.
+const LATE_CLIENTS: usize = 6;
+/// The longest pause of these.
+const LATE_PAUSE_MS: u64 = 3_000;
+/// How long a request may take.
+const TIME_LIMIT: Duration = Duration::from_millis(2_000);
+/// How long, where servers may take longer than is left of a stop.
+const LONG_TIME_LIMIT: Duration = Duration::from_millis(8_000);
+/// The time of a route, where requests have [`TIME_LIMIT`].
+const ROUTE_TIME: Duration = Duration::from_millis(1_500);
 /// The time between two heartbeats of a server.
 const BEAT_EVERY: Duration = Duration::from_millis(300);
 /// How long a server that ended is away.
 const AWAY: Duration = Duration::from_millis(600);
 /// How long the fleet may take to serve everywhere, at its start and after the last fault.
 const RECOVERY: Duration = Duration::from_secs(15);
-/// How long a planned stop may take.
-const GRACE: Duration = Duration::from_secs(6);
 /// Violations of one promise that are printed.
 const MAX_SHOWN: usize = 3;
 /// The most memory that a node may use, in kilobytes.
@@ -119,6 +130,7 @@
         site,
         keys: Keys::default(),
         sent: Mutex::default(),
+        stops: Mutex::default(),
         others: Mutex::default(),
         is_over: AtomicBool::new(false),
         is_crashing: AtomicBool::new(false),
@@ -131,6 +143,7 @@
     site: Site,
     keys: Keys,
     sent: Mutex<Vec<Sent>>,
+    stops: Mutex<Vec<Stop>>,
     /// Violations that the history does not show.
     others: Mutex<Vec<Violation>>,
     is_over: AtomicBool,
@@ -141,7 +154,7 @@
 impl Soak<'_> {
     fn play(&self) -> eyre::Result<Report> {
         let (version, keys) = self.keys.table();
-        self.site.put_table(version, &keys);
+        self.put_table(version, &keys);
         for member in &self.site.members {
             member.server.crash_under(CRASHING, AWAY);
             member
@@ -163,7 +176,12 @@
             let began = self.wait_until_served();
             if began {
                 for at in 0..self.site.members.len() * CLIENTS {
-                    scope.spawn(move || self.call(at));
+                    scope.spawn(move || self.call(at, PAUSE_MS));
+                }
+                if self.opts.mix == Mix::Stops {
+                    for at in 0..self.site.members.len() * LATE_CLIENTS {
+                        scope.spawn(move || self.call(at, LATE_PAUSE_MS));
+                    }
                 }
                 scope.spawn(|| self.send_crashing());
                 self.disturb(&planned);
@@ -207,21 +225,32 @@
     }
 
     fn history(&self) -> History {
-        let runs = self.site.members.iter().flat_map(|it| it.server.runs());
+        let members = self.site.members.iter();
+        let runs = members.flat_map(|it| it.server.runs());
         let ran = runs.map(|run| Ran {
             target: run.first_line.split(' ').nth(1).unwrap_or_default().into(),
             workspace: run.header("x-tenant").unwrap_or_default().into(),
             attempt: run.attempt,
             at: run.at,
+            takes: run.takes,
         });
         History {
             mix: self.opts.mix,
             sent: lock(&self.sent).clone(),
             ran: ran.collect(),
             withdrawn: self.keys.withdrawn(),
+            stops: lock(&self.stops).clone(),
         }
     }
 
+    fn put_table(&self, version: u64, keys: &[String]) {
+        let limit = match self.opts.mix {
+            Mix::Stops => LONG_TIME_LIMIT,
+            Mix::Planned | Mix::Servers | Mix::All => ROUTE_TIME,
+        };
+        self.site.put_table(version, keys, limit);
+    }
+
     fn add(&self, promise: &'static str, what: String) {
         lock(&self.others).push(Violation { promise, what });
     }
@@ -246,19 +275,21 @@
     }
 
     /// A client of a node; through the proxy where its connections may be disturbed.
-    fn client(&self, member: &Member) -> Client {
-        Client::new(match self.opts.mix {
-            Mix::All => member.from_clients.address(),
-            Mix::Planned | Mix::Servers => member.requests,
-        })
+    fn client(&self, at: usize) -> Client {
+        let member = &self.site.members[at];
+        match self.opts.mix {
+            Mix::All => Client::new(at, member.from_clients.address(), TIME_LIMIT),
+            Mix::Planned | Mix::Servers => Client::new(at, member.requests, TIME_LIMIT),
+            Mix::Stops => Client::new(at, member.requests, LONG_TIME_LIMIT),
+        }
     }
 
     /// Whether every node serves every service soon.
     fn wait_until_served(&self) -> bool {
         let until = Instant::now() + RECOVERY;
-        self.site.members.iter().all(|member| {
+        (0..self.site.members.len()).all(|at| {
             SERVICES.iter().all(|service| {
-                let mut client = self.client(member);
+                let mut client = self.client(at);
                 loop {
                     let target = format!("/{service}/read/{:x}", fastrand::u64(..));
                     let sent = client.send(target, false, LASTING.into());
@@ -277,9 +308,8 @@
     }
 
     /// One client's requests, all to the same node.
-    fn call(&self, at: usize) {
-        let member = &self.site.members[at % self.site.members.len()];
-        let mut client = self.client(member);
+    fn call(&self, at: usize, pause_ms: u64) {
+        let mut client = self.client(at % self.site.members.len());
         while !self.is_over() {
             let service = SERVICES[fastrand::usize(..SERVICES.len())];
             let is_write = fastrand::u8(..3) == 0;
@@ -288,7 +318,7 @@
             if let Some(sent) = client.send(target, is_write, self.keys.draw()) {
                 lock(&self.sent).push(sent);
             }
-            thread::sleep(Duration::from_millis(fastrand::u64(..PAUSE_MS)));
+            thread::sleep(Duration::from_millis(fastrand::u64(..pause_ms)));
         }
     }
 
@@ -299,9 +329,7 @@
             if !self.is_crashing.load(Ordering::Acquire) {
                 continue;
             }
-            let members = &self.site.members;
-            let member = &members[fastrand::usize(..members.len())];
-            let mut client = self.client(member);
+            let mut client = self.client(fastrand::usize(..self.site.members.len()));
             let target = format!("/{}{CRASHING}", SERVICES[1]);
             if let Some(sent) = client.send(target, false, LASTING.into()) {
                 lock(&self.sent).push(sent);
@@ -330,12 +358,13 @@
     fn begin(&self, fault: &Fault) {
         let member = |at: &usize| &self.site.members[*at];
         match fault {
-            Fault::Stop(at) => self.stop(*at),
+            Fault::Stop(at) => self.stop(*at, Manner::Plain),
+            Fault::StopIn(at, manner) => self.stop(*at, *manner),
             Fault::Kill(at) => drop(member(at).process().take()),
             Fault::Pause(at) => signal(member(at), Signal::STOP),
             Fault::Keys | Fault::Table => {
                 let is_withdrawn = *fault == Fault::Keys;
-                let put = |version, keys: &[String]| self.site.put_table(version, keys);
+                let put = |version, keys: &[String]| self.put_table(version, keys);
                 self.keys.change(is_withdrawn, put);
             }
             Fault::Serve(at, behaviour) => member(at).server.set_usual(behaviour.clone()),
@@ -351,7 +380,7 @@
     fn end(&self, fault: &Fault) {
         let member = |at: &usize| &self.site.members[*at];
         match fault {
-            Fault::Stop(at) | Fault::Kill(at) => {
+            Fault::Stop(at) | Fault::StopIn(at, _) | Fault::Kill(at) => {
                 if let Err(err) = member(at).start(&self.opts.binary) {
                     self.add("nodes start again", format!("node-{at}: {err}"));
                 }
@@ -368,18 +397,50 @@
     }
 
     /// Asks a node to stop, and waits for its end.
-    fn stop(&self, at: usize) {
-        let mut process = self.site.members[at].process();
+    fn stop(&self, at: usize, manner: Manner) {
+        let member = &self.site.members[at];
+        let mut process = member.process();
         let Some(running) = process.as_mut() else {
             return;
         };
+        if manner == Manner::WithoutStore {
+            member.to_store.set_fault(StoreFault::Silent);
+        }
+        if manner == Manner::AfterReload {
+            running.signal(Signal::HUP);
+        }
+        // A signal ends a process that has only just begun, and has nothing open yet.
+        let is_young =
+            !running.handles(Signal::TERM) && TcpStream::connect(member.requests).is_err();
+        let asked = Instant::now();
+        lock(&self.stops).push(Stop {
+            node: at,
+            at: asked,
+        });
         // A paused process stops when it goes on.
         running.signal(Signal::TERM);
         running.signal(Signal::CONT);
-        match running.wait(GRACE) {
+        match manner {
+            Manner::Plain | Manner::AfterReload | Manner::WithoutStore => {}
+            Manner::Twice(after) => {
+                thread::sleep(after);
+                running.signal(Signal::TERM);
+            }
+            Manner::Paused(after, span) => {
+                thread::sleep(after);
+                running.signal(Signal::STOP);
+                thread::sleep(span);
+                running.signal(Signal::CONT);
+            }
+        }
+        match running.wait(GRACE.saturating_sub(asked.elapsed())) {
             Some(status) if status.success() => {}
+            Some(status) if is_young && status.signal() == Some(Signal::TERM.as_raw()) => {}
             Some(status) => self.add("planned stops end well", format!("node-{at}: {status}")),
-            None => self.add("planned stops end in time", format!("node-{at}")),
+            None => self.add("planned stops end in time", format!("node-{at} {manner:?}")),
+        }
+        if manner == Manner::WithoutStore {
+            member.to_store.set_fault(StoreFault::None);
         }
         *process = None;
     }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,10 +5,13 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use cassiashunt_standin::site::{Addresses, Door, NodeSettings, Server, Store, table};
 
+use serde_json::json;
+
 use crate::{history::WITHDRAWAL, process::Process, proxy::Proxy};
 
 /// Requests a second that the workspace may send: more than all clients do.
@@ -64,10 +67,16 @@
         Ok(Self { store, members })
     }
 
-    /// Puts a table with these keys in force.
-    pub(crate) fn put_table(&self, version: u64, keys: &[String]) {
-        self.store
-            .put("op/config", &table(version, keys, RATE).to_string());
+    /// Puts a table in force with these keys and this time for requests of all routes.
+    pub(crate) fn put_table(&self, version: u64, keys: &[String], limit: Duration) {
+        let mut table = table(version, keys, RATE);
+        let resources = table["resources"].as_array_mut();
+        for resource in resources.into_iter().flatten() {
+            if resource["type"] == "routes" {
+                resource["spec"]["timeout_ms"] = json!(limit.as_millis());
+            }
+        }
+        self.store.put("op/config", &table.to_string());
     }
 }
 
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -83,6 +83,14 @@
 }
 
 impl Behaviour {
+    /// How long a request runs.
+    fn span(&self) -> Duration {
+        match self {
+            Self::Slow(span) | Self::Long(span, _) => *span,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Bytes without end after the head of an answer to a request; `head` has its end, or not.
     #[must_use]
     pub fn endless(head: &str, then: &[u8], pause: Duration) -> Self {
@@ -112,6 +120,8 @@
     pub body: Vec<u8>,
     /// When it began.
     pub at: Instant,
+    /// How long the server works on it.
+    pub takes: Duration,
     /// Whether the caller's connection closed before the answer.
     pub is_abandoned: bool,
 }
@@ -397,7 +407,7 @@
         if let Some(bytes) = refused {
             return stream.write_all(&bytes).is_ok();
         }
-        let run = self.begin(message, &attempt);
+        let run = self.begin(message, &attempt, behaviour.span());
         if self.ends_under(message) {
             self.crash();
             return false;
@@ -513,7 +523,7 @@
         }
     }
 
-    fn begin(&self, message: &Message, attempt: &str) -> usize {
+    fn begin(&self, message: &Message, attempt: &str, takes: Duration) -> usize {
         let mut inner = self.lock();
         inner.runs.push(Run {
             attempt: attempt.to_owned(),
@@ -521,6 +531,7 @@
             headers: message.headers.clone(),
             body: message.body.clone(),
             at: Instant::now(),
+            takes,
             is_abandoned: false,
         });
         inner.runs.len() - 1
