Ignore an entry that moves a running peer to another address

What callers saw: another writer replaces a peer's entry by a copy with another valid address. The other nodes dropped the peer and its link, and requests that ran there got 502 (LOST).

Cause: any changed address was taken for a move of the node, although a running node keeps its address and failure domain; a new start has another incarnation.

Evidence, before, in an_odd_entry_in_place_of_a_peers_entry_does_not_interrupt_requests_to_it: {"address":"127.0.0.1:9", ...}: left: 502, right: 200 It passes now: such an entry counts as an odd one, and the peer writes its own again.

Open: an entry with another incarnation and another valid address still replaces the peer until the peer has written its own again; it can't be told from a node that was started elsewhere.

--- a/cassiashunt/tests/site_odd_entries.rs
+++ b/cassiashunt/tests/site_odd_entries.rs
@@ -122,7 +122,12 @@
 fn an_odd_entry_in_place_of_a_peers_entry_does_not_interrupt_requests_to_it() {
     let site = Site::start("odd-peer", &["shop", "desk"]);
     let own = entry(&site, 1);
-    for odd in odd_entries(&own) {
+    // A node doesn't change its address or failure domain while it runs.
+    let moved = [
+        with_field(&own, "address", "\"127.0.0.1:9\""),
+        with_field(&own, "domain", "\"west\""),
+    ];
+    for odd in odd_entries(&own).into_iter().chain(moved) {
         let what = String::from_utf8_lossy(&odd[..odd.len().min(300)]).into_owned();
         site.members[1]
             .server
--- a/crates/mesh/src/announce.rs
+++ b/crates/mesh/src/announce.rs
@@ -69,4 +69,12 @@
         let is_usable = address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
         is_usable.then_some(address)
     }
+
+    /// Whether another announcement of the same run contradicts this one: a running node keeps its
+    /// address and failure domain.
+    #[must_use]
+    pub fn contradicts(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation
+            && (self.address != other.address || self.domain != other.domain)
+    }
 }
--- a/crates/mesh/tests/announce.rs
+++ b/crates/mesh/tests/announce.rs
@@ -39,3 +39,24 @@
         assert_eq!(announcement(address).peer_address(), None, "{address}");
     }
 }
+
+#[test]
+fn announcements_of_one_run_contradict_each_other_with_another_address_or_domain() {
+    let first = announcement("10.128.0.9:8080");
+    let moved = announcement("10.128.0.9:8081");
+    let elsewhere = Announcement {
+        domain: "west".parse().expect("invalid failure domain"),
+        ..first.clone()
+    };
+    let later_run = Announcement {
+        incarnation: NodeId(2),
+        ..moved.clone()
+    };
+    let busy = Announcement {
+        slots: 4,
+        state: ServerState::Draining,
+        ..first.clone()
+    };
+    assert!(first.contradicts(&moved) && first.contradicts(&elsewhere));
+    assert!(!first.contradicts(&later_run) && !first.contradicts(&busy));
+}
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -199,6 +199,12 @@
         sum.load()
     }
 
+    /// Whether an announcement can't be of the peer whose name it has.
+    pub(crate) fn contradicts(&self, name: &str, announcement: &Announcement) -> bool {
+        let peer = self.peers.get(name);
+        peer.is_some_and(|peer| peer.announcement.contradicts(announcement))
+    }
+
     /// Handles the announcement of a peer in the store, which is reached at `address`.
     pub(crate) fn on_announced(
         &mut self,
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -210,7 +210,7 @@
     };
     let own_address = node.settings().addresses.peers;
     match announcement.peer_address() {
-        Some(address) if address != own_address => {
+        Some(address) if address != own_address && !fleet.contradicts(name, &announcement) => {
             fleet.on_announced(name, announcement, address);
         }
         _ => {
