--- a/cassiashunt/tests/site_odd_answers.rs
+++ b/cassiashunt/tests/site_odd_answers.rs
@@ -1,8 +1,13 @@
-//! Refusals that are not the server's answer to the request, and answers that end early.
+//! Refusals that are not the server's answer to the request, and messages that end early.
 
 mod support;
 
-use std::{thread, time::Duration};
+use std::{
+    io::{Read as _, Write as _},
+    net::Shutdown,
+    thread,
+    time::Duration,
+};
 
 use cassiashunt_standin::site::{Behaviour, Request, ask, open, refusal};
 use support::site::{Site, read, write};
@@ -237,3 +242,37 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_ends_at_any_byte_does_not_run() {
+    let site = Site::start("odd-request", &["shop"]);
+    let with_length = write("shop");
+    let plain = String::from_utf8_lossy(&with_length.encode()).into_owned();
+    let chunked = plain
+        .replace("Content-Length: 9", "Transfer-Encoding: chunked")
+        .replace(
+            "a deposit",
+            "2;a=b\r\na \r\n7\r\ndeposit\r\n0\r\nX-Trailer: t\r\n\r\n",
+        );
+    for request in [plain, chunked] {
+        for cut in 0..request.len() {
+            let mut stream = open(site.members[0].requests).expect("cannot connect to the node");
+            stream
+                .write_all(&request.as_bytes()[..cut])
+                .expect("cannot send to the node");
+            stream
+                .shutdown(Shutdown::Write)
+                .expect("the connection is closed");
+            let mut answer = Vec::new();
+            stream
+                .read_to_end(&mut answer)
+                .expect("the connection was reset");
+            assert!(!answer.starts_with(b"HTTP/1.1 2"), "{cut} of {request:?}");
+        }
+        assert_eq!(site.runs_of(&with_length), 0, "{request:?}");
+        let mut stream = open(site.members[0].requests).expect("cannot connect to the node");
+        let answer = ask(&mut stream, request.as_bytes()).expect("no answer from the node");
+        assert_eq!(answer.status, 200, "{request:?}");
+        site.members[0].server.forget_runs();
+    }
+}
--- a/cassiashunt/tests/site_odd_entries.rs
+++ b/cassiashunt/tests/site_odd_entries.rs
@@ -4,7 +4,7 @@
 
 use std::{thread, time::Duration};
 
-use cassiashunt_standin::site::{Behaviour, open};
+use cassiashunt_standin::site::{Behaviour, Request, ask, open};
 use serde_json::{Value, json};
 use support::{
     eventually,
@@ -262,3 +262,76 @@
         assert!(!log.contains("panicked"), "{log}");
     }
 }
+
+#[test]
+fn odd_status_reports_leave_the_server_as_it_is() {
+    let site = Site::start("odd-reports", &["shop", "desk"]);
+    let member = &site.members[1];
+    let report = json!({"address": "127.0.0.1:80", "born": 1,
+        "details": {"service": "desk", "version": "v1", "zone": "east", "slots": 8},
+        "status": {"state": "ready", "sequence": 1_000, "warmup_left_ms": 0}});
+    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let mut odd = vec![
+        nested(7_000),
+        "[".repeat(15_000),
+        "null".into(),
+        "\0".repeat(99),
+    ];
+    let numbers = [
+        "1e400",
+        "-1",
+        "1.5",
+        "99999999999999999999",
+        "\"8\"",
+        "[8]",
+        "{}",
+    ];
+    let texts = ["\"odd\"", "\"\"", "3", "null", "[]", &nested(1_000)];
+    for (field, values) in [
+        ("/born", &numbers[..]),
+        ("/details/slots", &numbers),
+        ("/status/sequence", &numbers),
+        ("/status/warmup_left_ms", &numbers),
+        ("/status/state", &texts),
+        (
+            "/details/service",
+            &["\"\"", "3", "null", "\"a name with spaces\""],
+        ),
+        ("/details", &["3", "null", "[]", "{}"]),
+        ("/status", &["3", "null", "[]", "{}"]),
+    ] {
+        for value in values {
+            let mut report = report.clone();
+            *report.pointer_mut(field).expect("no such field") = json!("REPLACED");
+            odd.push(report.to_string().replace("\"REPLACED\"", value));
+        }
+    }
+    for body in odd {
+        for server in ["i-desk-1", "i-other"] {
+            let request = Request {
+                method: "POST",
+                target: format!("/-/rpc?call=instances.heartbeat&of={server}"),
+                body: body.clone().into_bytes(),
+                ..Request::default()
+            };
+            let mut stream = open(member.heartbeats).expect("cannot connect to the node");
+            let answer = ask(&mut stream, &request.encode()).expect("no answer from the node");
+            let what = &body[..body.len().min(300)];
+            assert_eq!(answer.status, 400, "{what}");
+        }
+    }
+    assert_serving(&site, "odd status reports");
+    // Fields that nobody reads may have any value.
+    let mut report = report.to_string();
+    report.insert_str(1, &format!("\"odd\":{},", nested(7_000)));
+    let request = Request {
+        method: "POST",
+        target: "/-/rpc?call=instances.heartbeat&of=i-desk-1".into(),
+        body: report.into_bytes(),
+        ..Request::default()
+    };
+    let mut stream = open(member.heartbeats).expect("cannot connect to the node");
+    let answer = ask(&mut stream, &request.encode()).expect("no answer from the node");
+    assert_eq!(answer.status, 200);
+    assert_serving(&site, "a status report with an unknown field");
+}
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -293,6 +293,11 @@
         self.lock().runs.clone()
     }
 
+    /// Forgets the requests that it began to run.
+    pub fn forget_runs(&self) {
+        self.lock().runs.clear();
+    }
+
     /// Sends a heartbeat to its node, and returns the status of the answer.
     ///
     /// # Errors
