Send the rest of a request after an answer that is not its own

What callers saw: 504 for a request with a long body, where the server sent an interim answer (1xx) or a late answer to another request while the body was still being written.

Cause: `exchange_head` stops writing as soon as there is input, and only the head of the next answer was read after an interim or late one; the rest of the request was never sent, and the server waited for it.

Evidence, before: a_request_is_sent_completely_after_bytes_that_are_not_its_answer (16 MiB, "HTTP/1.1 503 Word / X-Attempt-Id: another / X-Not-Executed: 1"): left: 504, right: 200. The two answers tried before it passed in that run; whether the body is still being written then depends on timing. A write that can't go on no longer waits where an answer is buffered already.

--- a/cassiashunt/tests/site_odd_answers.rs
+++ b/cassiashunt/tests/site_odd_answers.rs
@@ -10,7 +10,10 @@
 };
 
 use cassiashunt_standin::site::{Behaviour, Request, ask, open, refusal};
-use support::site::{Site, read, write};
+use support::{
+    eventually,
+    site::{self, Site, WORKSPACE_KEY, read, write},
+};
 
 /// How long a request runs after the server has repeated an earlier refusal.
 const RUN_TIME: Duration = Duration::from_millis(60);
@@ -276,3 +279,45 @@
         site.members[0].server.forget_runs();
     }
 }
+
+#[test]
+fn a_request_is_sent_completely_after_bytes_that_are_not_its_answer() {
+    let site = Site::start("odd-early", &["shop"]);
+    let member = &site.members[0];
+    let mut wide = site::table(2, &[WORKSPACE_KEY]);
+    let rows = wide["resources"].as_array_mut();
+    for row in rows.expect("`resources` is not an array") {
+        if row["type"] == "limits" {
+            row["spec"]["body_bytes"] = LONG_BODY_BYTES.into();
+        }
+    }
+    site.put_table(&wide);
+    eventually("long bodies are accepted", || {
+        member.status_of(&long_write()) == 200
+    });
+    for early in [
+        "HTTP/1.1 102 Processing\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 503 Word\r\nX-Attempt-Id: another\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        // Drops the kept connection, whose server already waits for the next request.
+        member.server.do_next(Behaviour::LoseAnswer);
+        assert_eq!(member.status_of(&write("shop")), 502);
+        member.server.send_before_reading(early.as_bytes());
+        let request = long_write();
+        assert_eq!(member.status_of(&request), 200, "{early}");
+        let runs = member.server.runs();
+        let run = runs.last().expect("nothing ran");
+        assert!(run.body == request.body, "another body after {early}");
+    }
+}
+
+/// A body that does not fit the buffers of a connection, and the limit of bodies in its test.
+const LONG_BODY_BYTES: usize = 16 << 20;
+
+fn long_write() -> Request {
+    Request {
+        body: vec![b'x'; LONG_BODY_BYTES],
+        ..write("shop")
+    }
+}
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -140,18 +140,21 @@
     }
 
     /// Writes a request while waiting for the head of its answer, since a server may answer before
-    /// it has read the complete request. Also returns whether the request was written completely.
+    /// it has read the complete request. Also returns how many bytes of the request were written.
     pub(crate) async fn exchange_head(
         &mut self,
         request: &[u8],
         method: &str,
-    ) -> Result<(ResponseHead, bool), ReadError> {
+    ) -> Result<(ResponseHead, usize), ReadError> {
         let mut written = 0;
         while written < request.len() {
             self.stream.writable().await?;
             match self.stream.try_write(&request[written..]) {
                 Ok(count) => written += count,
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                    if self.has_leftover() {
+                        break;
+                    }
                     let is_answered = tokio::select! {
                         ready = self.stream.writable() => { ready?; false }
                         ready = self.stream.readable() => { ready?; true }
@@ -164,7 +167,7 @@
             }
         }
         let head = self.read_response_head(method).await?;
-        Ok((head, written == request.len()))
+        Ok((head, written))
     }
 
     /// Resolves when the peer has closed the connection. Bytes received meanwhile are buffered.
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -72,13 +72,12 @@
     };
     let bytes = encode(request, server, remaining);
     let method = request.method.as_str();
-    let (mut head, is_sent) = connection
-        .exchange_head(&bytes, method)
-        .await
-        .map_err(Failure::Lost)?;
-    for _ in 0..MAX_STALE_ANSWERS {
+    let mut unsent = &bytes[..];
+    for _ in 0..=MAX_STALE_ANSWERS {
+        let exchanged = connection.exchange_head(unsent, method).await;
+        let (head, written) = exchanged.map_err(Failure::Lost)?;
+        unsent = &unsent[written..];
         if (100..200).contains(&head.status) {
-            head = next_head(&mut connection, method).await?;
             continue;
         }
         let response_headers = read_response_headers(head.pairs());
@@ -88,24 +87,19 @@
             .is_some_and(|it| *it != request.attempt);
         if !is_stale {
             check_refusal(&head, &response_headers, has_id)?;
+            let is_sent = unsent.is_empty();
             return finish(pool, connection, head, &response_headers, is_sent).await;
         }
         if head.framing == Framing::UntilClose {
             return Err(Failure::InvalidAnswer("answer to another request"));
         }
         read_body(pool, &mut connection, head.framing).await?;
-        head = next_head(&mut connection, method).await?;
     }
     Err(Failure::InvalidAnswer(
         "too many interim answers or answers to other requests",
     ))
 }
 
-async fn next_head(connection: &mut Connection, method: &str) -> Result<ResponseHead, Failure> {
-    let head = connection.read_response_head(method).await;
-    head.map_err(Failure::Lost)
-}
-
 async fn read_body(
     pool: &Pool,
     connection: &mut Connection,
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -104,6 +104,8 @@
 
 /// Stands for the id of the attempt in the bytes of [`Behaviour::Endless`] and [`Behaviour::Cut`].
 pub const ATTEMPT: &str = "{attempt}";
+/// How long a request is left unread after [`Server::send_before_reading`].
+const READING_DELAY: Duration = Duration::from_millis(100);
 /// The most that an endless answer sends, for callers that never close.
 const ENDLESS_BYTES: usize = 2 << 30;
 
@@ -149,6 +151,8 @@
     is_away: bool,
     /// How often it started again.
     restarts: u64,
+    /// Sent before the next request is read.
+    early: Option<Vec<u8>>,
     /// Its connections, to be closed at a crash.
     open: Vec<Weak<TcpStream>>,
 }
@@ -269,6 +273,11 @@
         self.lock().next.push_back(behaviour);
     }
 
+    /// Sends these bytes when the next request begins to arrive, and reads it a while later.
+    pub fn send_before_reading(&self, early: &[u8]) {
+        self.lock().early = Some(early.to_vec());
+    }
+
     /// What it does with all others.
     pub fn set_usual(&self, behaviour: Behaviour) {
         self.lock().usual = behaviour;
@@ -364,7 +373,9 @@
         let mut reader = BufReader::new(clone);
         let start = self.lock().restarts;
         // The end of the connection or a reset ends the serving.
-        while let Ok(Some(message)) = wire::read(&mut reader) {
+        while self.is_ready_to_read(stream)
+            && let Ok(Some(message)) = wire::read(&mut reader)
+        {
             while self.is_away() {
                 thread::sleep(Duration::from_millis(10));
             }
@@ -377,6 +388,20 @@
         }
     }
 
+    /// Waits for a request where bytes are to be sent before it is read.
+    fn is_ready_to_read(&self, mut stream: &TcpStream) -> bool {
+        if self.lock().early.is_none() {
+            return true;
+        }
+        let is_open = matches!(stream.peek(&mut [0]), Ok(1));
+        let Some(early) = self.lock().early.take() else {
+            return is_open;
+        };
+        let is_sent = is_open && stream.write_all(&early).is_ok();
+        thread::sleep(READING_DELAY);
+        is_sent
+    }
+
     /// Answers one request; tells whether the connection is kept.
     fn answer(&self, mut stream: &TcpStream, message: &Message, node: SocketAddr) -> bool {
         if message.word(1) == "/health" && self.lock().is_silent {
