Record a key that a new start accepts before its peers tell of the lost table

A withdrawn key that is back in the copy was accepted 5 to 8 ms after the start of a node, before the first link to a peer was up: node-0: [5.121288ms, 7.660103ms]; node-3: [5.884759ms] (2 of 2 runs).

--- a/cassiashunt/tests/site_restored.rs
+++ b/cassiashunt/tests/site_restored.rs
@@ -211,6 +211,32 @@
     assert_stays_in_force(&site, 2, &[WORKSPACE_KEY], KEY_WITHDRAWAL);
 }
 
+#[test]
+fn a_node_started_after_the_restore_accepts_no_key_that_its_peers_know_to_be_withdrawn() {
+    let mut site = start("restored-start-key");
+    put_version(&site, 2);
+    wait_in_force(&site, 2);
+    let snapshot = site.store.snapshot();
+    put_version(&site, 3);
+    wait_in_force(&site, 3);
+    thread::sleep(KEY_WITHDRAWAL);
+    restore(&site, &snapshot);
+    for member in &mut site.members {
+        member.node.kill();
+        member.restart();
+        let (started, mut accepted) = (Instant::now(), Vec::new());
+        while started.elapsed() < CONTACT {
+            let answer = member.ask(&read_with_key(&member.service, &key(2)));
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                accepted.push(started.elapsed());
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        assert!(accepted.is_empty(), "{}: {accepted:?}", member.name);
+        eventually("the new start serves", || accepts(member, 3));
+    }
+}
+
 #[test]
 fn an_invalid_table_after_the_restore_is_ignored() {
     let site = start("restored-invalid");
