Test that a run which a stopping owner cuts is not repeated elsewhere

Found missing by the reviewer: GoAway's "not run" is true only because the owner waits for all outcomes before it, and no test stopped an owner whose run outlasts the stop.

--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -321,3 +321,30 @@
         }
     });
 }
+
+/// An owner told its peers that it had not read a request that was at work when its grace time ended.
+#[test]
+fn a_run_that_an_owner_cuts_at_the_end_of_its_stop_is_not_repeated_elsewhere() {
+    let mut site = Site::start("site-cut-run", &["shop", "desk", "desk"]);
+    put_patient_table(&site);
+    for member in &site.members[1..] {
+        member
+            .server
+            .set_usual(Behaviour::Slow(Duration::from_millis(7_500)));
+    }
+    let requests: Vec<_> = (0..6).map(|_| patient_write("desk")).collect();
+    let clients: Vec<_> = requests.iter().map(|it| ask_aside(&site, 0, it)).collect();
+    eventually("the requests run", || {
+        requests.iter().all(|it| site.runs_of(it) == 1)
+    });
+    site.members[1].node.signal("-TERM");
+    let answers: Vec<_> = clients
+        .into_iter()
+        .map(|it| it.join().expect("the client thread panicked").status)
+        .collect();
+    let runs: Vec<_> = requests.iter().map(|it| site.runs_of(it)).collect();
+    assert!(answers.contains(&502), "no run was cut: {answers:?}");
+    assert!(!answers.contains(&503), "{answers:?}");
+    assert_eq!(runs, [1; 6], "{answers:?}");
+    assert_eq!(site.members[1].node.wait(), Some(0));
+}
