Tell clients when to come back where a stop ends before their request is read

What callers saw: a 503 without Retry-After for a request that was not complete, or had not been forwarded, when a stop gave up what was pending. It did not run, and every other such refusal says when to come back.

Found by the reviewer, by reading. Evidence: what_is_pending_at_the_end_of_a_stop_is_answered, with the new assertion, on the code before: "no time to retry". It passes now. Both refusals take the way of the others; without a stated time limit, the delay is that of a request that states none.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -322,7 +322,9 @@
     assert_eq!(late.status, 503);
     assert!(late.header("retry-after").is_some());
     assert!(answered < GRACE - GRACE / 6, "refused after {answered:?}");
-    assert_eq!(partial.expect("no answer to a partial request").status, 503);
+    let partial = partial.expect("no answer to a partial request");
+    assert_eq!(partial.status, 503);
+    assert!(partial.header("retry-after").is_some(), "no time to retry");
     assert_eq!(site.runs_of(&ran), 1);
     assert_eq!(site.runs_of(&refused) + site.runs_of(&incomplete), 0);
 }
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -14,7 +14,7 @@
 use super::{
     open_request::OpenRequest,
     reply::Reply,
-    request::{Incoming, handle},
+    request::{Incoming, handle, refuse_incomplete},
 };
 use crate::{
     accept::accept,
@@ -76,7 +76,7 @@
         let read = tokio::select! {
             biased;
             read = read_request(&mut connection, limits) => read,
-            () = node.giving_up.notified() => Err(Some(Reply::closing(503))),
+            () = node.giving_up.notified() => Err(Some(refuse_incomplete(&node))),
         };
         let mut attempt = String::new();
         let (reply, is_head) = match read {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -48,12 +48,15 @@
 /// Handles one request and logs its end.
 pub(crate) async fn handle(node: &Rc<Node>, incoming: Incoming) -> Reply {
     let received = incoming.received;
+    let timeout = incoming.client_headers.timeout;
     let mut trace = Trace::default();
     let outcome = tokio::select! {
         biased;
         outcome = answer(node, incoming, &mut trace) => outcome,
         // Dropping the other future cancels the request wherever it is.
-        () = node.giving_up.notified() => Outcome::Refused(give_up(node, &trace, received)),
+        () = node.giving_up.notified() => {
+            Outcome::Refused(give_up(node, &trace, timeout, received))
+        },
     };
     trace.end(node, &outcome, clock::now().since(received));
     match outcome {
@@ -62,8 +65,17 @@
     }
 }
 
+/// The reply to a request that is not complete when a stop gives up what is pending.
+pub(super) fn refuse_incomplete(node: &Node) -> Reply {
+    let refusal = refusal_with_retry_after(node, Reason::Draining, None, clock::now());
+    Reply {
+        closes: true,
+        ..Reply::from_refusal(refusal)
+    }
+}
+
 /// Ends a request that a stop gives up. Only one that was not forwarded is certain not to run.
-fn give_up(node: &Node, trace: &Trace, received: Time) -> Refusal {
+fn give_up(node: &Node, trace: &Trace, timeout: Option<Duration>, received: Time) -> Refusal {
     let began = node.stopping.get().map_or(received, |it| it.began());
     log::warn!(request:% = trace.attempt, read_ms = clock::millis(received.since(began)),
         since_stop_ms = clock::millis(clock::now().since(began)), forwarded = trace.is_forwarded;
@@ -71,7 +83,7 @@
     if trace.is_forwarded {
         Refusal::may_have_run(Reason::Draining)
     } else {
-        Refusal::not_run(Reason::Draining)
+        refusal_with_retry_after(node, Reason::Draining, timeout, received)
     }
 }
 
@@ -87,7 +99,7 @@
         return Outcome::Refused(refusal_with_retry_after(
             node,
             Reason::NotInTouch,
-            &client_headers,
+            client_headers.timeout,
             received,
         ));
     };
@@ -98,7 +110,7 @@
         let refusal = if node.is_fresh() {
             Refusal::not_run(Reason::UnknownRoute)
         } else {
-            refusal_with_retry_after(node, Reason::NotInTouch, &client_headers, received)
+            refusal_with_retry_after(node, Reason::NotInTouch, client_headers.timeout, received)
         };
         return Outcome::Refused(refusal);
     };
@@ -110,7 +122,7 @@
             return Outcome::Refused(refusal_with_retry_after(
                 node,
                 Reason::NotInTouch,
-                &client_headers,
+                client_headers.timeout,
                 received,
             ));
         }
@@ -149,7 +161,7 @@
         return Outcome::Refused(refusal_with_retry_after(
             node,
             Reason::Draining,
-            &client_headers,
+            client_headers.timeout,
             received,
         ));
     };
@@ -159,7 +171,7 @@
         return Outcome::Refused(refusal_with_retry_after(
             node,
             Reason::OverLimit,
-            &client_headers,
+            client_headers.timeout,
             received,
         ));
     }
@@ -173,7 +185,7 @@
         return Outcome::Refused(refusal_with_retry_after(
             node,
             Reason::Shed,
-            &client_headers,
+            client_headers.timeout,
             received,
         ));
     }
@@ -213,7 +225,12 @@
     {
         node.quotas.refund(clock::now(), row.name);
     }
-    let outcome = with_retry_after(node, forwarded.outcome.clone(), &client_headers, received);
+    let outcome = with_retry_after(
+        node,
+        forwarded.outcome.clone(),
+        client_headers.timeout,
+        received,
+    );
     trace.forwarded = Some(forwarded);
     outcome
 }
@@ -335,10 +352,10 @@
 fn refusal_with_retry_after(
     node: &Node,
     reason: Reason,
-    client_headers: &ClientHeaders,
+    timeout: Option<Duration>,
     received: Time,
 ) -> Refusal {
-    let timeout = client_headers.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let timeout = timeout.unwrap_or(DEFAULT_TIMEOUT);
     let remaining = timeout.saturating_sub(clock::now().since(received));
     let after = jittered_retry_after(remaining, &mut node.rng.borrow_mut());
     Refusal::not_run(reason).retry_after(after)
@@ -347,7 +364,7 @@
 fn with_retry_after(
     node: &Node,
     outcome: Outcome,
-    client_headers: &ClientHeaders,
+    timeout: Option<Duration>,
     received: Time,
 ) -> Outcome {
     match outcome {
@@ -358,7 +375,7 @@
             ..
         }) => outcome,
         Outcome::Refused(refusal) if refusal.verdict == Verdict::NotRun => Outcome::Refused(
-            refusal_with_retry_after(node, refusal.reason, client_headers, received),
+            refusal_with_retry_after(node, refusal.reason, timeout, received),
         ),
         other => other,
     }
