Log a stop also where a node logs more than its limit of lines

Without the line a trace can't tell a late stop from a missing handler.

Cause: the limit of 400 lines a second below warnings took lines of the process like those of requests.

Evidence: a_stop_under_load_is_logged on the code before, 3 of 3 runs: "stopping" is not in the log. It passes now, 2 of 2: lines with the target of the process's life are not limited; there are a few in the life of a process.

--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -5,7 +5,10 @@
 use std::{
     io::{self, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -342,6 +345,35 @@
     table
 }
 
+/// The lines of a stop were dropped like those of requests where a node logged more than its limit.
+#[test]
+fn a_stop_under_load_is_logged() {
+    let mut site = Site::start("stop-logged", &["shop"]);
+    let node = site.members[0].requests;
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                let mut stream = open(node).expect("cannot connect to the node");
+                let request = read("unknown").encode();
+                while !is_over.load(Ordering::Relaxed) && ask(&mut stream, &request).is_ok() {}
+            });
+        }
+        thread::sleep(ms(1_500));
+        site.members[0].node.signal("-TERM");
+        assert_eq!(site.members[0].node.wait(), Some(0));
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let log = site.members[0].log();
+    assert!(
+        log.contains("lines-dropped-before"),
+        "too few lines were logged"
+    );
+    for event in ["\"stopping\"", "\"stopped\"", "\"node-stop\""] {
+        assert!(log.contains(event), "{event} is not in the log");
+    }
+}
+
 #[test]
 fn further_signals_and_a_silent_store_do_not_disturb_a_stop() {
     let mut site = Site::start("stop-signals", &["shop", "desk"]);
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -26,6 +26,8 @@
 const MAX_QUEUED_BATCHES: usize = 4;
 /// The number of lines in a second above which lines below warning level are dropped and counted.
 const MAX_LINES_PER_S: u32 = 400;
+/// The target of lines about the process itself, which the limit of lines does not drop.
+pub(crate) const LIFECYCLE: &str = "lifecycle";
 /// The longest text of a value in a line: some values come from clients and other writers.
 const MAX_TEXT_BYTES: usize = 512;
 /// The time between two batches.
@@ -117,7 +119,8 @@
             buffer.lines = 0;
         }
         buffer.lines += 1;
-        let is_over_rate = buffer.lines > MAX_LINES_PER_S && record.level() > Level::Warn;
+        let is_limited = record.level() > Level::Warn && record.target() != LIFECYCLE;
+        let is_over_rate = is_limited && buffer.lines > MAX_LINES_PER_S;
         if is_over_rate || buffer.bytes.len() >= MAX_BUFFERED_BYTES {
             buffer.dropped += 1;
             return;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -47,12 +47,13 @@
     };
     let settings = Settings::read(path)?;
     logs::init(&settings.name)?;
-    log::info!(settings:% = path.display(), version:% = env!("CARGO_PKG_VERSION"); "node-start");
+    log::info!(target: logs::LIFECYCLE, settings:% = path.display(),
+        version:% = env!("CARGO_PKG_VERSION"); "node-start");
     let metrics_handle = metrics::install()?;
     let tasks = LocalSet::new();
     let result = tasks.block_on(&runtime, serve(settings, path, metrics_handle, signals));
     match &result {
-        Ok(()) => log::info!("node-stop"),
+        Ok(()) => log::info!(target: logs::LIFECYCLE, "node-stop"),
         Err(err) => log::error!(reason:% = format!("{err:#}"); "node-failed"),
     }
     // Closes the sockets first: requests that arrive while the last lines are written would get no
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -7,7 +7,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::{
-    clock, link,
+    clock, link, logs,
     node::Node,
     settings::Settings,
     signals::{SignalRequest, Signals},
@@ -46,7 +46,8 @@
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
     let stop = StopSchedule::new(began, grace);
     node.stopping.set(Some(stop));
-    log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
+    log::info!(target: logs::LIFECYCLE, open = node.open_requests.get(),
+        owned = node.owner.pending_requests(),
         paused_ms = clock::millis(clock::now().since(began)); "stopping");
     node.owner.drain(node);
     tokio::task::spawn_local(withdraw_entry(Rc::clone(node), Rc::clone(store), stop));
@@ -60,7 +61,8 @@
     link::close_accepted(node, stop.links_close().since(clock::now())).await;
     // Requests of clients may have arrived meanwhile.
     finish_requests(node, stop).await;
-    log::info!(open = node.open_requests.get(), owned = node.owner.pending_requests(),
+    log::info!(target: logs::LIFECYCLE, open = node.open_requests.get(),
+        owned = node.owner.pending_requests(),
         closing = node.closing_connections.get(),
         spent_ms = clock::millis(clock::now().since(stop.began())); "stopped");
 }
@@ -113,7 +115,7 @@
             let needs_restart = settings.addresses != node.settings().addresses
                 || settings.store != node.settings().store
                 || settings.name != node.settings().name;
-            log::info!(needs_restart = needs_restart; "settings-reloaded");
+            log::info!(target: logs::LIFECYCLE, needs_restart = needs_restart; "settings-reloaded");
             node.set_settings(settings);
         }
         Err(err) => log::error!(reason:% = err; "settings-refused"),
