--- a/cassiashunt/tests/soak.rs
+++ b/cassiashunt/tests/soak.rs
@@ -9,12 +9,16 @@
 const SOAK_TIME: Duration = Duration::from_secs(10);
 
 fn soak(seed: u64) {
-    let folder = format!("cassiashunt-soak-{seed}-{}", std::process::id());
+    play(seed, Mix::of_seed(seed));
+}
+
+fn play(seed: u64, mix: Mix) {
+    let folder = format!("cassiashunt-soak-{seed}-{mix:?}-{}", std::process::id());
     let opts = Options {
         binary: PathBuf::from(env!("CARGO_BIN_EXE_cassiashunt")),
         folder: std::env::temp_dir().join(folder),
         seed,
-        mix: Mix::of_seed(seed),
+        mix,
         nodes: 6,
         span: SOAK_TIME,
     };
@@ -44,3 +48,8 @@
 fn seed_5_all_kinds_of_faults() {
     soak(5);
 }
+
+#[test]
+fn seed_7_stopping_nodes_took_requests_that_they_could_not_finish() {
+    play(7, Mix::Stops);
+}
