--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -356,7 +356,11 @@
             scope.spawn(|| {
                 let mut stream = open(node).expect("cannot connect to the node");
                 let request = read("unknown").encode();
-                while !is_over.load(Ordering::Relaxed) && ask(&mut stream, &request).is_ok() {}
+                while !is_over.load(Ordering::Relaxed) {
+                    if ask(&mut stream, &request).is_err() {
+                        return;
+                    }
+                }
             });
         }
         thread::sleep(ms(1_500));
