--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -78,31 +78,13 @@
             read = read_request(&mut connection, limits) => read,
             () = node.giving_up.notified() => Err(Some(refuse_incomplete(&node))),
         };
-        let mut attempt = String::new();
         let (reply, is_head) = match read {
             Ok((head, body)) => {
-                let closes = !head.keep_alive;
                 let is_head = head.method == "HEAD";
-                let client_headers = read_client_headers(head.pairs());
-                attempt = client_headers.attempt.clone().unwrap_or_default();
-                let received = clock::now();
-                open.on_read(&attempt, received);
-                let incoming = Incoming {
-                    head,
-                    client_headers,
-                    body,
-                    received,
-                };
-                let reply = tokio::select! {
-                    reply = handle(&node, incoming) => reply,
-                    () = connection.wait_closed() => {
-                        open.on_ended();
-                        log::info!(request:% = attempt; "request-cancelled");
-                        return;
-                    }
-                };
-                let closes = closes || reply.closes;
-                (Reply { closes, ..reply }, is_head)
+                match answer(&node, &mut connection, &mut open, head, body).await {
+                    Some(reply) => (reply, is_head),
+                    None => return,
+                }
             }
             Err(Some(reply)) => (reply, false),
             Err(None) => return,
@@ -111,11 +93,11 @@
         let closes = reply.closes || (node.is_stopping() && !connection.has_leftover());
         let bytes = reply.encode(is_head, closes);
         let written = timeout(ANSWER_WRITE_TIMEOUT, connection.write(&bytes)).await;
-        open.on_ended();
         if !matches!(written, Ok(Ok(()))) {
-            log::info!(request:% = attempt; "answer-unwritten");
+            open.on_unwritten();
             return;
         }
+        open.on_answered();
         drop(open);
         if closes {
             let _closing = ClosingConnection::new(&node);
@@ -125,6 +107,38 @@
     }
 }
 
+/// Answers one complete request; `None` if its client leaves first.
+async fn answer(
+    node: &Rc<Node>,
+    connection: &mut Connection,
+    open: &mut OpenRequest<'_>,
+    head: RequestHead,
+    body: Bytes,
+) -> Option<Reply> {
+    let keeps_alive = head.keep_alive;
+    let client_headers = read_client_headers(head.pairs());
+    let received = clock::now();
+    open.on_read(
+        client_headers.attempt.as_deref().unwrap_or_default(),
+        received,
+    );
+    let incoming = Incoming {
+        head,
+        client_headers,
+        body,
+        received,
+    };
+    let reply = tokio::select! {
+        reply = handle(node, incoming) => reply,
+        () = connection.wait_closed() => {
+            open.on_cancelled();
+            return None;
+        }
+    };
+    let closes = reply.closes || !keeps_alive;
+    Some(Reply { closes, ..reply })
+}
+
 /// Reads one complete request. On failure, returns the error reply to send, or `None` if the client
 /// has disconnected.
 async fn read_request(
--- a/crates/sidecar/src/ingress/open_request.rs
+++ b/crates/sidecar/src/ingress/open_request.rs
@@ -26,10 +26,22 @@
         self.unanswered = Some((attempt.to_owned(), at));
     }
 
-    /// Records that the request needs no answer any more: it was answered, or its client has left.
-    pub(crate) fn on_ended(&mut self) {
+    /// Records that the request was answered.
+    pub(crate) fn on_answered(&mut self) {
         self.unanswered = None;
     }
+
+    /// Records that its client has left.
+    pub(crate) fn on_cancelled(&mut self) {
+        let (attempt, _) = self.unanswered.take().unwrap_or_default();
+        log::info!(request:% = attempt; "request-cancelled");
+    }
+
+    /// Records that its client did not take the answer.
+    pub(crate) fn on_unwritten(&mut self) {
+        let (attempt, _) = self.unanswered.take().unwrap_or_default();
+        log::info!(request:% = attempt; "answer-unwritten");
+    }
 }
 
 impl Drop for OpenRequest<'_> {
