--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -95,37 +95,33 @@
         received,
     } = incoming;
     trace.attempt = client_headers.attempt.clone().unwrap_or_default();
-    let Some(table) = node.table() else {
-        return Outcome::Refused(refusal_with_retry_after(
+    let stated_timeout = client_headers.timeout;
+    let refuse = |reason| {
+        Outcome::Refused(refusal_with_retry_after(
             node,
-            Reason::NotInTouch,
-            client_headers.timeout,
+            reason,
+            stated_timeout,
             received,
-        ));
+        ))
+    };
+    let Some(table) = node.table() else {
+        return refuse(Reason::NotInTouch);
     };
     let host = header(&head.headers, "host").unwrap_or_default();
     let path = head.target.split('?').next().unwrap_or_default();
     let Some(route) = table.route(host, path) else {
         // This table may be out of date, and a newer one may have the route.
-        let refusal = if node.is_fresh() {
-            Refusal::not_run(Reason::UnknownRoute)
+        return if node.is_fresh() {
+            Outcome::Refused(Refusal::not_run(Reason::UnknownRoute))
         } else {
-            refusal_with_retry_after(node, Reason::NotInTouch, client_headers.timeout, received)
+            refuse(Reason::NotInTouch)
         };
-        return Outcome::Refused(refusal);
     };
     trace.route = Some(route.name);
     let is_call = route.is_public && client_headers.key.is_none();
     let workspace = match workspace(node, &table, route, &client_headers, is_call) {
         Ok(workspace) => workspace,
-        Err(Reason::NotInTouch) => {
-            return Outcome::Refused(refusal_with_retry_after(
-                node,
-                Reason::NotInTouch,
-                client_headers.timeout,
-                received,
-            ));
-        }
+        Err(Reason::NotInTouch) => return refuse(Reason::NotInTouch),
         Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
     };
     trace.workspace = workspace.map(|row| row.name);
@@ -152,28 +148,15 @@
             is_chain_call = true;
         }
     }
-    let timeout = client_headers
-        .timeout
-        .unwrap_or(DEFAULT_TIMEOUT)
-        .min(route.timeout);
+    let timeout = stated_timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = deadline_in_stop(node, &trace.attempt, received + timeout, is_chain_call);
     let Some(deadline) = deadline else {
-        return Outcome::Refused(refusal_with_retry_after(
-            node,
-            Reason::Draining,
-            client_headers.timeout,
-            received,
-        ));
+        return refuse(Reason::Draining);
     };
     if let Some(row) = workspace
         && !quota::admit(node, row.name).await
     {
-        return Outcome::Refused(refusal_with_retry_after(
-            node,
-            Reason::OverLimit,
-            client_headers.timeout,
-            received,
-        ));
+        return refuse(Reason::OverLimit);
     }
     // Requests over a limit put no load on the services, so limits are checked before shedding.
     if !is_call && !node.shedding.admit(route.name, priority) {
@@ -182,12 +165,7 @@
         if let Some(row) = workspace {
             node.quotas.refund(clock::now(), row.name);
         }
-        return Outcome::Refused(refusal_with_retry_after(
-            node,
-            Reason::Shed,
-            client_headers.timeout,
-            received,
-        ));
+        return refuse(Reason::Shed);
     }
     let message = WorkRequest {
         id: 0,
@@ -225,12 +203,7 @@
     {
         node.quotas.refund(clock::now(), row.name);
     }
-    let outcome = with_retry_after(
-        node,
-        forwarded.outcome.clone(),
-        client_headers.timeout,
-        received,
-    );
+    let outcome = with_retry_after(node, forwarded.outcome.clone(), stated_timeout, received);
     trace.forwarded = Some(forwarded);
     outcome
 }
