--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -472,6 +472,16 @@
     pub(crate) version: u64,
 }
 
+impl Proof {
+    /// The table that the sender proves.
+    pub(crate) fn known_table(&self) -> KnownTable {
+        KnownTable {
+            at: StoreRevision::new(self.era, Revision(self.revision)),
+            version: self.version,
+        }
+    }
+}
+
 /// The operators' table as it was read from the store.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Table {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -209,11 +209,7 @@
     /// may have been delayed.
     pub(crate) fn on_proof(&self, now: Time, proof: &Proof) {
         let asked = Time::from_micros(proof.asked_us);
-        let peer = KnownTable {
-            at: StoreRevision::new(proof.era, Revision(proof.revision)),
-            version: proof.version,
-        };
-        if asked <= now && self.known_table.get().is_proven_by(peer) {
+        if asked <= now && self.known_table.get().is_proven_by(proof.known_table()) {
             let proven = asked.before(Duration::from_micros(proof.age_us));
             self.freshness.borrow_mut().prove(proven);
         }
