--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    counted::Counted,
     open_request::OpenRequest,
     reply::Reply,
     request::{Incoming, handle, refuse_incomplete},
@@ -40,24 +41,6 @@
     }
 }
 
-/// Counts a connection in `Node::closing_connections` until dropped.
-struct ClosingConnection<'a>(&'a Node);
-
-impl<'a> ClosingConnection<'a> {
-    fn new(node: &'a Node) -> Self {
-        let closing = &node.closing_connections;
-        closing.set(closing.get() + 1);
-        Self(node)
-    }
-}
-
-impl Drop for ClosingConnection<'_> {
-    fn drop(&mut self) {
-        let closing = &self.0.closing_connections;
-        closing.set(closing.get().saturating_sub(1));
-    }
-}
-
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     if let Err(err) = stream.set_nodelay(true) {
         log::info!(reason:% = err; "client-gone");
@@ -100,7 +83,7 @@
         open.on_answered();
         drop(open);
         if closes {
-            let _closing = ClosingConnection::new(&node);
+            let _closing = Counted::new(&node.closing_connections);
             connection.finish().await;
             return;
         }
--- a/crates/sidecar/src/ingress/mod.rs
+++ b/crates/sidecar/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 //! backend server.
 
 mod connection;
+mod counted;
 mod forward;
 mod open_request;
 mod reply;
--- a/crates/sidecar/src/ingress/open_request.rs
+++ b/crates/sidecar/src/ingress/open_request.rs
@@ -2,11 +2,13 @@
 
 use cassiashunt_types::prelude::*;
 
+use super::counted::Counted;
 use crate::{clock, node::Node};
 
 /// Counts a request in `Node::open_requests` until dropped, and logs one that a stop cuts off.
 pub(crate) struct OpenRequest<'a> {
     node: &'a Node,
+    _counted: Counted<'a>,
     /// The attempt id and when the request was read completely; `None` before that and after its
     /// end.
     unanswered: Option<(String, Time)>,
@@ -14,9 +16,9 @@
 
 impl<'a> OpenRequest<'a> {
     pub(crate) fn new(node: &'a Node) -> Self {
-        node.open_requests.set(node.open_requests.get() + 1);
         Self {
             node,
+            _counted: Counted::new(&node.open_requests),
             unanswered: None,
         }
     }
@@ -46,8 +48,6 @@
 
 impl Drop for OpenRequest<'_> {
     fn drop(&mut self) {
-        let open = self.node.open_requests.get();
-        self.node.open_requests.set(open.saturating_sub(1));
         let Some((attempt, read_at)) = self.unanswered.take() else {
             return;
         };
