--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -17,76 +17,12 @@
 use support::{
     eventually,
     site::{Site, WORKSPACE_KEY, read, write},
-    stop::{End, Fate, GRACE, Work, broken_rules},
+    stop::{
+        End, Fate, GRACE, Work, broken_rules, kept_connection, ms, send, send_whole, sleep_until,
+        with_runs,
+    },
 };
 
-/// The timeout of all routes in the table of [`Site::start`].
-const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-/// Sends the pieces of a request with a pause between them, and reads its answer.
-fn send(
-    stream: &mut TcpStream,
-    request: &Request,
-    pieces: &[&[u8]],
-    pause: Duration,
-    began: Instant,
-) -> Fate {
-    let mut fate = Fate {
-        attempt: request.attempt.clone(),
-        is_repeatable: request.method == "GET",
-        sent: Duration::ZERO,
-        limit: ms(request.timeout_ms).min(ROUTE_TIMEOUT),
-        end: End::Closed,
-        ended: Duration::ZERO,
-        runs: Vec::new(),
-    };
-    for (at, piece) in pieces.iter().enumerate() {
-        if at > 0 {
-            thread::sleep(pause);
-        }
-        fate.sent = began.elapsed();
-        if stream.write_all(piece).is_err() {
-            fate.ended = began.elapsed();
-            return fate;
-        }
-    }
-    if let Ok(answer) = ask(stream, b"") {
-        fate.end = End::Answered(answer.status);
-    }
-    fate.ended = began.elapsed();
-    fate
-}
-
-fn send_whole(stream: &mut TcpStream, request: &Request, began: Instant) -> Fate {
-    send(stream, request, &[&request.encode()], Duration::ZERO, began)
-}
-
-/// Adds what the servers ran, each run taking `work`.
-fn with_runs(site: &Site, fates: Vec<Fate>, work: Duration, began: Instant) -> Vec<Fate> {
-    let runs: Vec<_> = site
-        .members
-        .iter()
-        .flat_map(|it| it.server.runs())
-        .collect();
-    let add_runs = |fate: Fate| {
-        let own = runs.iter().filter(|run| run.attempt == fate.attempt);
-        let runs = own.map(|run| {
-            let from = run.at.saturating_duration_since(began);
-            let until = from + work;
-            Work { from, until }
-        });
-        Fate {
-            runs: runs.collect(),
-            ..fate
-        }
-    };
-    fates.into_iter().map(add_runs).collect()
-}
-
 /// Connections that have been idle for longer than this may be closed: four fifths of the time in the
 /// table.
 const MAX_IDLE: Duration = Duration::from_secs(4);
@@ -96,18 +32,6 @@
     (at < MAX_IDLE).then(|| kept_connection(node))
 }
 
-/// A kept connection: one that has had an answer.
-fn kept_connection(node: SocketAddr) -> TcpStream {
-    let mut stream = open(node).expect("cannot connect to the node");
-    let answer = ask(&mut stream, &read("desk").encode()).expect("no answer from the node");
-    assert_eq!(answer.header("connection"), None);
-    stream
-}
-
-fn sleep_until(began: Instant, at: Duration) {
-    thread::sleep((began + at).saturating_duration_since(Instant::now()));
-}
-
 /// Clients that send on new connections, one request after the other, until the node is gone.
 fn send_constantly(node: SocketAddr, began: Instant, fates: &Mutex<Vec<Fate>>) {
     while began.elapsed() < GRACE {
--- /dev/null
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -0,0 +1,200 @@
+//! Planned stops of one entry node of a fleet at rest, with clients that hold its connections.
+
+mod support;
+
+use std::{
+    io::{ErrorKind, Read as _, Write as _},
+    net::TcpStream,
+    sync::Mutex,
+    thread,
+    time::{Duration, Instant},
+};
+
+use cassiashunt_standin::site::{Behaviour, Request, ask};
+use support::{
+    eventually,
+    site::{Site, WORKSPACE_KEY, read, table, write},
+    stop::{
+        End, Fate, broken_rules_within, kept_connection, ms, send_whole, sleep_until, with_runs,
+    },
+};
+
+/// Longer than all grace times of these tests.
+const LONG_TIMEOUT: Duration = Duration::from_secs(40);
+/// The fraction of the grace time after which a stop gives up what is pending.
+const GIVE_UP_FRACTION: f64 = 0.9;
+/// The fraction of the grace time after which a stop waits for no answer.
+const END_FRACTION: f64 = 0.93;
+
+/// Starts a fleet whose routes and idle connections have [`LONG_TIMEOUT`].
+fn start_patient(name: &str, grace: Duration) -> Site {
+    let site = Site::start_with_grace(name, &["shop", "desk"], grace);
+    let mut patient = table(2, &[WORKSPACE_KEY]);
+    let timeout_ms = u64::try_from(LONG_TIMEOUT.as_millis()).expect("a short timeout");
+    let resources = patient["resources"].as_array_mut();
+    for resource in resources.expect("`resources` is not an array") {
+        match resource["type"].as_str() {
+            Some("routes") => resource["spec"]["timeout_ms"] = timeout_ms.into(),
+            Some("limits") => resource["spec"]["idle_timeout_ms"] = timeout_ms.into(),
+            _ => {}
+        }
+    }
+    site.put_table(&patient);
+    for member in &site.members {
+        eventually("the table is in force", || {
+            let log = member.log();
+            let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
+            lines.any(|line| line.contains("\"version\":2"))
+        });
+    }
+    site
+}
+
+/// When the clients send: over all of the grace time, and densely where the stop changes its course.
+fn sending_times(grace: Duration) -> Vec<Duration> {
+    let notice_ends = ms(2_600).min(grace.mul_f64(0.45));
+    let spread = (1..=24).map(|at| grace.mul_f64(f64::from(at) / 24.0));
+    let turns = [
+        notice_ends,
+        grace.mul_f64(GIVE_UP_FRACTION),
+        grace.mul_f64(END_FRACTION),
+    ];
+    let dense = turns
+        .into_iter()
+        .flat_map(|turn| (0..14).map(move |step| (turn + ms(step * 12)).saturating_sub(ms(60))));
+    spread.chain(dense).collect()
+}
+
+/// Whether the node has closed a connection, as a client sees it that looks before it sends.
+fn is_closed(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("cannot set the socket");
+    let peeked = stream.peek(&mut [0]);
+    stream
+        .set_nonblocking(false)
+        .expect("cannot set the socket");
+    !matches!(peeked, Err(err) if err.kind() == ErrorKind::WouldBlock)
+}
+
+/// The request of a client: every other one may not be repeated, and time limits differ.
+fn request_of(client: usize) -> Request {
+    let request = if client.is_multiple_of(2) {
+        write("desk")
+    } else {
+        read("desk")
+    };
+    Request {
+        timeout_ms: [1_500, 300, 700][client % 3],
+        ..request
+    }
+}
+
+/// Stops the entry node, with one pending request that outlasts the stop if `is_held`, and returns
+/// what broke a rule.
+fn stop_with_late_clients(grace: Duration, work: Duration, is_held: bool) -> Vec<String> {
+    let name = format!("calm-{}-{}-{is_held}", grace.as_millis(), work.as_millis());
+    let mut site = start_patient(&name, grace);
+    let node = site.members[0].requests;
+    let clients: Vec<_> = sending_times(grace)
+        .into_iter()
+        .map(|at| (at, kept_connection(node)))
+        .collect();
+    let mut holder = kept_connection(node);
+    let server = &site.members[1].server;
+    if is_held {
+        server.do_next(Behaviour::Slow(LONG_TIMEOUT));
+        let held = Request {
+            timeout_ms: 2 * u64::try_from(grace.as_millis()).expect("a short grace time"),
+            ..write("desk")
+        };
+        holder
+            .write_all(&held.encode())
+            .expect("cannot send to the node");
+        eventually("the request runs", || site.runs_of(&held) == 1);
+    }
+    server.set_usual(Behaviour::Slow(work));
+    let fates = Mutex::new(Vec::new());
+    let began = Instant::now();
+    let process = &mut site.members[0].node;
+    process.signal("-TERM");
+    let stopped = thread::scope(|scope| {
+        let stopped = scope.spawn(|| {
+            assert_eq!(process.wait(), Some(0));
+            began.elapsed()
+        });
+        for (client, (at, mut stream)) in clients.into_iter().enumerate() {
+            let fates = &fates;
+            scope.spawn(move || {
+                sleep_until(began, at);
+                if is_closed(&stream) {
+                    return;
+                }
+                let request = request_of(client);
+                let fate = Fate {
+                    limit: ms(request.timeout_ms),
+                    ..send_whole(&mut stream, &request, began)
+                };
+                let is_reset = matches!(stream.take_error(), Ok(Some(_)))
+                    || matches!(stream.read(&mut [0]), Err(err) if err.kind() == ErrorKind::ConnectionReset);
+                fates
+                    .lock()
+                    .expect("a client panicked")
+                    .push((fate, is_reset));
+            });
+        }
+        stopped.join().expect("the node did not end by itself")
+    });
+    assert!(stopped < grace, "stopped after {stopped:?}");
+    if is_held {
+        let answer = ask(&mut holder, b"").expect("no answer to the pending request");
+        assert_eq!(answer.status, 502);
+    }
+    let (fates, resets): (Vec<_>, Vec<_>) = fates
+        .into_inner()
+        .expect("a client panicked")
+        .into_iter()
+        .unzip();
+    println!(
+        "{name}: {} requests, stopped after {stopped:?}",
+        fates.len()
+    );
+    let reset = fates.iter().zip(resets).filter(|(_, is_reset)| *is_reset);
+    let reset: Vec<_> = reset.map(|(fate, _)| format!("RESET: {fate:?}")).collect();
+    let fates = with_runs(&site, fates, work, began);
+    assert!(
+        fates.iter().any(|it| it.end == End::Answered(200)),
+        "no request was served: {fates:?}"
+    );
+    let mut broken = broken_rules_within(grace, &fates);
+    broken.extend(reset);
+    broken
+}
+
+/// Stops with quick and slow servers, at rest and with a pending request, side by side.
+fn check_late_requests(grace: Duration) {
+    let cases = [(20, false), (900, false), (20, true), (900, true)];
+    let broken: Vec<_> = thread::scope(|scope| {
+        let stops = cases.map(|(work, is_held)| {
+            scope.spawn(move || stop_with_late_clients(grace, ms(work), is_held))
+        });
+        stops
+            .into_iter()
+            .flat_map(|it| it.join().expect("a stop's check panicked"))
+            .collect()
+    });
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+#[test]
+fn a_request_sent_late_to_an_entry_node_stopped_in_calm_is_answered_or_never_read() {
+    check_late_requests(Duration::from_secs(6));
+}
+
+#[test]
+fn a_request_sent_late_in_a_short_grace_time_is_answered_or_never_read() {
+    check_late_requests(Duration::from_secs(2));
+}
+
+#[test]
+fn a_request_sent_late_in_a_long_grace_time_is_answered_or_never_read() {
+    check_late_requests(Duration::from_secs(20));
+}
--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -19,6 +19,7 @@
 use support::{
     Folder, Process, eventually, listens, path,
     site::{Site, WORKSPACE_KEY, table, write},
+    stop::GRACE,
 };
 
 /// Longer than a stopping node without requests takes to end.
@@ -222,6 +223,7 @@
             server: support::free_addr(),
             store: support::free_addr(),
             withdrawal: Duration::from_millis(2_500),
+            grace: GRACE,
         };
         Self {
             folder: Folder::new(name),
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -12,7 +12,7 @@
 };
 use serde_json::Value;
 
-use super::{Folder, Process, eventually, path};
+use super::{Folder, Process, eventually, path, stop::GRACE};
 
 /// A node and its backend server.
 pub struct Member {
@@ -72,17 +72,25 @@
     pub members: Vec<Member>,
     folder: Folder,
     key_withdrawal: Duration,
+    grace: Duration,
 }
 
 /// The rate limit of the workspace.
 const RATE_PER_S: u32 = 400;
+/// The time for which a withdrawn key may still be accepted.
+const KEY_WITHDRAWAL: Duration = Duration::from_millis(2_500);
 /// The key of the workspace in the table that [`Site::start`] writes.
 pub const WORKSPACE_KEY: &str = "key-of-the-first-shop";
 
 impl Site {
     /// Starts a node for each listed service and waits until requests reach all services.
     pub fn start(name: &str, services: &[&str]) -> Self {
-        Self::start_with_key_withdrawal(name, services, Duration::from_millis(2_500))
+        Self::start_with_key_withdrawal(name, services, KEY_WITHDRAWAL)
+    }
+
+    /// Like [`Site::start`], with another grace time.
+    pub fn start_with_grace(name: &str, services: &[&str], grace: Duration) -> Self {
+        Self::start_with(name, services, KEY_WITHDRAWAL, grace)
     }
 
     /// Like [`Site::start`], with the time for which a withdrawn key may still be accepted.
@@ -90,6 +98,15 @@
         name: &str,
         services: &[&str],
         key_withdrawal: Duration,
+    ) -> Self {
+        Self::start_with(name, services, key_withdrawal, GRACE)
+    }
+
+    fn start_with(
+        name: &str,
+        services: &[&str],
+        key_withdrawal: Duration,
+        grace: Duration,
     ) -> Self {
         let store = Store::start().expect("cannot bind a port on loopback");
         store.put("op/config", &table(1, &[WORKSPACE_KEY]).to_string());
@@ -98,6 +115,7 @@
             members: Vec::new(),
             folder: Folder::new(name),
             key_withdrawal,
+            grace,
         };
         for service in services {
             site.add(service);
@@ -131,6 +149,7 @@
             server: server.address(),
             store: door.address(),
             withdrawal: self.key_withdrawal,
+            grace: self.grace,
         }
         .to_toml();
         let settings = self.folder.write(&format!("{name}.toml"), &text);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -12,7 +12,11 @@
 
 use serde_json::json;
 
-use crate::{history::WITHDRAWAL, process::Process, proxy::Proxy};
+use crate::{
+    history::{GRACE, WITHDRAWAL},
+    process::Process,
+    proxy::Proxy,
+};
 
 /// Requests a second that the workspace may send: more than all clients do.
 const RATE: u32 = 5_000;
@@ -93,6 +97,7 @@
         server: to_server.address(),
         store: to_store.address(),
         withdrawal: WITHDRAWAL,
+        grace: GRACE,
     }
     .to_toml();
     let settings = folder.join(format!("node-{at}.toml"));
--- a/crates/standin/src/site/settings.rs
+++ b/crates/standin/src/site/settings.rs
@@ -52,6 +52,8 @@
     pub store: SocketAddr,
     /// The longest time that a withdrawn key may work.
     pub withdrawal: Duration,
+    /// The time between the signal to stop and the kill.
+    pub grace: Duration,
 }
 
 impl NodeSettings<'_> {
@@ -66,6 +68,7 @@
             server,
             store,
             withdrawal,
+            grace,
         } = self;
         let Addresses {
             requests,
@@ -74,6 +77,7 @@
             heartbeats,
         } = addresses;
         let withdrawal = withdrawal.as_millis();
+        let grace = grace.as_secs_f64();
         format!(
             r#"
 name = "{name}"
@@ -90,7 +94,7 @@
 min-lease-ms = 1000
 [bounds]
 key-withdrawal-ms = {withdrawal}
-grace-s = 6.0
+grace-s = {grace:?}
 retry-ratio = 0.2
 retry-slack = 40
 retry-window-s = 10
