Refuse requests that arrive in part after a stop gave up

What callers saw: a request that began to arrive between 0.9 and 0.93 of the grace time, and was not whole when the process ended, got a closed connection and no word on whether to come back.

The cause: `Notify::notify_waiters` reaches only the tasks that wait at that instant. A task that begins to read a request later waits for a notice that is over, and the stop waits for it in vain.

The evidence: a_request_that_arrives_in_part_after_a_stop_gave_up_is_refused, on the code before:

no answer to a partial request: Kind(UnexpectedEof)

It passes with this commit.

Why this fix works: giving up is a state now, a `CancellationToken`, that who comes later finds as well. A request that is whole then is still refused by `StopSchedule::takes`, as its time limit lies beyond the stop. The refusal of a partial request has a log line of its own, `request-incomplete`.

--- a/cassiashunt/tests/site_stop_calm.rs
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -198,3 +198,50 @@
 fn a_request_sent_late_in_a_long_grace_time_is_answered_or_never_read() {
     check_late_requests(Duration::from_secs(20));
 }
+
+/// A request that was still on its way when a stop gave up what was pending heard nothing, and lost
+/// its connection at the end of the process.
+#[test]
+fn a_request_that_arrives_in_part_after_a_stop_gave_up_is_refused() {
+    let grace = Duration::from_secs(6);
+    let mut site = start_patient("calm-partial", grace);
+    let node = site.members[0].requests;
+    let gives_up = grace.mul_f64(GIVE_UP_FRACTION);
+    let clients: Vec<_> = [20, 50, 80, 110]
+        .map(|after| (gives_up + ms(after), kept_connection(node)))
+        .into();
+    let mut holder = kept_connection(node);
+    site.members[1]
+        .server
+        .do_next(Behaviour::Slow(LONG_TIMEOUT));
+    let held = Request {
+        timeout_ms: 20_000,
+        ..write("desk")
+    };
+    holder
+        .write_all(&held.encode())
+        .expect("cannot send to the node");
+    eventually("the request runs", || site.runs_of(&held) == 1);
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    let clients = clients.into_iter().map(|(at, mut stream)| {
+        thread::spawn(move || {
+            sleep_until(began, at);
+            let is_sent = !is_closed(&stream);
+            let bytes = write("desk").encode();
+            is_sent.then(|| ask(&mut stream, &bytes[..bytes.len() - 3]))
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let answers = clients
+        .into_iter()
+        .filter_map(|it| it.join().expect("a client panicked"));
+    let answers: Vec<_> = answers.collect();
+    assert!(!answers.is_empty(), "the connections were closed before");
+    for answer in answers {
+        let answer = answer.expect("no answer to a partial request");
+        assert_eq!(answer.status, 503);
+        assert!(answer.header("retry-after").is_some(), "no time to retry");
+    }
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -59,7 +59,7 @@
         let read = tokio::select! {
             biased;
             read = read_request(&mut connection, limits) => read,
-            () = node.giving_up.notified() => Err(Some(refuse_incomplete(&node))),
+            () = node.giving_up.cancelled() => Err(Some(refuse_incomplete(&node))),
         };
         let (reply, is_head) = match read {
             Ok((head, body)) => {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -54,7 +54,7 @@
         biased;
         outcome = answer(node, incoming, &mut trace) => outcome,
         // Dropping the other future cancels the request wherever it is.
-        () = node.giving_up.notified() => {
+        () = node.giving_up.cancelled() => {
             Outcome::Refused(give_up(node, &trace, timeout, received))
         },
     };
@@ -67,7 +67,10 @@
 
 /// The reply to a request that is not complete when a stop gives up what is pending.
 pub(super) fn refuse_incomplete(node: &Node) -> Reply {
-    let refusal = refusal_with_retry_after(node, Reason::Draining, None, clock::now());
+    let now = clock::now();
+    let since_stop = node.stopping.get().map(|it| now.since(it.began()));
+    log::info!(since_stop_ms = clock::millis(since_stop.unwrap_or_default()); "request-incomplete");
+    let refusal = refusal_with_retry_after(node, Reason::Draining, None, now);
     Reply {
         closes: true,
         ..Reply::from_refusal(refusal)
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -81,8 +81,8 @@
     pub(crate) links_closed: Notify,
     /// The course of the stop; `None` before the process is asked to stop.
     pub(crate) stopping: Cell<Option<StopSchedule>>,
-    /// Notified when a stop gives up what is pending.
-    pub(crate) giving_up: Notify,
+    /// Cancelled when a stop gives up what is pending, and what comes later.
+    pub(crate) giving_up: CancellationToken,
     /// Stops accepting clients' connections.
     pub(crate) stop_accepting: Notify,
     /// Unanswered requests of clients and of the backend server.
@@ -143,7 +143,7 @@
             closing_links: CancellationToken::new(),
             links_closed: Notify::new(),
             stopping: Cell::new(None),
-            giving_up: Notify::new(),
+            giving_up: CancellationToken::new(),
             stop_accepting: Notify::new(),
             open_requests: Cell::new(0),
             closing_connections: Cell::new(0),
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -72,7 +72,7 @@
     wait_until(stop.gives_up(), |_| !is_busy(node)).await;
     if is_busy(node) {
         // The tasks that serve the clients' requests answer them.
-        node.giving_up.notify_waiters();
+        node.giving_up.cancel();
         wait_until(stop.ends(), |_| !is_busy(node)).await;
     }
 }
