Close idle connections in order at the very end of a stop

What callers saw: at the end of a stop the process ended with idle connections open, and its sockets were gone at once. A request that crossed the close met a reset, which can also destroy an earlier answer that the client has not read; one that lay unread in the socket got a reset in place of an answer.

The cause: connections of clients were counted while a request was open on them. Nothing closed the idle ones, and a stop ended by what was counted, so a request that had arrived and was not read yet was nowhere.

The evidence: a_request_that_crosses_the_close_of_an_idle_connection_meets_no_reset, on the code before:

Some(Os { code: 32, kind: BrokenPipe, message: "Broken pipe" })

It passes with this commit, as do site_stop and the rest of site_stop_calm.

Why this fix works: when nothing is left to do, or the time is over, each idle connection lets the event loop run once and looks again. A request that has arrived is handled like any other in a stop: served if it fits, else refused as not run. Otherwise the sending side is closed first, and what still comes is read and dropped for 200 ms or until the client closes. The stop waits for all connections, as it does for the links to peers, instead of for a count at one instant.

`stopped` says how many connections were closed idle.

--- a/cassiashunt/tests/site_stop_calm.rs
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    io::{ErrorKind, Read as _, Write as _},
+    io::{self, ErrorKind, Read as _, Write as _},
     net::TcpStream,
     sync::Mutex,
     thread,
@@ -245,3 +245,26 @@
     }
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
+
+/// The end of the process closed idle connections at once, so that a request that crossed the close met
+/// a reset.
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_meets_no_reset() {
+    let mut site = Site::start("calm-idle", &["shop", "desk"]);
+    let mut stream = kept_connection(site.members[0].requests);
+    site.members[0].node.signal("-TERM");
+    let end = stream.read(&mut [0]);
+    assert_eq!(end.expect("the connection was reset"), 0);
+    let request = write("desk");
+    stream
+        .write_all(&request.encode())
+        .expect("cannot send to the node");
+    thread::sleep(ms(50));
+    let error = stream.take_error().expect("cannot read the socket's error");
+    assert!(error.is_none(), "{error:?}");
+    let end: io::Result<usize> = stream.read(&mut [0]);
+    assert_eq!(end.expect("the connection was reset"), 0);
+    drop(stream);
+    assert_eq!(site.runs_of(&request), 0);
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -12,7 +12,7 @@
 const GIVE_UP_FRACTION: f64 = 0.9;
 /// The fraction of the grace period after which no answer to a client is waited for.
 const END_FRACTION: f64 = 0.93;
-/// The fraction of the grace period by which the links to peers are closed.
+/// The fraction of the grace period by which all connections are closed.
 const LINKS_CLOSED_FRACTION: f64 = 0.95;
 /// The time between the time limit of a request and the moment at which it would be given up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
@@ -57,7 +57,7 @@
         self.began + self.grace.mul_f64(END_FRACTION)
     }
 
-    /// When the links to peers are closed, whatever is not delivered.
+    /// When links to peers and connections of clients are closed, whatever is not delivered.
     #[must_use]
     pub fn links_close(&self) -> Time {
         self.began + self.grace.mul_f64(LINKS_CLOSED_FRACTION)
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -1,6 +1,6 @@
 //! Reads and writes the messages of one HTTP/1.1 connection.
 
-use std::{fmt, io};
+use std::{fmt, io, time::Duration};
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
@@ -21,7 +21,9 @@
 /// Maximum number of bytes of pipelined requests that are read while one is being answered.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// How long to wait for the peer to close the connection after the last answer.
-const CLOSE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same after an idle time: only a message that crosses the close can follow.
+const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of trailer lines that are skipped.
 const MAX_TRAILER_LINES: usize = 32;
 
@@ -194,7 +196,17 @@
     }
 
     /// Shuts the connection down gracefully: the peer can read the last answer before the drop.
-    pub(crate) async fn finish(mut self) {
+    pub(crate) async fn finish(self) {
+        self.finish_within(CLOSE_TIMEOUT).await;
+    }
+
+    /// Shuts an idle connection down gracefully.
+    pub(crate) async fn finish_idle(self) {
+        self.finish_within(IDLE_CLOSE_TIMEOUT).await;
+    }
+
+    /// Shuts the connection down, and drops it when the peer has closed its side or after `limit`.
+    async fn finish_within(mut self, limit: Duration) {
         // An error means that the peer has disconnected already.
         let _ = self.stream.shutdown().await;
         // Dropping a socket with unread bytes resets the connection before the peer reads the
@@ -208,7 +220,7 @@
             }
         };
         // A client that keeps sending is disconnected after the timeout.
-        let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
+        let _ = tokio::time::timeout(limit, drained).await;
     }
 
     /// Reads the available bytes without waiting; end of stream counts as input.
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -8,6 +8,7 @@
 use cassiashunt_types::prelude::*;
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::JoinSet,
     time::timeout,
 };
 
@@ -27,18 +28,23 @@
 /// Timeout for writing an answer to a client.
 const ANSWER_WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Accepts connections until the node stops accepting. Connections that are already in the listen
-/// queue by then are still accepted.
+/// Accepts connections until the node stops accepting, and returns when all are closed. Connections
+/// that are already in the listen queue when it stops are still accepted.
 pub(crate) async fn accept_clients(node: Rc<Node>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             biased;
             stream = accept(&listener) => {
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+                connections.spawn_local(serve(Rc::clone(&node), stream));
             }
-            () = node.stop_accepting.notified() => return,
+            Some(_) = connections.join_next() => {}
+            () = node.stop_accepting.notified() => break,
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+    node.clients_closed.notify_one();
 }
 
 async fn serve(node: Rc<Node>, stream: TcpStream) {
@@ -51,9 +57,15 @@
         let limits = node
             .table()
             .map_or_else(ClientLimits::default, |table| table.limits);
-        match timeout(limits.idle_timeout, connection.wait_for_message()).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => return,
+        match next_event(&node, &mut connection, limits.idle_timeout).await {
+            Event::Request => {}
+            Event::Closed => return,
+            Event::Stop => {
+                node.closed_idle.set(node.closed_idle.get() + 1);
+                let _closing = Counted::new(&node.closing_connections);
+                connection.finish_idle().await;
+                return;
+            }
         }
         let mut open = OpenRequest::new(&node);
         let read = tokio::select! {
@@ -90,6 +102,35 @@
     }
 }
 
+/// What happens next on an idle connection.
+enum Event {
+    /// A request begins to arrive.
+    Request,
+    /// The client closed it, or left it idle for too long.
+    Closed,
+    /// A stop closes it.
+    Stop,
+}
+
+/// Waits for the next request on an idle connection.
+async fn next_event(node: &Node, connection: &mut Connection, idle_timeout: Duration) -> Event {
+    tokio::select! {
+        biased;
+        waited = timeout(idle_timeout, connection.wait_for_message()) => match waited {
+            Ok(Ok(())) => return Event::Request,
+            Ok(Err(_)) | Err(_) => return Event::Closed,
+        },
+        () = node.closing_clients.cancelled() => {}
+    }
+    // Lets the event loop notice a request that has arrived.
+    tokio::task::yield_now().await;
+    if connection.is_idle() {
+        Event::Stop
+    } else {
+        Event::Request
+    }
+}
+
 /// Answers one complete request; `None` if its client leaves first.
 async fn answer(
     node: &Rc<Node>,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -83,6 +83,12 @@
     pub(crate) stopping: Cell<Option<StopSchedule>>,
     /// Cancelled when a stop gives up what is pending, and what comes later.
     pub(crate) giving_up: CancellationToken,
+    /// Closes clients' connections that are idle.
+    pub(crate) closing_clients: CancellationToken,
+    /// Notified when none is accepted any more and all are closed.
+    pub(crate) clients_closed: Notify,
+    /// Idle connections of clients that a stop has closed.
+    pub(crate) closed_idle: Cell<usize>,
     /// Stops accepting clients' connections.
     pub(crate) stop_accepting: Notify,
     /// Unanswered requests of clients and of the backend server.
@@ -144,6 +150,9 @@
             links_closed: Notify::new(),
             stopping: Cell::new(None),
             giving_up: CancellationToken::new(),
+            closing_clients: CancellationToken::new(),
+            clients_closed: Notify::new(),
+            closed_idle: Cell::new(0),
             stop_accepting: Notify::new(),
             open_requests: Cell::new(0),
             closing_connections: Cell::new(0),
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -4,7 +4,7 @@
 
 use cassiashunt_mesh::{PauseWatch, StopSchedule};
 use cassiashunt_types::prelude::*;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{MissedTickBehavior, timeout};
 
 use crate::{
     clock, link, logs,
@@ -40,8 +40,7 @@
     drain(node, store, watch.earliest_signal(clock::now())).await;
 }
 
-/// Finishes pending requests of a node that was asked to stop at `began`. Nothing is awaited between
-/// the last check and the end, so that no request is read that would get no answer.
+/// Finishes pending requests of a node that was asked to stop at `began`, and closes all connections.
 async fn drain(node: &Rc<Node>, store: &Rc<StoreClient>, began: Time) {
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
     let stop = StopSchedule::new(began, grace);
@@ -61,9 +60,10 @@
     link::close_accepted(node, stop.links_close().since(clock::now())).await;
     // Requests of clients may have arrived meanwhile.
     finish_requests(node, stop).await;
+    close_clients(node, stop).await;
     log::info!(target: logs::LIFECYCLE, open = node.open_requests.get(),
         owned = node.owner.pending_requests(),
-        closing = node.closing_connections.get(),
+        closing = node.closing_connections.get(), closed_idle = node.closed_idle.get(),
         spent_ms = clock::millis(clock::now().since(stop.began())); "stopped");
 }
 
@@ -74,6 +74,22 @@
         // The tasks that serve the clients' requests answer them.
         node.giving_up.cancel();
         wait_until(stop.ends(), |_| !is_busy(node)).await;
+        // Beside the links to peers, for which little time is left.
+        node.closing_clients.cancel();
+    }
+}
+
+/// Closes clients' connections once they are idle, and gives up requests that arrived before that
+/// and are still pending at the end.
+async fn close_clients(node: &Node, stop: StopSchedule) {
+    node.closing_clients.cancel();
+    let closed = node.clients_closed.notified();
+    tokio::pin!(closed);
+    let until = |time: Time| time.since(clock::now());
+    if timeout(until(stop.gives_up()), &mut closed).await.is_err() {
+        node.giving_up.cancel();
+        // Left open are those of clients that do not close their side.
+        let _ = timeout(until(stop.links_close()), closed).await;
     }
 }
 
