Answer clients that close only their sending side

What callers saw: a client that shut its sending side down behind a whole request got a closed connection and no answer, in a stop and outside one. It could not tell whether a request that may not be repeated had run.

The cause: the end of the sending side counted as the client's leaving, and its connection was dropped with the request.

The evidence: a_client_that_closes_its_sending_side_is_told_whether_its_request_may_have_run, on the code before:

no answer before a stop: Kind(UnexpectedEof)

It passes with this commit.

Why this fix works: the work is still cancelled, since nothing tells the end of one side from a close, and the test checks that the server's connection is closed. But the request now ends with a refusal, as when a stop gives it up: 503 if it was not forwarded, else 502. A client that is gone does not read it. `request-cancelled` says which of both it was.

--- a/cassiashunt/tests/site_stop_calm.rs
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -4,13 +4,13 @@
 
 use std::{
     io::{self, ErrorKind, Read as _, Write as _},
-    net::TcpStream,
+    net::{Shutdown, TcpStream},
     sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
-use cassiashunt_standin::site::{Behaviour, Request, ask};
+use cassiashunt_standin::site::{Behaviour, Request, ask, open};
 use support::{
     eventually,
     site::{Site, WORKSPACE_KEY, read, table, write},
@@ -268,3 +268,32 @@
     assert_eq!(site.runs_of(&request), 0);
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
+
+/// A client that shut its sending side down behind a whole request got no answer.
+#[test]
+fn a_client_that_closes_its_sending_side_is_told_whether_its_request_may_have_run() {
+    let mut site = Site::start("calm-half", &["shop", "desk"]);
+    let node = site.members[0].requests;
+    site.members[1].server.set_usual(Behaviour::Slow(ms(1_200)));
+    let send = |at: &str| {
+        let mut stream = open(node).expect("cannot connect to the node");
+        let request = write("desk");
+        let sent = stream.write_all(&request.encode());
+        sent.expect("cannot send to the node");
+        eventually("the request runs", || site.runs_of(&request) == 1);
+        let shut = stream.shutdown(Shutdown::Write);
+        shut.expect("cannot shut the sending side down");
+        let answer = ask(&mut stream, b"");
+        assert_eq!(answer.expect(at).status, 502);
+        let is_abandoned = || {
+            let runs = site.members[1].server.runs();
+            let mut own = runs.iter().filter(|it| it.attempt == request.attempt);
+            own.all(|it| it.is_abandoned)
+        };
+        eventually("the work is cancelled", is_abandoned);
+    };
+    send("no answer before a stop");
+    site.members[0].node.signal("-TERM");
+    send("no answer in a stop");
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -76,10 +76,8 @@
         let (reply, is_head) = match read {
             Ok((head, body)) => {
                 let is_head = head.method == "HEAD";
-                match answer(&node, &mut connection, &mut open, head, body).await {
-                    Some(reply) => (reply, is_head),
-                    None => return,
-                }
+                let reply = answer(&node, &mut connection, &mut open, head, body).await;
+                (reply, is_head)
             }
             Err(Some(reply)) => (reply, false),
             Err(None) => return,
@@ -131,14 +129,14 @@
     }
 }
 
-/// Answers one complete request; `None` if its client leaves first.
+/// Answers one complete request.
 async fn answer(
     node: &Rc<Node>,
     connection: &mut Connection,
     open: &mut OpenRequest<'_>,
     head: RequestHead,
     body: Bytes,
-) -> Option<Reply> {
+) -> Reply {
     let keeps_alive = head.keep_alive;
     let client_headers = read_client_headers(head.pairs());
     let received = clock::now();
@@ -152,15 +150,9 @@
         body,
         received,
     };
-    let reply = tokio::select! {
-        reply = handle(node, incoming) => reply,
-        () = connection.wait_closed() => {
-            open.on_cancelled();
-            return None;
-        }
-    };
+    let reply = handle(node, incoming, connection.wait_closed()).await;
     let closes = reply.closes || !keeps_alive;
-    Some(Reply { closes, ..reply })
+    Reply { closes, ..reply }
 }
 
 /// Reads one complete request. On failure, returns the error reply to send, or `None` if the client
--- a/crates/sidecar/src/ingress/open_request.rs
+++ b/crates/sidecar/src/ingress/open_request.rs
@@ -33,12 +33,6 @@
         self.unanswered = None;
     }
 
-    /// Records that its client has left.
-    pub(crate) fn on_cancelled(&mut self) {
-        let (attempt, _) = self.unanswered.take().unwrap_or_default();
-        log::info!(request:% = attempt; "request-cancelled");
-    }
-
     /// Records that its client did not take the answer.
     pub(crate) fn on_unwritten(&mut self) {
         let (attempt, _) = self.unanswered.take().unwrap_or_default();
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -45,8 +45,12 @@
     pub(crate) received: Time,
 }
 
-/// Handles one request and logs its end.
-pub(crate) async fn handle(node: &Rc<Node>, incoming: Incoming) -> Reply {
+/// Handles one request and logs its end. It is cancelled when `closed` resolves.
+pub(crate) async fn handle(
+    node: &Rc<Node>,
+    incoming: Incoming,
+    closed: impl Future<Output = ()>,
+) -> Reply {
     let received = incoming.received;
     let timeout = incoming.client_headers.timeout;
     let mut trace = Trace::default();
@@ -57,6 +61,10 @@
         () = node.giving_up.cancelled() => {
             Outcome::Refused(give_up(node, &trace, timeout, received))
         },
+        () = closed => {
+            let refusal = cancel(node, &trace, timeout, received);
+            return Reply { closes: true, ..Reply::from_refusal(refusal) };
+        }
     };
     trace.end(node, &outcome, clock::now().since(received));
     match outcome {
@@ -77,16 +85,35 @@
     }
 }
 
-/// Ends a request that a stop gives up. Only one that was not forwarded is certain not to run.
+/// Ends a request that a stop gives up.
 fn give_up(node: &Node, trace: &Trace, timeout: Option<Duration>, received: Time) -> Refusal {
     let began = node.stopping.get().map_or(received, |it| it.began());
     log::warn!(request:% = trace.attempt, read_ms = clock::millis(received.since(began)),
         since_stop_ms = clock::millis(clock::now().since(began)), forwarded = trace.is_forwarded;
         "request-given-up");
+    refusal_of_pending(node, trace, Reason::Draining, timeout, received)
+}
+
+/// Ends a request whose client has closed its sending side. It may still read the answer: the end of
+/// one side looks like that of both.
+fn cancel(node: &Node, trace: &Trace, timeout: Option<Duration>, received: Time) -> Refusal {
+    log::info!(request:% = trace.attempt, forwarded = trace.is_forwarded; "request-cancelled");
+    refusal_of_pending(node, trace, Reason::Lost, timeout, received)
+}
+
+/// The refusal of a request that is ended before its outcome is known. Only one that was not forwarded
+/// is certain not to run.
+fn refusal_of_pending(
+    node: &Node,
+    trace: &Trace,
+    reason: Reason,
+    timeout: Option<Duration>,
+    received: Time,
+) -> Refusal {
     if trace.is_forwarded {
-        Refusal::may_have_run(Reason::Draining)
+        Refusal::may_have_run(reason)
     } else {
-        refusal_with_retry_after(node, Reason::Draining, timeout, received)
+        refusal_with_retry_after(node, reason, timeout, received)
     }
 }
 
