Ask owners whether a request that a stop gives up has run

What callers saw: a request that only waited in the queue of another node's server when its own node's stop gave it up was answered 502 (may have run), so that one that may not be repeated was lost to its client.

Cause: the ingress dropped the request and told the owner to cancel it, and an owner did not tell the outcome of what was cancelled. Only the owner knows whether it ran.

Now the ingress sends the cancellation, awaits the outcome for half of the time between giving up and the end (0.915 of the grace time), and tries no other owner. An owner answers each cancelled request: one in its queue, or one whose first byte has not left for the server, was not run; any other may have run. `is_sent` is set before the first byte, and the reply is kept beside the run, so that cancelling and ending can't both reply. A peer without this change sends nothing, and the request is answered 502 as before.

--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -10,6 +10,9 @@
 /// The fraction of the grace period after which pending requests are given up. It is later than five
 /// sixths, up to which requests at work must not be broken off.
 const GIVE_UP_FRACTION: f64 = 0.9;
+/// The fraction of the grace period up to which owners may tell whether a request that was given up
+/// has run.
+const RECALLS_END_FRACTION: f64 = 0.915;
 /// The fraction of the grace period after which no answer to a client is waited for.
 const END_FRACTION: f64 = 0.93;
 /// The fraction of the grace period by which all connections are closed.
@@ -51,6 +54,12 @@
         self.began + self.grace.mul_f64(GIVE_UP_FRACTION)
     }
 
+    /// When owners are no longer waited for to tell whether a request that was given up has run.
+    #[must_use]
+    pub fn recalls_end(&self) -> Time {
+        self.began + self.grace.mul_f64(RECALLS_END_FRACTION)
+    }
+
     /// When clients' requests are no longer waited for, whatever is pending.
     #[must_use]
     pub fn ends(&self) -> Time {
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -6,7 +6,10 @@
 use cassiashunt_route::{Outcome as TryOutcome, OwnerReport, ServerKey};
 use cassiashunt_suspect::Decision;
 use cassiashunt_types::prelude::*;
-use tokio::time::timeout;
+use tokio::{
+    sync::oneshot::{self, error::RecvError},
+    time::{error::Elapsed, timeout},
+};
 
 use crate::{
     budget::RetryKind,
@@ -68,7 +71,7 @@
         let now = clock::now();
         let remaining = req.deadline.since(now);
         let is_late = req.start_by.is_some_and(|by| now >= by) && !tried.is_empty();
-        if remaining.is_zero() || is_late {
+        if remaining.is_zero() || is_late || is_given_up(node) {
             break Outcome::Refused(last);
         }
         let chosen = match choose(node, &req, service, &tried) {
@@ -86,6 +89,12 @@
         may_have_run |= refusal.verdict == Verdict::MayHaveRun;
         sent_to_servers += usize::from(has_reached_server(&refusal));
         last = refusal;
+        if is_given_up(node) {
+            break Outcome::Refused(Refusal {
+                reason: Reason::Draining,
+                ..refusal
+            });
+        }
         if !may_retry(node, &req, service, &refusal, tried.len(), sent_to_servers) {
             break Outcome::Refused(refusal);
         }
@@ -106,6 +115,12 @@
     }
 }
 
+/// Whether a stop has given up what is pending.
+fn is_given_up(node: &Node) -> bool {
+    let stop = node.stopping.get();
+    stop.is_some_and(|it| clock::now() >= it.gives_up())
+}
+
 /// Chooses a server that has not been tried. A suspect request is only ever sent to one designated
 /// server, so that it never runs at two servers at once.
 fn choose(
@@ -183,6 +198,15 @@
 }
 
 impl TryGuard<'_> {
+    /// Cancels the try at its owner, whose outcome is still awaited.
+    fn recall(&self) {
+        match &self.cancel_handle {
+            Some(CancelHandle::Local(id)) => self.node.owner.cancel(self.node, *id),
+            Some(CancelHandle::Link(link, id)) => link.recall(*id),
+            None => {}
+        }
+    }
+
     fn finish(&mut self, outcome: TryOutcome, report: Option<OwnerReport>) {
         self.cancel_handle = None;
         let now = clock::now();
@@ -230,7 +254,7 @@
         ServerPath::Local => {
             let (id, outcome) = node.owner.submit(node, message);
             guard.cancel_handle = Some(CancelHandle::Local(id));
-            let outcome = timeout(limit, outcome).await;
+            let outcome = await_outcome(&guard, outcome, limit).await;
             outcome.map(|it| {
                 it.ok()
                     .map(|outcome| (outcome, Some(node.owner.report_state())))
@@ -243,7 +267,8 @@
                 return Outcome::Refused(Refusal::not_run(Reason::NoServer));
             };
             guard.cancel_handle = Some(CancelHandle::Link(Rc::clone(link), id));
-            timeout(limit, outcome).await.map(Result::ok)
+            let outcome = await_outcome(&guard, outcome, limit).await;
+            outcome.map(Result::ok)
         }
     };
     let Ok(ended) = ended else {
@@ -256,6 +281,26 @@
     outcome
 }
 
+/// Waits for the outcome of a try. Where a stop gives it up, only the owner knows whether it ran.
+async fn await_outcome<T>(
+    guard: &TryGuard<'_>,
+    outcome: oneshot::Receiver<T>,
+    limit: Duration,
+) -> Result<Result<T, RecvError>, Elapsed> {
+    let node = guard.node;
+    let outcome = timeout(limit, outcome);
+    tokio::pin!(outcome);
+    tokio::select! {
+        biased;
+        ended = &mut outcome => return ended,
+        () = node.giving_up.cancelled() => {}
+    }
+    guard.recall();
+    let stop = node.stopping.get();
+    let left = stop.map_or(Duration::ZERO, |it| it.recalls_end().since(clock::now()));
+    timeout(left, outcome).await?
+}
+
 /// How an outcome counts for the health of the server.
 fn try_outcome(outcome: &Outcome) -> TryOutcome {
     match outcome {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -54,18 +54,18 @@
     let received = incoming.received;
     let timeout = incoming.client_headers.timeout;
     let mut trace = Trace::default();
-    let outcome = tokio::select! {
+    let answered = tokio::select! {
         biased;
-        outcome = answer(node, incoming, &mut trace) => outcome,
+        outcome = answer(node, incoming, &mut trace) => Some(outcome),
         // Dropping the other future cancels the request wherever it is.
-        () = node.giving_up.cancelled() => {
-            Outcome::Refused(give_up(node, &trace, timeout, received))
-        },
         () = closed => {
             let refusal = cancel(node, &trace, timeout, received);
             return Reply { closes: true, ..Reply::from_refusal(refusal) };
         }
+        () = recalls_end(node) => None,
     };
+    let outcome =
+        answered.unwrap_or_else(|| Outcome::Refused(give_up(node, &trace, timeout, received)));
     trace.end(node, &outcome, clock::now().since(received));
     match outcome {
         Outcome::Answered(answer) => Reply::from_answer(answer),
@@ -73,6 +73,14 @@
     }
 }
 
+/// Resolves when a stop has given up what is pending and no longer waits for what owners tell of it.
+async fn recalls_end(node: &Node) {
+    node.giving_up.cancelled().await;
+    let stop = node.stopping.get();
+    let left = stop.map_or(Duration::ZERO, |it| it.recalls_end().since(clock::now()));
+    tokio::time::sleep(left).await;
+}
+
 /// The reply to a request that is not complete when a stop gives up what is pending.
 pub(super) fn refuse_incomplete(node: &Node) -> Reply {
     let now = clock::now();
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -139,7 +139,8 @@
                 });
             }
             Some(Kind::Cancel(id)) => {
-                let job = jobs.borrow_mut().remove(&id);
+                // It remains in `jobs`, so that the peer is told whether it ran.
+                let job = jobs.borrow().get(&id).copied();
                 if let Some(job) = job {
                     node.owner.cancel(node, job);
                 }
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Cancels a request at the peer, whose outcome is still awaited.
+    pub(crate) fn recall(&self, id: u64) {
+        let unresponsive = self.unresponsive.borrow();
+        for connection in self.current.borrow().iter().chain(unresponsive.iter()) {
+            if connection.pending.borrow().contains_key(&id) {
+                connection.send(Kind::Cancel(id));
+            }
+        }
+    }
+
     /// Asks the peer for tokens.
     pub(crate) fn ask_tokens(&self, ask: AskTokens) -> bool {
         self.send(Kind::AskTokens(ask))
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -27,7 +27,7 @@
     /// A request for the owner's backend server.
     #[prost(message, tag = "2")]
     Request(WorkRequest),
-    /// Cancels the request with this id.
+    /// Cancels the request with this id. Its outcome is still sent.
     #[prost(uint64, tag = "3")]
     Cancel(u64),
     /// How a request ended.
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends one request to the backend server and reads its answer.
 
-use std::{fmt, net::SocketAddr};
+use std::{cell::Cell, fmt, net::SocketAddr};
 
 use bytes::Bytes;
 use cassiashunt_adapter::{
@@ -55,13 +55,14 @@
     }
 }
 
-/// Sends the request and reads the complete answer.
+/// Sends the request and reads the complete answer. Sets `is_sent` before the first byte.
 pub(crate) async fn exchange(
     pool: &Pool,
     address: SocketAddr,
     server: &str,
     request: &WorkRequest,
     remaining: Duration,
+    is_sent: &Cell<bool>,
 ) -> Result<Answer, Failure> {
     // On a kept connection, nothing tells the answer to a request without an id from a late one.
     let has_id = !request.attempt.is_empty();
@@ -73,6 +74,7 @@
     let bytes = encode(request, server, remaining);
     let method = request.method.as_str();
     let mut unsent = &bytes[..];
+    is_sent.set(true);
     for _ in 0..=MAX_STALE_ANSWERS {
         let exchanged = connection.exchange_head(unsent, method).await;
         let (head, written) = exchanged.map_err(Failure::Lost)?;
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -35,8 +35,36 @@
 
 enum RequestState {
     Waiting(Box<WorkRequest>, Time, OutcomeSender),
-    /// The task, and the attempt id set by the client.
-    Running(AbortHandle, String),
+    Running(RunHandle),
+}
+
+struct RunHandle {
+    task: AbortHandle,
+    /// The attempt id set by the client.
+    attempt: String,
+    /// Whether the server may have received a part of the request.
+    is_sent: Rc<Cell<bool>>,
+    reply: OutcomeSender,
+}
+
+impl RunHandle {
+    /// Ends the run without an answer. Returns whether the request may have run.
+    fn abort(self) -> bool {
+        self.task.abort();
+        let is_sent = self.is_sent.get();
+        let refusal = if is_sent {
+            Refusal::may_have_run(Reason::Lost)
+        } else {
+            Refusal::not_run(Reason::Cancelled)
+        };
+        reply_to(self.reply, Outcome::Refused(refusal));
+        is_sent
+    }
+}
+
+fn reply_to(reply: OutcomeSender, outcome: Outcome) {
+    // The receiver is dropped if nobody waits for the outcome any more.
+    let _ = reply.send(outcome);
 }
 
 /// Queues requests for the backend server, runs them there, and tracks its state.
@@ -217,16 +245,24 @@
         (id, rx)
     }
 
-    /// Cancels a request: a waiting one never runs, and the connection of a running one is closed.
+    /// Cancels a request: a waiting one is refused and never runs, and the connection of a running
+    /// one is closed.
     pub(crate) fn cancel(&self, node: &Rc<Node>, id: RequestId) {
         let now = clock::now();
         let mut inner = self.inner.borrow_mut();
         let actions = match inner.requests.remove(&id) {
-            Some(RequestState::Waiting(..)) => inner.admission.cancel(now, id),
-            Some(RequestState::Running(task, attempt)) => {
-                task.abort();
-                inner.running.remove(&attempt);
-                inner.in_flight.on_unanswered(now, &id);
+            Some(RequestState::Waiting(_, _, reply)) => {
+                let refusal = Refusal::not_run(Reason::Cancelled);
+                reply_to(reply, Outcome::Refused(refusal));
+                inner.admission.cancel(now, id)
+            }
+            Some(RequestState::Running(run)) => {
+                inner.running.remove(&run.attempt);
+                if run.abort() {
+                    inner.in_flight.on_unanswered(now, &id);
+                } else {
+                    inner.in_flight.on_not_sent(&id);
+                }
                 inner.admission.done(now, id, Duration::ZERO, false)
             }
             None => return,
@@ -354,8 +390,7 @@
                 Action::Refuse(id, refusal) => {
                     let removed = self.inner.borrow_mut().requests.remove(&id);
                     if let Some(RequestState::Waiting(_, _, reply)) = removed {
-                        // The receiver is dropped if the request was cancelled meanwhile.
-                        let _ = reply.send(Outcome::Refused(refusal));
+                        reply_to(reply, Outcome::Refused(refusal));
                     }
                 }
             }
@@ -371,8 +406,7 @@
         let now = clock::now();
         // It may have become suspect while it waited.
         if let Some(refusal) = inner.check_suspicion(node, id, &request) {
-            // The receiver is dropped if the request was cancelled meanwhile.
-            let _ = reply.send(Outcome::Refused(refusal));
+            reply_to(reply, Outcome::Refused(refusal));
             let actions = inner.admission.done(now, id, Duration::ZERO, false);
             drop(inner);
             self.apply(node, actions);
@@ -393,21 +427,26 @@
                 .insert(request.attempt.clone(), (run, Vec::new()));
         }
         let attempt = request.attempt.clone();
-        let run = run(Rc::clone(node), id, *request, deadline, reply);
-        let task = tokio::task::spawn_local(run).abort_handle();
-        inner
-            .requests
-            .insert(id, RequestState::Running(task, attempt));
+        let is_sent = Rc::<Cell<bool>>::default();
+        let run = run(Rc::clone(node), id, *request, deadline, Rc::clone(&is_sent));
+        let handle = RunHandle {
+            task: tokio::task::spawn_local(run).abort_handle(),
+            attempt,
+            is_sent,
+            reply,
+        };
+        inner.requests.insert(id, RequestState::Running(handle));
     }
 
-    /// Handles the end of a running request.
-    pub(super) fn finish(&self, node: &Rc<Node>, id: RequestId, end: &RunEnd) {
+    /// Handles the end of a running request and replies with its outcome.
+    pub(super) fn finish(&self, node: &Rc<Node>, id: RequestId, end: &RunEnd, outcome: Outcome) {
         let now = clock::now();
         let actions = {
             let mut inner = self.inner.borrow_mut();
-            if inner.requests.remove(&id).is_none() {
+            let Some(RequestState::Running(run)) = inner.requests.remove(&id) else {
                 return;
-            }
+            };
+            reply_to(run.reply, outcome);
             let ended = inner.running.remove(&end.attempt);
             if let Some((run, calls)) = ended {
                 inner
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -1,6 +1,6 @@
 //! Runs one request at the backend server, from its start to its end.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use cassiashunt_adapter::is_misdirected;
 use cassiashunt_suspect::Fingerprint;
@@ -67,13 +67,14 @@
     }
 }
 
-/// Runs one request at the server, until its deadline at the latest.
+/// Runs one request at the server, until its deadline at the latest; `is_sent` is set before its
+/// first byte is.
 pub(super) async fn run(
     node: Rc<Node>,
     id: RequestId,
     request: WorkRequest,
     deadline: Time,
-    reply: OutcomeSender,
+    is_sent: Rc<Cell<bool>>,
 ) {
     let owner = &node.owner;
     let began = clock::now();
@@ -82,7 +83,7 @@
     let server = owner.server_id().unwrap_or_default();
     let ended = timeout(
         remaining,
-        exchange(&owner.pool, address, &server, &request, remaining),
+        exchange(&owner.pool, address, &server, &request, remaining, &is_sent),
     )
     .await;
     let elapsed = clock::now().since(began);
@@ -99,8 +100,6 @@
     let is_ok = matches!(&outcome, Outcome::Answered(answer) if answer.status < 300);
     let has_failed = has_failed(&outcome);
     metrics::run_ended(end_label(&outcome), elapsed);
-    // The receiver is dropped if the request was cancelled meanwhile.
-    let _ = reply.send(outcome);
     let end = RunEnd {
         attempt: request.attempt,
         elapsed,
@@ -108,7 +107,7 @@
         has_failed,
         delivery,
     };
-    owner.finish(&node, id, &end);
+    owner.finish(&node, id, &end, outcome);
 }
 
 /// Whether the server failed a run. A lost answer counts as a failure, since the next one may be
