Withdraw a stopping node's entry under a condition on its revision

After a restore of the store from a copy, a node that was stopping could remove the entry of another node, which starts or restarts then found late or not at all until it was written again.

Cause: a stop ended the lease of the entry by its id. A restored store grants ids again. The comparison of eras before the call tells nothing where the node has not heard of the restore, or where the call is carried out after it.

Now the entry itself is deleted, on condition that it has the revision that the node wrote; after a conflict, at the current revision if the entry is still of this start of the node. The lease lapses by itself and holds nothing. What remains: a later start of the same node that wrote its entry at the very same revision of the new era would lose it, and writes it again when it sees that.

Evidence: `a_stop_that_crosses_a_restore_removes_no_entry_of_another_node`, with a stand-in of the store that carries calls out later, on the code before: panicked at cassiashunt/tests/site_restored.rs:483:5: it was removed It passes with the change. `a_stopping_node_withdraws_its_entry_before_its_lease_ ends` passes before and after.

--- a/cassiashunt/tests/site_restored.rs
+++ b/cassiashunt/tests/site_restored.rs
@@ -456,6 +456,45 @@
     assert_eq!(site.store.keys("cassiashunt/nodes/"), expected);
 }
 
+/// Longer than a stopping node takes to withdraw its entry.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(1_600);
+
+/// A stopping node ended its lease by its id, which another writer had got since the restore.
+#[test]
+fn a_stop_that_crosses_a_restore_removes_no_entry_of_another_node() {
+    let mut site = Site::start_with_key_withdrawal("restored-stop", &["shop"; 2], KEY_WITHDRAWAL);
+    let snapshot = site.store.snapshot();
+    site.add("desk");
+    site.wait_until_serving();
+    let (stopping, other) = (entry(&site.members[2].name), entry("other"));
+    let lease = site.store.lease(&stopping);
+    // What the node calls reaches the store after the restore.
+    site.members[2]
+        .door
+        .set_fault(Fault::Late(Duration::from_secs(1)));
+    site.members[2].node.signal("-TERM");
+    thread::sleep(WITHDRAWAL_TIME);
+    site.store.restore(&snapshot);
+    let granted = site.store.grant(2 * ENTRY_LEASE);
+    assert_eq!(Some(granted), lease, "the lease is not given out again");
+    site.store.put_leased(&other, "{}", granted);
+    assert_eq!(site.members[2].node.wait(), Some(0));
+    thread::sleep(CONTACT);
+    assert!(site.store.keys(&other).contains(&other), "it was removed");
+    assert!(site.store.keys(&stopping).is_empty());
+}
+
+#[test]
+fn a_stopping_node_withdraws_its_entry_before_its_lease_ends() {
+    let mut site = Site::start_with_key_withdrawal("withdrawal", &["shop"; 2], KEY_WITHDRAWAL);
+    let stopping = entry(&site.members[1].name);
+    assert!(site.store.keys(&stopping).contains(&stopping));
+    site.members[1].node.signal("-TERM");
+    thread::sleep(WITHDRAWAL_TIME);
+    assert!(site.store.keys(&stopping).is_empty());
+    assert_eq!(site.members[1].node.wait(), Some(0));
+}
+
 #[test]
 fn a_restore_during_a_rolling_restart_leaves_all_nodes_in_force_and_in_reach() {
     let mut site = start("restored-rolling");
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -21,7 +21,7 @@
     quota::Quotas,
     settings::Settings,
     shed::Shedding,
-    store::{Lease, StoreClient},
+    store::StoreClient,
     suspicion::Suspicion,
 };
 
@@ -106,8 +106,6 @@
     pub(crate) is_entry_lost: Cell<bool>,
     /// The entry that this node last wrote, or is writing, and the position of its last write.
     pub(crate) own_entry: RefCell<(StoreRevision, Vec<u8>)>,
-    /// The lease of this node's entry in the store.
-    pub(crate) lease: Cell<Option<Lease>>,
     /// Wakes the task that keeps this node's entry in the store.
     pub(crate) announce: Notify,
 }
@@ -161,7 +159,6 @@
             store_regained: Notify::new(),
             is_entry_lost: Cell::new(false),
             own_entry: RefCell::default(),
-            lease: Cell::new(None),
             announce: Notify::new(),
         }
     }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -116,10 +116,7 @@
 /// Removes the entry from the store after the peers have learned of the stop over their links.
 async fn withdraw_entry(node: Rc<Node>, store: Rc<StoreClient>, stop: StopSchedule) {
     tokio::time::sleep(stop.notice_ends().since(clock::now()) / 2).await;
-    let Some(lease) = node.lease.take() else {
-        return;
-    };
-    if let Err(err) = withdraw(&store, lease).await {
+    if let Err(err) = withdraw(&node, &store).await {
         log::info!(reason:% = err; "entry-left-to-lapse");
     }
 }
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use cassiashunt_adapter::{
-    TxnOutcome, decode_lease, decode_txn, end_lease, new_lease, node_key, renew_lease, txn,
+    Item, TxnOutcome, decode_lease, decode_txn, delete, new_lease, node_key, renew_lease, txn,
 };
 use cassiashunt_mesh::{StoreRevision, prelude::*};
 use cassiashunt_types::prelude::*;
@@ -18,16 +18,11 @@
 /// The time between two renewals, short enough that two may fail. Their answers also show that this
 /// node can reach the store, which must be checked more often than keys may go without proof.
 const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+/// A write that was on its way when the node was asked to stop makes the first try fail.
+const MAX_WITHDRAWAL_TRIES: usize = 3;
 /// How long the first entry waits for the server's first heartbeat; servers send one every 1.5 s.
 const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A lease, which holds in one era of the store only: after a restore its id may be another's.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Lease {
-    era: u64,
-    id: u64,
-}
-
 /// The known state of this node's entry, in one era of the store.
 #[derive(Default)]
 struct OwnEntry {
@@ -86,15 +81,34 @@
     }
 }
 
-/// Removes the entry at a graceful stop by ending its lease.
-pub(crate) async fn withdraw(store: &StoreClient, lease: Lease) -> Result<(), CallError> {
-    if lease.era != store.era() {
-        return Err(CallError::Restored);
+/// Removes the entry at a graceful stop, if it is still that of this start. Its lease is left to
+/// lapse: the store may have been restored and have granted the same id to another node.
+pub(crate) async fn withdraw(node: &Node, store: &StoreClient) -> Result<(), CallError> {
+    let key = node_key(&node.settings().name);
+    let written = node.own_entry.borrow().0;
+    // A conflict returns the current revision.
+    let mut revision = if written.era == store.era() {
+        written.revision
+    } else {
+        Revision(0)
+    };
+    for _ in 0..MAX_WITHDRAWAL_TRIES {
+        let answer = store.call(&delete(&key, revision), CALL_TIMEOUT).await?;
+        let TxnOutcome::Conflict(items) = decode_txn(answer.status, &answer.body)? else {
+            return Ok(());
+        };
+        let own = items.into_iter().find(|it| it.key == key);
+        let Some(own) = own.filter(|it| is_of_this_start(node, it)) else {
+            return Ok(());
+        };
+        revision = own.revision;
     }
-    store
-        .call(&end_lease(lease.id), CALL_TIMEOUT)
-        .await
-        .map(|_| ())
+    Err(CallError::Conflict)
+}
+
+fn is_of_this_start(node: &Node, item: &Item) -> bool {
+    let entry = serde_json::from_slice::<Announcement>(&item.value);
+    entry.is_ok_and(|it| it.incarnation == node.incarnation)
 }
 
 async fn keep_entry(
@@ -123,10 +137,6 @@
             let (lease, _) = decode_lease(answer.status, &answer.body)?;
             entry.enter_era(answer.era);
             entry.lease = Some(lease);
-            node.lease.set(Some(Lease {
-                era: answer.era,
-                id: lease,
-            }));
             lease
         }
     };
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -30,6 +30,8 @@
     Abandoned,
     /// The answer is of an earlier era than one that is known.
     OlderEra,
+    /// The item was written again each time that it was to be changed.
+    Conflict,
     /// The store has been restored from a copy since the state that the call refers to was read.
     Restored,
     /// No answer arrived in time; the call may have been executed, or may still be.
@@ -47,6 +49,7 @@
         match self {
             Self::Abandoned => f.write_str("abandoned to start a new watch"),
             Self::OlderEra => f.write_str("an answer from before the store was restored"),
+            Self::Conflict => f.write_str("the item changed meanwhile"),
             Self::Restored => f.write_str("the store was restored"),
             Self::TimedOut => f.write_str("no answer in time"),
             Self::Unreachable(err) => write!(f, "unreachable: {err}"),
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -7,7 +7,7 @@
 mod persisted;
 mod watch;
 
-pub(crate) use announce::{Lease, announce, withdraw};
+pub(crate) use announce::{announce, withdraw};
 pub(crate) use client::StoreClient;
 pub(crate) use config::{apply_table, ask_proofs, follow_config, prove_config};
 pub(crate) use directory::{apply_entries, drop_missing, follow_directory};
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -32,6 +32,8 @@
     LoseAnswers,
     /// It answers so much later.
     Slow(Duration),
+    /// It carries calls out so much later.
+    Late(Duration),
     /// It closes connections without an answer.
     Away,
 }
@@ -166,6 +168,24 @@
         self.shared.1.notify_all();
     }
 
+    /// Grants a lease, as to another writer.
+    #[must_use]
+    pub fn grant(&self, ttl: Duration) -> u64 {
+        self.lock().grant(ttl)
+    }
+
+    /// Writes under a lease, as another writer does.
+    pub fn put_leased(&self, key: &str, value: &str, lease: u64) {
+        self.lock().put(key, STANDARD.encode(value), lease);
+        self.shared.1.notify_all();
+    }
+
+    /// The lease of a key; 0 for none.
+    #[must_use]
+    pub fn lease(&self, key: &str) -> Option<u64> {
+        self.lock().items.get(key).map(|item| item.lease)
+    }
+
     /// Writes bytes as another writer does, without a lease.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
         self.lock().put(key, STANDARD.encode(value), 0);
@@ -300,6 +320,10 @@
                     return;
                 }
                 Fault::Away => return,
+                Fault::Late(span) => {
+                    thread::sleep(span);
+                    self.answer(&message)
+                }
                 Fault::None | Fault::LoseAnswers | Fault::Slow(_) => self.answer(&message),
             };
             // It may have fallen silent while a watch was waiting.
@@ -360,8 +384,7 @@
             }
             ("POST", "/-/kv-lease") => {
                 let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
-                let lease = 1_000 + inner.leases.len() as u64;
-                inner.leases.insert(lease, (ttl, Instant::now() + ttl));
+                let lease = inner.grant(ttl);
                 (
                     200,
                     json!({"lease": lease, "ttl_ms": ttl.as_millis() as u64}),
@@ -416,6 +439,12 @@
 }
 
 impl Inner {
+    fn grant(&mut self, ttl: Duration) -> u64 {
+        let lease = 1_000 + self.leases.len() as u64;
+        self.leases.insert(lease, (ttl, Instant::now() + ttl));
+        lease
+    }
+
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let created = self
