Log the attempts that fail behind a refusal

A caller's 502 in a rolling restart doesn't tell whether a link was lost with the request on it, a peer refused it, or the calling server made a failure out of a refused call. Nodes log each failed attempt and each refusal at the level debug, with chain, depth, peer, reason and verdict. Tests of whole fleets print the events, which are shown where a test fails.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use std::{
+    fmt::Write as _,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -85,6 +86,7 @@
 }
 
 pub fn start_with(opts: Options) -> Fleet {
+    log_to_output();
     let fleet = Fleet::start(opts).expect("the fleet comes together");
     for (endpoint, route, class) in [
         ("GET /sections", "sections", "read"),
@@ -106,6 +108,46 @@
     fleet
 }
 
+/// Prints log events to the test's output, which is shown where the test fails.
+fn log_to_output() {
+    if log::set_logger(&OutputLogger).is_ok() {
+        log::set_max_level(log::LevelFilter::Debug);
+    }
+}
+
+struct OutputLogger;
+
+impl log::Log for OutputLogger {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.target().starts_with("cassiashunt")
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let mut line = format!("{} {}", now_micros(), record.level());
+        // Writing to a string doesn't fail.
+        let _ = record.key_values().visit(&mut Fields(&mut line));
+        println!("{line} {}", record.args());
+    }
+
+    fn flush(&self) {}
+}
+
+/// Appends the fields of an event to a line.
+struct Fields<'a>(&'a mut String);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        write!(self.0, " {key}={value}").map_err(|_| log::kv::Error::msg("not formatted"))
+    }
+}
+
 /// What a caller saw of one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Seen {
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -48,7 +48,19 @@
     let parent = plan.parent.as_deref();
     let is_unwanted = || is_gone() || parent.is_some_and(Parent::is_cancelled);
     let ended = Exchange::new(shared, &plan, &is_unwanted).run();
-    let whole = ended.map_err(with_time_to_come_back)?;
+    let whole = ended
+        .map_err(with_time_to_come_back)
+        .inspect_err(|refusal| {
+            log::debug!(
+                event = "request-refused",
+                node:% = shared.id,
+                chain:% = plan.chain,
+                depth = plan.depth,
+                reason = refusal.reason.code(),
+                verdict = refusal.verdict.as_str();
+                ""
+            );
+        })?;
     shared.suspects.on_served(plan.fingerprint);
     shared.stats.served(&plan.binding);
     Ok(answer(whole))
@@ -145,7 +157,10 @@
         }
         self.strike(chosen, &ended);
         self.learn(pool, chosen, &ended);
-        ended.map_err(|failure| failure.refusal)
+        ended.map_err(|failure| {
+            self.log_failure(chosen, &failure);
+            failure.refusal
+        })
     }
 
     fn send(&self, chosen: Chosen, retries: u32) -> Result<Source, Refusal> {
@@ -193,6 +208,20 @@
         }
     }
 
+    fn log_failure(&self, chosen: Chosen, failure: &Failure) {
+        log::debug!(
+            event = "attempt-failed",
+            node:% = self.shared.id,
+            chain:% = self.plan.chain,
+            depth = self.plan.depth,
+            peer:% = chosen.peer.node,
+            reason = failure.refusal.reason.code(),
+            verdict = failure.refusal.verdict.as_str(),
+            link_lost = failure.is_link_lost;
+            ""
+        );
+    }
+
     fn is_suspect(&self) -> bool {
         let now = self.shared.clock.now();
         let decision = self.shared.suspects.check(now, self.plan.fingerprint);
