Tell peers of a stopping node which requests it did not read

In a rolling restart callers got a 502 "may have run" for requests that a stopping node of the own interface had refused, or never read. Cause: the node shut its accepted connections down as soon as nothing ran. The refusals still in the connection's ring, and the requests still in its socket, were lost with it. A run counted as ended before its outcome was queued. Peers also gave the connection up at the node's goodbye, which came first.

An accepted connection now reads no further frame once it is to be closed, waits for the outcomes of what it has read, writes them, then a GoAway, ends its sending side, and reads on until the peer's end or a second. A peer fails what is then still pending as not run. What runs beyond the time for closing is told as lost before the GoAway. The goodbye follows the connections' end. Builds that do not know the frame ignore it.

--- /dev/null
+++ b/crates/fleet/tests/stopping_links.rs
@@ -0,0 +1,243 @@
+//! The connections between nodes while one of them stops.
+
+mod support;
+
+use std::{
+    collections::BTreeMap,
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use bytes::BytesMut;
+use cassiashunt_fleet::Fleet;
+use cassiashunt_node::Stopped;
+use cassiashunt_types::NodeId;
+use cassiashunt_wire::{
+    Begin, Body, Dialer, End, Frame, FrameCodec, GoAway, Hello, Listener, Proof, Secret, Welcome,
+};
+use support::{Caller, KEY, Seen, callers, eventually, start};
+
+/// A node beside a server of `rota`.
+const STOPPING: usize = 1;
+/// A node beside a server of `stores`.
+const INGRESS: usize = 3;
+/// The request at work while its node stops.
+const LONG: u64 = 1;
+/// How long a read waits before it fails.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// One end of a connection between nodes.
+struct Wire {
+    stream: TcpStream,
+    codec: FrameCodec,
+    buf: BytesMut,
+}
+
+impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        let timeout = stream.set_read_timeout(Some(PATIENCE));
+        timeout.expect("the socket takes a time limit");
+        Self {
+            stream,
+            codec: FrameCodec::default(),
+            buf: BytesMut::new(),
+        }
+    }
+
+    fn send<M: prost::Message>(&mut self, message: &M) -> io::Result<()> {
+        let mut buf = BytesMut::new();
+        self.codec.encode(message, &mut buf).expect("it fits");
+        self.stream.write_all(&buf)
+    }
+
+    /// The next message; `None` at the end.
+    fn next<M: prost::Message + Default>(&mut self) -> io::Result<Option<M>> {
+        loop {
+            let read = self.codec.decode(&mut self.buf);
+            if let Some(message) = read.map_err(io::Error::other)? {
+                return Ok(Some(message));
+            }
+            let mut piece = [0; 4096];
+            match self.stream.read(&mut piece)? {
+                0 => return Ok(None),
+                len => self.buf.extend_from_slice(&piece[..len]),
+            }
+        }
+    }
+
+    /// Connects to a node as another node.
+    fn dial(addr: SocketAddr, secret: &Secret) -> Self {
+        let mut wire = Self::new(TcpStream::connect(addr).expect("the node listens"));
+        let dialer = Dialer::new(NodeId::random());
+        wire.send(dialer.hello()).expect("sent");
+        let welcome: Welcome = wire.next().expect("read").expect("welcomed");
+        let (_, proof) = dialer
+            .finish(secret, &welcome)
+            .expect("the secret is right");
+        wire.send(&proof).expect("sent");
+        wire
+    }
+
+    /// Answers a node's connection as the node `id`.
+    fn accept(stream: TcpStream, id: NodeId, secret: &Secret) -> io::Result<Self> {
+        let ended = || io::Error::from(io::ErrorKind::UnexpectedEof);
+        let mut wire = Self::new(stream);
+        let hello: Hello = wire.next()?.ok_or_else(ended)?;
+        let listener = Listener::new(id, secret, hello).map_err(io::Error::other)?;
+        wire.send(listener.welcome())?;
+        let proof: Proof = wire.next()?.ok_or_else(ended)?;
+        listener.finish(secret, &proof).map_err(io::Error::other)?;
+        Ok(wire)
+    }
+
+    fn request(&mut self, request: u64) -> io::Result<()> {
+        let begin = Begin {
+            chain: request,
+            route: "photos".into(),
+            class: "read".into(),
+            remaining_us: 5_000_000,
+            method: "GET".into(),
+            target: "/photos".into(),
+            ..Begin::default()
+        };
+        self.send(&Frame::new(request, Body::Begin(Box::new(begin))))?;
+        self.send(&Frame::new(request, Body::End(End::default())))
+    }
+}
+
+fn secret(fleet: &Fleet) -> Secret {
+    Secret::new(fleet.members[STOPPING].settings.node.secret.as_bytes())
+}
+
+/// What the accepting side said last of each request, and whether its last frame said that it reads
+/// no more.
+fn outcomes(frames: Vec<Frame>) -> (BTreeMap<u64, Body>, bool) {
+    let mut outcomes = BTreeMap::new();
+    let mut is_told = false;
+    for frame in frames {
+        let body = frame.body.expect("a kind that this build knows");
+        assert!(!is_told, "a frame after the last: {body:?}");
+        is_told = matches!(body, Body::GoAway(_));
+        if !is_told {
+            outcomes.insert(frame.request, body);
+        }
+    }
+    (outcomes, is_told)
+}
+
+#[test]
+fn a_stopping_node_tells_the_outcome_of_every_request_that_it_read_before_it_closes_a_link() {
+    let fleet = start();
+    let server = &fleet.members[STOPPING].server;
+    let mut wire = Wire::dial(fleet.members[STOPPING].addresses.peers, &secret(&fleet));
+    server.set(|opts| opts.slow_factor = 1_000.0);
+    wire.request(LONG).expect("sent");
+    eventually("the request runs", || server.stats().began > 0);
+    let (frames, sent) = thread::scope(|scope| {
+        let stopping = scope.spawn(|| fleet.stop_node(STOPPING));
+        let stream = wire.stream.try_clone().expect("cloned");
+        let sending = scope.spawn(move || send_until_refused(stream));
+        let mut frames = Vec::new();
+        while let Some(frame) = wire.next::<Frame>().expect("closed in order") {
+            frames.push(frame);
+        }
+        // The end of the dialling side too.
+        let _ = wire.stream.shutdown(Shutdown::Both);
+        assert_eq!(stopping.join().expect("no panic"), Some(Stopped::Drained));
+        (frames, sending.join().expect("no panic"))
+    });
+    let (outcomes, is_told) = outcomes(frames);
+    assert!(
+        is_told,
+        "{} answered of {sent}, then an end",
+        outcomes.len()
+    );
+    assert!(matches!(outcomes[&LONG], Body::End(_)), "{outcomes:?}");
+    let ran = outcomes
+        .values()
+        .filter(|body| matches!(body, Body::End(_)));
+    assert_eq!(ran.count(), server.runs().len());
+}
+
+/// Sends one request after another until the connection takes none, and gives how many.
+fn send_until_refused(stream: TcpStream) -> u64 {
+    let mut wire = Wire::new(stream);
+    let mut sent = 0;
+    while wire.request(LONG + 1 + sent).is_ok() {
+        sent += 1;
+        thread::sleep(Duration::from_millis(1));
+    }
+    sent
+}
+
+/// Takes the place of a node that was killed, as one that reads a request and stops: gives the
+/// number of the requests that it saw.
+fn stand_in_for_stopping(fleet: &Fleet, number: usize) -> Arc<AtomicUsize> {
+    let status = fleet.operator(number).get("/status").expect("it runs");
+    let status: serde_json::Value = serde_json::from_str(&status).expect("JSON");
+    let id = status["node"].as_str().expect("a node has an id");
+    let id = NodeId(u64::from_str_radix(id, 16).expect("an id is a number"));
+    let (addr, secret) = (fleet.members[number].addresses.peers, secret(fleet));
+    fleet.kill_node(number);
+    let listener = TcpListener::bind(addr).expect("the address is free");
+    let seen = Arc::new(AtomicUsize::new(0));
+    let seen_by_node = Arc::clone(&seen);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (secret, seen) = (secret.clone(), Arc::clone(&seen_by_node));
+            thread::spawn(move || go_away_at_first_request(stream, id, &secret, &seen));
+        }
+    });
+    seen
+}
+
+fn go_away_at_first_request(
+    stream: TcpStream,
+    id: NodeId,
+    secret: &Secret,
+    seen: &AtomicUsize,
+) -> io::Result<()> {
+    let mut wire = Wire::accept(stream, id, secret)?;
+    while let Some(frame) = wire.next::<Frame>()? {
+        if matches!(frame.body, Some(Body::End(_))) {
+            seen.fetch_add(1, Ordering::AcqRel);
+            wire.send(&Frame::new(0, Body::GoAway(GoAway {})))?;
+            wire.stream.shutdown(Shutdown::Write)?;
+        }
+    }
+    Ok(())
+}
+
+/// Calls until the stand-in for a stopping node has seen a request.
+fn call_until_seen(seen: &AtomicUsize, mut call: impl FnMut() -> Seen) -> Vec<Seen> {
+    let mut history = Vec::new();
+    eventually("a request came to the stopping node", || {
+        history.push(call());
+        seen.load(Ordering::Acquire) > 0
+    });
+    history
+}
+
+#[test]
+fn a_request_that_a_stopping_node_did_not_read_is_told_as_not_run_or_run_elsewhere() {
+    let fleet = start();
+    let addr = callers(&fleet)[INGRESS];
+    let caller = Caller::new(KEY);
+    let seen = stand_in_for_stopping(&fleet, STOPPING);
+    let mut number = 0;
+    let history = call_until_seen(&seen, || {
+        number += 1;
+        let key = format!("stopping-{number}");
+        let headers = [("Idempotency-Key", key.as_str())];
+        let sent = caller.send(addr, "POST", "/sign-off", &headers);
+        sent.expect("answered")
+    });
+    let bad = history.iter().find(|s| !s.is_ok() && !s.is_not_run());
+    assert_eq!(bad, None);
+}
--- a/crates/node/src/ingress/collect.rs
+++ b/crates/node/src/ingress/collect.rs
@@ -157,7 +157,7 @@
                     strike: refused.strike,
                 });
             }
-            Body::Begin(_) | Body::Cancel(_) | Body::Fetch(_) => {}
+            Body::Begin(_) | Body::Cancel(_) | Body::Fetch(_) | Body::GoAway(_) => {}
         }
     }
 }
--- a/crates/node/src/link/dialer.rs
+++ b/crates/node/src/link/dialer.rs
@@ -191,6 +191,9 @@
     fn read(&self, mut reader: Reader) {
         loop {
             match reader.next::<Frame>() {
+                Ok(Some(frame)) if matches!(frame.body, Some(Body::GoAway(_))) => {
+                    return self.go_away();
+                }
                 Ok(Some(frame)) => self.deliver(frame),
                 Ok(None) => return,
                 Err(err) => {
@@ -201,6 +204,13 @@
         }
     }
 
+    /// The other side stops; it has answered all that it read.
+    fn go_away(&self) {
+        log::debug!(event = "link-told-to-go", peer:% = self.peer; "");
+        self.is_lost.store(true, Ordering::Release);
+        self.pending.refuse_unread();
+    }
+
     /// Hands a frame to the request that it answers; late frames of done requests are dropped.
     fn deliver(&self, frame: Frame) {
         let (Some(answer), Some(body)) = (self.pending.answer(frame.request), frame.body) else {
--- a/crates/node/src/link/listener.rs
+++ b/crates/node/src/link/listener.rs
@@ -5,24 +5,32 @@
     io,
     net::{Shutdown, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError, Weak,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
-    thread,
-    time::Duration,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 
 use bytes::BytesMut;
 use cassiashunt_ring::Ring;
 use cassiashunt_types::prelude::*;
-use cassiashunt_wire::{Begin, Body, Frame, Hello, Listener, Proof, Refused, Secret};
+use cassiashunt_wire::{Begin, Body, Frame, GoAway, Hello, Listener, Proof, Refused, Secret};
 
 use super::Submit;
-use super::stream::{Path, Queued, Reader, Writer};
+use super::stream::{Path, Queued, Reader, Writer, is_timeout};
 use crate::owner::Reply;
 
 /// Requests of one connection whose bodies have not arrived whole.
 const MAX_PARTIAL: usize = 1_024;
+/// How often a connection without frames looks whether it is to be closed.
+const CLOSE_POLL: Duration = Duration::from_millis(50);
+/// How often a closing connection looks whether its requests have ended.
+const OUTCOME_LOOK: Duration = Duration::from_millis(2);
+/// How long before the end of a close the last frames are queued.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// How long the other side has to close after the last frame.
+const LINGER: Duration = Duration::from_secs(1);
 
 /// How connections are accepted.
 #[derive(Clone)]
@@ -42,6 +50,15 @@
     submit: Submit,
     open: Mutex<Vec<Weak<TcpStream>>>,
     is_stopped: AtomicBool,
+    /// Until when connections may take to close in order, once they are to be closed.
+    close_until: OnceLock<Instant>,
+}
+
+/// The requests of one connection.
+#[derive(Default)]
+struct Requests {
+    partial: HashMap<u64, Partial>,
+    replies: HashMap<u64, Weak<Reply>>,
 }
 
 /// A request whose body is still arriving.
@@ -58,16 +75,20 @@
             submit,
             open,
             is_stopped: AtomicBool::new(false),
+            close_until: OnceLock::new(),
         })
     }
 
-    /// Accepts until [`Acceptor::stop`].
+    /// Accepts until [`Acceptor::stop`] or [`Acceptor::close`].
     pub(crate) fn run(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming() {
             if self.is_stopped.load(Ordering::Acquire) {
                 return;
             }
-            let Ok(stream) = stream else { continue };
+            let Ok(stream) = stream.map(Arc::new) else {
+                continue;
+            };
+            self.remember(&stream);
             let acceptor = Arc::clone(self);
             let serve = move || {
                 if let Err(err) = acceptor.serve(stream) {
@@ -80,47 +101,112 @@
         }
     }
 
-    /// Ends all connections; the listener is woken by one from here.
+    /// Accepts no more connections; the listener is woken by one from here.
     pub(crate) fn stop(&self) {
         self.is_stopped.store(true, Ordering::Release);
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        for stream in open.drain(..).filter_map(|stream| stream.upgrade()) {
+    }
+
+    /// Closes every connection once the outcomes of the requests that were read are written, and
+    /// waits for that until `until`.
+    pub(crate) fn close(&self, until: Instant) {
+        let outcomes_until = until.checked_sub(FLUSH_TIME).unwrap_or(until);
+        self.close_until.get_or_init(|| outcomes_until);
+        while self.is_open() && Instant::now() < until {
+            thread::sleep(OUTCOME_LOOK);
+        }
+    }
+
+    /// Ends all connections at once.
+    pub(crate) fn cut(&self) {
+        for stream in self.open().drain(..).filter_map(|stream| stream.upgrade()) {
             // The other side may have closed before.
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        let stream = Arc::new(stream);
+    fn is_open(&self) -> bool {
+        self.open().iter().any(|stream| stream.strong_count() > 0)
+    }
+
+    fn open(&self) -> MutexGuard<'_, Vec<Weak<TcpStream>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, stream: Arc<TcpStream>) -> io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(self.opts.handshake))?;
         let mut reader = Reader::new(Arc::clone(&stream));
         let mut writer = Writer::new(Arc::clone(&stream));
         let peer = self.shake_hands(&mut reader, &mut writer)?;
-        stream.set_read_timeout(None)?;
-        self.remember(&stream);
+        stream.set_read_timeout(Some(CLOSE_POLL))?;
         let out = Ring::new(self.opts.frames);
+        let writing = self.start_writing(peer, writer, out.clone(), stream)?;
+        let mut requests = Requests::default();
+        let read = self.read(&mut reader, &mut requests, &out);
+        if let Ok(Some(until)) = read {
+            self.finish(requests, &out, until);
+            // It has logged why it ended.
+            let _ = writing.join();
+            return reader.drop_rest(until.min(Instant::now() + LINGER));
+        }
+        out.close();
+        self.cancel(&requests);
+        read.map(|_| ())
+    }
+
+    fn start_writing(
+        &self,
+        peer: NodeId,
+        mut writer: Writer,
+        ring: Ring<Queued>,
+        stream: Arc<TcpStream>,
+    ) -> io::Result<JoinHandle<()>> {
         let path = (self.opts.path)(peer);
-        let ring = out.clone();
-        let cut = Arc::clone(&stream);
         let write = move || {
-            if let Err(err) = writer.run(&ring, &path, |_| ()) {
-                log::debug!(event = "peer-write-failed", peer:% = peer; "{err}");
-            }
+            let written = writer.run(&ring, &path, |_| ());
             ring.close();
-            // The reader may have closed before.
-            let _ = cut.shutdown(Shutdown::Both);
+            let side = match written {
+                Ok(()) => Shutdown::Write,
+                Err(err) => {
+                    log::debug!(event = "peer-write-failed", peer:% = peer; "{err}");
+                    Shutdown::Both
+                }
+            };
+            // The other side may have closed before.
+            let _ = stream.shutdown(side);
         };
         thread::Builder::new()
             .name("peer-write".into())
-            .spawn(write)?;
-        let read = self.read(&mut reader, &out);
+            .spawn(write)
+    }
+
+    /// Queues the outcomes of all requests that were read, and the end of the connection.
+    fn finish(&self, requests: Requests, out: &Ring<Queued>, until: Instant) {
+        let is_running = || requests.replies.values().any(|r| r.strong_count() > 0);
+        while is_running() && Instant::now() < until {
+            thread::sleep(OUTCOME_LOOK);
+        }
+        self.cancel(&requests);
+        for (request, reply) in &requests.replies {
+            if reply.strong_count() > 0 {
+                tell(out, *request, Refusal::may_have_run(Reason::Lost));
+            }
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        // Fails once the connection is closed.
+        let _ = out.push_within(Queued::now(Frame::new(0, Body::GoAway(GoAway {}))), left);
         out.close();
-        read
+    }
+
+    /// Gives up the requests that still run; nobody waits for their answers.
+    fn cancel(&self, requests: &Requests) {
+        for reply in requests.replies.values().filter_map(Weak::upgrade) {
+            self.submit.cancel(&reply);
+        }
     }
 
     fn remember(&self, stream: &Arc<TcpStream>) {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut open = self.open();
         open.retain(|stream| stream.strong_count() > 0);
         open.push(Arc::downgrade(stream));
     }
@@ -141,29 +227,29 @@
         })
     }
 
-    fn read(&self, reader: &mut Reader, out: &Ring<Queued>) -> io::Result<()> {
-        let mut partial = HashMap::new();
-        let mut cancels = HashMap::new();
-        while let Some(frame) = reader.next::<Frame>()? {
-            self.on_frame(frame, &mut partial, &mut cancels, out);
-        }
-        // Nobody waits for these answers any more.
-        for reply in cancels
-            .into_values()
-            .filter_map(|reply: Weak<_>| reply.upgrade())
-        {
-            self.submit.cancel(&reply);
+    /// Reads frames until the other side's end, or until the connection is to be closed, and gives
+    /// the time that it has for that.
+    fn read(
+        &self,
+        reader: &mut Reader,
+        requests: &mut Requests,
+        out: &Ring<Queued>,
+    ) -> io::Result<Option<Instant>> {
+        loop {
+            if let Some(until) = self.close_until.get() {
+                return Ok(Some(*until));
+            }
+            match reader.next::<Frame>() {
+                Ok(Some(frame)) => self.on_frame(frame, requests, out),
+                Ok(None) => return Ok(None),
+                Err(err) if is_timeout(&err) => {}
+                Err(err) => return Err(err),
+            }
         }
-        Ok(())
     }
 
-    fn on_frame(
-        &self,
-        frame: Frame,
-        partial: &mut HashMap<u64, Partial>,
-        cancels: &mut HashMap<u64, Weak<Reply>>,
-        out: &Ring<Queued>,
-    ) {
+    fn on_frame(&self, frame: Frame, requests: &mut Requests, out: &Ring<Queued>) {
+        let Requests { partial, replies } = requests;
         let request = frame.request;
         match frame.body {
             Some(Body::Begin(begin)) if partial.len() < MAX_PARTIAL => {
@@ -196,26 +282,30 @@
                     return;
                 }
                 let reply = Arc::new(Reply::link(out.clone(), request));
-                cancels.retain(|_, reply| reply.strong_count() > 0);
-                cancels.insert(request, Arc::downgrade(&reply));
+                replies.retain(|_, reply| reply.strong_count() > 0);
+                replies.insert(request, Arc::downgrade(&reply));
                 self.submit.start(*whole.begin, whole.body.freeze(), &reply);
             }
             Some(Body::Cancel(_)) => {
                 partial.remove(&request);
-                if let Some(reply) = cancels.remove(&request).and_then(|reply| reply.upgrade()) {
+                if let Some(reply) = replies.remove(&request).and_then(|reply| reply.upgrade()) {
                     self.submit.cancel(&reply);
                 }
             }
             Some(Body::Fetch(fetch)) => {
                 self.submit.fetch(fetch, &Reply::link(out.clone(), request));
             }
-            Some(Body::Head(_) | Body::Refused(_)) | None => {}
+            Some(Body::Head(_) | Body::Refused(_) | Body::GoAway(_)) | None => {}
         }
     }
 }
 
 fn refuse(out: &Ring<Queued>, request: u64, reason: Reason) {
-    let refused = Refused::from(Refusal::not_run(reason));
+    tell(out, request, Refusal::not_run(reason));
+}
+
+fn tell(out: &Ring<Queued>, request: u64, refusal: Refusal) {
+    let refused = Refused::from(refusal);
     // Without room the asking side finds out by its deadline.
     let _ = out.push(Queued::now(Frame::new(request, Body::Refused(refused))));
 }
--- a/crates/node/src/link/pending.rs
+++ b/crates/node/src/link/pending.rs
@@ -67,19 +67,27 @@
 
     /// Fails every request, each by whether any of its bytes may have left.
     pub(crate) fn lose(&self) {
+        self.fail(|entry| match entry.is_written {
+            true => Refusal::may_have_run(Reason::Lost),
+            false => Refusal::not_run(Reason::NoServer),
+        });
+    }
+
+    /// Fails every request as one that the other side did not read.
+    pub(crate) fn refuse_unread(&self) {
+        self.fail(|_| Refusal::not_run(Reason::Draining));
+    }
+
+    fn fail(&self, refusal: impl Fn(&Entry) -> Refusal) {
         let entries = {
             let mut state = self.lock();
             state.is_lost = true;
             std::mem::take(&mut state.entries)
         };
         for entry in entries.into_values() {
-            let refusal = if entry.is_written {
-                Refusal::may_have_run(Reason::Lost)
-            } else {
-                Refusal::not_run(Reason::NoServer)
-            };
+            let refused = Refused::from(refusal(&entry));
             // A full ring is closed below, which its reader takes as a loss.
-            let _ = entry.answer.push(Body::Refused(Refused::from(refusal)));
+            let _ = entry.answer.push(Body::Refused(refused));
             entry.answer.close();
         }
     }
--- a/crates/node/src/link/stream.rs
+++ b/crates/node/src/link/stream.rs
@@ -72,6 +72,28 @@
             }
         }
     }
+
+    /// Reads and drops what still comes, until the other side's end or `until`.
+    pub(crate) fn drop_rest(&mut self, until: Instant) -> io::Result<()> {
+        let mut buf = vec![0; READ_BYTES];
+        while Instant::now() < until {
+            match (&*self.stream).read(&mut buf) {
+                Ok(0) => return Ok(()),
+                Ok(_) => {}
+                Err(err) if is_timeout(&err) => {}
+                Err(err) => return Err(err),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Whether a read ended without data because of its time limit.
+pub(crate) fn is_timeout(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
+    )
 }
 
 /// Writes messages to a socket.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,6 +23,9 @@
 
 /// How often a stopping node looks whether it is done.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// The time that the connections of other nodes have to close in order, at least and at most.
+const MIN_CLOSE: Duration = Duration::from_millis(500);
+const MAX_CLOSE: Duration = Duration::from_secs(2);
 
 /// The sockets that a node listens at.
 struct Sockets {
@@ -140,6 +143,8 @@
             thread::sleep(DRAIN_LOOK);
         }
         let cut_off = self.in_flight();
+        // Before the goodbye, at which peers give up their connections to this node.
+        self.close_links(until);
         self.duties.stop();
         self.end();
         log::info!(event = "node-stopped", node:% = self.shared.id, cut_off = cut_off; "");
@@ -167,11 +172,21 @@
         owned + self.callers.busy()
     }
 
+    /// Closes the connections that other nodes made, in order.
+    fn close_links(&self, until: Instant) {
+        let now = Instant::now();
+        self.peers.stop();
+        wake(self.addresses.peers);
+        self.peers
+            .close(until.clamp(now + MIN_CLOSE, now + MAX_CLOSE));
+    }
+
     fn end(&mut self) {
         self.callers.stop();
         self.peers.stop();
         wake(self.addresses.callers);
         wake(self.addresses.peers);
+        self.peers.cut();
         self.operators.stop();
         if let Some(owner) = self.shared.owner.get() {
             owner.stop();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub request: u64,
     /// What is said about it.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<Body>,
 }
 
@@ -38,6 +38,9 @@
     /// The asking side wants a value of the configuration.
     #[prost(message, tag = "8")]
     Fetch(Fetch),
+    /// The accepting side reads no further request on this connection.
+    #[prost(message, tag = "9")]
+    GoAway(GoAway),
 }
 
 /// A request as its owning node needs it.
@@ -176,6 +179,10 @@
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct Cancel {}
 
+/// The last frame of an accepting side that stops: what it has not answered before, it has not read.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct GoAway {}
+
 /// A value of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
 #[repr(i32)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use codec::{CodecError, FrameCodec};
 pub use frame::{
-    Begin, Body, Cancel, Chunk, End, Fetch, Frame, Head, HeaderLine, Refused, ValueKind,
+    Begin, Body, Cancel, Chunk, End, Fetch, Frame, GoAway, Head, HeaderLine, Refused, ValueKind,
 };
 pub use handshake::{Dialer, HandshakeError, Hello, Listener, Proof, Welcome};
 pub use seal::{Envelope, Kind, Seal, SealError};
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -39,6 +39,20 @@
     });
 }
 
+#[test]
+fn a_frame_of_a_kind_that_this_build_does_not_know_has_no_body() {
+    let mut codec = FrameCodec::default();
+    let mut buf = BytesMut::new();
+    // Length 5; field 1 (the request) is 7; field 100 is an empty message.
+    buf.extend_from_slice(&[0, 0, 0, 5, 0x08, 7, 0xa2, 0x06, 0]);
+    let read = codec.decode::<Frame>(&mut buf).expect("well formed");
+    let expected = Frame {
+        request: 7,
+        body: None,
+    };
+    assert_eq!(read, Some(expected));
+}
+
 #[test]
 fn arbitrary_bytes_never_panic_the_decoder() {
     check(|u| {
