Keep the retries of a request that a stopping node did not read

Callers of a rolling restart still got a 502 where a call of a backend server was on a connection that a stopping node closed: the call was refused as not run and not tried elsewhere, and the server made a failure of it. Cause: the retries lent to an attempt were lost with its connection, also where the owner never had the request. A call with one retry left lends it, so it had none.

An attempt that ended with its connection and surely did not run gives back all that was lent to it. Nobody can have spent them, so the sum over the chain stays within its allowance.

The new test failed before: 503 "not-run" of code "draining" with one retry allowed and two other servers there.

--- a/crates/fleet/tests/stopping_links.rs
+++ b/crates/fleet/tests/stopping_links.rs
@@ -241,3 +241,15 @@
     let bad = history.iter().find(|s| !s.is_ok() && !s.is_not_run());
     assert_eq!(bad, None);
 }
+
+#[test]
+fn a_request_that_a_stopping_node_did_not_read_costs_one_retry() {
+    let fleet = start();
+    fleet.set("*,*,*", "retries", "1").expect("accepted");
+    let addr = callers(&fleet)[INGRESS];
+    let caller = Caller::new(KEY);
+    let seen = stand_in_for_stopping(&fleet, STOPPING);
+    let history = call_until_seen(&seen, || caller.get(addr, "/photos").expect("answered"));
+    let bad = history.iter().find(|s| !s.is_ok());
+    assert_eq!(bad, None);
+}
--- a/crates/node/src/ingress/collect.rs
+++ b/crates/node/src/ingress/collect.rs
@@ -112,6 +112,11 @@
             is_link_lost: false,
         }
     }
+
+    /// Whether the request ended with its connection, before its owner had it.
+    pub(super) fn is_unread(&self) -> bool {
+        self.is_link_lost && self.refusal.verdict == Verdict::NotRun
+    }
 }
 
 /// When to stop waiting.
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -147,6 +147,9 @@
         let ended = ended.and_then(|source| collect::whole(source, &self.patience()));
         match &ended {
             Ok(whole) => self.allowance().settle(loan.key, whole.end.unused_retries),
+            Err(failure) if failure.is_unread() => {
+                self.allowance().settle(loan.key, loan.tokens);
+            }
             Err(failure) => match failure.unused_retries {
                 Some(unused) => self.allowance().settle(loan.key, unused),
                 None => self.allowance().write_off(loan.key),
