--- a/cassiashunt/tests/site_stop.rs
+++ b/cassiashunt/tests/site_stop.rs
@@ -16,10 +16,10 @@
 use cassiashunt_standin::site::{Behaviour, Fault, Request, ask, open};
 use support::{
     eventually,
-    site::{Site, WORKSPACE_KEY, read, write},
+    site::{Site, read, write},
     stop::{
         End, Fate, GRACE, Work, broken_rules, kept_connection, ms, send, send_whole, sleep_until,
-        with_runs,
+        table_with_timeout, with_runs,
     },
 };
 
@@ -256,19 +256,6 @@
     assert_eq!(site.runs_of(&refused) + site.runs_of(&incomplete), 0);
 }
 
-/// The table of [`Site::start`] with another timeout for all routes.
-fn table_with_timeout(timeout: Duration) -> serde_json::Value {
-    let mut table = support::site::table(2, &[WORKSPACE_KEY]);
-    let resources = table["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        if resource["type"] == "routes" {
-            let timeout_ms = u64::try_from(timeout.as_millis()).expect("a short timeout");
-            resource["spec"]["timeout_ms"] = timeout_ms.into();
-        }
-    }
-    table
-}
-
 /// The lines of a stop were dropped like those of requests where a node logged more than its limit.
 #[test]
 fn a_stop_under_load_is_logged() {
@@ -339,6 +326,7 @@
         limit: ms(2_000),
         end,
         ended: ms(ended),
+        is_kept: false,
         runs: runs.to_vec(),
     };
     let allowed = [
--- a/cassiashunt/tests/support/stop.rs
+++ b/cassiashunt/tests/support/stop.rs
@@ -1,4 +1,5 @@
-//! Judges what clients saw of a node's stop by the users' rules. All times count from the SIGTERM.
+//! Clients of a node that stops, and the users' rules for what they see. All times count from the
+//! SIGTERM.
 
 use std::{
     io::Write as _,
@@ -9,7 +10,7 @@
 
 use cassiashunt_standin::site::{Request, ask, open};
 
-use super::site::{Site, read};
+use super::site::{Site, WORKSPACE_KEY, read, table};
 
 /// The grace time of the platform's deployments.
 pub const GRACE: Duration = Duration::from_secs(6);
@@ -38,6 +39,8 @@
     pub limit: Duration,
     pub end: End,
     pub ended: Duration,
+    /// Whether its connection may be used again.
+    pub is_kept: bool,
     /// When each server that ran it was at work on it.
     pub runs: Vec<Work>,
 }
@@ -119,6 +122,7 @@
         limit: ms(request.timeout_ms).min(ROUTE_TIMEOUT),
         end: End::Closed,
         ended: Duration::ZERO,
+        is_kept: false,
         runs: Vec::new(),
     };
     for (at, piece) in pieces.iter().enumerate() {
@@ -133,6 +137,7 @@
     }
     if let Ok(answer) = ask(stream, b"") {
         fate.end = End::Answered(answer.status);
+        fate.is_kept = answer.header("connection") != Some("close");
     }
     fate.ended = began.elapsed();
     fate
@@ -175,3 +180,16 @@
 pub fn sleep_until(began: Instant, at: Duration) {
     thread::sleep((began + at).saturating_duration_since(Instant::now()));
 }
+
+/// The table of [`Site::start`] with another timeout for all routes.
+pub fn table_with_timeout(timeout: Duration) -> serde_json::Value {
+    let mut table = table(2, &[WORKSPACE_KEY]);
+    let resources = table["resources"].as_array_mut();
+    for resource in resources.expect("`resources` is not an array") {
+        if resource["type"] == "routes" {
+            let timeout_ms = u64::try_from(timeout.as_millis()).expect("a short timeout");
+            resource["spec"]["timeout_ms"] = timeout_ms.into();
+        }
+    }
+    table
+}
