Soak stops in calm, other grace times and clients that cling

The soak's planned stops all had a grace time of 6 s, under steady load, and no client opened new connections to a stopping node on purpose. Another operator's report is of a stop in calm with requests that came late in the grace time.

New mixes, so that older seeds keep their faults: `calm` pauses all load around the stop of one node, while eight clients hold its connections and begin to send between 5 and 95 hundredths of the grace time, a third of it not repeatable; `cling` adds clients that come to a node until its process is gone, half of the time on new connections. Both draw grace times of 2, 6 or 20 s by the seed, and time limits of 0.3 to 8 s, so that requests are taken late, too. The judge uses the run's grace time.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Gives up the connection that is kept, if any.
+    pub(crate) fn close(&mut self) {
+        self.kept = None;
+    }
+
     /// Sends one request; nothing where the node takes no connection.
     pub(crate) fn send(&mut self, target: String, is_write: bool, key: String) -> Option<Sent> {
         let mut stream = match self.kept.take() {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,8 +17,19 @@
     All,
     /// Planned stops of several manners, also together, of nodes with slow servers.
     Stops,
+    /// The same with grace times of 2, 6 or 20 s, and clients that come to a stopping node until its
+    /// process is gone, also on new connections.
+    Cling,
+    /// Planned stops of one node at a time while all load pauses, except that clients which hold its
+    /// connections begin to send late in the grace time.
+    Calm,
 }
 
+/// The grace time of most mixes.
+pub const GRACE: Duration = Duration::from_secs(6);
+/// The grace times of [`Mix::Cling`] and [`Mix::Calm`].
+const GRACES: [Duration; 3] = [Duration::from_secs(2), GRACE, Duration::from_secs(20)];
+
 impl Mix {
     /// The mix that a seed has where none is asked for.
     #[must_use]
@@ -38,10 +49,35 @@
             "servers" => Some(Self::Servers),
             "all" => Some(Self::All),
             "stops" => Some(Self::Stops),
+            "cling" => Some(Self::Cling),
+            "calm" => Some(Self::Calm),
             _ => None,
         }
     }
 
+    /// How long nodes may take to stop with this seed.
+    #[must_use]
+    pub fn grace(self, seed: u64) -> Duration {
+        match self {
+            Self::Cling | Self::Calm => {
+                GRACES[fastrand::Rng::with_seed(seed).usize(..GRACES.len())]
+            }
+            Self::Planned | Self::Servers | Self::All | Self::Stops => GRACE,
+        }
+    }
+
+    /// Whether all its faults are planned, so that nothing may be cut off.
+    #[must_use]
+    pub fn is_planned(self) -> bool {
+        self == Self::Planned || self.has_slow_servers()
+    }
+
+    /// Whether servers may take longer than is left of a stop.
+    #[must_use]
+    pub fn has_slow_servers(self) -> bool {
+        matches!(self, Self::Stops | Self::Cling | Self::Calm)
+    }
+
     fn kinds(self) -> &'static [Kind] {
         const KINDS: [Kind; 12] = [
             Kind::Stop,
@@ -61,7 +97,8 @@
             Self::Planned => &KINDS[..3],
             Self::Servers => &KINDS[..5],
             Self::All => &KINDS,
-            Self::Stops => &[Kind::StopIn, Kind::SlowServer, Kind::SlowServer],
+            Self::Stops | Self::Cling => &[Kind::StopIn, Kind::SlowServer, Kind::SlowServer],
+            Self::Calm => &[Kind::CalmStop, Kind::SlowServer, Kind::SlowServer],
         }
     }
 }
@@ -81,9 +118,15 @@
     ClientLink,
     Compact,
     StopIn,
+    CalmStop,
     SlowServer,
 }
 
+/// Clients that hold connections of a node that is stopped in calm.
+pub const HOLDERS: usize = 8;
+/// When these begin to send, in hundredths of the grace time.
+const HELD_PERCENT: std::ops::Range<u32> = 5..95;
+
 /// How a node is asked to stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Manner {
@@ -106,6 +149,9 @@
     Stop(usize),
     /// The same, in a manner of its own.
     StopIn(usize, Manner),
+    /// A node is asked to stop in calm. The clients that hold its connections begin to send at these
+    /// hundredths of the grace time.
+    CalmStop(usize, [u32; HOLDERS]),
     /// A node is killed, and starts again after the fault's time.
     Kill(usize),
     /// A node stands still.
@@ -184,6 +230,7 @@
         Kind::ClientLink => Fault::ClientLink(node, link_fault(rng)),
         Kind::Compact => Fault::Compact,
         Kind::StopIn => Fault::StopIn(node, manner(rng)),
+        Kind::CalmStop => Fault::CalmStop(node, std::array::from_fn(|_| rng.u32(HELD_PERCENT))),
         Kind::SlowServer => {
             let span = Duration::from_millis(rng.u64(SLOW_MS));
             Fault::Serve(node, Behaviour::Slow(span))
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -21,7 +21,7 @@
             optional --seconds seconds: u64
             /// Nodes, each with a server (default: 6).
             optional --nodes nodes: usize
-            /// planned, servers, all (default: one of these by the seed) or stops.
+            /// planned, servers, all (default: one of these by the seed), stops, cling or calm.
             optional --mix mix: String
             /// Where settings and logs go (default: a folder for temporary files).
             optional --folder folder: PathBuf
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     client::Client,
-    faults::{Fault, Manner, Mix, Planned, schedule},
-    history::{CRASHING, GRACE, History, Ran, Sent, Stop, Violation},
+    faults::{Fault, GRACE, HOLDERS, Manner, Mix, Planned, schedule},
+    history::{CRASHING, History, Ran, Sent, Stop, Violation},
     keys::{Keys, LASTING},
     proxy::Fault as LinkFault,
     site::{Member, SERVICES, Site},
@@ -36,6 +36,13 @@
 const LATE_CLIENTS: usize = 6;
 /// The longest pause of these.
 const LATE_PAUSE_MS: u64 = 3_000;
+/// How long a request of a clinging client may take, in milliseconds: also less than is left of a
+/// stop.
+const CLINGING_LIMIT_MS: std::ops::Range<u64> = 300..8_000;
+/// The longest pause of a client that holds a connection, once it has begun to send, in milliseconds.
+const HOLDER_PAUSE_MS: u64 = 200;
+/// How long the load has paused when a node is stopped in calm.
+const CALM_BEFORE: Duration = Duration::from_millis(500);
 /// How long a request may take.
 const TIME_LIMIT: Duration = Duration::from_millis(2_000);
 /// How long, where servers may take longer than is left of a stop.
@@ -124,9 +131,11 @@
         "too few nodes for the services"
     );
     fs::create_dir_all(&opts.folder).wrap_err("can't make the folder")?;
-    let site = Site::new(&opts.folder, opts.nodes).wrap_err("can't start the stand-ins")?;
+    let grace = opts.mix.grace(opts.seed);
+    let site = Site::new(&opts.folder, opts.nodes, grace).wrap_err("can't start the stand-ins")?;
     let soak = Soak {
         opts,
+        grace,
         site,
         keys: Keys::default(),
         sent: Mutex::default(),
@@ -134,12 +143,16 @@
         others: Mutex::default(),
         is_over: AtomicBool::new(false),
         is_crashing: AtomicBool::new(false),
+        calm: Mutex::default(),
+        is_calm: AtomicBool::new(false),
     };
     soak.play()
 }
 
 struct Soak<'a> {
     opts: &'a Options,
+    /// How long a planned stop may take.
+    grace: Duration,
     site: Site,
     keys: Keys,
     sent: Mutex<Vec<Sent>>,
@@ -149,6 +162,10 @@
     is_over: AtomicBool,
     /// Whether somebody sends requests under which servers end.
     is_crashing: AtomicBool,
+    /// Held by a stop in calm.
+    calm: Mutex<()>,
+    /// Whether the load pauses.
+    is_calm: AtomicBool,
 }
 
 impl Soak<'_> {
@@ -175,12 +192,18 @@
             scope.spawn(|| self.beat());
             let began = self.wait_until_served();
             if began {
-                for at in 0..self.site.members.len() * CLIENTS {
-                    scope.spawn(move || self.call(at, PAUSE_MS));
+                let nodes = self.site.members.len();
+                for at in 0..nodes * CLIENTS {
+                    scope.spawn(move || self.call(self.client(at % nodes), PAUSE_MS));
                 }
-                if self.opts.mix == Mix::Stops {
-                    for at in 0..self.site.members.len() * LATE_CLIENTS {
-                        scope.spawn(move || self.call(at, LATE_PAUSE_MS));
+                if self.opts.mix.has_slow_servers() {
+                    for at in 0..nodes * LATE_CLIENTS {
+                        scope.spawn(move || self.call(self.client(at % nodes), LATE_PAUSE_MS));
+                    }
+                }
+                if self.opts.mix == Mix::Cling {
+                    for at in 0..nodes {
+                        scope.spawn(move || self.cling(at));
                     }
                 }
                 scope.spawn(|| self.send_crashing());
@@ -225,9 +248,12 @@
     }
 
     fn history(&self) -> History {
-        let members = self.site.members.iter();
-        let runs = members.flat_map(|it| it.server.runs());
-        let ran = runs.map(|run| Ran {
+        let members = self.site.members.iter().enumerate();
+        let of =
+            |(at, it): (usize, &Member)| it.server.runs().into_iter().map(move |run| (at, run));
+        let runs = members.flat_map(of);
+        let ran = runs.map(|(node, run)| Ran {
+            node,
             target: run.first_line.split(' ').nth(1).unwrap_or_default().into(),
             workspace: run.header("x-tenant").unwrap_or_default().into(),
             attempt: run.attempt,
@@ -240,12 +266,13 @@
             ran: ran.collect(),
             withdrawn: self.keys.withdrawn(),
             stops: lock(&self.stops).clone(),
+            grace: self.grace,
         }
     }
 
     fn put_table(&self, version: u64, keys: &[String]) {
         let limit = match self.opts.mix {
-            Mix::Stops => LONG_TIME_LIMIT,
+            Mix::Stops | Mix::Cling | Mix::Calm => LONG_TIME_LIMIT,
             Mix::Planned | Mix::Servers | Mix::All => ROUTE_TIME,
         };
         self.site.put_table(version, keys, limit);
@@ -280,7 +307,9 @@
         match self.opts.mix {
             Mix::All => Client::new(at, member.from_clients.address(), TIME_LIMIT),
             Mix::Planned | Mix::Servers => Client::new(at, member.requests, TIME_LIMIT),
-            Mix::Stops => Client::new(at, member.requests, LONG_TIME_LIMIT),
+            Mix::Stops | Mix::Cling | Mix::Calm => {
+                Client::new(at, member.requests, LONG_TIME_LIMIT)
+            }
         }
     }
 
@@ -308,20 +337,44 @@
     }
 
     /// One client's requests, all to the same node.
-    fn call(&self, at: usize, pause_ms: u64) {
-        let mut client = self.client(at % self.site.members.len());
+    fn call(&self, mut client: Client, pause_ms: u64) {
         while !self.is_over() {
-            let service = SERVICES[fastrand::usize(..SERVICES.len())];
-            let is_write = fastrand::u8(..3) == 0;
-            let kind = if is_write { "write" } else { "read" };
-            let target = format!("/{service}/{kind}/{:x}", fastrand::u64(..));
-            if let Some(sent) = client.send(target, is_write, self.keys.draw()) {
-                lock(&self.sent).push(sent);
+            if !self.is_calm.load(Ordering::Acquire) {
+                self.send_one(&mut client);
             }
             thread::sleep(Duration::from_millis(fastrand::u64(..pause_ms)));
         }
     }
 
+    /// Sends a request of any kind; `false` where the node takes no connection.
+    fn send_one(&self, client: &mut Client) -> bool {
+        let service = SERVICES[fastrand::usize(..SERVICES.len())];
+        let is_write = fastrand::u8(..3) == 0;
+        let kind = if is_write { "write" } else { "read" };
+        let target = format!("/{service}/{kind}/{:x}", fastrand::u64(..));
+        let sent = client.send(target, is_write, self.keys.draw());
+        let is_taken = sent.is_some();
+        lock(&self.sent).extend(sent);
+        is_taken
+    }
+
+    /// Sends one request after the other to a node, half of them on new connections.
+    fn cling(&self, at: usize) {
+        let mut client = self.clinging_client(at);
+        while !self.is_over() {
+            if fastrand::bool() {
+                client.close();
+            }
+            self.send_one(&mut client);
+            thread::sleep(Duration::from_millis(fastrand::u64(..HOLDER_PAUSE_MS)));
+        }
+    }
+
+    fn clinging_client(&self, at: usize) -> Client {
+        let limit = Duration::from_millis(fastrand::u64(CLINGING_LIMIT_MS));
+        Client::new(at, self.site.members[at].requests, limit)
+    }
+
     /// Sends the request under which servers end, at any node, while it is asked for.
     fn send_crashing(&self) {
         while !self.is_over() {
@@ -360,6 +413,7 @@
         match fault {
             Fault::Stop(at) => self.stop(*at, Manner::Plain),
             Fault::StopIn(at, manner) => self.stop(*at, *manner),
+            Fault::CalmStop(at, percents) => self.stop_in_calm(*at, percents),
             Fault::Kill(at) => drop(member(at).process().take()),
             Fault::Pause(at) => signal(member(at), Signal::STOP),
             Fault::Keys | Fault::Table => {
@@ -380,7 +434,7 @@
     fn end(&self, fault: &Fault) {
         let member = |at: &usize| &self.site.members[*at];
         match fault {
-            Fault::Stop(at) | Fault::StopIn(at, _) | Fault::Kill(at) => {
+            Fault::Stop(at) | Fault::StopIn(at, _) | Fault::CalmStop(at, _) | Fault::Kill(at) => {
                 if let Err(err) = member(at).start(&self.opts.binary) {
                     self.add("nodes start again", format!("node-{at}: {err}"));
                 }
@@ -396,6 +450,38 @@
         }
     }
 
+    /// Asks a node to stop while the load pauses, and clients hold its connections.
+    fn stop_in_calm(&self, at: usize, percents: &[u32; HOLDERS]) {
+        // Those that would overlap are left out.
+        let Ok(_calm) = self.calm.try_lock() else {
+            return;
+        };
+        self.is_calm.store(true, Ordering::Release);
+        thread::sleep(CALM_BEFORE);
+        let holders = percents.map(|percent| {
+            let mut client = self.clinging_client(at);
+            self.send_one(&mut client);
+            (percent, client)
+        });
+        let began = Instant::now();
+        thread::scope(|scope| {
+            for (percent, client) in holders {
+                let wait = self.grace * percent / 100;
+                scope.spawn(move || self.send_late(client, wait, began + self.grace));
+            }
+            self.stop(at, Manner::Plain);
+        });
+        self.is_calm.store(false, Ordering::Release);
+    }
+
+    /// Sends nothing for a time, then one request after the other until the process is gone.
+    fn send_late(&self, mut client: Client, wait: Duration, until: Instant) {
+        thread::sleep(wait);
+        while self.send_one(&mut client) && Instant::now() < until {
+            thread::sleep(Duration::from_millis(fastrand::u64(..HOLDER_PAUSE_MS)));
+        }
+    }
+
     /// Asks a node to stop, and waits for its end.
     fn stop(&self, at: usize, manner: Manner) {
         let member = &self.site.members[at];
@@ -417,23 +503,24 @@
             node: at,
             at: asked,
         });
+        let scale = self.grace.div_duration_f64(GRACE);
         // A paused process stops when it goes on.
         running.signal(Signal::TERM);
         running.signal(Signal::CONT);
         match manner {
             Manner::Plain | Manner::AfterReload | Manner::WithoutStore => {}
             Manner::Twice(after) => {
-                thread::sleep(after);
+                thread::sleep(after.mul_f64(scale));
                 running.signal(Signal::TERM);
             }
             Manner::Paused(after, span) => {
-                thread::sleep(after);
+                thread::sleep(after.mul_f64(scale));
                 running.signal(Signal::STOP);
-                thread::sleep(span);
+                thread::sleep(span.mul_f64(scale));
                 running.signal(Signal::CONT);
             }
         }
-        match running.wait(GRACE.saturating_sub(asked.elapsed())) {
+        match running.wait(self.grace.saturating_sub(asked.elapsed())) {
             Some(status) if status.success() => {}
             Some(status) if is_young && status.signal() == Some(Signal::TERM.as_raw()) => {}
             Some(status) => self.add("planned stops end well", format!("node-{at}: {status}")),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -12,11 +12,7 @@
 
 use serde_json::json;
 
-use crate::{
-    history::{GRACE, WITHDRAWAL},
-    process::Process,
-    proxy::Proxy,
-};
+use crate::{history::WITHDRAWAL, process::Process, proxy::Proxy};
 
 /// Requests a second that the workspace may send: more than all clients do.
 const RATE: u32 = 5_000;
@@ -64,9 +60,9 @@
 
 impl Site {
     /// Starts the stand-ins and writes the nodes' settings; no node runs yet.
-    pub(crate) fn new(folder: &Path, nodes: usize) -> io::Result<Self> {
+    pub(crate) fn new(folder: &Path, nodes: usize, grace: Duration) -> io::Result<Self> {
         let store = Store::start()?;
-        let members = (0..nodes).map(|at| member(folder, &store, at));
+        let members = (0..nodes).map(|at| member(folder, &store, at, grace));
         let members = members.collect::<io::Result<Vec<_>>>()?;
         Ok(Self { store, members })
     }
@@ -84,7 +80,7 @@
     }
 }
 
-fn member(folder: &Path, store: &Store, at: usize) -> io::Result<Member> {
+fn member(folder: &Path, store: &Store, at: usize, grace: Duration) -> io::Result<Member> {
     let service = SERVICES[at % SERVICES.len()];
     let addresses = Addresses::free()?;
     let server = Server::start(&format!("i-{service}-{at}"), addresses.requests)?;
@@ -97,7 +93,7 @@
         server: to_server.address(),
         store: to_store.address(),
         withdrawal: WITHDRAWAL,
-        grace: GRACE,
+        grace,
     }
     .to_toml();
     let settings = folder.join(format!("node-{at}.toml"));
