--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -98,7 +98,7 @@
             Self::Servers => &KINDS[..5],
             Self::All => &KINDS,
             Self::Stops | Self::Cling => &[Kind::StopIn, Kind::SlowServer, Kind::SlowServer],
-            Self::Calm => &[Kind::CalmStop, Kind::SlowServer, Kind::SlowServer],
+            Self::Calm => &[Kind::CalmStop],
         }
     }
 }
@@ -149,9 +149,9 @@
     Stop(usize),
     /// The same, in a manner of its own.
     StopIn(usize, Manner),
-    /// A node is asked to stop in calm. The clients that hold its connections begin to send at these
-    /// hundredths of the grace time.
-    CalmStop(usize, [u32; HOLDERS]),
+    /// A node is asked to stop in calm, while servers work so long on each request. The clients that
+    /// hold its connections begin to send at these hundredths of the grace time.
+    CalmStop(usize, Duration, [u32; HOLDERS]),
     /// A node is killed, and starts again after the fault's time.
     Kill(usize),
     /// A node stands still.
@@ -230,7 +230,11 @@
         Kind::ClientLink => Fault::ClientLink(node, link_fault(rng)),
         Kind::Compact => Fault::Compact,
         Kind::StopIn => Fault::StopIn(node, manner(rng)),
-        Kind::CalmStop => Fault::CalmStop(node, std::array::from_fn(|_| rng.u32(HELD_PERCENT))),
+        Kind::CalmStop => Fault::CalmStop(
+            node,
+            Duration::from_millis(rng.u64(SLOW_MS)),
+            std::array::from_fn(|_| rng.u32(HELD_PERCENT)),
+        ),
         Kind::SlowServer => {
             let span = Duration::from_millis(rng.u64(SLOW_MS));
             Fault::Serve(node, Behaviour::Slow(span))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -413,7 +413,7 @@
         match fault {
             Fault::Stop(at) => self.stop(*at, Manner::Plain),
             Fault::StopIn(at, manner) => self.stop(*at, *manner),
-            Fault::CalmStop(at, percents) => self.stop_in_calm(*at, percents),
+            Fault::CalmStop(at, work, percents) => self.stop_in_calm(*at, *work, percents),
             Fault::Kill(at) => drop(member(at).process().take()),
             Fault::Pause(at) => signal(member(at), Signal::STOP),
             Fault::Keys | Fault::Table => {
@@ -434,7 +434,7 @@
     fn end(&self, fault: &Fault) {
         let member = |at: &usize| &self.site.members[*at];
         match fault {
-            Fault::Stop(at) | Fault::StopIn(at, _) | Fault::CalmStop(at, _) | Fault::Kill(at) => {
+            Fault::Stop(at) | Fault::StopIn(at, _) | Fault::CalmStop(at, ..) | Fault::Kill(at) => {
                 if let Err(err) = member(at).start(&self.opts.binary) {
                     self.add("nodes start again", format!("node-{at}: {err}"));
                 }
@@ -451,7 +451,7 @@
     }
 
     /// Asks a node to stop while the load pauses, and clients hold its connections.
-    fn stop_in_calm(&self, at: usize, percents: &[u32; HOLDERS]) {
+    fn stop_in_calm(&self, at: usize, work: Duration, percents: &[u32; HOLDERS]) {
         // Those that would overlap are left out.
         let Ok(_calm) = self.calm.try_lock() else {
             return;
@@ -463,6 +463,12 @@
             self.send_one(&mut client);
             (percent, client)
         });
+        let set_servers = |usual: Behaviour| {
+            for member in &self.site.members {
+                member.server.set_usual(usual.clone());
+            }
+        };
+        set_servers(Behaviour::Slow(work));
         let began = Instant::now();
         thread::scope(|scope| {
             for (percent, client) in holders {
@@ -471,6 +477,7 @@
             }
             self.stop(at, Manner::Plain);
         });
+        set_servers(Behaviour::Serve);
         self.is_calm.store(false, Ordering::Release);
     }
 
