--- a/cassiashunt/tests/soak.rs
+++ b/cassiashunt/tests/soak.rs
@@ -53,3 +53,8 @@
 fn seed_7_stopping_nodes_took_requests_that_they_could_not_finish() {
     play(7, Mix::Stops);
 }
+
+#[test]
+fn seed_302_requests_that_come_late_in_a_calm_stop_are_answered() {
+    play(302, Mix::Calm);
+}
