Send no request to a node that said that it stops

Calls of backend servers failed in a rolling restart because both tries that their chain allowed went to nodes that refused them. Cause: a node that was told "draining" by an owner went on choosing it until the news of the membership came, and dialled it again after a GoAway.

The server of such an owner counts as draining at once. A node that stops never takes work again, and its replacement has another id.

The new test failed before: 6 requests at the stopping node in place of 1.

--- a/crates/fleet/tests/stopping_links.rs
+++ b/crates/fleet/tests/stopping_links.rs
@@ -29,6 +29,8 @@
 const INGRESS: usize = 3;
 /// The request at work while its node stops.
 const LONG: u64 = 1;
+/// Requests after a node said that it stops.
+const AFTERWARDS: usize = 60;
 /// How long a read waits before it fails.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -253,3 +255,16 @@
     let bad = history.iter().find(|s| !s.is_ok());
     assert_eq!(bad, None);
 }
+
+#[test]
+fn a_node_that_said_that_it_stops_gets_no_further_request() {
+    let fleet = start();
+    let addr = callers(&fleet)[INGRESS];
+    let caller = Caller::new(KEY);
+    let seen = stand_in_for_stopping(&fleet, STOPPING);
+    call_until_seen(&seen, || caller.get(addr, "/photos").expect("answered"));
+    for _ in 0..AFTERWARDS {
+        caller.get(addr, "/photos").expect("answered");
+    }
+    assert_eq!(seen.load(Ordering::Acquire), 1);
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Takes in that a server's owner takes no more work, ahead of the news.
+    pub(crate) fn on_draining(&self, key: ServerKey) {
+        self.lock().chooser.set_presence(key, Presence::Draining);
+    }
+
     /// Lets `decide` use the retry budget.
     pub(crate) fn with_budget<T>(
         &self,
--- a/crates/node/src/ingress/collect.rs
+++ b/crates/node/src/ingress/collect.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Whether the owner takes no more work.
+    pub(super) fn is_draining(&self) -> bool {
+        self.refusal.reason == Reason::Draining
+    }
+
     /// Whether the request ended with its connection, before its owner had it.
     pub(super) fn is_unread(&self) -> bool {
         self.is_link_lost && self.refusal.verdict == Verdict::NotRun
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -272,6 +272,9 @@
             },
         );
         pool.done(now, chosen.key, outcome, signal.map(|signal| signal.load));
+        if ended.as_ref().is_err_and(Failure::is_draining) {
+            pool.on_draining(chosen.key);
+        }
         let service = self.plan.binding.service;
         let deeper = ended
             .as_ref()
