Answer every connection that a stopping node takes

Callers that connected at the end of a stop got an end or a reset without an answer. Cause: the acceptor closed what waited to be accepted, and a connection without a request at that moment was closed although its request was on its way. A request read just then was passed on while the links were closed. And the end of a stop waited for a moment without callers' requests, which callers that keep coming never leave.

The stop's end is decided by the server's runs, which begin no more once the node stops, and by drain-accept-ms. Then what waits to be accepted is taken, each connection is read once more and answered, and links to peers are closed after that.

Evidence: the new test failed before: 5 connections of one stop ended with "0 bytes, then an end". With the connections answered but the stop still waiting for rest, it failed with "TimedOut { cut_off: 4 }" after 30 s. It passes now.

--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -33,6 +33,7 @@
     open: AtomicUsize,
     busy: AtomicUsize,
     is_stopped: AtomicBool,
+    is_killed: AtomicBool,
 }
 
 impl Acceptor {
@@ -43,20 +44,34 @@
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
             is_stopped: AtomicBool::new(false),
+            is_killed: AtomicBool::new(false),
         })
     }
 
-    /// Accepts until [`Acceptor::stop`].
+    /// Accepts until [`Acceptor::stop`], then what waits to be accepted.
     pub(crate) fn run(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming() {
-            if self.is_stopped.load(Ordering::Acquire) {
-                return;
-            }
-            let Ok(stream) = stream else { continue };
-            if let Err(err) = self.accept(stream) {
-                log::warn!(event = "caller-refused"; "{err}");
+            self.take_in(stream);
+            if self.is_stopped() {
+                break;
             }
         }
+        if self.is_killed() || listener.set_nonblocking(true).is_err() {
+            return;
+        }
+        while let Ok((stream, _)) = listener.accept() {
+            self.take_in(stream.set_nonblocking(false).map(|()| stream));
+        }
+    }
+
+    fn take_in(self: &Arc<Self>, stream: io::Result<TcpStream>) {
+        if self.is_killed() {
+            return;
+        }
+        let Ok(stream) = stream else { return };
+        if let Err(err) = self.accept(stream) {
+            log::warn!(event = "caller-refused"; "{err}");
+        }
     }
 
     /// Takes no more connections; the listener is woken by one from here.
@@ -64,6 +79,16 @@
         self.is_stopped.store(true, Ordering::Release);
     }
 
+    /// Ends without a last answer on each connection.
+    pub(crate) fn kill(&self) {
+        self.is_killed.store(true, Ordering::Release);
+        self.stop();
+    }
+
+    pub(super) fn is_killed(&self) -> bool {
+        self.is_killed.load(Ordering::Acquire)
+    }
+
     /// Whether connections are to be closed at the next chance.
     pub(crate) fn is_stopped(&self) -> bool {
         self.is_stopped.load(Ordering::Acquire)
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -8,13 +8,15 @@
 
 /// Serves a connection until either side is done with it.
 pub(crate) fn connection(acceptor: &Acceptor, shared: &Shared, mut connection: Connection) {
-    while !acceptor.is_stopped() {
+    while !acceptor.is_killed() {
+        let is_last = acceptor.is_stopped();
         match connection.read() {
             Ok(Incoming::Request(req)) => {
                 if !acceptor.while_busy(|| one(shared, &mut connection, req)) {
                     break;
                 }
             }
+            Ok(Incoming::Idle) if is_last => break,
             Ok(Incoming::Idle) => {}
             Ok(Incoming::Closed) => return,
             Err(err) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -142,6 +142,7 @@
         while Instant::now() < until && !self.is_done(accept_until) {
             thread::sleep(DRAIN_LOOK);
         }
+        self.close_callers(until);
         let cut_off = self.in_flight();
         // Before the goodbye, at which peers give up their connections to this node.
         self.close_links(until);
@@ -160,16 +161,29 @@
         self.end();
     }
 
-    /// Whether nothing is in flight and callers had their time to move.
+    /// Whether the server's runs have ended and callers had their time to move. Neither begins
+    /// again, whatever callers still send.
     fn is_done(&self, accept_until: Instant) -> bool {
-        let quiet = self.in_flight() == 0;
         let moved = self.callers.open() == 0 || Instant::now() >= accept_until;
-        quiet && moved
+        self.owned() == 0 && moved
+    }
+
+    fn owned(&self) -> usize {
+        self.shared.owner.get().map_or(0, |owner| owner.in_flight())
     }
 
     fn in_flight(&self) -> usize {
-        let owned = self.shared.owner.get().map_or(0, |owner| owner.in_flight());
-        owned + self.callers.busy()
+        self.owned() + self.callers.busy()
+    }
+
+    /// Answers what is read on callers' connections, also on those that wait to be accepted, and
+    /// closes them in order.
+    fn close_callers(&self, until: Instant) {
+        self.callers.stop();
+        wake(self.addresses.callers);
+        while self.callers.open() > 0 && Instant::now() < until {
+            thread::sleep(DRAIN_LOOK);
+        }
     }
 
     /// Closes the connections that other nodes made, in order.
@@ -182,7 +196,7 @@
     }
 
     fn end(&mut self) {
-        self.callers.stop();
+        self.callers.kill();
         self.peers.stop();
         wake(self.addresses.callers);
         wake(self.addresses.peers);
