Wait until peers have read the outcomes of a stopping owner

What callers saw: a request whose server had answered was reported as lost (502) when its owner stopped while the caller's node was paused or slow to read: its answer counted as delivered once it lay in the send buffer.

Cause: after the last frame was written, an owner waited half a second for the peer to close, and ended. What the peer then sends to the closed socket, such as a ping, resets the connection, and the part of the answer that still lies in this node's send buffer is dropped.

Now an owner waits until the peer has closed, which it does when it has read `GoAway`, at the latest until links are closed whatever is not delivered (0.95 of the grace time). A peer that can't be reached ends the wait after the 3 s of TCP_USER_TIMEOUT. Cost: a stop beside a paused peer lasts up to 0.95 of the grace time instead of half a second more.

--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -85,6 +85,31 @@
     assert_eq!(site.members[1].node.wait(), Some(0));
 }
 
+/// A stopping owner left an answer to the system's send buffer, and its end was lost when the peer,
+/// before it had read it, sent something to the process that had ended.
+#[test]
+fn an_owner_does_not_end_before_its_peer_has_read_an_answer_that_fits_in_the_buffers() {
+    const ANSWER_BYTES: usize = 512 << 10;
+    let mut site = Site::start("site-buffered", &["shop", "desk"]);
+    put_patient_table(&site);
+    let work = Duration::from_millis(2_200);
+    site.members[1]
+        .server
+        .do_next(Behaviour::Long(work, ANSWER_BYTES));
+    let request = patient_write("desk");
+    let client = ask_aside(&site, 0, &request);
+    eventually("the request runs", || site.runs_of(&request) == 1);
+    site.members[0].node.signal("-STOP");
+    site.members[1].node.signal("-TERM");
+    // Longer than the stop of an owner that does not wait for its peer.
+    thread::sleep(IDLE_STOP_TIME + Duration::from_millis(1_000));
+    site.members[0].node.signal("-CONT");
+    let answer = client.join().expect("the client thread panicked");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.len(), ANSWER_BYTES);
+    assert_eq!(site.members[1].node.wait(), Some(0));
+}
+
 #[test]
 fn nodes_that_stop_together_answer_what_they_run_for_each_other() {
     let mut site = Site::start("site-stop-together", &["shop", "desk"]);
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -28,8 +28,6 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most frames that may wait to be written.
 const MAX_QUEUED_FRAMES: usize = 4_096;
-/// How long a peer may take to close its side of a connection that this node has closed.
-const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// No further frames are added to a write of this size.
 const WRITE_BATCH_BYTES: usize = 32 * 1024;
 /// An empty buffer with more capacity than this is freed.
@@ -114,28 +112,16 @@
         }
     }
 
-    /// Waits until the last frame is written and the peer has closed the connection; what it sends
-    /// until then is discarded. Closing a socket with unread bytes resets the connection, and
-    /// frames that are not delivered yet would be lost.
+    /// Waits until the peer has read the last frame and closed the connection; what it sends until
+    /// then is discarded. What it sends to a closed socket resets the connection, and frames that it
+    /// has not read yet would be lost.
     pub(crate) async fn finish(mut self) {
-        let Self {
-            read, writer, buf, ..
-        } = &mut self;
-        let discard = async {
-            loop {
-                buf.clear();
-                if matches!(read.read_buf(buf).await, Ok(0) | Err(_)) {
-                    return;
-                }
+        loop {
+            self.buf.clear();
+            if matches!(self.read.read_buf(&mut self.buf).await, Ok(0) | Err(_)) {
+                return;
             }
-        };
-        tokio::pin!(discard);
-        tokio::select! {
-            _ = writer => {}
-            () = &mut discard => return,
         }
-        // A peer that neither reads nor closes is left to the system.
-        let _ = timeout(PEER_CLOSE_TIMEOUT, discard).await;
     }
 }
 
