--- a/cassiashunt/tests/site_stop_calm.rs
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -297,3 +297,54 @@
     send("no answer in a stop");
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
+
+/// Reads to the end of a connection, so many bytes at a time with a pause between.
+fn read_slowly(stream: &mut TcpStream, bytes: usize, pause: Duration) -> io::Result<Vec<u8>> {
+    let (mut all, mut piece) = (Vec::new(), vec![0; bytes]);
+    loop {
+        thread::sleep(pause);
+        match stream.read(&mut piece)? {
+            0 => return Ok(all),
+            count => all.extend_from_slice(&piece[..count]),
+        }
+    }
+}
+
+#[test]
+fn a_large_answer_that_a_stop_cuts_does_not_look_whole() {
+    const ANSWER_BYTES: usize = 12 << 20;
+    let grace = Duration::from_secs(6);
+    let mut site = start_patient("calm-large", grace);
+    let node = site.members[0].requests;
+    let server = &site.members[1].server;
+    server.set_usual(Behaviour::Long(Duration::ZERO, ANSWER_BYTES));
+    let send = |request: Request| {
+        let mut stream = open(node).expect("cannot connect to the node");
+        let sent = stream.write_all(&request.encode());
+        sent.expect("cannot send to the node");
+        eventually("the request runs", || site.runs_of(&request) == 1);
+        stream
+    };
+    let [mut slow, mut too_slow] = [write("desk"), write("desk")].map(send);
+    let began = Instant::now();
+    site.members[0].node.signal("-TERM");
+    let (whole, cut) = thread::scope(|scope| {
+        let whole = scope.spawn(|| read_slowly(&mut slow, 1 << 20, ms(40)));
+        let cut = scope.spawn(|| {
+            sleep_until(began, grace);
+            read_slowly(&mut too_slow, 1 << 20, Duration::ZERO)
+        });
+        (whole.join(), cut.join())
+    });
+    let whole = whole.expect("a client panicked").expect("a cut answer");
+    assert!(whole.len() > ANSWER_BYTES, "{} bytes", whole.len());
+    let length = format!("Content-Length: {ANSWER_BYTES}\r\n");
+    assert!(String::from_utf8_lossy(&whole[..1_000]).contains(&length));
+    // A reset says the same as an early end.
+    if let Ok(cut) = cut.expect("a client panicked") {
+        println!("{} bytes of {ANSWER_BYTES}", cut.len());
+        assert!(String::from_utf8_lossy(&cut[..1_000]).contains(&length));
+        assert!(cut.len() < ANSWER_BYTES, "{} bytes", cut.len());
+    }
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
