Close connections in order at their idle timeout

What callers saw: a request that crossed the close of a connection at its idle timeout met a reset, in calm as well.

The cause is that of the idle connections at the end of a stop: the connection was dropped instead of closed.

The evidence: a_request_that_crosses_the_idle_timeout_meets_no_reset, on the code before:

Some(Os { code: 32, kind: BrokenPipe, message: "Broken pipe" })

It passes with this commit.

Why this fix works: an idle timeout takes the way of a stop: what has arrived is read, then the sending side is closed first, and what still comes is dropped for 200 ms or until the client closes.

--- a/cassiashunt/tests/site_stop_calm.rs
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -348,3 +348,18 @@
     }
     assert_eq!(site.members[0].node.wait(), Some(0));
 }
+
+/// The same at the idle timeout of a connection.
+#[test]
+fn a_request_that_crosses_the_idle_timeout_meets_no_reset() {
+    let site = Site::start("calm-timeout", &["shop"]);
+    let mut stream = open(site.members[0].requests).expect("cannot connect to the node");
+    let end = stream.read(&mut [0]);
+    assert_eq!(end.expect("the connection was reset"), 0);
+    stream
+        .write_all(&read("shop").encode())
+        .expect("cannot send to the node");
+    thread::sleep(ms(50));
+    let error = stream.take_error().expect("cannot read the socket's error");
+    assert!(error.is_none(), "{error:?}");
+}
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -60,8 +60,9 @@
         match next_event(&node, &mut connection, limits.idle_timeout).await {
             Event::Request => {}
             Event::Closed => return,
-            Event::Stop => {
-                node.closed_idle.set(node.closed_idle.get() + 1);
+            Event::Idle => {
+                let closed = usize::from(node.closing_clients.is_cancelled());
+                node.closed_idle.set(node.closed_idle.get() + closed);
                 let _closing = Counted::new(&node.closing_connections);
                 connection.finish_idle().await;
                 return;
@@ -104,10 +105,10 @@
 enum Event {
     /// A request begins to arrive.
     Request,
-    /// The client closed it, or left it idle for too long.
+    /// The client closed it.
     Closed,
-    /// A stop closes it.
-    Stop,
+    /// It was idle for too long, or a stop closes it.
+    Idle,
 }
 
 /// Waits for the next request on an idle connection.
@@ -116,14 +117,15 @@
         biased;
         waited = timeout(idle_timeout, connection.wait_for_message()) => match waited {
             Ok(Ok(())) => return Event::Request,
-            Ok(Err(_)) | Err(_) => return Event::Closed,
+            Ok(Err(_)) => return Event::Closed,
+            Err(_) => {}
         },
         () = node.closing_clients.cancelled() => {}
     }
     // Lets the event loop notice a request that has arrived.
     tokio::task::yield_now().await;
     if connection.is_idle() {
-        Event::Stop
+        Event::Idle
     } else {
         Event::Request
     }
