Read what has arrived before a stop looks whether it is over

After a pause all timers are due, and the task that waits for the end of the stop is polled before the event loop has told the other tasks what arrived. It saw nothing pending, and closed the listener, or ended the process, at once.

Why this fix works: `yield_now` returns after the event loop has polled the sockets, so that the look comes after the tasks that accept and read have been woken.

--- a/cassiashunt/tests/site_stalls.rs
+++ b/cassiashunt/tests/site_stalls.rs
@@ -4,14 +4,14 @@
 
 use std::{
     fs,
-    io::Write as _,
+    io::{self, Write as _},
     net::TcpStream,
     process::{Child, Command, Stdio},
     thread,
     time::Duration,
 };
 
-use cassiashunt_standin::site::{Addresses, NodeSettings, Request, ask, open};
+use cassiashunt_standin::site::{Addresses, Answer, NodeSettings, Request, ask, open};
 use support::{
     Folder, eventually, free_addr, listens, path,
     site::{Site, read, write},
@@ -131,36 +131,52 @@
     node.stop();
 }
 
-/// A stopping node that had stood still beyond its notice ended at its next look, without reading what
-/// had arrived meanwhile.
-#[test]
-fn requests_that_arrive_while_a_stopping_node_stands_still_are_answered() {
-    // Without peers nothing is waited for after that look.
-    let mut site = Site::start("site-still-stop", &["shop"]);
-    let node = site.members[0].requests;
-    let kept: Vec<_> = [read("shop"), write("shop"), read("shop"), write("shop")]
-        .into_iter()
-        .map(|request| {
-            let mut stream = open(node).expect("cannot connect to the node");
-            let answer = ask(&mut stream, &read("shop").encode()).expect("no answer");
-            assert_eq!(answer.header("connection"), None);
-            (stream, request)
-        })
-        .collect();
+/// Stops the node of a site and lets it stand still across the end of its notice, while `clients` send.
+/// Returns the status of each answer.
+fn stop_standing_still(
+    site: &mut Site,
+    clients: Vec<impl FnOnce() -> io::Result<Answer> + Send + 'static>,
+) -> Vec<io::Result<u16>> {
     let wait = |millis| thread::sleep(Duration::from_millis(millis));
     site.members[0].node.signal("-TERM");
     wait(2_300);
     site.members[0].node.signal("-STOP");
-    let clients: Vec<_> = kept
-        .into_iter()
-        .map(|(mut stream, request)| thread::spawn(move || ask(&mut stream, &request.encode())))
-        .collect();
+    let clients: Vec<_> = clients.into_iter().map(thread::spawn).collect();
     wait(600);
     site.members[0].node.signal("-CONT");
     let answers = clients
         .into_iter()
         .map(|it| it.join().expect("the client panicked"));
-    let ends: Vec<_> = answers.map(|it| it.map(|answer| answer.status)).collect();
+    let ends = answers.map(|it| it.map(|answer| answer.status)).collect();
     assert_eq!(site.members[0].node.wait(), Some(0));
+    ends
+}
+
+/// A stopping node that had stood still beyond its notice ended at its next look, without reading what
+/// had arrived meanwhile.
+#[test]
+fn requests_that_arrive_while_a_stopping_node_stands_still_are_answered() {
+    // Without peers nothing is waited for after that look.
+    let mut site = Site::start("site-still-stop", &["shop"]);
+    let node = site.members[0].requests;
+    let kept = [read("shop"), write("shop"), read("shop"), write("shop")].map(|request| {
+        let mut stream = open(node).expect("cannot connect to the node");
+        let answer = ask(&mut stream, &read("shop").encode()).expect("no answer");
+        assert_eq!(answer.header("connection"), None);
+        move || ask(&mut stream, &request.encode())
+    });
+    let ends = stop_standing_still(&mut site, kept.into());
+    assert!(ends.iter().all(Result::is_ok), "not answered: {ends:?}");
+}
+
+/// A stopping node that had stood still beyond its notice closed its listener with the connections that
+/// had arrived meanwhile.
+#[test]
+fn connections_that_arrive_while_a_stopping_node_stands_still_are_served() {
+    let mut site = Site::start("site-still-accept", &["shop"]);
+    let node = site.members[0].requests;
+    let requests = [read("shop"), write("shop"), read("shop"), write("shop")];
+    let new = requests.map(|request| move || ask(&mut open(node)?, &request.encode()));
+    let ends = stop_standing_still(&mut site, new.into());
     assert!(ends.iter().all(Result::is_ok), "not answered: {ends:?}");
 }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -110,6 +110,8 @@
             return;
         }
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        // After a pause of the process this task is polled before those that read what has arrived.
+        tokio::task::yield_now().await;
     }
 }
 
