Read reloaded settings on a thread of their own

What callers saw: after a SIGHUP, a node whose settings file could not be read to its end at once answered nothing, not even its readiness check, and did not stop.

Cause: the reload read the file on the thread that serves all requests.

A SIGTERM right after a SIGHUP no longer waits for the reload: settings that were not read by then don't apply to the stop.

--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -4,6 +4,7 @@
 
 use cassiashunt_types::prelude::*;
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
 
 /// Settings of one node. Unknown keys are refused, since only this program reads the file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -69,6 +70,9 @@
     pub retry_window_s: f64,
 }
 
+/// Settings that are being read.
+pub(crate) type Reading = oneshot::Receiver<Result<Settings, SettingsError>>;
+
 fn default_min_lease_ms() -> u64 {
     1_000
 }
@@ -111,6 +115,24 @@
         Ok(settings)
     }
 
+    /// Reads and checks a settings file on a thread of its own, since the file may be slow. The result
+    /// is dropped where nobody waits for it any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread can't be started.
+    pub(crate) fn read_in_background(path: &Path) -> std::io::Result<Reading> {
+        let (tx, rx) = oneshot::channel();
+        let path = path.to_owned();
+        std::thread::Builder::new()
+            .name("settings".into())
+            .spawn(move || {
+                // The node may have been asked to stop or to read once more.
+                let _ = tx.send(Self::read(&path));
+            })?;
+        Ok(rx)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let bounds = &self.bounds;
         if self.name.is_empty() {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock, link, logs,
     node::Node,
-    settings::Settings,
+    settings::{Reading, Settings, SettingsError},
     signals::{SignalRequest, Signals},
     store::{StoreClient, withdraw},
 };
@@ -27,13 +27,16 @@
     let mut watch = PauseWatch::new(clock::now());
     let mut ticks = tokio::time::interval(PauseWatch::TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut reading = None;
     loop {
         tokio::select! {
             biased;
             request = signals.next() => match request {
                 SignalRequest::Stop => break,
-                SignalRequest::Reload => reload(node, path),
+                // Takes the place of a reload that is still under way.
+                SignalRequest::Reload => reading = start_reload(path),
             },
+            settings = read_settings(&mut reading) => apply(node, settings),
             _ = ticks.tick() => watch.on_tick(clock::now()),
         }
     }
@@ -123,9 +126,29 @@
     }
 }
 
+fn start_reload(path: &Path) -> Option<Reading> {
+    let reading = Settings::read_in_background(path);
+    let log_failure = |err| log::error!(reason:% = err; "settings-refused");
+    reading.map_err(log_failure).ok()
+}
+
+/// Waits for settings that are being read, if any.
+async fn read_settings(reading: &mut Option<Reading>) -> Result<Settings, SettingsError> {
+    let Some(rx) = reading else {
+        return std::future::pending().await;
+    };
+    let settings = rx.await;
+    *reading = None;
+    match settings {
+        Ok(settings) => settings,
+        // The thread panicked, which it has printed.
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// Applies settings that can change at run time, and logs whether others need a restart.
-fn reload(node: &Node, path: &Path) {
-    match Settings::read(path) {
+fn apply(node: &Node, settings: Result<Settings, SettingsError>) {
+    match settings {
         Ok(settings) => {
             let needs_restart = settings.addresses != node.settings().addresses
                 || settings.store != node.settings().store
