Excuse stops of a server's node only where servers outlast a stop

The soak's judge excused, also in the older mix of stops, a request that was sent to another node before the stop of its server's node. The users' rule counts only the stop of the node that took the request, but the older mix was judged more strictly before, and its servers end within its grace time. The excuse now holds for the mixes cling and calm alone, where a server may work longer than the 2 s of a whole stop.

--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -195,14 +195,16 @@
     }
 
     /// Whether a server was still at work in the last sixth of a stop's time: on a request that the
-    /// stopping node took early in the stop, or that was sent to another node before its server's node
-    /// was asked to stop.
+    /// stopping node took early in the stop, or, where servers may take longer than a whole stop, that
+    /// was sent to another node before its server's node was asked to stop.
     fn is_outlasted(&self, sent: &Sent, ran: &[&Ran]) -> bool {
+        let outlasts_stops = self.mix != Mix::Stops;
         self.stops.iter().any(|stop| {
             let (last_sixth, end) = (stop.at + self.grace * 5 / 6, stop.at + self.grace);
             let is_taken_early = stop.node == sent.node && sent.began <= stop.at + EARLY;
-            let is_concerned =
-                |it: &Ran| is_taken_early || (stop.node == it.node && sent.began <= stop.at);
+            let is_concerned = |it: &Ran| {
+                is_taken_early || (outlasts_stops && stop.node == it.node && sent.began <= stop.at)
+            };
             let is_at_work = |it: &Ran| it.at < end && it.at + it.takes > last_sixth;
             let mut ran = ran.iter();
             sent.ended > last_sixth && ran.any(|it| is_concerned(it) && is_at_work(it))
