--- a/cassiashunt/tests/site_stalls.rs
+++ b/cassiashunt/tests/site_stalls.rs
@@ -180,3 +180,31 @@
     let ends = stop_standing_still(&mut site, new.into());
     assert!(ends.iter().all(Result::is_ok), "not answered: {ends:?}");
 }
+
+/// A stopping node that stood still beyond its end ended without a turn for all that was pending.
+#[test]
+fn all_that_is_pending_when_a_stopping_node_goes_on_after_its_end_is_answered() {
+    const CLIENTS: usize = 400;
+    let mut site = Site::start("site-late-end", &["shop"]);
+    let node = site.members[0].requests;
+    let wait = |millis| thread::sleep(Duration::from_millis(millis));
+    site.members[0].node.signal("-TERM");
+    wait(2_000);
+    let bytes = read("shop").encode();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let mut stream = open(node).expect("cannot connect to the node");
+            let part = stream.write_all(&bytes[..bytes.len() - 3]);
+            part.expect("cannot send to the node");
+            stream
+        })
+        .collect();
+    wait(300);
+    site.members[0].node.signal("-STOP");
+    wait(3_400);
+    site.members[0].node.signal("-CONT");
+    assert_eq!(site.members[0].node.wait(), Some(0));
+    let ends = clients.into_iter().map(|mut stream| ask(&mut stream, b""));
+    let unanswered = ends.filter(Result::is_err).count();
+    assert_eq!(unanswered, 0, "not answered, of {CLIENTS}");
+}
--- a/cassiashunt/tests/site_stop_queue.rs
+++ b/cassiashunt/tests/site_stop_queue.rs
@@ -123,6 +123,23 @@
     assert_eq!(fates(&site, &answers), fates_at_end);
 }
 
+/// In a short grace time, a stop noticed its end too late to hear of what waited at a peer.
+#[test]
+fn a_request_that_waits_at_a_peer_at_the_end_of_a_short_stop_is_reported_as_not_run() {
+    const WAITING: usize = 4;
+    let grace = Duration::from_secs(2);
+    let mut site = Site::start_with_grace("queue-short", &["shop", "desk"], grace);
+    put_patient_table(&site);
+    site.members[1].server.set_usual(Behaviour::Slow(LONG_WORK));
+    let clients = fill(&site, 1, &[0], WAITING);
+    site.members[0].node.signal("-TERM");
+    let answers: Vec<_> = clients.into_iter().map(Client::answer).collect();
+    assert_eq!(site.members[0].node.wait(), Some(0));
+    let fates = fates(&site, &answers);
+    let kinds: Vec<_> = fates.keys().copied().collect();
+    assert_eq!(kinds, [(0, 503), (1, 502)], "{fates:?}");
+}
+
 #[test]
 fn requests_that_wait_at_an_owner_when_it_stops_run_elsewhere_at_once() {
     const WAITING: usize = 6;
--- a/crates/fleet/tests/stopping_links.rs
+++ b/crates/fleet/tests/stopping_links.rs
@@ -21,7 +21,7 @@
 use cassiashunt_wire::{
     Begin, Body, Dialer, End, Frame, FrameCodec, GoAway, Hello, Listener, Proof, Secret, Welcome,
 };
-use support::{Caller, KEY, Seen, callers, eventually, start};
+use support::{Caller, KEY, Seen, callers, eventually, runs, start};
 
 /// A node beside a server of `rota`.
 const STOPPING: usize = 1;
@@ -269,3 +269,33 @@
     }
     assert_eq!(seen.load(Ordering::Acquire), 1);
 }
+
+/// A stopping node decided at one look that it was done, and took requests while it closed its links.
+#[test]
+fn a_request_taken_while_a_stopping_node_closes_its_links_is_not_cut_off() {
+    const SLOW_FACTOR: f64 = 1_500.0;
+    let fleet = start();
+    fleet.set("*,*,*", "retries", "0").expect("accepted");
+    let addr = callers(&fleet)[STOPPING];
+    // A peer that does not close its side.
+    let mut wire = Wire::dial(fleet.members[STOPPING].addresses.peers, &secret(&fleet));
+    for member in &fleet.members {
+        member.server.set(|opts| opts.slow_factor = SLOW_FACTOR);
+    }
+    let (seen, stopped) = thread::scope(|scope| {
+        let stopping = scope.spawn(|| fleet.stop_node(STOPPING));
+        loop {
+            let frame: Frame = wire.next().expect("read").expect("told before the end");
+            if matches!(frame.body, Some(Body::GoAway(_))) {
+                break;
+            }
+        }
+        let seen = Caller::new(KEY).get(addr, "/photos");
+        (seen, stopping.join().expect("no panic"))
+    });
+    // One that is not taken meets a closed port.
+    let is_kept = seen
+        .as_ref()
+        .map_or(runs(&fleet).is_empty(), |it| it.is_ok() || it.is_not_run());
+    assert!(is_kept, "{seen:?}, {stopped:?}");
+}
