Leave time for answers where a stop notices its end late

What callers saw: a stopping node that stood still from before the end of its notice to after its own end (SIGSTOP from 2.3 to 5.7 s of 6) ended a few turns of its event loop after it went on, though 0.3 s of its grace time were left. Of 400 requests that had arrived in part, 227 got a reset in place of an answer.

Cause: all ends of a stop's phases are fixed times. After a pause all of them are over, so giving up, closing links and closing clients' connections each had no time at all. The same holds without a pause where closing the links takes all the time up to 0.95 of the grace time: idle connections had nothing left of theirs.

Why this fix works: what is given up has 100 ms for its answers from that moment on and closing has 40 ms, both within 0.98 of the grace time; where nothing was late, both ends are as before for a grace time of 6 s and longer. Each look of the stop, also the first, comes after the event loop has polled the sockets, and looks are no longer late by up to 50 ms.

--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -16,7 +16,13 @@
 /// The fraction of the grace period after which no answer to a client is waited for.
 const END_FRACTION: f64 = 0.93;
 /// The fraction of the grace period by which all connections are closed.
-const LINKS_CLOSED_FRACTION: f64 = 0.95;
+const CLOSED_FRACTION: f64 = 0.95;
+/// The fraction of the grace period by which a late end has everything closed.
+const LAST_FRACTION: f64 = 0.98;
+/// The shortest time for the answers to what is given up, and for closing connections. A process that
+/// was paused may find all times over.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
+const MIN_CLOSE_TIME: Duration = Duration::from_millis(40);
 /// The time between the time limit of a request and the moment at which it would be given up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
@@ -60,16 +66,22 @@
         self.began + self.grace.mul_f64(RECALLS_END_FRACTION)
     }
 
-    /// When clients' requests are no longer waited for, whatever is pending.
+    /// When the answers to requests that were given up at `given_up` are no longer waited for.
     #[must_use]
-    pub fn ends(&self) -> Time {
-        self.began + self.grace.mul_f64(END_FRACTION)
+    pub fn ends(&self, given_up: Time) -> Time {
+        let end = self.began + self.grace.mul_f64(END_FRACTION);
+        end.max(given_up + MIN_ANSWER_TIME).min(self.last_moment())
     }
 
-    /// When links to peers and connections of clients are closed, whatever is not delivered.
+    /// When connections that begin to close at `now` are left, whatever is not delivered.
     #[must_use]
-    pub fn links_close(&self) -> Time {
-        self.began + self.grace.mul_f64(LINKS_CLOSED_FRACTION)
+    pub fn closed_by(&self, now: Time) -> Time {
+        let end = self.began + self.grace.mul_f64(CLOSED_FRACTION);
+        end.max(now + MIN_CLOSE_TIME).min(self.last_moment())
+    }
+
+    fn last_moment(&self) -> Time {
+        self.began + self.grace.mul_f64(LAST_FRACTION)
     }
 
     /// The latest time limit of what is taken after the notice: it is answered before the stop gives
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -83,6 +83,8 @@
     pub(crate) stopping: Cell<Option<StopSchedule>>,
     /// Cancelled when a stop gives up what is pending, and what comes later.
     pub(crate) giving_up: CancellationToken,
+    /// When a stop gave up what was pending.
+    pub(crate) given_up: Cell<Option<Time>>,
     /// Closes clients' connections that are idle.
     pub(crate) closing_clients: CancellationToken,
     /// Notified when none is accepted any more and all are closed.
@@ -148,6 +150,7 @@
             links_closed: Notify::new(),
             stopping: Cell::new(None),
             giving_up: CancellationToken::new(),
+            given_up: Cell::new(None),
             closing_clients: CancellationToken::new(),
             clients_closed: Notify::new(),
             closed_idle: Cell::new(0),
@@ -188,6 +191,14 @@
         self.store.on_era(era);
     }
 
+    /// Gives up what is pending in a stop, and returns when it was first given up.
+    pub(crate) fn give_up(&self) -> Time {
+        let at = self.given_up.get().unwrap_or_else(crate::clock::now);
+        self.given_up.set(Some(at));
+        self.giving_up.cancel();
+        at
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
     }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -60,7 +60,8 @@
     // Connections accepted so far are still served; the system refuses further ones.
     node.stop_accepting.notify_one();
     finish_requests(node, stop).await;
-    link::close_accepted(node, stop.links_close().since(clock::now())).await;
+    let now = clock::now();
+    link::close_accepted(node, stop.closed_by(now).since(now)).await;
     // Requests of clients may have arrived meanwhile.
     finish_requests(node, stop).await;
     close_clients(node, stop).await;
@@ -75,8 +76,8 @@
     wait_until(stop.gives_up(), |_| !is_busy(node)).await;
     if is_busy(node) {
         // The tasks that serve the clients' requests answer them.
-        node.giving_up.cancel();
-        wait_until(stop.ends(), |_| !is_busy(node)).await;
+        let given_up = node.give_up();
+        wait_until(stop.ends(given_up), |_| !is_busy(node)).await;
         // Beside the links to peers, for which little time is left.
         node.closing_clients.cancel();
     }
@@ -90,9 +91,9 @@
     tokio::pin!(closed);
     let until = |time: Time| time.since(clock::now());
     if timeout(until(stop.gives_up()), &mut closed).await.is_err() {
-        node.giving_up.cancel();
+        node.give_up();
         // Left open are those of clients that do not close their side.
-        let _ = timeout(until(stop.links_close()), closed).await;
+        let _ = timeout(until(stop.closed_by(clock::now())), closed).await;
     }
 }
 
@@ -108,13 +109,13 @@
 /// Waits until the condition holds, but not beyond `latest`.
 async fn wait_until(latest: Time, is_done: impl Fn(Time) -> bool) {
     loop {
+        // After a pause of the process this task is polled before those that read what has arrived.
+        tokio::task::yield_now().await;
         let now = clock::now();
         if now >= latest || is_done(now) {
             return;
         }
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        // After a pause of the process this task is polled before those that read what has arrived.
-        tokio::task::yield_now().await;
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL.min(latest.since(now))).await;
     }
 }
 
