Count the time for owners' outcomes from when a stop gives up

What callers saw: with a grace time of 2 s, requests that only waited in a peer's queue when their node's stop gave them up were answered 502 again, as if they might have run.

Cause: the owner's outcome was awaited until 0.915 of the grace time, 30 ms after the end of what is pending at 2 s, and that end was noticed up to 50 ms late.

Why this fix works: the wait is half of the time that the answers have, counted from when the stop gave up; both tasks that wait for it ask the node. Whether a stop has given up is read off the token and no longer off the clock.

--- a/crates/mesh/src/stop_schedule.rs
+++ b/crates/mesh/src/stop_schedule.rs
@@ -10,9 +10,6 @@
 /// The fraction of the grace period after which pending requests are given up. It is later than five
 /// sixths, up to which requests at work must not be broken off.
 const GIVE_UP_FRACTION: f64 = 0.9;
-/// The fraction of the grace period up to which owners may tell whether a request that was given up
-/// has run.
-const RECALLS_END_FRACTION: f64 = 0.915;
 /// The fraction of the grace period after which no answer to a client is waited for.
 const END_FRACTION: f64 = 0.93;
 /// The fraction of the grace period by which all connections are closed.
@@ -60,10 +57,11 @@
         self.began + self.grace.mul_f64(GIVE_UP_FRACTION)
     }
 
-    /// When owners are no longer waited for to tell whether a request that was given up has run.
+    /// When owners are no longer waited for to tell whether a request that was given up at `given_up`
+    /// has run: half of the time for answers is left then.
     #[must_use]
-    pub fn recalls_end(&self) -> Time {
-        self.began + self.grace.mul_f64(RECALLS_END_FRACTION)
+    pub fn recalls_end(&self, given_up: Time) -> Time {
+        given_up + self.ends(given_up).since(given_up) / 2
     }
 
     /// When the answers to requests that were given up at `given_up` are no longer waited for.
--- a/crates/mesh/tests/stop_schedule.rs
+++ b/crates/mesh/tests/stop_schedule.rs
@@ -36,8 +36,9 @@
 fn requests_are_given_up_in_the_last_sixth_of_the_grace_time_and_before_the_end() {
     let stop = StopSchedule::new(ms(50_000), GRACE);
     assert!(stop.gives_up() > ms(55_000));
-    assert!(stop.gives_up() < stop.recalls_end());
-    assert!(stop.recalls_end() < stop.ends(stop.gives_up()));
+    let given_up = stop.gives_up();
+    assert!(given_up < stop.recalls_end(given_up));
+    assert!(stop.recalls_end(given_up) < stop.ends(given_up));
 }
 
 #[test]
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -71,7 +71,7 @@
         let now = clock::now();
         let remaining = req.deadline.since(now);
         let is_late = req.start_by.is_some_and(|by| now >= by) && !tried.is_empty();
-        if remaining.is_zero() || is_late || is_given_up(node) {
+        if remaining.is_zero() || is_late || node.giving_up.is_cancelled() {
             break Outcome::Refused(last);
         }
         let chosen = match choose(node, &req, service, &tried) {
@@ -89,7 +89,7 @@
         may_have_run |= refusal.verdict == Verdict::MayHaveRun;
         sent_to_servers += usize::from(has_reached_server(&refusal));
         last = refusal;
-        if is_given_up(node) {
+        if node.giving_up.is_cancelled() {
             break Outcome::Refused(Refusal {
                 reason: Reason::Draining,
                 ..refusal
@@ -115,12 +115,6 @@
     }
 }
 
-/// Whether a stop has given up what is pending.
-fn is_given_up(node: &Node) -> bool {
-    let stop = node.stopping.get();
-    stop.is_some_and(|it| clock::now() >= it.gives_up())
-}
-
 /// Chooses a server that has not been tried. A suspect request is only ever sent to one designated
 /// server, so that it never runs at two servers at once.
 fn choose(
@@ -296,9 +290,7 @@
         () = node.giving_up.cancelled() => {}
     }
     guard.recall();
-    let stop = node.stopping.get();
-    let left = stop.map_or(Duration::ZERO, |it| it.recalls_end().since(clock::now()));
-    timeout(left, outcome).await?
+    timeout(node.recall_time(), outcome).await?
 }
 
 /// How an outcome counts for the health of the server.
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -35,6 +35,9 @@
 /// The least urgent rank; greater ranks count as this one.
 const MAX_RANK: u8 = 9;
 
+/// How long after its owner was to tell, a request that a stop gives up is answered without its outcome.
+const RECALL_SLACK: Duration = Duration::from_millis(10);
+
 /// A request as read from the connection.
 #[derive(Debug)]
 pub(crate) struct Incoming {
@@ -76,9 +79,7 @@
 /// Resolves when a stop has given up what is pending and no longer waits for what owners tell of it.
 async fn recalls_end(node: &Node) {
     node.giving_up.cancelled().await;
-    let stop = node.stopping.get();
-    let left = stop.map_or(Duration::ZERO, |it| it.recalls_end().since(clock::now()));
-    tokio::time::sleep(left).await;
+    tokio::time::sleep(node.recall_time() + RECALL_SLACK).await;
 }
 
 /// The reply to a request that is not complete when a stop gives up what is pending.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -199,6 +199,14 @@
         at
     }
 
+    /// How much longer owners are waited for to tell whether a request that a stop gave up has run.
+    pub(crate) fn recall_time(&self) -> Duration {
+        let times = self.stopping.get().zip(self.given_up.get());
+        times.map_or(Duration::ZERO, |(stop, given_up)| {
+            stop.recalls_end(given_up).since(crate::clock::now())
+        })
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
     }
