Report a recalled request as one that may have run where its owner tells nothing

In an upgrade, where a node of this build recalls a request at an owner of an older one that stops at the same moment, a request that had run could be answered 503, not run.

Cause: an owner of an older build forgets a cancelled request and tells no outcome of it, but still sends GoAway, after which every request without an outcome counts as never read.

--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -19,7 +19,7 @@
 use support::{
     Folder, Process, eventually, listens, path,
     site::{Site, WORKSPACE_KEY, table, write},
-    stop::GRACE,
+    stop::{GRACE, table_with_timeout},
 };
 
 /// Longer than a stopping node without requests takes to end.
@@ -161,6 +161,8 @@
     const GO_AWAY: &[u8] = b"\x98\x01\x01";
     /// The first byte of the frame of a request.
     const REQUEST: u8 = 0x12;
+    /// The first byte of the frame that cancels a request.
+    const CANCEL: u8 = 0x18;
 
     fn announce(site: &Site) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind a port on loopback");
@@ -181,6 +183,17 @@
         Self(listener)
     }
 
+    /// Serves one link until a request on it is cancelled, of which it tells no outcome, as an owner
+    /// of an older build.
+    fn serve_until_cancelled(&self) {
+        let (mut stream, _) = self.0.accept().expect("no link to the owner");
+        write_frame(&mut stream, Self::LOAD);
+        for awaited in [Self::REQUEST, Self::CANCEL] {
+            while read_frame(&mut stream).first() != Some(&awaited) {}
+        }
+        write_frame(&mut stream, Self::GO_AWAY);
+    }
+
     /// Serves so many links, each until it has taken a request; `taken` counts those.
     fn serve(&self, links: usize, taken: &AtomicUsize) {
         thread::scope(|scope| {
@@ -230,6 +243,32 @@
     });
 }
 
+/// A request that was running at an owner of an older build was reported as not run.
+#[test]
+fn a_recalled_request_whose_owner_goes_away_without_an_outcome_may_have_run() {
+    let mut site = Site::start_with_grace("site-recalled", &["shop"], Duration::from_secs(2));
+    site.put_table(&table_with_timeout(Duration::from_secs(4)));
+    thread::sleep(Duration::from_millis(1_500));
+    let owner = LeavingOwner::announce(&site);
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| owner.serve_until_cancelled());
+        eventually("the owner is linked", || {
+            let log = site.members[0].log();
+            let mut links = log.lines().filter(|it| it.contains("\"link-up\""));
+            links.any(|line| line.contains("\"peer\":\"leaving\""))
+        });
+        let request = Request {
+            timeout_ms: 4_000,
+            ..write("desk")
+        };
+        let client = ask_aside(&site, 0, &request);
+        site.members[0].node.signal("-TERM");
+        client.join().expect("the client thread panicked")
+    });
+    assert_eq!(answer.status, 502);
+    assert_eq!(site.members[0].node.wait(), Some(0));
+}
+
 /// A node of its own, whose store doesn't answer.
 struct LoneNode {
     folder: Folder,
--- a/crates/sidecar/src/link/connection.rs
+++ b/crates/sidecar/src/link/connection.rs
@@ -22,6 +22,8 @@
     pub(super) tx: oneshot::Sender<RequestEnd>,
     /// It must not run twice, so it stays pending when the peer stops sending.
     pub(super) keeps_waiting: bool,
+    /// It was cancelled at the peer, and its outcome is still awaited.
+    pub(super) is_recalled: bool,
 }
 
 /// One connection to a peer and its pending requests.
@@ -81,8 +83,10 @@
         self.refuse_pending(Refusal::may_have_run(Reason::Lost), is_affected);
     }
 
-    /// Ends all requests after `GoAway`: the peer has sent the outcomes of those that it read.
+    /// Ends all requests after `GoAway`: the peer has sent the outcomes of those that it read. A peer
+    /// of an older build sends none of those that were recalled.
     pub(super) fn on_go_away(&self) {
+        self.fail_pending(|it| it.is_recalled);
         self.refuse_pending(Refusal::not_run(Reason::Draining), |_| true);
     }
 
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -60,7 +60,11 @@
         self.last_id.set(id);
         request.id = id;
         let (tx, rx) = oneshot::channel();
-        let pending = Pending { tx, keeps_waiting };
+        let pending = Pending {
+            tx,
+            keeps_waiting,
+            is_recalled: false,
+        };
         current.pending.borrow_mut().insert(id, pending);
         if current.send(Kind::Request(request)) {
             return Some((id, rx));
@@ -83,7 +87,8 @@
     pub(crate) fn recall(&self, id: u64) {
         let unresponsive = self.unresponsive.borrow();
         for connection in self.current.borrow().iter().chain(unresponsive.iter()) {
-            if connection.pending.borrow().contains_key(&id) {
+            if let Some(pending) = connection.pending.borrow_mut().get_mut(&id) {
+                pending.is_recalled = true;
                 connection.send(Kind::Cancel(id));
             }
         }
