Say GoAway only where every outcome has reached the connection

What callers saw: nothing; argued by the review, no test shows it yet. A stopping node of the own interface tells its peers by GoAway that a request without an outcome was never read, and they report it as not run.

A request that ended between the look at what runs and its cancellation was not told either.

Now a reply that ends without its last part marks the connection, what runs is noted before it is cancelled, and GoAway is left out if anything is missing: the peer then takes its pending requests for lost, as it did before there was a GoAway.

--- a/crates/node/src/link/listener.rs
+++ b/crates/node/src/link/listener.rs
@@ -59,6 +59,8 @@
 struct Requests {
     partial: HashMap<u64, Partial>,
     replies: HashMap<u64, Weak<Reply>>,
+    /// Whether a request that was read ended without an outcome for the other side.
+    is_outcome_lost: Arc<AtomicBool>,
 }
 
 /// A request whose body is still arriving.
@@ -180,21 +182,26 @@
             .spawn(write)
     }
 
-    /// Queues the outcomes of all requests that were read, and the end of the connection.
+    /// Queues the outcomes of all requests that were read, and the end of the connection. `GoAway` says
+    /// that there are no others, so it is left out if one is missing.
     fn finish(&self, requests: Requests, out: &Ring<Queued>, until: Instant) {
         let is_running = || requests.replies.values().any(|r| r.strong_count() > 0);
         while is_running() && Instant::now() < until {
             thread::sleep(OUTCOME_LOOK);
         }
+        let running = requests
+            .replies
+            .iter()
+            .filter(|(_, r)| r.strong_count() > 0);
+        let running: Vec<_> = running.map(|(request, _)| *request).collect();
         self.cancel(&requests);
-        for (request, reply) in &requests.replies {
-            if reply.strong_count() > 0 {
-                tell(out, *request, Refusal::may_have_run(Reason::Lost));
-            }
+        let lost = Refusal::may_have_run(Reason::Lost);
+        let are_told = running.into_iter().all(|request| tell(out, request, lost));
+        if are_told && !requests.is_outcome_lost.load(Ordering::Acquire) {
+            let left = until.saturating_duration_since(Instant::now());
+            // Fails once the connection is closed.
+            let _ = out.push_within(Queued::now(Frame::new(0, Body::GoAway(GoAway {}))), left);
         }
-        let left = until.saturating_duration_since(Instant::now());
-        // Fails once the connection is closed.
-        let _ = out.push_within(Queued::now(Frame::new(0, Body::GoAway(GoAway {}))), left);
         out.close();
     }
 
@@ -249,7 +256,11 @@
     }
 
     fn on_frame(&self, frame: Frame, requests: &mut Requests, out: &Ring<Queued>) {
-        let Requests { partial, replies } = requests;
+        let Requests {
+            partial,
+            replies,
+            is_outcome_lost,
+        } = requests;
         let request = frame.request;
         match frame.body {
             Some(Body::Begin(begin)) if partial.len() < MAX_PARTIAL => {
@@ -281,7 +292,8 @@
                     refuse(out, request, Reason::BadRequest);
                     return;
                 }
-                let reply = Arc::new(Reply::link(out.clone(), request));
+                let is_lost = Arc::clone(is_outcome_lost);
+                let reply = Arc::new(Reply::link(out.clone(), request, is_lost));
                 replies.retain(|_, reply| reply.strong_count() > 0);
                 replies.insert(request, Arc::downgrade(&reply));
                 self.submit.start(*whole.begin, whole.body.freeze(), &reply);
@@ -293,19 +305,23 @@
                 }
             }
             Some(Body::Fetch(fetch)) => {
-                self.submit.fetch(fetch, &Reply::link(out.clone(), request));
+                // What is fetched is no request that could run.
+                let reply = Reply::link(out.clone(), request, Arc::default());
+                self.submit.fetch(fetch, &reply);
             }
             Some(Body::Head(_) | Body::Refused(_) | Body::GoAway(_)) | None => {}
         }
     }
 }
 
+/// Refuses a request that does not run. Without room the asking side finds out by its deadline.
 fn refuse(out: &Ring<Queued>, request: u64, reason: Reason) {
     tell(out, request, Refusal::not_run(reason));
 }
 
-fn tell(out: &Ring<Queued>, request: u64, refusal: Refusal) {
+/// Queues a refusal; `false` without room.
+fn tell(out: &Ring<Queued>, request: u64, refusal: Refusal) -> bool {
     let refused = Refused::from(refusal);
-    // Without room the asking side finds out by its deadline.
-    let _ = out.push(Queued::now(Frame::new(request, Body::Refused(refused))));
+    out.push(Queued::now(Frame::new(request, Body::Refused(refused))))
+        .is_ok()
 }
--- a/crates/node/src/owner/reply.rs
+++ b/crates/node/src/owner/reply.rs
@@ -2,7 +2,10 @@
 
 use std::{
     fmt,
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -18,7 +21,12 @@
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
 enum Out {
-    Link { ring: Ring<Queued>, request: u64 },
+    Link {
+        ring: Ring<Queued>,
+        request: u64,
+        /// Set where the outcome does not reach the ring.
+        is_lost: Arc<AtomicBool>,
+    },
     Local(Ring<Body>),
 }
 
@@ -27,6 +35,8 @@
     id: RequestId,
     out: Out,
     is_cancelled: AtomicBool,
+    /// Whether the last part of the answer was sent.
+    is_ended: AtomicBool,
 }
 
 impl fmt::Debug for Reply {
@@ -42,9 +52,13 @@
 pub(crate) struct Gone;
 
 impl Reply {
-    /// Back over a connection.
-    pub(crate) fn link(ring: Ring<Queued>, request: u64) -> Self {
-        Self::new(Out::Link { ring, request })
+    /// Back over a connection; `is_lost` is set if the request ends without an outcome there.
+    pub(crate) fn link(ring: Ring<Queued>, request: u64, is_lost: Arc<AtomicBool>) -> Self {
+        Self::new(Out::Link {
+            ring,
+            request,
+            is_lost,
+        })
     }
 
     /// Back to a thread of this process.
@@ -58,6 +72,7 @@
             id,
             out,
             is_cancelled: AtomicBool::new(false),
+            is_ended: AtomicBool::new(false),
         }
     }
 
@@ -76,14 +91,21 @@
 
     /// Sends a part of the answer, waiting a while for room.
     pub(crate) fn send(&self, body: Body) -> Result<(), Gone> {
+        let is_last = matches!(body, Body::End(_) | Body::Refused(_));
         let sent = match &self.out {
-            Out::Link { ring, request } => {
+            Out::Link { ring, request, .. } => {
                 let queued = Queued::now(Frame::new(*request, body));
                 ring.push_within(queued, PATIENCE).is_ok()
             }
             Out::Local(ring) => ring.push_within(body, PATIENCE).is_ok(),
         };
-        if sent { Ok(()) } else { Err(Gone) }
+        if !sent {
+            return Err(Gone);
+        }
+        if is_last {
+            self.is_ended.store(true, Ordering::Release);
+        }
+        Ok(())
     }
 
     /// Refuses the request; an asking side that has gone needs no refusal.
@@ -96,3 +118,14 @@
         let _ = self.send(Body::Refused(refused));
     }
 }
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if let Out::Link { is_lost, .. } = &self.out
+            && !self.is_ended.load(Ordering::Acquire)
+            && !self.is_cancelled()
+        {
+            is_lost.store(true, Ordering::Release);
+        }
+    }
+}
