Count a stopping node's callers only after its last connection is accepted

Cause, shown by a trial: close_callers() wakes the thread that accepts and looks at once whether a connection is open. That thread may not have run yet, so none is; the node goes on to close its links and to end, while a connection that waited to be accepted is taken, its request runs and is cut off at the end. On an idle machine the thread is nearly always faster.

Ruled out: a missing GoAway (the test then fails with "told before the end"), a link that is cut (its callers meet a closed port only after the links).

The accepting thread now says when it has taken the last connection, and callers count as gone only from then on.

--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -32,6 +32,7 @@
     shared: Arc<Shared>,
     open: AtomicUsize,
     busy: AtomicUsize,
+    has_ended: AtomicBool,
     is_stopped: AtomicBool,
     is_killed: AtomicBool,
 }
@@ -43,6 +44,7 @@
             shared,
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
+            has_ended: AtomicBool::new(false),
             is_stopped: AtomicBool::new(false),
             is_killed: AtomicBool::new(false),
         })
@@ -50,6 +52,11 @@
 
     /// Accepts until [`Acceptor::stop`], then what waits to be accepted.
     pub(crate) fn run(self: &Arc<Self>, listener: &TcpListener) {
+        self.accept_until_stopped(listener);
+        self.has_ended.store(true, Ordering::Release);
+    }
+
+    fn accept_until_stopped(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming() {
             self.take_in(stream);
             if self.is_stopped() {
@@ -94,6 +101,11 @@
         self.is_stopped.load(Ordering::Acquire)
     }
 
+    /// Whether all connections have ended, and no other is taken.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.has_ended.load(Ordering::Acquire) && self.open() == 0
+    }
+
     /// Connections that are open.
     pub(crate) fn open(&self) -> usize {
         self.open.load(Ordering::Acquire)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -181,7 +181,7 @@
     fn close_callers(&self, until: Instant) {
         self.callers.stop();
         wake(self.addresses.callers);
-        while self.callers.open() > 0 && Instant::now() < until {
+        while !self.callers.is_closed() && Instant::now() < until {
             thread::sleep(DRAIN_LOOK);
         }
     }
