Keep a server away that told it takes no more work, whatever is heard later

Cause: news of the membership that was under way when an owner told that it drains set the server's presence back to serving, and the next request was sent to it. Each costs the request a try.

The chooser keeps that a server is leaving, and its presence no longer changes. A node that stops never takes work again, and its replacement has another id, so nothing has to lift it. The node of the users' platform does not use it: there a node that is not ready may be ready again.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -98,9 +98,9 @@
         self.update_outliers();
     }
 
-    /// Sets whether a server may receive requests.
+    /// Sets whether a server may receive requests; after [`Chooser::drain`] it does not change.
     pub fn set_presence(&mut self, key: ServerKey, presence: Presence) {
-        let Some(server) = self.servers.get_mut(key) else {
+        let Some(server) = self.servers.get_mut(key).filter(|s| !s.is_leaving) else {
             return;
         };
         if std::mem::replace(&mut server.presence, presence) != presence {
@@ -111,6 +111,9 @@
     /// Takes in that a server's owner takes no more work, for good.
     pub fn drain(&mut self, key: ServerKey) {
         self.set_presence(key, Presence::Draining);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.is_leaving = true;
+        }
     }
 
     /// Sets the number of slots that a server announces.
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -60,6 +60,8 @@
 pub(crate) struct Server {
     pub(crate) candidate: Candidate,
     pub(crate) presence: Presence,
+    /// Whether its owner said that it takes no more work.
+    pub(crate) is_leaving: bool,
     pub(crate) ejection: Ejection,
     /// Requests of this node that are not answered yet.
     pub(crate) in_flight: u32,
@@ -89,6 +91,7 @@
         Self {
             candidate,
             presence: Presence::Serving,
+            is_leaving: false,
             ejection: Ejection::default(),
             in_flight: 0,
             pace: 1.0,
