Choose homes anew when the link to a home is lost

Homes are chosen every 300 ms and each limit keeps the chosen home's link. A lost link is redialled after 150 to 300 ms, so it could be up again, to a new start without a table, before the next choice. The node asked that start for tokens, got none and kept no share: 429 within the rate.

Ruled out by reading: that `has_table` is held of the new start. It is cleared when the link is lost. Only the kept choice of the home was old.

Limits: the share is taken back up to 300 ms earlier than before; the overlap with the delegation stays within one delegation period, as documented.

--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -161,6 +161,7 @@
         }
         link.disconnect();
         node.fleet.borrow_mut().on_link_lost(&name);
+        node.quotas.on_link_lost(&node, &link);
         tokio::time::sleep(node.jittered(MIN_REDIAL_DELAY, 1.0)).await;
     }
 }
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -127,6 +127,19 @@
         }
     }
 
+    /// Chooses homes anew if the lost link led to one: before the next call of `delegate`, the link
+    /// may lead to a new start of that node, which has no tokens yet.
+    pub(crate) fn on_link_lost(&self, node: &Node, link: &Rc<Link>) {
+        let is_lost = |entry: &WorkspaceQuota| {
+            let home = entry.home.as_ref();
+            home.is_some_and(|home| Rc::ptr_eq(home, link))
+        };
+        let is_home_lost = self.entries.borrow().values().any(is_lost);
+        if is_home_lost {
+            self.delegate(node);
+        }
+    }
+
     /// Records that a node delegates its shares of those workspaces for which it considers this
     /// node the home.
     pub(crate) fn on_delegated(&self, now: Time, own: &str, delegate: &Delegate) {
