Accept no key after a start before a peer's table was seen

Callers saw: a node started while the store holds an older copy's table ran requests with a withdrawn key until its first link to a peer was up.

Cause: the proof by the store tells that the store has nothing newer, which after a restore does not mean that nothing newer was accepted.

A started node now refuses keys (503, not run) and is not ready until one peer has a table in force that is not newer than its own, the entries name no peer, or 1 s has passed since it put its first table in force.

What remains: a peer that was itself just started from the copy counts as a comparison, and a copy without entries of live peers opens at once.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 mod allowance;
 mod announce;
 mod directory;
+mod first_comparison;
 mod freshness;
 mod homes;
 mod known_table;
@@ -24,6 +25,7 @@
 pub use allowance::{Allowance, DELEGATION_TTL, Options as AllowanceOptions, Take};
 pub use announce::{Announcement, Heartbeat, ServerState};
 pub use directory::{Directory, DirectoryUpdate, EntryChange};
+pub use first_comparison::FirstComparison;
 pub use freshness::{Freshness, ProofPace};
 pub use homes::{first_by_rank, home_of, homes};
 pub use known_table::KnownTable;
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -77,7 +77,7 @@
     let path = head.target.split('?').next().unwrap_or_default();
     if path != READY_PATH {
         404
-    } else if node.is_stopping() || node.table.borrow().is_none() {
+    } else if node.is_stopping() || node.table.borrow().is_none() || !node.is_compared() {
         503
     } else {
         200
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,7 +5,9 @@
     rc::Rc,
 };
 
-use cassiashunt_mesh::{Directory, KnownTable, StopSchedule, StoreRevision, Sum, prelude::*};
+use cassiashunt_mesh::{
+    Directory, FirstComparison, KnownTable, StopSchedule, StoreRevision, Sum, prelude::*,
+};
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -59,6 +61,7 @@
     /// The store does not answer this node.
     pub(crate) is_store_lost: Cell<bool>,
     pub(crate) freshness: RefCell<Freshness>,
+    pub(crate) first_comparison: RefCell<FirstComparison>,
     /// The previous result of `is_fresh`, to log changes only.
     was_fresh: Cell<bool>,
     pub(crate) fleet: RefCell<Fleet>,
@@ -133,6 +136,7 @@
             refused_version: Cell::new(0),
             is_store_lost: Cell::new(false),
             freshness: RefCell::new(Freshness::new(bound)),
+            first_comparison: RefCell::default(),
             was_fresh: Cell::new(false),
             fleet: RefCell::new(Fleet::new(domain)),
             directory: RefCell::default(),
@@ -260,6 +264,9 @@
             version: if is_refused { 0 } else { peer.version },
             ..peer
         };
+        self.first_comparison
+            .borrow_mut()
+            .on_peer(self.known_table.get().version, peer.version);
         let is_requested = self.known_table.get().is_behind(usable) && is_due;
         if is_requested {
             self.table_requested_at.set(Some(now));
@@ -282,10 +289,16 @@
         }
     }
 
+    /// Whether the table read at the start was compared with a peer's, as far as peers answer.
+    pub(crate) fn is_compared(&self) -> bool {
+        let now = crate::clock::now();
+        self.first_comparison.borrow().is_over(now)
+    }
+
     /// Whether keys of the table in force may be accepted now.
     pub(crate) fn is_fresh(&self) -> bool {
         let now = crate::clock::now();
-        let is_fresh = self.freshness.borrow().holds(now);
+        let is_fresh = self.freshness.borrow().holds(now) && self.is_compared();
         if self.was_fresh.replace(is_fresh) != is_fresh {
             let age = self.freshness.borrow().age(now);
             log::warn!(fresh = is_fresh, proof_age_ms = age.map_or(0, crate::clock::millis),
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -295,6 +295,7 @@
     in_force.set_at(at);
     *node.table_value.borrow_mut() = Some(in_force);
     *node.table.borrow_mut() = Some(Rc::new(table));
+    node.first_comparison.borrow_mut().on_table(clock::now());
     if node.refused_table.borrow().is_none() {
         confirm_in_force(node);
     }
--- a/crates/sidecar/src/store/directory.rs
+++ b/crates/sidecar/src/store/directory.rs
@@ -108,6 +108,9 @@
         changes,
     };
     apply_entries(node, update);
+    if node.fleet.borrow().size() == 1 {
+        node.first_comparison.borrow_mut().on_no_peers();
+    }
     Ok(())
 }
 
