Test that no GoAway follows where an outcome was lost

This one asks a node for an answer of 50 MB as a peer that reads nothing, until the owner has given up the answer and its refusal for want of room, then stops the node and reads to the end.

Ruled out: the same between two nodes. A node reads all its connections, and a cut that keeps it from reading for the 10 s would make it drop the connection first, by its failure detector (not run).

Conclusion: the logic is needed, and held by the test.

--- a/crates/fleet/tests/stopping_links.rs
+++ b/crates/fleet/tests/stopping_links.rs
@@ -15,13 +15,13 @@
 };
 
 use bytes::BytesMut;
-use cassiashunt_fleet::Fleet;
-use cassiashunt_node::Stopped;
+use cassiashunt_fleet::{Fleet, Options};
+use cassiashunt_node::{Stopped, settings::Bounds};
 use cassiashunt_types::NodeId;
 use cassiashunt_wire::{
     Begin, Body, Dialer, End, Frame, FrameCodec, GoAway, Hello, Listener, Proof, Secret, Welcome,
 };
-use support::{Caller, KEY, Seen, callers, eventually, runs, start};
+use support::{Caller, KEY, Seen, callers, eventually, options, runs, start, start_with};
 
 /// A node beside a server of `rota`.
 const STOPPING: usize = 1;
@@ -99,13 +99,17 @@
     }
 
     fn request(&mut self, request: u64) -> io::Result<()> {
+        self.request_of(request, "/photos")
+    }
+
+    fn request_of(&mut self, request: u64, target: &str) -> io::Result<()> {
         let begin = Begin {
             chain: request,
             route: "photos".into(),
             class: "read".into(),
             remaining_us: 5_000_000,
             method: "GET".into(),
-            target: "/photos".into(),
+            target: target.into(),
             ..Begin::default()
         };
         self.send(&Frame::new(request, Body::Begin(Box::new(begin))))?;
@@ -167,6 +171,51 @@
     assert_eq!(ran.count(), server.runs().len());
 }
 
+/// A peer takes a request without an outcome for one that did not run once it reads a `GoAway`.
+#[test]
+fn a_stopping_node_does_not_say_goaway_where_the_outcome_of_a_run_was_lost() {
+    /// More than the buffers of the connection and of both sockets.
+    const ANSWER_BYTES: usize = 50_000_000;
+    /// The time that a part of an answer has to find room on the connection, and some more.
+    const PART: Duration = Duration::from_secs(6);
+    let opts = options();
+    let fleet = start_with(Options {
+        bounds: Bounds {
+            link_frames: 16,
+            ..opts.bounds
+        },
+        ..opts
+    });
+    let server = &fleet.members[STOPPING].server;
+    let mut wire = Wire::dial(fleet.members[STOPPING].addresses.peers, &secret(&fleet));
+    let target = format!("/photos?bytes={ANSWER_BYTES}");
+    wire.request_of(LONG, &target).expect("sent");
+    eventually("the request ran", || !server.runs().is_empty());
+    eventually("its answer is given up", || in_flight(&fleet) == 0);
+    thread::sleep(PART);
+    let frames = thread::scope(|scope| {
+        let stopping = scope.spawn(|| fleet.stop_node(STOPPING));
+        let mut frames = Vec::new();
+        while let Some(frame) = wire.next::<Frame>().expect("closed in order") {
+            frames.push(frame);
+        }
+        // The end of the dialling side too.
+        let _ = wire.stream.shutdown(Shutdown::Both);
+        assert_eq!(stopping.join().expect("no panic"), Some(Stopped::Drained));
+        frames
+    });
+    let (outcomes, is_told) = outcomes(frames);
+    let has_outcome = matches!(outcomes[&LONG], Body::End(_) | Body::Refused(_));
+    assert!(!has_outcome, "the connection had room for the outcome");
+    assert!(!is_told, "a request that ran is told as not run");
+}
+
+fn in_flight(fleet: &Fleet) -> u64 {
+    let status = fleet.operator(STOPPING).get("/status").expect("it runs");
+    let status: serde_json::Value = serde_json::from_str(&status).expect("JSON");
+    status["in-flight"].as_u64().expect("a count")
+}
+
 /// Sends one request after another until the connection takes none, and gives how many.
 fn send_until_refused(stream: TcpStream) -> u64 {
     let mut wire = Wire::new(stream);
