Show that kept connections of clients use up a node's descriptors

Process::start_limited sets the limit with `ulimit` in a shell.

Cause: nothing bounds the clients' connections by the descriptors.

--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -57,11 +57,25 @@
 
     /// Starts a process that writes its standard output and standard error to a file.
     pub fn start_logged(args: &[&str], file: &Path) -> Self {
+        Self::spawn_logged(command(args), file)
+    }
+
+    /// Like [`Process::start_logged`], with a limit of open files.
+    pub fn start_limited(args: &[&str], file: &Path, max_files: usize) -> Self {
+        let mut shell = Command::new("sh");
+        shell
+            .args(["-c", r#"ulimit -n "$0" && exec "$@""#])
+            .args([&max_files.to_string(), env!("CARGO_BIN_EXE_cassiashunt")])
+            .args(args);
+        Self::spawn_logged(shell, file)
+    }
+
+    fn spawn_logged(mut command: Command, file: &Path) -> Self {
         let out = fs::File::create(file).expect("cannot create the log file");
         let err = out
             .try_clone()
             .expect("cannot duplicate the handle of the log file");
-        let child = command(args).stdout(out).stderr(err).spawn();
+        let child = command.stdout(out).stderr(err).spawn();
         Self(child.expect("cannot start the binary"))
     }
 
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -60,6 +60,12 @@
         self.node = Process::start_logged(&["sidecar", path(&self.settings)], &self.log);
     }
 
+    /// Like [`Member::restart`], with a limit of open files.
+    pub fn restart_limited(&mut self, max_files: usize) {
+        let args = ["sidecar", path(&self.settings)];
+        self.node = Process::start_limited(&args, &self.log, max_files);
+    }
+
     /// What the node has logged since its last start.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
