Wake the thread that accepts until it ends, and test the wait for a comparison

From the review. A stop of the own interface's node woke the thread once, and would wait out drain-ms if that connection failed; by reading, not seen.

--- a/cassiashunt/tests/site_start.rs
+++ b/cassiashunt/tests/site_start.rs
@@ -12,6 +12,9 @@
 /// By when a node is in touch, in the platform's deployments.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// How long a started node waits for a peer's table.
+const COMPARISON_WAIT: Duration = Duration::from_secs(1);
+
 /// Starts the node again, and fails unless its own server gets requests in time.
 fn assert_serves_after_restart(member: &mut Member) {
     member.node.kill();
@@ -59,7 +62,17 @@
     for member in &site.members[1..] {
         member.node.signal("-STOP");
     }
-    assert_serves_after_restart(&mut site.members[0]);
+    let member = &mut site.members[0];
+    member.node.kill();
+    let started = Instant::now();
+    member.restart();
+    while !member.is_ready() {
+        assert!(started.elapsed() < CONTACT, "{}", member.log());
+        thread::sleep(Duration::from_millis(2));
+    }
+    let wait = started.elapsed();
+    assert!(wait >= COMPARISON_WAIT, "ready after {wait:?}");
+    assert_serves_in_time(member, started);
 }
 
 #[test]
--- a/crates/mesh/src/first_comparison.rs
+++ b/crates/mesh/src/first_comparison.rs
@@ -31,7 +31,7 @@
         self.is_done = true;
     }
 
-    /// Returns whether the table was compared, or no peer has answered in time.
+    /// Returns whether the table was compared, or no comparison came in time.
     #[must_use]
     pub fn is_over(&self, now: Time) -> bool {
         let is_late = |since| now.since(since) >= TIMEOUT;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -178,8 +178,8 @@
     /// closes them in order.
     fn close_callers(&self, until: Instant) {
         self.callers.stop();
-        wake(self.addresses.callers);
         while !self.callers.is_closed() && Instant::now() < until {
+            wake(self.addresses.callers);
             thread::sleep(DRAIN_LOOK);
         }
     }
