Share the table with patient routes among the tests of stops

Four test files edited the operators' table and waited for it by the same loops. Site::put_table_in_force and set_field serve them, and table_with_timeout and site_descriptors use the latter. What the tests assert and their bounds are unchanged.

--- a/cassiashunt/tests/site_descriptors.rs
+++ b/cassiashunt/tests/site_descriptors.rs
@@ -12,7 +12,7 @@
 use cassiashunt_standin::site::{self, Answer, Behaviour, ask, open};
 use support::{
     eventually,
-    site::{Member, Site, WORKSPACE_KEY, read},
+    site::{Member, Site, WORKSPACE_KEY, read, set_field},
 };
 
 /// The node's limit of open files.
@@ -80,12 +80,7 @@
 /// A table by which connections may be idle throughout the test, with a rate that it doesn't reach.
 fn table_for_idle_clients() -> serde_json::Value {
     let mut table = site::table(2, &[WORKSPACE_KEY], 10_000);
-    let resources = table["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        if resource["type"] == "limits" {
-            resource["spec"]["idle_timeout_ms"] = 60_000.into();
-        }
-    }
+    set_field(&mut table, "limits", "idle_timeout_ms", 60_000);
     table
 }
 
--- a/cassiashunt/tests/site_stop_calls.rs
+++ b/cassiashunt/tests/site_stop_calls.rs
@@ -12,8 +12,8 @@
 use cassiashunt_standin::site::{Behaviour, Request, ask, open};
 use support::{
     eventually,
-    site::{Site, WORKSPACE_KEY, table, write},
-    stop::GRACE,
+    site::{Site, write},
+    stop::{GRACE, table_with_timeout},
 };
 
 /// The time that the requests of these tests have.
@@ -26,21 +26,8 @@
 }
 
 fn put_patient_table(site: &Site) {
-    let mut patient = table(2, &[WORKSPACE_KEY]);
-    let resources = patient["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        if resource["type"] == "routes" {
-            resource["spec"]["timeout_ms"] = REQUEST_TIMEOUT_MS.into();
-        }
-    }
-    site.put_table(&patient);
-    for member in &site.members {
-        eventually("the table is in force", || {
-            let log = member.log();
-            let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
-            lines.any(|line| line.contains("\"version\":2"))
-        });
-    }
+    let timeout = Duration::from_millis(REQUEST_TIMEOUT_MS);
+    site.put_table_in_force(&table_with_timeout(timeout));
 }
 
 /// A call of a run, as its server saw it. Times count from the SIGTERM.
--- a/cassiashunt/tests/site_stop_calm.rs
+++ b/cassiashunt/tests/site_stop_calm.rs
@@ -13,9 +13,10 @@
 use cassiashunt_standin::site::{Behaviour, Request, ask, open};
 use support::{
     eventually,
-    site::{Site, WORKSPACE_KEY, read, table, write},
+    site::{Site, read, set_field, write},
     stop::{
-        End, Fate, broken_rules_within, kept_connection, ms, send_whole, sleep_until, with_runs,
+        End, Fate, broken_rules_within, kept_connection, ms, send_whole, sleep_until,
+        table_with_timeout, with_runs,
     },
 };
 
@@ -29,24 +30,10 @@
 /// Starts a fleet whose routes and idle connections have [`LONG_TIMEOUT`].
 fn start_patient(name: &str, grace: Duration) -> Site {
     let site = Site::start_with_grace(name, &["shop", "desk"], grace);
-    let mut patient = table(2, &[WORKSPACE_KEY]);
+    let mut patient = table_with_timeout(LONG_TIMEOUT);
     let timeout_ms = u64::try_from(LONG_TIMEOUT.as_millis()).expect("a short timeout");
-    let resources = patient["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        match resource["type"].as_str() {
-            Some("routes") => resource["spec"]["timeout_ms"] = timeout_ms.into(),
-            Some("limits") => resource["spec"]["idle_timeout_ms"] = timeout_ms.into(),
-            _ => {}
-        }
-    }
-    site.put_table(&patient);
-    for member in &site.members {
-        eventually("the table is in force", || {
-            let log = member.log();
-            let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
-            lines.any(|line| line.contains("\"version\":2"))
-        });
-    }
+    set_field(&mut patient, "limits", "idle_timeout_ms", timeout_ms);
+    site.put_table_in_force(&patient);
     site
 }
 
--- a/cassiashunt/tests/site_stop_links.rs
+++ b/cassiashunt/tests/site_stop_links.rs
@@ -18,7 +18,7 @@
 use cassiashunt_types::prelude::*;
 use support::{
     Folder, Process, eventually, listens, path,
-    site::{Site, WORKSPACE_KEY, table, write},
+    site::{Site, write},
     stop::{GRACE, table_with_timeout},
 };
 
@@ -37,21 +37,8 @@
 
 /// Lets requests of all routes take [`REQUEST_TIMEOUT_MS`].
 fn put_patient_table(site: &Site) {
-    let mut patient = table(2, &[WORKSPACE_KEY]);
-    let resources = patient["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        if resource["type"] == "routes" {
-            resource["spec"]["timeout_ms"] = REQUEST_TIMEOUT_MS.into();
-        }
-    }
-    site.put_table(&patient);
-    for member in &site.members {
-        eventually("the table is in force", || {
-            let log = member.log();
-            let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
-            lines.any(|line| line.contains("\"version\":2"))
-        });
-    }
+    let timeout = Duration::from_millis(REQUEST_TIMEOUT_MS);
+    site.put_table_in_force(&table_with_timeout(timeout));
 }
 
 /// Sends a request on a thread of its own.
--- a/cassiashunt/tests/site_stop_queue.rs
+++ b/cassiashunt/tests/site_stop_queue.rs
@@ -11,8 +11,8 @@
 use cassiashunt_standin::site::{Answer, Behaviour, Request, ask, open};
 use support::{
     eventually,
-    site::{Site, WORKSPACE_KEY, table, write},
-    stop::GRACE,
+    site::{Site, set_field, write},
+    stop::{GRACE, table_with_timeout},
 };
 
 /// The time that the requests of these tests have.
@@ -26,22 +26,10 @@
 
 /// Lets requests of all routes wait in a queue.
 fn put_patient_table(site: &Site) {
-    let mut patient = table(2, &[WORKSPACE_KEY]);
-    let resources = patient["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        if resource["type"] == "routes" {
-            resource["spec"]["timeout_ms"] = REQUEST_TIMEOUT_MS.into();
-            resource["spec"]["goal_ms"] = PATIENT_OBJECTIVE_MS.into();
-        }
-    }
-    site.put_table(&patient);
-    for member in &site.members {
-        eventually("the table is in force", || {
-            let log = member.log();
-            let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
-            lines.any(|line| line.contains("\"version\":2"))
-        });
-    }
+    let timeout = Duration::from_millis(REQUEST_TIMEOUT_MS);
+    let mut patient = table_with_timeout(timeout);
+    set_field(&mut patient, "routes", "goal_ms", PATIENT_OBJECTIVE_MS);
+    site.put_table_in_force(&patient);
 }
 
 /// A request whose client waits on a thread of its own.
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -218,6 +218,19 @@
         self.store.put("op/config", &table.to_string());
     }
 
+    /// Writes another operators' table to the store, and waits until every node has it in force.
+    pub fn put_table_in_force(&self, table: &Value) {
+        self.put_table(table);
+        let version = format!("\"version\":{}", table["version"]);
+        for member in &self.members {
+            eventually("the table is in force", || {
+                let log = member.log();
+                let mut lines = log.lines().filter(|it| it.contains("\"table-in-force\""));
+                lines.any(|line| line.contains(&version))
+            });
+        }
+    }
+
     /// How often a request ran, summed over all servers.
     pub fn runs_of(&self, request: &Request) -> usize {
         let runs = self.members.iter().flat_map(|member| member.server.runs());
@@ -253,6 +266,16 @@
     }
 }
 
+/// Sets a field of all resources of this type.
+pub fn set_field(table: &mut Value, kind: &str, field: &str, value: u64) {
+    let resources = table["resources"].as_array_mut();
+    for resource in resources.expect("`resources` is not an array") {
+        if resource["type"] == kind {
+            resource["spec"][field] = value.into();
+        }
+    }
+}
+
 /// The operators' table with these keys for the workspace.
 pub fn table(version: u64, keys: &[&str]) -> Value {
     site::table(version, keys, RATE_PER_S)
--- a/cassiashunt/tests/support/stop.rs
+++ b/cassiashunt/tests/support/stop.rs
@@ -10,7 +10,7 @@
 
 use cassiashunt_standin::site::{Request, ask, open};
 
-use super::site::{Site, WORKSPACE_KEY, read, table};
+use super::site::{Site, WORKSPACE_KEY, read, set_field, table};
 
 /// The grace time of the platform's deployments.
 pub const GRACE: Duration = Duration::from_secs(6);
@@ -184,12 +184,7 @@
 /// The table of [`Site::start`] with another timeout for all routes.
 pub fn table_with_timeout(timeout: Duration) -> serde_json::Value {
     let mut table = table(2, &[WORKSPACE_KEY]);
-    let resources = table["resources"].as_array_mut();
-    for resource in resources.expect("`resources` is not an array") {
-        if resource["type"] == "routes" {
-            let timeout_ms = u64::try_from(timeout.as_millis()).expect("a short timeout");
-            resource["spec"]["timeout_ms"] = timeout_ms.into();
-        }
-    }
+    let timeout_ms = u64::try_from(timeout.as_millis()).expect("a short timeout");
+    set_field(&mut table, "routes", "timeout_ms", timeout_ms);
     table
 }
