--- a/review/kit/src/kit.rs
+++ b/review/kit/src/kit.rs
@@ -9,7 +9,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -91,6 +91,9 @@
     log: PathBuf,
     /// The Unix millisecond of the server's start.
     pub born: u128,
+    /// The number of the server's last status report; it sends no more where `is_leaving` is set.
+    sequence: AtomicU64,
+    is_leaving: AtomicBool,
     pub process: Mutex<Process>,
 }
 
@@ -125,6 +128,12 @@
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Ends the server's status reports, and returns the number of the last one.
+    pub fn stop_reports(&self) -> u64 {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        self.sequence.load(Ordering::Relaxed)
+    }
+
     /// What the node has logged.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -216,6 +225,8 @@
             settings,
             log,
             born: unix_ms(),
+            sequence: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
             process: Mutex::new(Process(process)),
         })
     }
@@ -313,12 +324,10 @@
 /// Sends the heartbeats of a machine's server to its node.
 fn beat(machine: Arc<Machine>, is_over: Arc<AtomicBool>) {
     thread::spawn(move || {
-        let mut sequence = 0;
-        while !is_over.load(Ordering::Relaxed) {
-            sequence += 1;
+        while !is_over.load(Ordering::Relaxed) && !machine.is_leaving.load(Ordering::Relaxed) {
+            let sequence = machine.sequence.fetch_add(1, Ordering::Relaxed) + 1;
             // The node may be down; the next heartbeat follows.
-            let sent = send_beat(&machine, sequence);
-            let is_down = sent.is_err();
+            let is_down = send_beat(&machine, sequence).is_err();
             thread::sleep(if is_down {
                 Duration::from_millis(100)
             } else {
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod drain;
 mod foreign;
 mod keys;
 mod kit;
@@ -29,6 +30,7 @@
     record.line(format!("case {case}, trouble: {has_trouble}"));
     let end = match case.as_str() {
         "foreign-report" => foreign::report(&record, has_trouble),
+        "late-report" => drain::late_report(&record, has_trouble),
         "long-name" => keys::long_name(&record, has_trouble),
         "shorter-bound" => keys::shorter_bound(&record, has_trouble),
         "stale-home" => quota::stale_home(&record, has_trouble),
