--- a/review/kit/src/keys.rs
+++ b/review/kit/src/keys.rs
@@ -35,7 +35,7 @@
     let site = Site::start(&machines, bounds, &manifest(7, &SERVICES, &[first]))?;
     site.wait_until_serving(|service| read(service, WITHDRAWN))?;
     let name = if has_trouble {
-        "lagos-state-public-railings-maintenance-agency"
+        "lagos-railings-maintenance-agency"
     } else {
         "railings"
     };
--- a/review/kit/src/kit.rs
+++ b/review/kit/src/kit.rs
@@ -321,33 +321,45 @@
     Ok(filled + "\n")
 }
 
-/// Sends the heartbeats of a machine's server to its node.
+/// Sends the heartbeats of a machine's server to its node. A server that has crashed sends none, and
+/// is a new start when it is back.
 fn beat(machine: Arc<Machine>, is_over: Arc<AtomicBool>) {
     thread::spawn(move || {
+        let mut born = machine.born;
+        let mut was_away = false;
         while !is_over.load(Ordering::Relaxed) && !machine.is_leaving.load(Ordering::Relaxed) {
+            if machine.server.is_away() {
+                was_away = true;
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+            if std::mem::take(&mut was_away) {
+                born = unix_ms();
+                machine.sequence.store(0, Ordering::Relaxed);
+            }
             let sequence = machine.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+            let report = Report {
+                id: &machine.server.id,
+                address: machine.server.address(),
+                service: &machine.service,
+                born,
+                sequence,
+            };
             // The node may be down; the next heartbeat follows.
-            let is_down = send_beat(&machine, sequence).is_err();
-            thread::sleep(if is_down {
+            let is_down = report.send(&machine).is_err();
+            let pause = if is_down {
                 Duration::from_millis(100)
             } else {
                 HEARTBEAT
-            });
+            };
+            let until = Instant::now() + pause;
+            while Instant::now() < until && !machine.server.is_away() {
+                thread::sleep(Duration::from_millis(20));
+            }
         }
     });
 }
 
-fn send_beat(machine: &Machine, sequence: u64) -> std::io::Result<u16> {
-    let report = Report {
-        id: &machine.server.id,
-        address: machine.server.address(),
-        service: &machine.service,
-        born: machine.born,
-        sequence,
-    };
-    report.send(machine)
-}
-
 /// A status report.
 pub struct Report<'a> {
     pub id: &'a str,
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -2,12 +2,14 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crash;
 mod drain;
 mod foreign;
 mod keys;
 mod kit;
 mod memory;
 mod quota;
+mod stop;
 
 use std::{path::Path, process::ExitCode};
 
@@ -31,9 +33,11 @@
     let end = match case.as_str() {
         "foreign-report" => foreign::report(&record, has_trouble),
         "late-report" => drain::late_report(&record, has_trouble),
+        "forgotten-strikes" => crash::forgotten(&record, has_trouble),
         "long-name" => keys::long_name(&record, has_trouble),
         "shorter-bound" => keys::shorter_bound(&record, has_trouble),
         "stale-home" => quota::stale_home(&record, has_trouble),
+        "stop-slow-readers" => stop::slow_readers(&record, has_trouble),
         "uploads" => memory::uploads(&record, has_trouble),
         "slow-readers" => memory::slow_readers(&record, has_trouble),
         other => End::NotRun(format!("no case {other}")),
