Show that a backend that left and started again under its id is never used again

The node keeps the id that left and takes each later start under it as draining, whatever its born field says. The only backend of a service leaves in order, starts again 2 s later and reports ready: all requests for the service get 503 to the end.

--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod again;
 mod crash;
 mod drain;
 mod foreign;
@@ -38,6 +39,7 @@
         "shorter-bound" => keys::shorter_bound(&record, has_trouble),
         "stale-home" => quota::stale_home(&record, has_trouble),
         "stop-slow-readers" => stop::slow_readers(&record, has_trouble),
+        "left-and-back" => again::left_and_back(&record, has_trouble),
         "uploads" => memory::uploads(&record, has_trouble),
         "slow-readers" => memory::slow_readers(&record, has_trouble),
         other => End::NotRun(format!("no case {other}")),
