--- a/review/kit/src/kit.rs
+++ b/review/kit/src/kit.rs
@@ -23,6 +23,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// How long to wait for the deployment to serve, before the case can't run.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Stands for the address of a node's metrics until it is known.
+const METRICS_ADDRESS: &str = "127.0.0.1:9464";
 /// The slots that each server tells.
 const SLOTS: u32 = 72;
 
@@ -87,6 +89,7 @@
     pub requests: SocketAddr,
     pub ready: SocketAddr,
     pub heartbeats: SocketAddr,
+    pub metrics: SocketAddr,
     pub settings: PathBuf,
     log: PathBuf,
     /// The Unix millisecond of the server's start.
@@ -199,6 +202,7 @@
 
     fn add(&self, at: usize, service: &str, bounds: Bounds) -> Result<Machine, End> {
         let addresses = Addresses::free()?;
+        let metrics = Addresses::free()?.requests;
         let server = Server::start(&format!("i-{service}-{at}"), addresses.requests)?;
         let name = format!("app_node-{at}");
         let settings = self.folder.join(format!("{name}.toml"));
@@ -213,6 +217,7 @@
             self.store.address(),
             bounds,
         )?;
+        let text = text.replace(METRICS_ADDRESS, &metrics.to_string());
         fs::write(&settings, text)?;
         let process = start(&settings, &log)?;
         Ok(Machine {
@@ -222,6 +227,7 @@
             requests: addresses.requests,
             ready: addresses.ready,
             heartbeats: addresses.heartbeats,
+            metrics,
             settings,
             log,
             born: unix_ms(),
@@ -309,9 +315,8 @@
         ("bounds.retry_slack", "48".into()),
         ("bounds.budget_window_s", "10".into()),
     ];
-    // All machines share one address here, so the fixed port of the metrics is left out.
-    let lines = text.lines().filter(|line| !line.starts_with("metrics ="));
-    let mut filled = lines.collect::<Vec<_>>().join("\n");
+    // All machines share one address here, so each gets a port of its own for the metrics.
+    let mut filled = text.trim_end().replace("{{ip}}:9464", METRICS_ADDRESS);
     for (placeholder, value) in values {
         filled = filled.replace(&format!("{{{{{placeholder}}}}}"), &value);
     }
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod drain;
 mod foreign;
+mod growth;
 mod keys;
 mod kit;
 mod memory;
@@ -40,6 +41,7 @@
         "stale-home" => quota::stale_home(&record, has_trouble),
         "stop-slow-readers" => stop::slow_readers(&record, has_trouble),
         "left-and-back" => again::left_and_back(&record, has_trouble),
+        "unread-metrics" => growth::unread_metrics(&record, has_trouble),
         "uploads" => memory::uploads(&record, has_trouble),
         "slow-readers" => memory::slow_readers(&record, has_trouble),
         other => End::NotRun(format!("no case {other}")),
