--- a/review/kit/src/kit.rs
+++ b/review/kit/src/kit.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use cassiashunt_standin::site::{Addresses, Door, Request, Server, Store, ask, open};
+use cassiashunt_standin::site::{Addresses, Request, Server, Store, ask, open};
 
 /// The host of all routes.
 pub const HOST: &str = "mesh.example";
@@ -87,7 +87,6 @@
     pub requests: SocketAddr,
     pub ready: SocketAddr,
     pub heartbeats: SocketAddr,
-    pub door: Door,
     pub settings: PathBuf,
     log: PathBuf,
     /// The Unix millisecond of the server's start.
@@ -192,7 +191,6 @@
     fn add(&self, at: usize, service: &str, bounds: Bounds) -> Result<Machine, End> {
         let addresses = Addresses::free()?;
         let server = Server::start(&format!("i-{service}-{at}"), addresses.requests)?;
-        let door = self.store.open_door()?;
         let name = format!("app_node-{at}");
         let settings = self.folder.join(format!("{name}.toml"));
         let log = self.folder.join(format!("{name}.log"));
@@ -203,7 +201,7 @@
             service,
             &addresses,
             server.address(),
-            door.address(),
+            self.store.address(),
             bounds,
         )?;
         fs::write(&settings, text)?;
@@ -215,7 +213,6 @@
             requests: addresses.requests,
             ready: addresses.ready,
             heartbeats: addresses.heartbeats,
-            door,
             settings,
             log,
             born: unix_ms(),
@@ -379,14 +376,38 @@
     now.map_or(0, |it| it.as_millis())
 }
 
-/// A tenant of a manifest.
+/// A tenant of a manifest, with the usual allotment.
 pub struct Tenant<'a> {
     pub name: &'a str,
     pub keys: &'a [&'a str],
 }
 
+/// The allotment of each tenant in `fleetbench wire`.
+pub const USUAL_QUOTA: Quota = Quota {
+    rate_per_s: 88,
+    burst: 88,
+};
+
+/// What a tenant may send.
+#[derive(Clone, Copy)]
+pub struct Quota {
+    pub rate_per_s: u32,
+    pub burst: u32,
+}
+
 /// A manifest with an idempotent and a non-idempotent route to each service.
 pub fn manifest(version: u64, services: &[&str], tenants: &[Tenant<'_>]) -> String {
+    manifest_with(version, services, tenants, USUAL_QUOTA)
+}
+
+/// The same with another allotment for each tenant.
+pub fn manifest_with(
+    version: u64,
+    services: &[&str],
+    tenants: &[Tenant<'_>],
+    quota: Quota,
+) -> String {
+    let Quota { rate_per_s, burst } = quota;
     let mut rows = Vec::new();
     for service in services {
         for (kind, path) in [("idempotent", "read"), ("non_idempotent", "write")] {
@@ -401,7 +422,7 @@
     for Tenant { name, keys } in tenants {
         let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
         rows.push(format!(
-            r#"{{"type":"tenants","meta":{{"name":"{name}"}},"spec":{{"api_keys":[{}],"priority":1,"rate_per_s":88,"burst":88}}}}"#,
+            r#"{{"type":"tenants","meta":{{"name":"{name}"}},"spec":{{"api_keys":[{}],"priority":1,"rate_per_s":{rate_per_s},"burst":{burst}}}}}"#,
             keys.join(",")
         ));
     }
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod kit;
 mod memory;
+mod quota;
 
 use std::{path::Path, process::ExitCode};
 
@@ -29,6 +30,8 @@
     let end = match case.as_str() {
         "foreign-report" => foreign::report(&record, has_trouble),
         "long-name" => keys::long_name(&record, has_trouble),
+        "shorter-bound" => keys::shorter_bound(&record, has_trouble),
+        "stale-home" => quota::stale_home(&record, has_trouble),
         "uploads" => memory::uploads(&record, has_trouble),
         "slow-readers" => memory::slow_readers(&record, has_trouble),
         other => End::NotRun(format!("no case {other}")),
