Do not take a refused table for a proof of the one in force

Cause: the position of the newest known item advanced when an item was read, before it was accepted. The store's answer that it has nothing newer was then recorded as a proof of the older table in force, by this node and by peers.

Ruled out: that it takes a long name; bytes that are not JSON did the same.

KnownTable now records that the newest item was refused. Nothing proves the table in force then, so keys lapse within the bound.

--- a/crates/mesh/tests/known_table.rs
+++ b/crates/mesh/tests/known_table.rs
@@ -12,6 +12,7 @@
     KnownTable {
         at: at(era, revision),
         version,
+        ..KnownTable::default()
     }
 }
 
@@ -60,6 +61,41 @@
     );
 }
 
+/// Guards against proofs by an item that was read but could not be put in force.
+#[test]
+fn a_refused_item_proves_nothing_until_a_newer_one_is_read() {
+    let mut known = table(0, 90, 7);
+    assert!(known.on_item(at(0, 91)));
+    known.on_refused(at(0, 91));
+    assert!(!known.is_comparable());
+    assert!(!known.is_proven_by(table(0, 91, 7)));
+    assert!(
+        !known.is_proven_by(table(0, 91, 9)),
+        "the peer has the item in force"
+    );
+    assert!(!known.on_item(at(0, 91)));
+    assert!(!known.is_comparable(), "the same item, read again");
+    assert!(known.on_item(at(0, 92)));
+    assert!(known.on_table(8));
+    assert!(known.is_comparable());
+    assert!(known.is_proven_by(table(0, 92, 8)));
+}
+
+#[test]
+fn a_refused_table_that_the_store_has_lost_leaves_the_newest_item_comparable() {
+    let mut known = table(1, 3, 7);
+    known.on_refused(at(0, 90));
+    assert!(known.is_comparable());
+}
+
+#[test]
+fn nothing_proves_a_table_before_the_first_is_in_force() {
+    let mut known = KnownTable::default();
+    assert!(known.on_item(at(0, 4)));
+    assert!(!known.is_comparable());
+    assert!(!known.is_proven_by(table(0, 4, 0)));
+}
+
 #[test]
 fn nodes_that_read_and_exchange_tables_in_any_order_never_go_back_and_agree_in_the_end() {
     check(|u| {
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -236,6 +236,7 @@
         KnownTable {
             at: StoreRevision::new(self.table_era, Revision(self.table_revision)),
             version: self.table_version,
+            ..KnownTable::default()
         }
     }
 
@@ -362,6 +363,7 @@
         KnownTable {
             at: StoreRevision::new(self.table_era, Revision(self.table)),
             version: self.table_version,
+            ..KnownTable::default()
         }
     }
 
@@ -478,6 +480,7 @@
         KnownTable {
             at: StoreRevision::new(self.era, Revision(self.revision)),
             version: self.version,
+            ..KnownTable::default()
         }
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -221,10 +221,14 @@
         span.mul_f64(1.0 + max_fraction * self.rng.borrow_mut().f64())
     }
 
-    /// This node's proof that its table is the newest, for peers.
+    /// This node's proof that its table is the newest, for peers; `None` if it lacks one.
     pub(crate) fn proof(&self, now: Time, asked_us: u64) -> Option<Proof> {
+        let known = self.known_table.get();
         let age = self.freshness.borrow().age(now)?;
-        let KnownTable { at, version } = self.known_table.get();
+        if !known.is_comparable() {
+            return None;
+        }
+        let KnownTable { at, version, .. } = known;
         Some(Proof {
             revision: at.revision.0,
             era: at.era,
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -78,7 +78,7 @@
     loop {
         let pace = pace(&node);
         let may_wait = !node.is_outdated() && !node.is_store_lost.get();
-        if may_wait && is_proven_by_peers(&node) {
+        if may_wait && (is_proven_by_peers(&node) || is_unprovable(&node)) {
             wait_for_newer_table(&node, pace.ask_interval).await;
             continue;
         }
@@ -148,6 +148,12 @@
     age.is_some_and(|age| age < max_age) && !is_among_first_heads(node, PROVER_COUNT)
 }
 
+/// Whether the store can prove nothing to this node: its newest item was refused here. The watchers
+/// and the nodes that ask on behalf of all others learn of the next item.
+fn is_unprovable(node: &Node) -> bool {
+    node.known_table.get().is_refused && !is_among_first_heads(node, PROVER_COUNT)
+}
+
 /// A few random live peers, since the store may not answer the nodes that normally ask it, either.
 fn peers_to_ask(node: &Node) -> Vec<Rc<Link>> {
     let live = node.fleet.borrow().live_links().into_values();
@@ -173,10 +179,18 @@
         TxnOutcome::Conflict(items) => on_items(node, answer.era, items),
         TxnOutcome::NoLease => return Ok(()),
     }
-    node.freshness.borrow_mut().prove(asked);
+    prove(node, asked);
     Ok(())
 }
 
+/// Records that the newest item known to this node was the store's newest at `asked`. That proves the
+/// table in force unless the item was refused.
+fn prove(node: &Node, asked: Time) {
+    if node.known_table.get().is_comparable() {
+        node.freshness.borrow_mut().prove(asked);
+    }
+}
+
 /// Reads the table and returns the store's revision at that time, to watch from. A watch from the
 /// table's own revision would be refused once the store has discarded that part of its history.
 async fn read_config(node: &Rc<Node>, store: &StoreClient) -> Result<StoreRevision, CallError> {
@@ -185,9 +199,7 @@
     let answer = store.call(&call, CALL_TIMEOUT).await?;
     let listing = decode_listing(answer.status, &answer.body)?;
     on_items(node, answer.era, listing.items);
-    if node.known_table.get().version > 0 {
-        node.freshness.borrow_mut().prove(asked);
-    }
+    prove(node, asked);
     node.table_read.notify_one();
     Ok(StoreRevision::new(answer.era, listing.at))
 }
@@ -264,9 +276,12 @@
 
 /// Puts a table in force unless the one in force is as new by the operators' version.
 fn apply(node: &Node, at: StoreRevision, value: Bytes) {
+    let mut known = node.known_table.get();
     let table = match decode_table(&value) {
         Ok(table) => table,
         Err(err) => {
+            known.on_refused(at);
+            node.known_table.set(known);
             log::error!(era = at.era, revision = at.revision.0, reason:% = err; "table-refused");
             let mut refused = Table {
                 value,
@@ -277,7 +292,6 @@
             return;
         }
     };
-    let mut known = node.known_table.get();
     if !known.on_table(table.version) {
         log_older(at, table.version, known);
         confirm_in_force(node);
@@ -296,7 +310,7 @@
     *node.table_value.borrow_mut() = Some(in_force);
     *node.table.borrow_mut() = Some(Rc::new(table));
     node.first_comparison.borrow_mut().on_table(clock::now());
-    if node.refused_table.borrow().is_none() {
+    if !known.is_refused {
         confirm_in_force(node);
     }
     node.set_limits();
