--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -96,7 +96,13 @@
 
     /// Like [`Site::start`], with another grace time.
     pub fn start_with_grace(name: &str, services: &[&str], grace: Duration) -> Self {
-        Self::start_with(name, services, KEY_WITHDRAWAL, grace)
+        let table = table(1, &[WORKSPACE_KEY]);
+        Self::start_with(name, services, &table, KEY_WITHDRAWAL, grace)
+    }
+
+    /// Like [`Site::start`], with another operators' table.
+    pub fn start_with_table(name: &str, services: &[&str], table: &Value) -> Self {
+        Self::start_with(name, services, table, KEY_WITHDRAWAL, GRACE)
     }
 
     /// Like [`Site::start`], with the time for which a withdrawn key may still be accepted.
@@ -105,17 +111,19 @@
         services: &[&str],
         key_withdrawal: Duration,
     ) -> Self {
-        Self::start_with(name, services, key_withdrawal, GRACE)
+        let table = table(1, &[WORKSPACE_KEY]);
+        Self::start_with(name, services, &table, key_withdrawal, GRACE)
     }
 
     fn start_with(
         name: &str,
         services: &[&str],
+        table: &Value,
         key_withdrawal: Duration,
         grace: Duration,
     ) -> Self {
         let store = Store::start().expect("cannot bind a port on loopback");
-        store.put("op/config", &table(1, &[WORKSPACE_KEY]).to_string());
+        store.put("op/config", &table.to_string());
         let mut site = Self {
             store,
             members: Vec::new(),
--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -3,7 +3,7 @@
 //! Uses rendezvous hashing (Thaler and Ravishankar, 1998): each node ranks the names by a hash, so
 //! that nodes with the same view agree and a changed view moves few workspaces.
 
-use cassiashunt_types::prelude::*;
+use cassiashunt_types::{prelude::*, stable_hash};
 
 /// The number of nodes that act as homes. A few are enough, and each node sends a delegation to each
 /// of them several times a second.
@@ -33,14 +33,7 @@
     by_rank.map(String::as_str)
 }
 
-/// Returns the rank of a node for a purpose, on which all nodes agree: 64-bit FNV-1a over both names,
-/// followed by the finalizer of `SplitMix64`.
+/// Returns the rank of a node for a purpose, on which all nodes agree.
 pub(crate) fn rank(node: &str, purpose: &str) -> u64 {
-    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in node.bytes().chain([0xff]).chain(purpose.bytes()) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    stable_hash(node.bytes().chain([0xff]).chain(purpose.bytes()))
 }
--- a/crates/mesh/src/table.rs
+++ b/crates/mesh/src/table.rs
@@ -50,8 +50,10 @@
 /// A workspace of the table.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WorkspaceRow {
-    /// The name of the workspace.
+    /// The label of the workspace.
     pub name: Workspace,
+    /// Its name as the operators wrote it, of any length.
+    pub full_name: String,
     /// The keys that identify its callers.
     pub keys: Vec<String>,
     /// The rank of the workspace; 0 is the most important. It takes precedence over the routes' ranks.
--- a/crates/mesh/tests/table.rs
+++ b/crates/mesh/tests/table.rs
@@ -30,6 +30,7 @@
 fn workspace(name: &str, key: &str) -> WorkspaceRow {
     WorkspaceRow {
         name: name.parse().expect("a valid name"),
+        full_name: name.into(),
         keys: vec![key.into()],
         rank: 1,
         rate: 1.0,
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -211,7 +211,7 @@
         attempt: trace.attempt.clone(),
         method: head.method,
         target: head.target,
-        headers: outgoing_headers(node, head.headers, trace.workspace),
+        headers: outgoing_headers(node, head.headers, workspace),
         body,
         remaining_us: 0,
         priority: u32::from(priority),
@@ -333,7 +333,7 @@
 fn outgoing_headers(
     node: &Node,
     headers: Vec<(String, String)>,
-    workspace: Option<Workspace>,
+    workspace: Option<&WorkspaceRow>,
 ) -> Vec<Field> {
     let connection_fields: Vec<String> = headers
         .iter()
@@ -348,10 +348,10 @@
                 .any(|it| name.eq_ignore_ascii_case(it))
     };
     let kept = headers.into_iter().filter(|(name, _)| is_kept(name));
-    let service = node.service();
+    let caller = node.service_name();
     let from = RequestSource {
-        caller: service.as_str(),
-        workspace,
+        caller: &caller,
+        workspace: workspace.map(|row| row.full_name.as_str()),
     };
     let prepared = forwarded_headers(kept, from).into_iter();
     prepared
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -118,7 +118,7 @@
 impl Node {
     pub(crate) fn new(settings: Settings, store: Rc<StoreClient>) -> Self {
         let bound = Duration::from_millis(settings.bounds.key_withdrawal_ms);
-        let domain = settings.domain;
+        let domain = settings.domain();
         let ratio = settings.bounds.retry_ratio;
         let window = Duration::from_secs_f64(settings.bounds.retry_window_s);
         Self {
@@ -322,7 +322,17 @@
 
     /// The service of the backend server: as reported by the server, or else from the settings.
     pub(crate) fn service(&self) -> Service {
-        self.owner.service().unwrap_or(self.settings().service)
+        self.owner.service().unwrap_or(self.settings().service())
+    }
+
+    /// The full name of that service.
+    pub(crate) fn service_name(&self) -> String {
+        let (service, settings) = (self.service(), self.settings());
+        if service == settings.service() {
+            settings.service.clone()
+        } else {
+            service.as_str().into()
+        }
     }
 
     /// The load report of this node's owner.
@@ -435,7 +445,7 @@
         Announcement {
             incarnation: self.incarnation,
             address: settings.addresses.peers.to_string(),
-            domain: settings.domain,
+            domain: settings.domain(),
             service: self.service(),
             slots: self.owner.slots(),
             state: self.owner.state(),
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -285,7 +285,7 @@
         if self.inner.borrow().server.is_some() {
             return;
         }
-        let service = node.settings().service;
+        let service = node.settings().service();
         self.replace(node, Server::from_probe(id, service, slots, now));
     }
 
--- a/crates/sidecar/src/peer_links.rs
+++ b/crates/sidecar/src/peer_links.rs
@@ -54,7 +54,7 @@
             let width = subset_widths.get(&service).copied().unwrap_or_default();
             wanted.extend(subset(
                 &settings.name,
-                settings.domain,
+                settings.domain(),
                 owners,
                 width.factor(),
             ));
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -12,10 +12,10 @@
 pub struct Settings {
     /// The name under which the node announces itself; not empty.
     pub name: String,
-    /// The node's failure domain.
-    pub domain: FailureDomain,
-    /// The service of the node's backend server.
-    pub service: Service,
+    /// The name of the node's failure domain; not empty.
+    pub domain: String,
+    /// The name of the backend server's service, as it is sent to other servers; not empty.
+    pub service: String,
     /// Listening addresses, and the backend server's address.
     pub addresses: Addresses,
     /// The platform's store.
@@ -133,10 +133,29 @@
         Ok(rx)
     }
 
+    /// The node's failure domain.
+    #[must_use]
+    pub fn domain(&self) -> FailureDomain {
+        FailureDomain::of_name(&self.domain)
+    }
+
+    /// The service of the node's backend server.
+    #[must_use]
+    pub fn service(&self) -> Service {
+        Service::of_name(&self.service)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let bounds = &self.bounds;
-        if self.name.is_empty() {
-            return Err(SettingsError::Value("name", "must not be empty"));
+        for (key, name) in [
+            ("name", &self.name),
+            ("domain", &self.domain),
+            ("service", &self.service),
+        ] {
+            if name.is_empty() || name.contains(char::is_control) {
+                let reason = "must not be empty or have control characters";
+                return Err(SettingsError::Value(key, reason));
+            }
         }
         if bounds.key_withdrawal_ms < 1_000 {
             let reason = "must be 1000 or more: proofs of freshness take time";
--- a/crates/sidecar/src/tree.rs
+++ b/crates/sidecar/src/tree.rs
@@ -25,7 +25,7 @@
     let settings = node.settings();
     let members = node.fleet.borrow().members();
     *node.aggregation.tree.borrow_mut() =
-        Tree::new(&settings.name, settings.domain, members.into_iter());
+        Tree::new(&settings.name, settings.domain(), members.into_iter());
 }
 
 /// Whether this node watches the store on behalf of others, as one of the first two of its failure
--- a/crates/types/src/label.rs
+++ b/crates/types/src/label.rs
@@ -4,8 +4,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::stable_hash;
+
 /// The maximum length of a label in bytes.
 const LABEL_BYTES: usize = 31;
+/// The number of digits by which a label tells names apart that are no labels: 64 bits in hexadecimal.
+const DIGEST_DIGITS: usize = 16;
+/// Separates the beginning of a name from its digest.
+const DIGEST_SEPARATOR: char = '~';
+/// Stands in the beginning of a name for bytes that no label has.
+const REPLACEMENT: char = '_';
 
 /// A name of up to 31 printable ASCII bytes without space, comma or quote.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -35,6 +43,26 @@
 impl std::error::Error for InvalidLabel {}
 
 impl Label {
+    /// Returns the label of any name. It is the name itself where that is a label, and otherwise the
+    /// beginning of the name and a digest of all of it, so that all nodes use the same label.
+    #[must_use]
+    pub fn of_name(name: &str) -> Self {
+        name.parse().unwrap_or_else(|_| Self::abbreviated(name))
+    }
+
+    fn abbreviated(name: &str) -> Self {
+        let start_len = LABEL_BYTES - DIGEST_DIGITS - DIGEST_SEPARATOR.len_utf8();
+        let start = name.bytes().take(start_len);
+        let start = start.map(|byte| match byte {
+            byte if is_label_byte(&byte) => char::from(byte),
+            _ => REPLACEMENT,
+        });
+        let start: String = start.collect();
+        let digest = stable_hash(name.bytes());
+        let text = format!("{start}{DIGEST_SEPARATOR}{digest:0DIGEST_DIGITS$x}");
+        text.parse().expect("the abbreviated name is no label")
+    }
+
     /// The label's text.
     #[must_use]
     pub fn as_str(&self) -> &str {
@@ -97,6 +125,12 @@
         pub struct $name(Label);
 
         impl $name {
+            /// Returns the label of any name, as [`Label::of_name`] does.
+            #[must_use]
+            pub fn of_name(name: &str) -> Self {
+                Self(Label::of_name(name))
+            }
+
             /// The name's text.
             #[must_use]
             pub fn as_str(&self) -> &str {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! The logic crates of cassiashunt are pure functions and state machines over these types. Nothing
 //! here reads a clock or a socket; the caller passes in [`Time`].
 
+mod hash;
 mod id;
 mod label;
 mod reason;
@@ -12,6 +13,7 @@
 
 pub mod prelude;
 
+pub use hash::stable_hash;
 pub use id::{ChainId, Epoch, KeyId, NodeId, RequestId, Revision, ShardId};
 pub use label::{Class, FailureDomain, InvalidLabel, Label, Route, Service, Workspace};
 pub use reason::Reason;
