--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -66,6 +66,17 @@
         self.node = Process::start_limited(&args, &self.log, max_files);
     }
 
+    /// Replaces a part of the node's settings file, and tells the node so.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.settings).expect("cannot read the settings");
+        assert!(text.contains(from), "no {from:?} in {text}");
+        std::fs::write(&self.settings, text.replace(from, to)).expect("cannot write the settings");
+        self.node.signal("-HUP");
+        eventually("the settings are reloaded", || {
+            self.log().contains("\"settings-reloaded\"")
+        });
+    }
+
     /// What the node has logged since its last start.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Changes the longest time for which a withdrawn key may be accepted.
+    pub fn set_bound(&mut self, bound: Duration) {
+        self.bound = bound;
+    }
+
     /// Records a proof: a query sent at `asked` was answered with the table in force.
     pub fn prove(&mut self, asked: Time) {
         self.proven = Some(self.proven.map_or(asked, |proven| proven.max(asked)));
--- a/crates/mesh/tests/freshness.rs
+++ b/crates/mesh/tests/freshness.rs
@@ -18,6 +18,15 @@
     assert!(!freshness.holds(Time::from_millis(6_000)));
 }
 
+#[test]
+fn a_changed_bound_applies_to_proofs_from_before() {
+    let mut freshness = Freshness::new(KEY_WITHDRAWAL_BOUND);
+    freshness.prove(Time::from_millis(1_000));
+    freshness.set_bound(Duration::from_millis(2_000));
+    assert!(freshness.holds(Time::from_millis(2_800)));
+    assert!(!freshness.holds(Time::from_millis(3_000)));
+}
+
 #[test]
 fn an_older_proof_does_not_replace_a_newer_one() {
     let mut freshness = Freshness::new(KEY_WITHDRAWAL_BOUND);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -117,7 +117,7 @@
 
 impl Node {
     pub(crate) fn new(settings: Settings, store: Rc<StoreClient>) -> Self {
-        let bound = Duration::from_millis(settings.bounds.key_withdrawal_ms);
+        let bound = settings.bounds.key_withdrawal();
         let domain = settings.domain();
         let ratio = settings.bounds.retry_ratio;
         let window = Duration::from_secs_f64(settings.bounds.retry_window_s);
@@ -177,11 +177,14 @@
     /// Applies changed settings, except the addresses, the store and the name, which need a
     /// restart.
     pub(crate) fn set_settings(&self, settings: Settings) {
-        let bound = self.settings();
+        let started = self.settings();
+        self.freshness
+            .borrow_mut()
+            .set_bound(settings.bounds.key_withdrawal());
         *self.settings.borrow_mut() = Rc::new(Settings {
-            addresses: bound.addresses.clone(),
-            store: bound.store.clone(),
-            name: bound.name.clone(),
+            addresses: started.addresses.clone(),
+            store: started.store.clone(),
+            name: started.name.clone(),
             ..settings
         });
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -70,6 +70,14 @@
     pub retry_window_s: f64,
 }
 
+impl Bounds {
+    /// The longest time for which a withdrawn API key is still accepted.
+    #[must_use]
+    pub fn key_withdrawal(&self) -> Duration {
+        Duration::from_millis(self.key_withdrawal_ms)
+    }
+}
+
 /// Settings that are being read.
 pub(crate) type Reading = oneshot::Receiver<Result<Settings, SettingsError>>;
 
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -139,7 +139,7 @@
 /// one of those that ask the store on behalf of all others.
 fn is_proven_by_peers(node: &Node) -> bool {
     let age = node.freshness.borrow().age(clock::now());
-    let bound = Duration::from_millis(node.settings().bounds.key_withdrawal_ms);
+    let bound = node.settings().bounds.key_withdrawal();
     let max_age = if is_watcher(node) {
         WATCHER_PROOF_MAX_AGE
     } else {
