Take the service of a machine from its settings, not from status reports

Cause: Node::service preferred the last report's service, and no report was compared with the settings; fields that were missing had defaults.

A report of another service or address, or with a field missing, is now answered 400 and logged with what it says. odd_status_reports_... sent a report with an address that was not its server's and expected 200; it states the server's address now, and checks the same.

--- a/cassiashunt/tests/site_names.rs
+++ b/cassiashunt/tests/site_names.rs
@@ -4,7 +4,6 @@
 
 use std::time::{Duration, Instant};
 
-use cassiashunt_standin::site::{Request, Run};
 use serde_json::{Value, json};
 use support::{
     eventually,
@@ -24,13 +23,6 @@
     table
 }
 
-/// The only run of a request.
-fn run_of(site: &Site, request: &Request) -> Run {
-    let runs = site.members.iter().flat_map(|member| member.server.runs());
-    let mut runs = runs.filter(|run| run.attempt == request.attempt);
-    runs.next().expect("the request did not run")
-}
-
 /// Guards against a manifest that is refused as a whole for a long name: the key that it took away was
 /// accepted without end, and the one that it added was refused.
 #[test]
@@ -49,7 +41,12 @@
             assert_eq!(member.status_of(&read("desk")), 401, "the withdrawn key");
             let request = read_with_key("desk", &key);
             assert_eq!(member.status_of(&request), 200);
-            assert_eq!(run_of(&site, &request).header("x-tenant"), Some(name));
+            assert_eq!(
+                site.run_of(&request)
+                    .expect("the request did not run")
+                    .header("x-tenant"),
+                Some(name)
+            );
         }
     }
 }
@@ -64,10 +61,10 @@
     let site = Site::start_with_table("long-service", &[LONG, "desk"], &table);
     let request = read("desk");
     assert_eq!(site.members[0].status_of(&request), 200);
-    let run = run_of(&site, &request);
+    let run = site.run_of(&request).expect("the request did not run");
     assert_eq!(run.header("x-caller-service"), Some(LONG));
     let request = read(LONG);
     assert_eq!(site.members[1].status_of(&request), 200);
-    let run = run_of(&site, &request);
+    let run = site.run_of(&request).expect("the request did not run");
     assert_eq!(run.header("x-caller-service"), Some("desk"));
 }
--- a/cassiashunt/tests/site_noise.rs
+++ b/cassiashunt/tests/site_noise.rs
@@ -116,7 +116,9 @@
     };
     let beat = heartbeat(
         "i-shop-0",
-        &json!({"details": {"service": "shop", "slots": 8}, "status": {"state": "ready", "sequence": 9}}),
+        &json!({"address": member.server.address().to_string(), "born": 1,
+            "details": {"service": "shop", "slots": 8},
+            "status": {"state": "ready", "sequence": 9, "warmup_left_ms": 0}}),
     );
     for (to, valid) in [
         (member.requests, request.encode()),
@@ -266,7 +268,8 @@
         (u64::MAX, 0, 0),
         (u64::from(u32::MAX), 0, 1),
     ] {
-        let body = json!({"details": {"service": "desk", "slots": slots}, "born": born,
+        let body = json!({"address": member.server.address().to_string(), "born": born,
+            "details": {"service": "desk", "slots": slots},
             "status": {"state": "ready", "sequence": 1_000, "warmup_left_ms": warm_up}});
         let beat = heartbeat("i-desk-1", &body);
         let answer = ask(
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -8,9 +8,9 @@
 };
 
 use cassiashunt_standin::site::{
-    self, Addresses, Answer, Door, NodeSettings, Request, Server, Store, ask, open,
+    self, Addresses, Answer, Door, NodeSettings, Request, Run, Server, Store, ask, open,
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::{Folder, Process, eventually, path, stop::GRACE};
 
@@ -45,6 +45,29 @@
         self.ask(request).expect("no answer from the node").status
     }
 
+    /// A status report as the member's server sends it.
+    pub fn report(&self, born: u64, sequence: u64) -> Value {
+        json!({
+            "address": self.server.address().to_string(),
+            "born": born,
+            "details": {"service": self.service, "version": "v1", "zone": "east", "slots": 8},
+            "status": {"state": "ready", "sequence": sequence, "warmup_left_ms": 0},
+        })
+    }
+
+    /// Sends a status report to the node in the name of a server, and returns the status.
+    pub fn send_report(&self, server: &str, report: &Value) -> u16 {
+        let request = Request {
+            method: "POST",
+            target: format!("/-/rpc?call=instances.heartbeat&of={server}"),
+            body: report.to_string().into_bytes(),
+            ..Request::default()
+        };
+        let mut stream = open(self.heartbeats).expect("cannot connect to the node");
+        let answer = ask(&mut stream, &request.encode());
+        answer.expect("no answer from the node").status
+    }
+
     /// Whether the node answers the platform's readiness check with 200.
     pub fn is_ready(&self) -> bool {
         let request = Request {
@@ -250,6 +273,12 @@
         }
     }
 
+    /// The first run of a request, at any server.
+    pub fn run_of(&self, request: &Request) -> Option<Run> {
+        let mut runs = self.members.iter().flat_map(|member| member.server.runs());
+        runs.find(|run| run.attempt == request.attempt)
+    }
+
     /// How often a request ran, summed over all servers.
     pub fn runs_of(&self, request: &Request) -> usize {
         let runs = self.members.iter().flat_map(|member| member.server.runs());
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -4,6 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use cassiashunt_adapter::{Command, HEALTH_PATH, HEARTBEAT_ANSWER, READY_PATH, decode_command};
+use cassiashunt_mesh::Heartbeat;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -86,23 +87,33 @@
 
 fn heartbeat(node: &Rc<Node>, head: &RequestHead, body: &[u8]) -> (u16, String) {
     match decode_command(&head.method, &head.target, body) {
-        Some(Command::Heartbeat(beat)) => {
-            node.owner.on_heartbeat(node, &beat);
-            (200, HEARTBEAT_ANSWER.into())
-        }
+        Some(Command::Heartbeat(beat)) => on_heartbeat(node, &beat),
         Some(Command::Leave(server)) => {
             log::info!(server:% = server; "server-leaves");
             node.owner.on_leave(node, &server);
             (200, HEARTBEAT_ANSWER.into())
         }
-        Some(Command::Unreadable(reason)) => {
-            log::warn!(reason:% = reason; "heartbeat-unreadable");
+        Some(Command::Unreadable(server, reason)) => {
+            log::warn!(server:% = server, reason:% = reason; "heartbeat-unreadable");
             (400, String::new())
         }
         None => (404, String::new()),
     }
 }
 
+/// Handles a heartbeat. One that another server sent is not acknowledged.
+fn on_heartbeat(node: &Rc<Node>, beat: &Heartbeat) -> (u16, String) {
+    let settings = node.settings();
+    if let Err(foreign) = beat.check_origin(settings.service(), settings.addresses.server) {
+        log::warn!(server:% = beat.server, service:% = beat.service, address:% = beat.address,
+            born = beat.started_ms, sequence = beat.sequence, reason:% = foreign.reason();
+            "heartbeat-refused");
+        return (400, String::new());
+    }
+    node.owner.on_heartbeat(node, beat);
+    (200, HEARTBEAT_ANSWER.into())
+}
+
 /// Serves the metrics as text, one answer per connection.
 pub(crate) async fn serve_metrics(
     node: Rc<Node>,
@@ -136,7 +147,7 @@
 /// for the next heartbeat.
 pub(crate) async fn probe_server(node: Rc<Node>) {
     for _ in 0..MAX_PROBES {
-        if node.owner.service().is_some() {
+        if node.owner.has_server() {
             return;
         }
         match timeout(PROBE_TIMEOUT, probe(&node)).await {
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -348,9 +348,9 @@
                 .any(|it| name.eq_ignore_ascii_case(it))
     };
     let kept = headers.into_iter().filter(|(name, _)| is_kept(name));
-    let caller = node.service_name();
+    let settings = node.settings();
     let from = RequestSource {
-        caller: &caller,
+        caller: &settings.service,
         workspace: workspace.map(|row| row.full_name.as_str()),
     };
     let prepared = forwarded_headers(kept, from).into_iter();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -323,19 +323,9 @@
             .is_proven_by_peers_only(crate::clock::now(), last_answer)
     }
 
-    /// The service of the backend server: as reported by the server, or else from the settings.
+    /// The service of the backend server.
     pub(crate) fn service(&self) -> Service {
-        self.owner.service().unwrap_or(self.settings().service())
-    }
-
-    /// The full name of that service.
-    pub(crate) fn service_name(&self) -> String {
-        let (service, settings) = (self.service(), self.settings());
-        if service == settings.service() {
-            settings.service.clone()
-        } else {
-            service.as_str().into()
-        }
+        self.settings().service()
     }
 
     /// The load report of this node's owner.
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -123,12 +123,9 @@
         }
     }
 
-    pub(crate) fn service(&self) -> Option<Service> {
-        self.inner
-            .borrow()
-            .server
-            .as_ref()
-            .map(|server| server.service)
+    /// Whether a start of the backend server is known.
+    pub(crate) fn has_server(&self) -> bool {
+        self.inner.borrow().server.is_some()
     }
 
     pub(crate) fn slots(&self) -> u32 {
@@ -285,8 +282,7 @@
         if self.inner.borrow().server.is_some() {
             return;
         }
-        let service = node.settings().service();
-        self.replace(node, Server::from_probe(id, service, slots, now));
+        self.replace(node, Server::from_probe(id, slots, now));
     }
 
     /// Handles a heartbeat of the server.
@@ -299,8 +295,8 @@
         };
         match change {
             HeartbeatChange::Stale => {
-                log::info!(server:% = heartbeat.server, sequence = heartbeat.sequence;
-                    "heartbeat-stale")
+                log::info!(server:% = heartbeat.server, born = heartbeat.started_ms,
+                    sequence = heartbeat.sequence, known:? = self.server_id(); "heartbeat-stale")
             }
             HeartbeatChange::Restart => self.replace(node, Server::from_heartbeat(heartbeat, now)),
             HeartbeatChange::None | HeartbeatChange::State => self.refresh(node, heartbeat, change),
@@ -362,8 +358,7 @@
         if self.inner.borrow().departed.as_ref() == Some(&server.id) {
             server.state = ServerState::Draining;
         }
-        log::info!(server:% = server.id, service:% = server.service, slots = server.slots,
-            state:? = server.state; "server-seen");
+        log::info!(server:% = server.id, slots = server.slots, state:? = server.state; "server-seen");
         self.pool.clear();
         self.on_server_crash(node);
         let refusals = self.inner.borrow_mut().admission.drain();
@@ -501,10 +496,10 @@
 
     /// The reason to refuse a request before admission; `None` to go on.
     fn refusal_reason(&self, node: &Node, request: &WorkRequest) -> Option<Reason> {
-        let server = self.server.as_ref()?;
+        self.server.as_ref()?;
         if node.is_stopping() {
             Some(Reason::Draining)
-        } else if self.is_down || server.service.as_str() != request.service {
+        } else if self.is_down || node.service().as_str() != request.service {
             Some(Reason::NoServer)
         } else {
             None
--- a/crates/sidecar/src/owner/server.rs
+++ b/crates/sidecar/src/owner/server.rs
@@ -10,7 +10,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Server {
     pub(crate) id: String,
-    pub(crate) service: Service,
     pub(crate) slots: u32,
     pub(crate) state: ServerState,
     pub(crate) warm_at: Time,
@@ -25,7 +24,7 @@
     None,
     /// Nothing: it is older than the known state.
     Stale,
-    /// The state, slots or service of the same start.
+    /// The state or slots of the same start.
     State,
     /// Another start of the server.
     Restart,
@@ -33,10 +32,9 @@
 
 impl Server {
     /// The state of a server that answered a probe.
-    pub(crate) fn from_probe(id: String, service: Service, slots: Option<u32>, now: Time) -> Self {
+    pub(crate) fn from_probe(id: String, slots: Option<u32>, now: Time) -> Self {
         Self {
             id,
-            service,
             slots: slots.unwrap_or(DEFAULT_SLOTS),
             state: ServerState::Ready,
             warm_at: now,
@@ -49,7 +47,6 @@
     pub(crate) fn from_heartbeat(heartbeat: &Heartbeat, now: Time) -> Self {
         Self {
             id: heartbeat.server.clone(),
-            service: heartbeat.service,
             slots: if heartbeat.slots == 0 {
                 DEFAULT_SLOTS
             } else {
@@ -57,7 +54,7 @@
             },
             state: heartbeat.state,
             warm_at: now + heartbeat.warm_up,
-            started_ms: heartbeat.started_ms,
+            started_ms: Some(heartbeat.started_ms),
             sequence: heartbeat.sequence,
         }
     }
@@ -65,9 +62,10 @@
     /// What a heartbeat changes. Starts are ordered by their start time, and the heartbeats of one
     /// start by their sequence number; a draining server never becomes ready again.
     pub(crate) fn compare(&self, heartbeat: &Heartbeat) -> HeartbeatChange {
-        match (self.started_ms, heartbeat.started_ms) {
-            (Some(known), Some(announced)) if announced < known => return HeartbeatChange::Stale,
-            (Some(known), Some(announced)) if announced > known => return HeartbeatChange::Restart,
+        let announced = heartbeat.started_ms;
+        match self.started_ms {
+            Some(known) if announced < known => return HeartbeatChange::Stale,
+            Some(known) if announced > known => return HeartbeatChange::Restart,
             _ if self.id != heartbeat.server => return HeartbeatChange::Restart,
             _ => {}
         }
@@ -75,8 +73,7 @@
             return HeartbeatChange::Stale;
         }
         let is_same = self.state == heartbeat.state && self.slots == heartbeat.slots;
-        let is_known = is_same && self.service == heartbeat.service;
-        if is_known || self.state == ServerState::Draining {
+        if is_same || self.state == ServerState::Draining {
             HeartbeatChange::None
         } else {
             HeartbeatChange::State
@@ -86,11 +83,10 @@
     /// Applies a heartbeat of the same start.
     pub(crate) fn apply(&mut self, heartbeat: &Heartbeat, now: Time) {
         self.sequence = self.sequence.max(heartbeat.sequence);
-        self.started_ms = self.started_ms.or(heartbeat.started_ms);
+        self.started_ms = Some(heartbeat.started_ms);
         if heartbeat.slots > 0 {
             self.slots = heartbeat.slots;
         }
-        self.service = heartbeat.service;
         self.warm_at = now + heartbeat.warm_up;
         if self.state != ServerState::Draining {
             self.state = heartbeat.state;
--- a/crates/sidecar/src/store/announce.rs
+++ b/crates/sidecar/src/store/announce.rs
@@ -75,7 +75,7 @@
 
 /// Waits for the server's first heartbeat, so that the entry need not be written twice.
 async fn wait_for_first_heartbeat(node: &Node) {
-    if node.owner.service().is_none() {
+    if !node.owner.has_server() {
         // The next step is the same whether notified or timed out.
         let _ = timeout(FIRST_HEARTBEAT_TIMEOUT, node.announce.notified()).await;
     }
