Match status reports to the start of the server that they speak of

Callers saw: 503 for good after the only server of a service left and started again under its id; requests at a server that had left, once its node was restarted and a late report arrived; 503 after a node's restart where a report of an ended start or of another writer came before the server's own.

Cause, one for the three: which start a report speaks of was decided by its id alone wherever born was not known. A leave was kept for the id, and any first report after a node's start counted as the current one.

Ruled out: judging born by the node's clock, which may step.

--- a/cassiashunt/tests/site_foreign_reports.rs
+++ b/cassiashunt/tests/site_foreign_reports.rs
@@ -2,24 +2,16 @@
 
 mod support;
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use serde_json::{Value, json};
 use support::{
     eventually,
-    site::{Member, Site, read},
+    site::{Member, Site, read, unix_ms},
 };
 
 const SERVICES: [&str; 2] = ["shop", "desk"];
 /// The id of a server that is not beside any node.
 const OTHER_SERVER: &str = "i-other";
 
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let elapsed = elapsed.expect("the clock is before 1970");
-    u64::try_from(elapsed.as_millis()).expect("the clock is far after 1970")
-}
-
 /// Reports that cannot be of the member's server: id and body.
 fn foreign_reports(member: &Member) -> Vec<(String, Value)> {
     let own = member.server.id.clone();
--- /dev/null
+++ b/cassiashunt/tests/site_server_starts.rs
@@ -0,0 +1,109 @@
+//! Backend servers that leave and come back, and late reports of starts that have ended.
+
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use support::{
+    eventually,
+    site::{Member, Site, read, unix_ms},
+};
+
+const OTHER_SERVER: &str = "i-other";
+/// The first sequence that no report of the member's server had before.
+const NEXT_SEQUENCE: u64 = 1_000;
+
+/// Kills the node and starts it again, while its server answers no probes if it is `silent`.
+fn restart_node(member: &mut Member, silent: bool) {
+    member.server.set_silent(silent);
+    member.node.kill();
+    member.restart();
+    let heartbeats = member.heartbeats;
+    eventually("the node listens", || support::listens(heartbeats));
+}
+
+/// Asserts that the member's server runs requests, although it is the only one of its service.
+fn assert_used(site: &Site, member: &Member, what: &str) {
+    eventually(what, || site.members[0].status_of(&read("desk")) == 200);
+    let request = read("desk");
+    assert_eq!(member.status_of(&request), 200, "{what}");
+}
+
+/// Guards against a report of an earlier start, or of another writer, that takes the place of the server
+/// at a node that has started again and has not heard from its server yet.
+#[test]
+fn a_late_report_after_a_restart_of_the_node_does_not_replace_the_server() {
+    let mut site = Site::start("late-report", &["shop", "desk"]);
+    restart_node(&mut site.members[1], false);
+    assert_used(&site, &site.members[1], "the server is identified");
+    let member = &site.members[1];
+    for born in [0, 1, 2, unix_ms()] {
+        let status = member.send_report(OTHER_SERVER, &member.report(born, NEXT_SEQUENCE));
+        assert_eq!(status, 200);
+        let until = Instant::now() + Duration::from_secs(1);
+        while Instant::now() < until {
+            let status = site.members[0].status_of(&read("desk"));
+            assert_eq!(status, 200, "born {born}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+/// Guards against a report from before a server's leave that makes a restarted node use the server again.
+#[test]
+fn a_report_from_before_the_leave_does_not_bring_the_server_back_after_a_restart_of_the_node() {
+    let mut site = Site::start("report-before-leave", &["shop", "desk", "desk"]);
+    let leaving = &mut site.members[1];
+    let answer = leaving.server.leave(leaving.heartbeats);
+    assert_eq!(answer.expect("no answer from the node"), 200);
+    restart_node(leaving, true);
+    let leaving = &site.members[1];
+    let late = leaving.report(1, NEXT_SEQUENCE);
+    assert_eq!(leaving.send_report(&leaving.server.id, &late), 200);
+    let before = leaving.server.runs().len();
+    let until = Instant::now() + Duration::from_secs(4);
+    let mut served = 0;
+    while Instant::now() < until {
+        // On a busy machine a request may be shed with a retry-after delay.
+        let status = site.members[0].status_of(&read("desk"));
+        assert!(matches!(status, 200 | 503), "{status}");
+        served += usize::from(status == 200);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(served > 0, "the other server served no request");
+    assert_eq!(leaving.server.runs().len(), before);
+}
+
+/// A server that does not answer probes is used once it has reported twice.
+#[test]
+fn a_silent_server_is_used_after_a_restart_of_its_node() {
+    let mut site = Site::start("silent-server", &["shop", "desk"]);
+    restart_node(&mut site.members[1], true);
+    let member = &site.members[1];
+    for sequence in NEXT_SEQUENCE..NEXT_SEQUENCE + 2 {
+        let status = member.send_report(&member.server.id, &member.report(1, sequence));
+        assert_eq!(status, 200);
+    }
+    assert_used(&site, member, "the server has reported twice");
+}
+
+/// Guards against a node that never uses a server again that left and started again under its id.
+#[test]
+fn a_server_that_left_and_started_again_under_its_id_is_used_again() {
+    let site = Site::start("left-and-back", &["shop", "desk"]);
+    let member = &site.members[1];
+    let answer = member.server.leave(member.heartbeats);
+    assert_eq!(answer.expect("no answer from the node"), 200);
+    assert_ne!(site.members[0].status_of(&read("desk")), 200);
+    let started = member.report(unix_ms(), 1);
+    assert_eq!(member.send_report(&member.server.id, &started), 200);
+    assert_used(&site, member, "the server is used again");
+    assert_eq!(
+        member.send_report(&member.server.id, &member.report(1, 9)),
+        200
+    );
+    assert_used(&site, member, "a late report of the start that left");
+}
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -4,7 +4,7 @@
     io,
     net::{SocketAddr, TcpStream},
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use cassiashunt_standin::site::{
@@ -286,6 +286,13 @@
     }
 }
 
+/// The wall clock in Unix milliseconds.
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let elapsed = elapsed.expect("the clock is before 1970");
+    u64::try_from(elapsed.as_millis()).expect("the clock is too late")
+}
+
 /// An idempotent request to a service, to a random path.
 pub fn read(service: &str) -> Request {
     Request {
--- /dev/null
+++ b/crates/mesh/src/server_starts.rs
@@ -0,0 +1,235 @@
+//! Which start of the backend server a report speaks of.
+//!
+//! Reports may arrive seconds late, from starts that have ended, or from other writers. A start that is
+//! not known yet is therefore used only once the server itself has named its id, or where the server
+//! does not answer, once it has reported twice while the known start was silent.
+
+use std::collections::VecDeque;
+
+use crate::Heartbeat;
+
+/// The maximum number of unconfirmed starts, and of departed ones, that are remembered.
+const MAX_REMEMBERED: usize = 8;
+
+/// What a report of the backend server means.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReportOutcome {
+    /// It is the newest report of the current start.
+    Current,
+    /// It is older than what is known, or of a start that has announced that it leaves.
+    Stale,
+    /// Its start is the current one from now on.
+    Started,
+    /// Its start is not known. The server is to be asked for its id.
+    Unconfirmed,
+}
+
+/// What the id that the server named means.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The current start still runs.
+    Current,
+    /// Another start is the current one from now on: its last report, if it has sent one.
+    Started(Option<Heartbeat>),
+}
+
+#[derive(Debug, Clone)]
+struct Current {
+    id: String,
+    /// When it started, in Unix milliseconds; `None` before its first report.
+    started_ms: Option<u64>,
+    /// Of the last report; zero before the first.
+    sequence: u64,
+}
+
+/// A start whose report the server has not confirmed.
+#[derive(Debug, Clone)]
+struct Candidate {
+    report: Heartbeat,
+    /// The number of the probe that can confirm it: it was not sent before the report arrived.
+    probe: u64,
+}
+
+/// Starts under an id that have announced that they leave.
+#[derive(Debug, Clone)]
+struct Departed {
+    id: String,
+    /// The last of them started at this time at the latest, in Unix milliseconds.
+    started_until_ms: u64,
+}
+
+/// The starts of the backend server that a node knows.
+#[derive(Debug, Clone, Default)]
+pub struct ServerStarts {
+    current: Option<Current>,
+    candidates: VecDeque<Candidate>,
+    departed: VecDeque<Departed>,
+    probes_sent: u64,
+    /// The server rejected a request because another start than the current one has its address.
+    is_replaced: bool,
+}
+
+impl ServerStarts {
+    /// Handles a report whose origin was checked.
+    pub fn on_report(&mut self, report: &Heartbeat) -> ReportOutcome {
+        if self.is_departed(&report.server, Some(report.started_ms)) {
+            return self.on_departed_report(report);
+        }
+        let is_leaving = self.is_leaving();
+        match &mut self.current {
+            Some(current) if current.id == report.server => {
+                let is_later = current.started_ms.is_some_and(|it| report.started_ms > it);
+                if is_later || is_leaving {
+                    self.begin(report);
+                    return ReportOutcome::Started;
+                }
+                let outcome = current.on_report(report);
+                if outcome == ReportOutcome::Current {
+                    // Only one start has the server's address at a time.
+                    self.candidates.clear();
+                }
+                outcome
+            }
+            Some(current) if current.started_ms.is_some_and(|it| report.started_ms <= it) => {
+                ReportOutcome::Stale
+            }
+            _ => self.on_unknown(report),
+        }
+    }
+
+    /// Handles the announcement that the server with this id leaves, at `unix_ms`. Returns whether it is
+    /// the current start.
+    pub fn on_leave(&mut self, id: &str, unix_ms: u64) -> bool {
+        let current = self.current.as_ref().filter(|it| it.id == id);
+        let is_current = current.is_some();
+        let started_ms = current.and_then(|it| it.started_ms);
+        self.candidates.retain(|it| it.report.server != id);
+        self.departed.retain(|it| it.id != id);
+        push_bounded(
+            &mut self.departed,
+            Departed {
+                id: id.to_owned(),
+                started_until_ms: started_ms.unwrap_or(unix_ms),
+            },
+        );
+        is_current
+    }
+
+    /// Records that the server rejected a request since another start has its address.
+    pub fn on_misdirected(&mut self) {
+        self.is_replaced = true;
+    }
+
+    /// Returns whether the server is to be asked for its id.
+    #[must_use]
+    pub fn needs_probe(&self) -> bool {
+        self.current.is_none() || self.is_replaced || !self.candidates.is_empty()
+    }
+
+    /// Records that a probe is being sent. Returns its number.
+    pub fn on_probe_sent(&mut self) -> u64 {
+        self.probes_sent += 1;
+        self.probes_sent
+    }
+
+    /// Handles the id with which the server answered a probe.
+    pub fn on_probed(&mut self, probe: u64, id: &str) -> ProbeOutcome {
+        self.is_replaced = false;
+        let is_current = self.current.as_ref().is_some_and(|it| it.id == id);
+        let found = self.candidates.iter().rfind(|it| it.report.server == id);
+        let report = found.map(|it| it.report.clone());
+        self.candidates.retain(|it| it.probe > probe);
+        if is_current {
+            return ProbeOutcome::Current;
+        }
+        match &report {
+            Some(report) => self.begin(report),
+            None => {
+                self.current = Some(Current {
+                    id: id.to_owned(),
+                    started_ms: None,
+                    sequence: 0,
+                });
+            }
+        }
+        ProbeOutcome::Started(report)
+    }
+
+    /// Returns whether the current start has announced that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|it| self.is_departed(&it.id, it.started_ms))
+    }
+
+    /// A departed start may go on reporting until it ends.
+    fn on_departed_report(&mut self, report: &Heartbeat) -> ReportOutcome {
+        match &mut self.current {
+            Some(current) if current.id == report.server => current.on_report(report),
+            _ => ReportOutcome::Stale,
+        }
+    }
+
+    fn on_unknown(&mut self, report: &Heartbeat) -> ReportOutcome {
+        let is_same = |it: &Candidate| {
+            it.report.server == report.server && it.report.started_ms == report.started_ms
+        };
+        let known = self.candidates.iter().position(is_same);
+        let earlier = known.and_then(|at| self.candidates.remove(at));
+        if let Some(earlier) = earlier {
+            if report.sequence > earlier.report.sequence {
+                self.begin(report);
+                return ReportOutcome::Started;
+            }
+            push_bounded(&mut self.candidates, earlier);
+            return ReportOutcome::Stale;
+        }
+        push_bounded(
+            &mut self.candidates,
+            Candidate {
+                report: report.clone(),
+                probe: self.probes_sent + 1,
+            },
+        );
+        ReportOutcome::Unconfirmed
+    }
+
+    fn begin(&mut self, report: &Heartbeat) {
+        self.candidates.clear();
+        self.is_replaced = false;
+        self.current = Some(Current {
+            id: report.server.clone(),
+            started_ms: Some(report.started_ms),
+            sequence: report.sequence,
+        });
+    }
+
+    /// Whether a start has announced that it leaves. One that is known by a probe only counts as the
+    /// departed one of its id.
+    fn is_departed(&self, id: &str, started_ms: Option<u64>) -> bool {
+        let departed = self.departed.iter().find(|it| it.id == id);
+        departed.is_some_and(|it| started_ms.is_none_or(|started| started <= it.started_until_ms))
+    }
+}
+
+impl Current {
+    /// Handles a report of this start, or of an earlier one under the same id.
+    fn on_report(&mut self, report: &Heartbeat) -> ReportOutcome {
+        let is_earlier_start = self.started_ms.is_some_and(|it| report.started_ms < it);
+        let is_repeated = self.sequence > 0 && report.sequence <= self.sequence;
+        if is_earlier_start || is_repeated {
+            return ReportOutcome::Stale;
+        }
+        self.started_ms = Some(report.started_ms);
+        self.sequence = report.sequence;
+        ReportOutcome::Current
+    }
+}
+
+/// Appends an item, and drops the oldest one where there are too many.
+fn push_bounded<T>(items: &mut VecDeque<T>, item: T) {
+    if items.len() == MAX_REMEMBERED {
+        items.pop_front();
+    }
+    items.push_back(item);
+}
--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -1,5 +1,7 @@
 //! The node's clock.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use cassiashunt_types::prelude::*;
 use rustix::time::{ClockId, clock_gettime};
 
@@ -12,6 +14,13 @@
     Time::from_micros(seconds * 1_000_000 + micros)
 }
 
+/// The wall clock in Unix milliseconds, by which backend servers state when they started.
+pub(crate) fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    // A clock before 1970 counts as that time.
+    millis(elapsed.unwrap_or_default())
+}
+
 /// A span in whole microseconds, for messages.
 pub(crate) fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cassiashunt_adapter::{Command, HEALTH_PATH, HEARTBEAT_ANSWER, READY_PATH, decode_command};
+use cassiashunt_adapter::{Command, HEARTBEAT_ANSWER, READY_PATH, decode_command};
 use cassiashunt_mesh::Heartbeat;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
@@ -22,13 +22,6 @@
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// How long a connection may be idle or a call incomplete.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// The time between two probes of a server that has sent no heartbeat yet.
-const PROBE_INTERVAL: Duration = Duration::from_millis(400);
-/// The most probes of a server that has sent no heartbeat yet; heartbeats are sent every 1.5 s.
-const MAX_PROBES: u32 = 4;
-/// How long a probe may take.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// What a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Endpoint {
@@ -142,32 +135,3 @@
         connection.finish().await;
     }
 }
-
-/// Probes the server for its id, so that a node that starts beside a running server need not wait
-/// for the next heartbeat.
-pub(crate) async fn probe_server(node: Rc<Node>) {
-    for _ in 0..MAX_PROBES {
-        if node.owner.has_server() {
-            return;
-        }
-        match timeout(PROBE_TIMEOUT, probe(&node)).await {
-            Ok(Some(())) => return,
-            Ok(None) | Err(_) => tokio::time::sleep(PROBE_INTERVAL).await,
-        }
-    }
-}
-
-async fn probe(node: &Rc<Node>) -> Option<()> {
-    let address = node.settings().addresses.server;
-    let stream = TcpStream::connect(address).await.ok()?;
-    let mut connection = Connection::new(stream);
-    let request =
-        format!("GET {HEALTH_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    let exchanged = connection.exchange_head(request.as_bytes(), "GET").await;
-    let (head, _) = exchanged.ok()?;
-    let response_headers = cassiashunt_adapter::read_response_headers(head.pairs());
-    let server = response_headers.server.filter(|_| head.status == 200)?;
-    log::info!(server:% = server, slots:? = response_headers.slots; "server-probed");
-    node.owner.on_probed(node, server, response_headers.slots);
-    Some(())
-}
--- /dev/null
+++ b/crates/sidecar/src/owner/identify.rs
@@ -0,0 +1,64 @@
+//! Asks the backend server for its id where a node does not know which start it is beside.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use cassiashunt_adapter::{HEALTH_PATH, ResponseHeaders, read_response_headers};
+use cassiashunt_types::prelude::*;
+use tokio::{net::TcpStream, time::timeout};
+
+use super::Owner;
+use crate::{http::Connection, node::Node};
+
+/// The time between two probes of a server.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// The most probes in a row. Servers send a heartbeat every 1.5 s, which begins the next ones.
+const MAX_PROBES: u32 = 4;
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+impl Owner {
+    /// Asks the server for its id as long as that is in doubt, a few times at most.
+    pub(crate) fn identify(&self, node: &Rc<Node>) {
+        if self.is_identifying.replace(true) {
+            return;
+        }
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            for _ in 0..MAX_PROBES {
+                if !node.owner.needs_probe() {
+                    break;
+                }
+                probe(&node).await;
+                tokio::time::sleep(PROBE_INTERVAL).await;
+            }
+            node.owner.is_identifying.set(false);
+        });
+    }
+
+    fn needs_probe(&self) -> bool {
+        self.inner.borrow().starts.needs_probe()
+    }
+}
+
+async fn probe(node: &Rc<Node>) {
+    let number = node.owner.inner.borrow_mut().starts.on_probe_sent();
+    let address = node.settings().addresses.server;
+    let Ok(Some(headers)) = timeout(PROBE_TIMEOUT, ask_health(address)).await else {
+        return;
+    };
+    if let Some(server) = headers.server {
+        log::info!(server:% = server, slots:? = headers.slots; "server-probed");
+        node.owner.on_probed(node, number, server, headers.slots);
+    }
+}
+
+/// The headers of a server's answer that it is healthy.
+async fn ask_health(address: SocketAddr) -> Option<ResponseHeaders> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let mut connection = Connection::new(stream);
+    let request =
+        format!("GET {HEALTH_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let exchanged = connection.exchange_head(request.as_bytes(), "GET").await;
+    let (head, _) = exchanged.ok()?;
+    (head.status == 200).then(|| read_response_headers(head.pairs()))
+}
--- a/crates/sidecar/src/owner/mod.rs
+++ b/crates/sidecar/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod exchange;
+mod identify;
 mod pool;
 mod requests;
 mod run;
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -8,7 +8,7 @@
 
 use cassiashunt_adapter::parent_attempt;
 use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Usage, chain::RouteUse};
-use cassiashunt_mesh::prelude::*;
+use cassiashunt_mesh::{ProbeOutcome, ReportOutcome, ServerStarts, prelude::*};
 use cassiashunt_route::{FailureRate, OwnerReport};
 use cassiashunt_suspect::{Decision, InFlight};
 use cassiashunt_types::prelude::*;
@@ -17,7 +17,7 @@
 use super::{
     pool::Pool,
     run::{Delivery, OutcomeSender, RunEnd, run},
-    server::{HeartbeatChange, Server},
+    server::Server,
 };
 use crate::{
     clock,
@@ -72,13 +72,14 @@
     pub(super) inner: RefCell<Inner>,
     /// Whether a check of the server is pending after a lost answer.
     pub(super) is_checking: Cell<bool>,
+    /// Whether the server is being asked for its id.
+    pub(super) is_identifying: Cell<bool>,
     pub(super) pool: Pool,
 }
 
 pub(super) struct Inner {
     server: Option<Server>,
-    /// The id of the server that last announced that it leaves; this node may not have seen it.
-    departed: Option<String>,
+    pub(super) starts: ServerStarts,
     /// The server refuses connections; reset by the next heartbeat.
     pub(super) is_down: bool,
     admission: Admission,
@@ -107,7 +108,7 @@
         Self {
             inner: RefCell::new(Inner {
                 server: None,
-                departed: None,
+                starts: ServerStarts::default(),
                 is_down: false,
                 admission: Admission::new(now, options(0, Duration::ZERO)),
                 requests: HashMap::new(),
@@ -119,6 +120,7 @@
                 running: HashMap::new(),
             }),
             is_checking: Cell::new(false),
+            is_identifying: Cell::new(false),
             pool: Pool::default(),
         }
     }
@@ -276,30 +278,37 @@
         self.apply(node, actions);
     }
 
-    /// Handles a server's answer to a probe, unless a heartbeat has arrived meanwhile.
-    pub(crate) fn on_probed(&self, node: &Rc<Node>, id: String, slots: Option<u32>) {
+    /// Handles the id with which the server answered a probe.
+    pub(super) fn on_probed(&self, node: &Rc<Node>, probe: u64, id: String, slots: Option<u32>) {
         let now = clock::now();
-        if self.inner.borrow().server.is_some() {
-            return;
+        let outcome = self.inner.borrow_mut().starts.on_probed(probe, &id);
+        match outcome {
+            ProbeOutcome::Current => {}
+            ProbeOutcome::Started(Some(heartbeat)) => {
+                self.replace(node, Server::from_heartbeat(&heartbeat, now));
+            }
+            ProbeOutcome::Started(None) => self.replace(node, Server::from_probe(id, slots, now)),
         }
-        self.replace(node, Server::from_probe(id, slots, now));
     }
 
     /// Handles a heartbeat of the server.
     pub(crate) fn on_heartbeat(&self, node: &Rc<Node>, heartbeat: &Heartbeat) {
-        let now = clock::now();
-        let change = {
-            let inner = self.inner.borrow();
-            let known = inner.server.as_ref();
-            known.map_or(HeartbeatChange::Restart, |server| server.compare(heartbeat))
-        };
-        match change {
-            HeartbeatChange::Stale => {
-                log::info!(server:% = heartbeat.server, born = heartbeat.started_ms,
-                    sequence = heartbeat.sequence, known:? = self.server_id(); "heartbeat-stale")
+        let outcome = self.inner.borrow_mut().starts.on_report(heartbeat);
+        let (server, born) = (&heartbeat.server, heartbeat.started_ms);
+        match outcome {
+            ReportOutcome::Current => self.refresh(node, heartbeat),
+            ReportOutcome::Started => {
+                self.replace(node, Server::from_heartbeat(heartbeat, clock::now()));
+            }
+            ReportOutcome::Stale => {
+                log::info!(server:% = server, born = born, sequence = heartbeat.sequence,
+                    known:? = self.server_id(); "heartbeat-stale");
+            }
+            ReportOutcome::Unconfirmed => {
+                log::info!(server:% = server, born = born, sequence = heartbeat.sequence,
+                    known:? = self.server_id(); "heartbeat-unconfirmed");
+                self.identify(node);
             }
-            HeartbeatChange::Restart => self.replace(node, Server::from_heartbeat(heartbeat, now)),
-            HeartbeatChange::None | HeartbeatChange::State => self.refresh(node, heartbeat, change),
         }
     }
 
@@ -307,11 +316,11 @@
     pub(crate) fn on_leave(&self, node: &Rc<Node>, id: &str) {
         let is_ours = {
             let mut inner = self.inner.borrow_mut();
-            inner.departed = Some(id.to_owned());
-            let server = inner.server.as_mut().filter(|server| server.id == id);
-            server
-                .map(|server| server.state = ServerState::Draining)
-                .is_some()
+            let is_ours = inner.starts.on_leave(id, clock::unix_ms());
+            if let Some(server) = inner.server.as_mut().filter(|_| is_ours) {
+                server.state = ServerState::Draining;
+            }
+            is_ours
         };
         if is_ours {
             self.drain(node);
@@ -331,23 +340,25 @@
         inner.server.as_ref().map(|server| server.id.clone())
     }
 
-    fn refresh(&self, node: &Rc<Node>, heartbeat: &Heartbeat, change: HeartbeatChange) {
+    fn refresh(&self, node: &Rc<Node>, heartbeat: &Heartbeat) {
         let now = clock::now();
-        let (was_down, is_draining, actions) = {
+        let (was_down, is_changed, is_draining, actions) = {
             let mut inner = self.inner.borrow_mut();
             let was_down = std::mem::take(&mut inner.is_down);
             let Some(server) = inner.server.as_mut() else {
                 return;
             };
+            let is_changed = server.is_changed_by(heartbeat);
             server.apply(heartbeat, now);
             let (slots, state) = (server.slots, server.state);
             let actions = inner.admission.set_slots(now, usable_slots(slots));
-            (was_down, state == ServerState::Draining, actions)
+            let is_draining = state == ServerState::Draining;
+            (was_down, is_changed, is_draining, actions)
         };
         self.apply(node, actions);
-        if change == HeartbeatChange::State && is_draining {
+        if is_changed && is_draining {
             self.drain(node);
-        } else if was_down || change == HeartbeatChange::State {
+        } else if was_down || is_changed {
             node.on_server_changed();
         }
     }
@@ -355,7 +366,7 @@
     /// Replaces the known server by another start of it.
     fn replace(&self, node: &Rc<Node>, mut server: Server) {
         let now = clock::now();
-        if self.inner.borrow().departed.as_ref() == Some(&server.id) {
+        if self.inner.borrow().starts.is_leaving() {
             server.state = ServerState::Draining;
         }
         log::info!(server:% = server.id, slots = server.slots, state:? = server.state; "server-seen");
@@ -458,7 +469,11 @@
         match end.delivery {
             Delivery::NotSent { is_refused } => self.on_down(node, is_refused),
             Delivery::Unanswered => self.check_server(node),
-            Delivery::Replaced => self.on_server_crash(node),
+            Delivery::Replaced => {
+                self.inner.borrow_mut().starts.on_misdirected();
+                self.on_server_crash(node);
+                self.identify(node);
+            }
             Delivery::Answered | Delivery::Responded => {}
         }
     }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -91,7 +91,6 @@
             heartbeats,
             Endpoint::Heartbeats,
         )),
-        Box::pin(endpoints::probe_server(Rc::clone(&node))),
         Box::pin(store::follow_config(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::prove_config(Rc::clone(&node), Rc::clone(&store))),
         Box::pin(store::ask_proofs(Rc::clone(&node))),
@@ -109,6 +108,8 @@
     for task in tasks {
         spawn(task);
     }
+    // A node that starts beside a running server need not wait for the next heartbeat.
+    node.owner.identify(&node);
     if let Some(address) = addresses.metrics {
         let listener = listen(address).await?;
         spawn(Box::pin(endpoints::serve_metrics(
