--- a/crates/mesh/tests/server_starts.rs
+++ b/crates/mesh/tests/server_starts.rs
@@ -8,6 +8,14 @@
 
 use ReportOutcome::{Current, Stale, Started, Unconfirmed};
 
+/// What the case is, what is known, the report's id, start and sequence, and what it means.
+type Case = (
+    &'static str,
+    fn() -> ServerStarts,
+    (&'static str, u64, u64),
+    ReportOutcome,
+);
+
 fn report(server: &str, started_ms: u64, sequence: u64) -> Heartbeat {
     Heartbeat {
         server: server.into(),
@@ -59,8 +67,7 @@
 /// against starts that are never used.
 #[test]
 fn a_report_is_matched_to_a_start() {
-    type Known = fn() -> ServerStarts;
-    let cases: &[(&str, Known, (&str, u64, u64), ReportOutcome)] = &[
+    let cases: &[Case] = &[
         ("first of any", unknown, ("own", 50, 1), Unconfirmed),
         ("first after a probe", probed, ("own", 50, 1), Current),
         (
