--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use cassiashunt_adapter::{
-    CONFIG_PREFIX, Change, Item, TxnOutcome, config_key, decode_listing, decode_table, decode_txn,
-    range, txn,
+    CONFIG_PREFIX, Change, DecodeError, Item, TxnOutcome, config_key, decode_listing, decode_table,
+    decode_txn, range, txn,
 };
 use cassiashunt_mesh::{KnownTable, ProofPace, StoreRevision};
 use cassiashunt_types::prelude::*;
@@ -280,8 +280,10 @@
     let table = match decode_table(&value) {
         Ok(table) => table,
         Err(err) => {
-            known.on_refused(at);
-            node.known_table.set(known);
+            if !matches!(err, DecodeError::NoManifest(_)) {
+                known.on_refused(at);
+                node.known_table.set(known);
+            }
             log::error!(era = at.era, revision = at.revision.0, reason:% = err; "table-refused");
             let mut refused = Table {
                 value,
