Let a request wait for the next token where there is no home to ask

Callers saw: 429 within the limit at a node that had just started or lost the home of the limit.

Evidence: a_started_node_serves_requests_within_the_limit failed before with 429 and passes now.

--- a/cassiashunt/tests/site_limits_start.rs
+++ b/cassiashunt/tests/site_limits_start.rs
@@ -126,3 +126,22 @@
     restart_all(&mut site);
     assert_within_limit(served_in_a_window(&site));
 }
+
+/// Guards against 429 within the limit at a node that has just started, or has just lost the home of the
+/// limit: its own share begins without tokens, and a request did not wait for the next one.
+#[test]
+fn a_started_node_serves_requests_within_the_limit() {
+    let mut site = Site::start("started-within-limit", &["shop", "desk"]);
+    for _ in 0..5 {
+        site.members[0].node.kill();
+        site.members[0].restart();
+        let member = &site.members[0];
+        eventually("the node serves", || {
+            let answer = member.ask(&read("desk"));
+            answer.is_ok_and(|it| it.status == 200)
+        });
+        for _ in 0..10 {
+            assert_eq!(member.status_of(&read("desk")), 200);
+        }
+    }
+}
--- a/crates/mesh/src/allowance.rs
+++ b/crates/mesh/src/allowance.rs
@@ -183,6 +183,19 @@
         self.tokens + self.held
     }
 
+    /// Returns how long it takes until this node has `wanted` tokens that it produces itself; `None` if
+    /// it produces none, or may not keep so many.
+    #[must_use]
+    pub fn time_until(&self, wanted: u32) -> Option<Duration> {
+        let rate = self.opts.rate * self.active_share();
+        let wanted = f64::from(wanted);
+        let is_possible = rate > 0.0 && wanted <= self.max_tokens();
+        let seconds = ((wanted - self.tokens) / rate).max(0.0);
+        Duration::try_from_secs_f64(seconds)
+            .ok()
+            .filter(|_| is_possible)
+    }
+
     /// Returns the sum of the shares that produce tokens at this node.
     fn active_share(&self) -> f64 {
         let own = if self.is_delegating {
--- a/crates/mesh/tests/allowance.rs
+++ b/crates/mesh/tests/allowance.rs
@@ -280,3 +280,14 @@
         }
     }
 }
+
+#[test]
+fn the_time_until_the_next_tokens_follows_the_share_that_produces_here() {
+    let mut node = Allowance::new(at(0), options());
+    // Four tokens a second.
+    assert_eq!(node.time_until(1), Some(Duration::from_millis(250)));
+    assert_eq!(node.time_until(2), Some(Duration::from_millis(500)));
+    assert_eq!(node.time_until(5), None, "over the burst of its share");
+    node.set_delegating(at(0), true);
+    assert_eq!(node.time_until(1), None, "its share produces at the home");
+}
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -43,6 +43,18 @@
     backoff_until: Time,
     /// The link to the home; `None` if this node is the home or the home is not known as a peer.
     home: Option<Rc<Link>>,
+    /// Requests that wait for tokens that this node produces itself.
+    waiting: u32,
+}
+
+/// Why a request got no token.
+enum Exhausted {
+    /// The home may answer with some.
+    AskedHome(Rc<Notify>),
+    /// This node will have produced one after this time.
+    ProducedIn(Duration),
+    /// None is to be expected in time.
+    NoneInTime,
 }
 
 impl WorkspaceQuota {
@@ -55,6 +67,7 @@
             asked_at: None,
             backoff_until: now,
             home: None,
+            waiting: 0,
         }
     }
 }
@@ -187,14 +200,9 @@
         }
     }
 
-    /// Takes one token. Otherwise returns what to wait for until the home has answered, or `None`
-    /// if waiting is of no use. `is_first` for the first try of a request, which counts as demand.
-    fn take(
-        &self,
-        now: Time,
-        workspace: Workspace,
-        is_first: bool,
-    ) -> Result<(), Option<Rc<Notify>>> {
+    /// Takes one token. Otherwise returns what to wait for. `is_first` for the first try of a request,
+    /// which counts as demand.
+    fn take(&self, now: Time, workspace: Workspace, is_first: bool) -> Result<(), Exhausted> {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&workspace) else {
             return Ok(());
@@ -206,23 +214,51 @@
             return Ok(());
         }
         let Some(home) = &entry.home else {
-            return Err(None);
+            let wait = entry.allowance.time_until(entry.waiting + 1);
+            let wait = wait.filter(|it| *it <= TOKEN_WAIT_TIMEOUT);
+            return Err(wait.map_or(Exhausted::NoneInTime, Exhausted::ProducedIn));
         };
         let is_pending = entry
             .asked_at
             .is_some_and(|asked_at| now.since(asked_at) < TOKEN_WAIT_TIMEOUT);
         if is_pending {
-            return Err(Some(Rc::clone(&entry.tokens_arrived)));
+            return Err(Exhausted::AskedHome(Rc::clone(&entry.tokens_arrived)));
         }
         let wanted = (entry.demand * DEMAND_LOOKAHEAD.as_secs_f64())
             .ceil()
             .max(1.0) as u32;
         let workspace = workspace.as_str().into();
         if entry.backoff_until > now || !home.ask_tokens(AskTokens { workspace, wanted }) {
-            return Err(None);
+            return Err(Exhausted::NoneInTime);
         }
         entry.asked_at = Some(now);
-        Err(Some(Rc::clone(&entry.tokens_arrived)))
+        Err(Exhausted::AskedHome(Rc::clone(&entry.tokens_arrived)))
+    }
+
+    fn change_waiting(&self, workspace: Workspace, change: impl FnOnce(u32) -> u32) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&workspace) {
+            entry.waiting = change(entry.waiting);
+        }
+    }
+}
+
+/// A request's place among those that wait for tokens of this node; it ends with the request.
+struct Place<'a> {
+    quotas: &'a Quotas,
+    workspace: Workspace,
+}
+
+impl<'a> Place<'a> {
+    fn take(quotas: &'a Quotas, workspace: Workspace) -> Self {
+        quotas.change_waiting(workspace, |waiting| waiting + 1);
+        Self { quotas, workspace }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.quotas
+            .change_waiting(self.workspace, |waiting| waiting.saturating_sub(1));
     }
 }
 
@@ -232,8 +268,8 @@
     first_by_rank(names.chain([own.to_owned()]), MAX_HOME_CANDIDATES)
 }
 
-/// Whether a workspace's request is within its limit. Waits up to `TOKEN_WAIT_TIMEOUT` for tokens
-/// from the home if this node has none.
+/// Whether a workspace's request is within its limit. Waits up to `TOKEN_WAIT_TIMEOUT` for a token if
+/// this node has none.
 pub(crate) async fn admit(node: &Node, workspace: Workspace) -> bool {
     let began = clock::now();
     let mut is_first = true;
@@ -241,8 +277,15 @@
         let now = clock::now();
         let arrived = match node.quotas.take(now, workspace, is_first) {
             Ok(()) => return true,
-            Err(None) => return false,
-            Err(Some(arrived)) => arrived,
+            Err(Exhausted::NoneInTime) => return false,
+            Err(Exhausted::ProducedIn(_)) if !is_first => return false,
+            Err(Exhausted::ProducedIn(wait)) => {
+                let _place = Place::take(&node.quotas, workspace);
+                is_first = false;
+                tokio::time::sleep(wait).await;
+                continue;
+            }
+            Err(Exhausted::AskedHome(arrived)) => arrived,
         };
         is_first = false;
         let remaining = TOKEN_WAIT_TIMEOUT.saturating_sub(now.since(began));
