Bound the short answers that are held at once

The store's endless answers stayed within the target before as well; the test of that is kept.

Short bodies get a reserve of 8 MiB beyond the shared limit, and no more.

--- a/cassiashunt/tests/site_endless.rs
+++ b/cassiashunt/tests/site_endless.rs
@@ -9,10 +9,10 @@
     time::{Duration, Instant},
 };
 
-use cassiashunt_standin::site::{ATTEMPT, Behaviour, Request, ask, open};
+use cassiashunt_standin::site::{ATTEMPT, Behaviour, Fault, Request, ask, open, table};
 use support::{
     eventually,
-    site::{Member, Site, read, write},
+    site::{Member, Site, WORKSPACE_KEY, read, write},
 };
 
 /// The memory target of a node.
@@ -303,3 +303,66 @@
         "the client received bytes after the last answer"
     );
 }
+
+/// Guards against short bodies that are exempt from the shared limit: on enough connections they exceed
+/// the memory of a machine as well.
+#[test]
+fn endless_answers_just_below_the_limit_of_one_stay_within_the_memory_target() {
+    const ANSWERS: usize = 300;
+    let site = site("endless-many");
+    // Without a rate limit.
+    site.put_table_in_force(&table(2, &[WORKSPACE_KEY], 0));
+    let member = &site.members[0];
+    let mut report = member.report(1, 1_000);
+    report["details"]["slots"] = ANSWERS.into();
+    assert_eq!(member.send_report(&member.server.id, &report), 200);
+    // It goes on so slowly that the answer does not exceed the limit of one body before its timeout.
+    let first = format!(
+        "{ANSWER_HEAD}Content-Length: 262000\r\n\r\n{}",
+        "x".repeat(250_000)
+    );
+    let pause = Duration::from_millis(200);
+    let endless = Behaviour::endless(&first, b"x", pause);
+    member.server.set_usual(endless);
+    let answered = thread::scope(|scope| {
+        let clients: Vec<_> = (0..ANSWERS)
+            .map(|_| scope.spawn(|| member.ask(&write("shop")).map(|it| it.status)))
+            .collect();
+        let answered = clients
+            .into_iter()
+            .map(|it| it.join().expect("a client panicked"));
+        answered.collect::<Vec<_>>()
+    });
+    for status in answered {
+        let status = status.expect("no answer from the node");
+        assert!(matches!(status, 429 | 502 | 503 | 504), "{status}");
+    }
+    let runs = member.server.runs().len();
+    assert!(runs > ANSWERS / 2, "{runs} requests reached the server");
+    let (peak, _) = member.node.resource_usage();
+    assert!(peak <= MAX_NODE_MEMORY_BYTES, "{} MiB", peak >> 20);
+    member.server.set_usual(Behaviour::default());
+    // So many connections at once may have found the server's backlog full, which counts as down until
+    // its next report.
+    report["status"]["sequence"] = 1_001.into();
+    assert_eq!(member.send_report(&member.server.id, &report), 200);
+    eventually("the server serves requests again", || {
+        member.status_of(&read("shop")) == 200
+    });
+}
+
+/// What the node itself calls may send bytes without end, too.
+#[test]
+fn endless_answers_of_the_store_stay_within_the_memory_target() {
+    let site = site("endless-store");
+    for fault in [Fault::EndlessHead, Fault::EndlessBody] {
+        site.store.set_fault(fault);
+        thread::sleep(Duration::from_secs(4));
+        site.store.set_fault(Fault::None);
+        site.wait_until_serving();
+    }
+    for member in &site.members {
+        let (peak, _) = member.node.resource_usage();
+        assert!(peak <= MAX_NODE_MEMORY_BYTES, "{} MiB", peak >> 20);
+    }
+}
--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -4,9 +4,11 @@
 
 use super::ReadError;
 
-/// Bodies up to this length are exempt from the shared limit, so that a few long ones don't block
-/// all others.
-const SHARED_LIMIT_EXEMPT_BYTES: usize = 256 * 1024;
+/// Bodies up to this length may use the reserve beyond the shared limit, so that a few long ones don't
+/// block all others.
+const SHORT_BODY_BYTES: usize = 256 * 1024;
+/// The size of that reserve.
+const SHORT_BODY_RESERVE_BYTES: usize = 8 << 20;
 
 /// The total of bytes held by all bodies that are being read, and its limit.
 #[derive(Debug)]
@@ -68,7 +70,12 @@
             return Ok(());
         };
         let held = shared.held.get() + length.saturating_sub(self.held);
-        if held > shared.max && length > SHARED_LIMIT_EXEMPT_BYTES {
+        let max = if length > SHORT_BODY_BYTES {
+            shared.max
+        } else {
+            shared.max + SHORT_BODY_RESERVE_BYTES
+        };
+        if held > max {
             return Err(ReadError::BufferLimitReached);
         }
         shared.held.set(held);
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -38,6 +38,10 @@
     Away,
     /// It answers calls on the operators' table, and all others with 503.
     TableOnly,
+    /// It sends a head without end.
+    EndlessHead,
+    /// It sends a body without end.
+    EndlessBody,
 }
 
 #[derive(Debug, Clone)]
@@ -319,6 +323,8 @@
                     return;
                 }
                 Fault::Away => return,
+                Fault::EndlessHead => return send_endless(stream, "X-Field: "),
+                Fault::EndlessBody => return send_endless(stream, "\r\n"),
                 Fault::Late(span) => {
                     thread::sleep(span);
                     self.answer(&message)
@@ -565,6 +571,16 @@
     }
 }
 
+/// Sends the start of an answer and then bytes without end, until the caller closes.
+fn send_endless(mut stream: &TcpStream, then: &str) {
+    let start = format!("HTTP/1.1 200 OK\r\n{then}");
+    let piece = [b'x'; 64 * 1024];
+    let mut result = stream.write_all(start.as_bytes());
+    while result.is_ok() {
+        result = stream.write_all(&piece);
+    }
+}
+
 fn contains(bytes: &[u8], part: &[u8]) -> bool {
     bytes.windows(part.len()).any(|it| it == part)
 }
