Fold the samples of histograms without waiting for a reader

Could happen here: a node kept 16.5 bytes of each answered request while nobody read its metrics, and so filled its machine within hours.

Cause: the recorder's upkeep ran only when the metrics were read.

--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -31,6 +31,9 @@
 /// The time between two checks for peers without an entry and for links to open or close.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The time between two times at which samples of histograms are folded into their buckets.
+const METRICS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Runs a node until it is asked to stop.
 ///
 /// # Errors
@@ -110,6 +113,7 @@
     }
     // A node that starts beside a running server need not wait for the next heartbeat.
     node.owner.identify(&node);
+    spawn(Box::pin(keep_metrics(metrics_handle.clone())));
     if let Some(address) = addresses.metrics {
         let listener = listen(address).await?;
         spawn(Box::pin(endpoints::serve_metrics(
@@ -177,6 +181,15 @@
     }
 }
 
+/// Folds the samples of histograms into their buckets. Reading the metrics does so as well, but they
+/// may not be read for hours.
+async fn keep_metrics(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(METRICS_INTERVAL).await;
+        handle.run_upkeep();
+    }
+}
+
 async fn flush_logs() {
     loop {
         tokio::time::sleep(logs::FLUSH_INTERVAL).await;
