--- a/cassiashunt/tests/site.rs
+++ b/cassiashunt/tests/site.rs
@@ -365,18 +365,7 @@
         status.is_ok_and(|status| status == 200)
     });
     leaving.server.set_silent(false);
-    let before = leaving.server.runs().len();
-    let until = Instant::now() + Duration::from_secs(4);
-    let mut served = 0;
-    while Instant::now() < until {
-        // On a busy machine a request may be shed with a retry-after delay.
-        let status = site.members[0].status_of(&read("desk"));
-        assert!(matches!(status, 200 | 503), "{status}");
-        served += usize::from(status == 200);
-        thread::sleep(Duration::from_millis(20));
-    }
-    assert!(served > 0, "the other server served no request");
-    assert_eq!(leaving.server.runs().len(), before);
+    site.assert_gets_no_requests(leaving);
 }
 
 #[test]
--- a/cassiashunt/tests/site_server_starts.rs
+++ b/cassiashunt/tests/site_server_starts.rs
@@ -63,18 +63,7 @@
     let leaving = &site.members[1];
     let late = leaving.report(1, NEXT_SEQUENCE);
     assert_eq!(leaving.send_report(&leaving.server.id, &late), 200);
-    let before = leaving.server.runs().len();
-    let until = Instant::now() + Duration::from_secs(4);
-    let mut served = 0;
-    while Instant::now() < until {
-        // On a busy machine a request may be shed with a retry-after delay.
-        let status = site.members[0].status_of(&read("desk"));
-        assert!(matches!(status, 200 | 503), "{status}");
-        served += usize::from(status == 200);
-        thread::sleep(Duration::from_millis(20));
-    }
-    assert!(served > 0, "the other server served no request");
-    assert_eq!(leaving.server.runs().len(), before);
+    site.assert_gets_no_requests(leaving);
 }
 
 /// A server that does not answer probes is used once it has reported twice.
--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -4,7 +4,7 @@
     io,
     net::{SocketAddr, TcpStream},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use cassiashunt_standin::site::{
@@ -119,6 +119,8 @@
 const RATE_PER_S: u32 = 400;
 /// The time for which a withdrawn key may still be accepted.
 const KEY_WITHDRAWAL: Duration = Duration::from_millis(2_500);
+/// How long a leaving server is watched.
+const LEAVING_WATCHED: Duration = Duration::from_secs(4);
 /// The key of the workspace in the table that [`Site::start`] writes.
 pub const WORKSPACE_KEY: &str = "key-of-the-first-shop";
 
@@ -279,6 +281,23 @@
         runs.find(|run| run.attempt == request.attempt)
     }
 
+    /// Asserts that a leaving server gets none of the requests that the first node receives for its
+    /// service, while the other servers of the service go on.
+    pub fn assert_gets_no_requests(&self, leaving: &Member) {
+        let before = leaving.server.runs().len();
+        let until = Instant::now() + LEAVING_WATCHED;
+        let mut served = 0;
+        while Instant::now() < until {
+            // On a busy machine a request may be shed with a retry-after delay.
+            let status = self.members[0].status_of(&read(&leaving.service));
+            assert!(matches!(status, 200 | 503), "{status}");
+            served += usize::from(status == 200);
+            thread::sleep(Duration::from_millis(20));
+        }
+        assert!(served > 0, "the other server served no request");
+        assert_eq!(leaving.server.runs().len(), before);
+    }
+
     /// How often a request ran, summed over all servers.
     pub fn runs_of(&self, request: &Request) -> usize {
         let runs = self.members.iter().flat_map(|member| member.server.runs());
