Accept reports of a server that is reached through a proxy

Refusing reports whose address is not that of the settings broke what it should protect: where a node reaches its server through a proxy, as in the soak, all reports were refused and crashes of the server went unseen.

Only the service is compared with the settings.

--- a/crates/mesh/src/announce.rs
+++ b/crates/mesh/src/announce.rs
@@ -23,7 +23,8 @@
 pub struct Heartbeat {
     /// The server's id; a restarted server usually has a different one.
     pub server: String,
-    /// The address at which the server listens, as `ip:port`.
+    /// The address at which the server says that it listens. The node may reach it at another one,
+    /// through a proxy.
     pub address: String,
     /// The service that the server runs.
     pub service: Service,
@@ -39,47 +40,6 @@
     pub warm_up: Duration,
 }
 
-/// Why a heartbeat is not of the backend server beside a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ForeignHeartbeat {
-    /// It is of a server of another service.
-    OtherService,
-    /// It is of a server at another address.
-    OtherAddress,
-}
-
-impl ForeignHeartbeat {
-    /// The reason in words, for logs.
-    #[must_use]
-    pub fn reason(&self) -> &'static str {
-        match self {
-            Self::OtherService => "another service",
-            Self::OtherAddress => "another address",
-        }
-    }
-}
-
-impl Heartbeat {
-    /// Returns why the heartbeat can't be of the server of `service` that listens on `address`.
-    ///
-    /// # Errors
-    ///
-    /// If another writer sent it.
-    pub fn check_origin(
-        &self,
-        service: Service,
-        address: SocketAddr,
-    ) -> Result<(), ForeignHeartbeat> {
-        if self.service != service {
-            Err(ForeignHeartbeat::OtherService)
-        } else if self.address.parse() != Ok(address) {
-            Err(ForeignHeartbeat::OtherAddress)
-        } else {
-            Ok(())
-        }
-    }
-}
-
 /// What a node publishes about its backend server and itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod prelude;
 
 pub use allowance::{Allowance, DELEGATION_TTL, Options as AllowanceOptions, Take};
-pub use announce::{Announcement, ForeignHeartbeat, Heartbeat, ServerState};
+pub use announce::{Announcement, Heartbeat, ServerState};
 pub use directory::{Directory, DirectoryUpdate, EntryChange};
 pub use first_comparison::FirstComparison;
 pub use fleet_count::FleetCount;
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -94,12 +94,11 @@
     }
 }
 
-/// Handles a heartbeat. One that another server sent is not acknowledged.
+/// Handles a heartbeat. One of a server of another service is not acknowledged.
 fn on_heartbeat(node: &Rc<Node>, beat: &Heartbeat) -> (u16, String) {
-    let settings = node.settings();
-    if let Err(foreign) = beat.check_origin(settings.service(), settings.addresses.server) {
+    if beat.service != node.service() {
         log::warn!(server:% = beat.server, service:% = beat.service, address:% = beat.address,
-            born = beat.started_ms, sequence = beat.sequence, reason:% = foreign.reason();
+            born = beat.started_ms, sequence = beat.sequence, reason = "another service";
             "heartbeat-refused");
         return (400, String::new());
     }
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -305,8 +305,9 @@
                     known:? = self.server_id(); "heartbeat-stale");
             }
             ReportOutcome::Unconfirmed => {
-                log::info!(server:% = server, born = born, sequence = heartbeat.sequence,
-                    known:? = self.server_id(); "heartbeat-unconfirmed");
+                log::info!(server:% = server, address:% = heartbeat.address, born = born,
+                    sequence = heartbeat.sequence, known:? = self.server_id();
+                    "heartbeat-unconfirmed");
                 self.identify(node);
             }
         }
