--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -64,6 +64,8 @@
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) first_comparison: RefCell<FirstComparison>,
     pub(crate) fleet_count: Cell<FleetCount>,
+    /// The number of nodes by which limits were last divided.
+    pub(crate) divided_by: Cell<Option<usize>>,
     /// The previous result of `is_fresh`, to log changes only.
     was_fresh: Cell<bool>,
     pub(crate) fleet: RefCell<Fleet>,
@@ -140,6 +142,7 @@
             freshness: RefCell::new(Freshness::new(bound)),
             first_comparison: RefCell::default(),
             fleet_count: Cell::default(),
+            divided_by: Cell::new(None),
             was_fresh: Cell::new(false),
             fleet: RefCell::new(Fleet::new(domain)),
             directory: RefCell::default(),
@@ -296,9 +299,17 @@
         self.fleet_count.get().nodes(crate::clock::now(), known)
     }
 
+    /// Divides the limits of the table in force anew if the number of nodes has changed.
+    pub(crate) fn update_limits(&self) {
+        if self.limit_nodes() != self.divided_by.get() {
+            self.set_limits();
+        }
+    }
+
     /// Divides the limits of the table in force among the nodes.
     pub(crate) fn set_limits(&self) {
         if let (Some(table), Some(nodes)) = (self.table(), self.limit_nodes()) {
+            self.divided_by.set(Some(nodes));
             self.quotas
                 .set_limits(crate::clock::now(), table.workspaces(), nodes);
         }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -176,7 +176,7 @@
     loop {
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
         store::drop_missing(&node);
-        node.set_limits();
+        node.update_limits();
         peer_links::update_subsets(&node);
     }
 }
