Test: stay within the workspace's limit while polling a restarted node

Traced: it asked up to 200 times a second against a limit of 40 a second and a burst of 40; a run that failed had its 51st request after 264 ms, where 50.5 are within the limit.

--- a/cassiashunt/tests/site_stated_nodes.rs
+++ b/cassiashunt/tests/site_stated_nodes.rs
@@ -163,6 +163,7 @@
                 // The node may be down, or found by its peers only later.
                 let status = site.members[ingress].status_of(&read(service));
                 assert!(matches!(status, 200 | 502 | 503), "{service}: {status}");
+                thread::sleep(REQUEST_INTERVAL);
             }
         }
         let renewed = &site.members[1];
