Read all figures of a server's stated load

The last of its figures was taken for the slots; on machines that are shared a fourth one states how long work takes now, so that a server found by a probe was believed to have 100 slots.

--- a/crates/sidecar/src/owner/identify.rs
+++ b/crates/sidecar/src/owner/identify.rs
@@ -47,8 +47,9 @@
         return;
     };
     if let Some(server) = headers.server {
-        log::info!(server:% = server, slots:? = headers.slots; "server-probed");
-        node.owner.on_probed(node, number, server, headers.slots);
+        let slots = headers.load.map(|load| load.slots);
+        log::info!(server:% = server, slots:? = slots; "server-probed");
+        node.owner.on_probed(node, number, server, slots);
     }
 }
 
