--- a/crates/admit/src/chain.rs
+++ b/crates/admit/src/chain.rs
@@ -42,6 +42,7 @@
     reports: HashMap<String, Report>,
     costs: HashMap<Route, Cost>,
     paces: HashMap<String, f64>,
+    slot_times: HashMap<(Service, Route), Duration>,
 }
 
 #[derive(Debug)]
@@ -106,6 +107,21 @@
             Some((owner.clone(), pace))
         });
         self.paces = paces.collect();
+        let slot_times = runs.iter().flat_map(|(route, services)| {
+            let services = services.iter();
+            services.map(|(service, runs)| ((*service, *route), runs.slot_s))
+        });
+        self.slot_times = slot_times
+            .map(|(key, slot_s)| (key, Duration::try_from_secs_f64(slot_s).unwrap_or_default()))
+            .collect();
+    }
+
+    /// The mean time that a run of this route holds a slot at the servers of a service; `None` if no
+    /// run has been reported yet.
+    #[must_use]
+    pub fn slot_time(&self, service: Service, route: Route) -> Option<Duration> {
+        let slot_time = self.slot_times.get(&(service, route)).copied();
+        slot_time.filter(|it| !it.is_zero())
     }
 
     /// The cost of a request of this route; empty if no run of it has been reported yet.
