Choose by expected time, with the own failure domain's room first

Where owners state how long work takes, a server is the better of two drawn by its utilisation and its time to completion, among those of the own domain while one has room and is not slow. Before, a mean of ended runs was weighed against free slots, which crosses to fast servers although there is a free one near, and the least loaded of all is taken by many nodes at once by the same reports.

Owners state the pace and the pace of the moment in the free 16 bits of OwnerReport, only where the server states how long work takes on its machine; others are chosen as before.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -6,7 +6,7 @@
 use slotmap::SlotMap;
 
 use crate::{
-    Candidate, Outcome, OwnerReport, Presence, ServerKey,
+    Candidate, Outcome, OwnerReport, Pace, Presence, ServerKey,
     ejection::{ProbationPassed, State},
     outliers::{RatedServer, outliers},
     server::Server,
@@ -15,6 +15,8 @@
 /// The bounds of a server's pace: the platform's servers differ in speed by a factor of three.
 const MIN_PACE: f64 = 0.3;
 const MAX_PACE: f64 = 3.0;
+/// How far a server's utilisation is from the reported one.
+const UTILISATION_SPREAD: f64 = 0.1;
 
 /// How a server is picked among the eligible ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -45,6 +47,11 @@
     /// The weight of a server's pace relative to its utilisation: a server with twice the mean
     /// service time counts as more utilised by this amount. Zero ignores the pace.
     pub pace_weight: f64,
+    /// The utilisation up to which a server in the local domain is taken before those of others, where
+    /// owners state how long work takes.
+    pub local_room: f64,
+    /// The pace up to which it is.
+    pub max_local_pace: f64,
     /// The time over which a cold server, or one that passed its probation, ramps up to its full
     /// share.
     pub warm_up: Duration,
@@ -63,6 +70,8 @@
             crossing_cost: 0.1,
             report_half_life: Duration::from_secs(2),
             pace_weight: 0.0,
+            local_room: 0.8,
+            max_local_pace: 2.0,
             warm_up: Duration::from_secs(10),
             ejection: Duration::from_secs(5),
             max_ejected: 0.34,
@@ -75,6 +84,9 @@
 pub struct Chooser {
     opts: Options,
     servers: SlotMap<ServerKey, Server>,
+    /// Whether owners state how long work takes. Servers are then chosen by the expected time to
+    /// completion.
+    is_timed: bool,
 }
 
 impl Chooser {
@@ -84,6 +96,7 @@
         Self {
             opts,
             servers: SlotMap::with_key(),
+            is_timed: false,
         }
     }
 
@@ -151,6 +164,9 @@
         let Some(server) = self.servers.get_mut(key) else {
             return Vec::new();
         };
+        server.on_pace(now, report);
+        self.is_timed |= report.pace != Pace::UNKNOWN;
+        let server = &mut self.servers[key];
         if std::mem::replace(&mut server.failure_rate, report.failure_rate) == report.failure_rate {
             return Vec::new();
         }
@@ -176,7 +192,10 @@
     /// Chooses a server that is not in `tried`, and counts the request as in flight there until
     /// [`done`](Self::done).
     pub fn choose(&mut self, now: Time, tried: &[ServerKey], rng: &mut Rng) -> Option<ServerKey> {
-        let eligible = self.eligible(now, tried);
+        let mut eligible = self.eligible(now, tried);
+        if self.is_timed && eligible.iter().any(|key| self.has_local_room(now, *key)) {
+            eligible.retain(|key| self.has_local_room(now, *key));
+        }
         let key = self.pick(now, &eligible, rng)?;
         self.servers[key].in_flight += 1;
         Some(key)
@@ -271,6 +290,7 @@
 
     fn pick(&self, now: Time, eligible: &[ServerKey], rng: &mut Rng) -> Option<ServerKey> {
         match self.opts.policy {
+            _ if self.is_timed => self.better_of_two(now, eligible, rng),
             Policy::TwoChoices => self.better_of_two(now, eligible, rng),
             Policy::Least => self.least_loaded(now, eligible, rng),
             Policy::Random => self.draw_weighted(now, eligible, rng),
@@ -324,21 +344,40 @@
     /// another failure domain and of the server's pace.
     fn cost(&self, now: Time, key: ServerKey) -> f64 {
         let server = &self.servers[key];
-        let one_request = 1.0 / f64::from(server.candidate.slots.max(1));
-        let utilisation = server.utilisation(now, self.opts.report_half_life) + one_request;
-        // A fast server is preferred only while it has free slots, not for queued requests.
-        let pace_cost = self.opts.pace_weight * (server.pace - 1.0) * (1.0 - utilisation).max(0.0);
+        let utilisation = self.utilisation(now, server);
+        let time_cost = if self.is_timed {
+            server.pace(now) * (1.0 + expected_wait(utilisation))
+        } else {
+            // A fast server is preferred only while it has free slots, not for queued requests.
+            self.opts.pace_weight * (server.pace - 1.0) * (1.0 - utilisation).max(0.0)
+        };
         utilisation / server.warm_up_fraction(now, self.opts.warm_up)
             + self.crossing_cost(server)
-            + pace_cost
+            + time_cost
+    }
+
+    /// The utilisation with one more request.
+    fn utilisation(&self, now: Time, server: &Server) -> f64 {
+        let one_request = 1.0 / f64::from(server.candidate.slots.max(1));
+        server.utilisation(now, self.opts.report_half_life) + one_request
+    }
+
+    fn is_local(&self, server: &Server) -> bool {
+        let own = self.opts.domain;
+        own.is_none_or(|own| own == server.candidate.domain)
+    }
+
+    /// Whether a server of the local domain would start a request at once and is not slow.
+    fn has_local_room(&self, now: Time, key: ServerKey) -> bool {
+        let server = &self.servers[key];
+        let utilisation = self.utilisation(now, server);
+        self.opts.domain == Some(server.candidate.domain)
+            && utilisation <= self.opts.local_room * server.warm_up_fraction(now, self.opts.warm_up)
+            && server.pace(now) <= self.opts.max_local_pace
     }
 
     fn crossing_cost(&self, server: &Server) -> f64 {
-        let is_local = self
-            .opts
-            .domain
-            .is_none_or(|own| own == server.candidate.domain);
-        if is_local {
+        if self.is_local(server) {
             0.0
         } else {
             self.opts.crossing_cost
@@ -346,6 +385,12 @@
     }
 }
 
+/// The time that a request waits for a slot, in runs of its server. Reports are as uncertain as
+/// `UTILISATION_SPREAD`, so that a server that seems to be nearly full may be full.
+fn expected_wait(utilisation: f64) -> f64 {
+    UTILISATION_SPREAD * ((utilisation - 1.0) / UTILISATION_SPREAD).exp().ln_1p()
+}
+
 fn is_ejected(now: Time, server: &Server) -> bool {
     matches!(server.ejection.state(now), State::Ejected { .. })
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,11 +8,13 @@
 mod ejection;
 mod failure_rate;
 mod outliers;
+mod pace;
 mod report;
 pub mod retry;
 mod server;
 
 pub use chooser::{Chooser, Options, Policy};
 pub use failure_rate::FailureRate;
+pub use pace::Pace;
 pub use report::OwnerReport;
 pub use server::{Candidate, Outcome, Presence, ServerKey};
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -4,10 +4,12 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::ejection::Ejection;
+use crate::{OwnerReport, ejection::Ejection};
 
 /// The reported load of a server at which its concurrency limit is exactly reached.
 const FULL_LOAD_128THS: f64 = 128.0;
+/// The age at which half of what an owner states of this moment no longer holds.
+const PACE_NOW_HALF_LIFE: Duration = Duration::from_millis(300);
 /// The fraction of its usual work that a server receives at the start of its warm-up.
 const MIN_WARM_UP_FRACTION: f64 = 0.1;
 
@@ -74,6 +76,15 @@
     pub(crate) is_outlier: bool,
     warm_up_started: Option<Time>,
     report: Option<LoadReport>,
+    stated_pace: Option<StatedPace>,
+}
+
+/// How long work takes at a server, as stated by its owner.
+#[derive(Debug, Clone, Copy)]
+struct StatedPace {
+    usual: f64,
+    now: f64,
+    received: Time,
 }
 
 /// The owner's last load report.
@@ -99,9 +110,30 @@
             is_outlier: false,
             warm_up_started: candidate.is_cold.then_some(now),
             report: None,
+            stated_pace: None,
         }
     }
 
+    pub(crate) fn on_pace(&mut self, now: Time, report: OwnerReport) {
+        let stated = report.pace.get().zip(report.pace_now.get());
+        self.stated_pace = stated.map(|(usual, at_once)| StatedPace {
+            usual,
+            now: at_once,
+            received: now,
+        });
+    }
+
+    /// How long work that is sent now takes, as a multiple of the service's mean. What the owner stated
+    /// of the moment fades into the usual.
+    pub(crate) fn pace(&self, now: Time) -> f64 {
+        let Some(stated) = self.stated_pace else {
+            return self.pace;
+        };
+        let half_lives =
+            now.since(stated.received).as_secs_f64() / PACE_NOW_HALF_LIFE.as_secs_f64();
+        stated.usual + (stated.now - stated.usual) * 0.5_f64.powf(half_lives)
+    }
+
     pub(crate) fn on_load(&mut self, now: Time, load: u8) {
         self.report = Some(LoadReport {
             load: f64::from(load) / FULL_LOAD_128THS,
--- a/crates/route/tests/outliers.rs
+++ b/crates/route/tests/outliers.rs
@@ -2,7 +2,8 @@
 
 use cassiashunt_property::check;
 use cassiashunt_route::{
-    Candidate, Chooser, FailureRate, Options, Outcome, OwnerReport, Policy, Presence, ServerKey,
+    Candidate, Chooser, FailureRate, Options, Outcome, OwnerReport, Pace, Policy, Presence,
+    ServerKey,
 };
 use cassiashunt_types::prelude::*;
 use fastrand::Rng;
@@ -28,8 +29,8 @@
         Time::ZERO,
         key,
         OwnerReport {
-            load: 0,
             failure_rate,
+            ..OwnerReport::default()
         },
     );
 }
@@ -66,8 +67,8 @@
                     now,
                     key,
                     OwnerReport {
-                        load: 0,
                         failure_rate,
+                        ..OwnerReport::default()
                     },
                 );
             }
@@ -165,6 +166,8 @@
         let report = OwnerReport {
             load: u.arbitrary()?,
             failure_rate: u.arbitrary()?,
+            pace: Pace::from_byte(u.arbitrary()?),
+            pace_now: Pace::from_byte(u.arbitrary()?),
         };
         assert_eq!(OwnerReport::from_bits(report.to_bits()), report);
         Ok(())
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -1,10 +1,11 @@
 //! Sends one request to the backend server and reads its answer.
 
-use std::{cell::Cell, fmt, net::SocketAddr};
+use std::{cell::Cell, fmt, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use cassiashunt_adapter::{
-    ResponseHeaders, is_not_executed, promises_not_run, read_response_headers, server_headers,
+    ResponseHeaders, ServerLoad, is_not_executed, promises_not_run, read_response_headers,
+    server_headers,
 };
 use cassiashunt_types::prelude::*;
 
@@ -55,14 +56,23 @@
     }
 }
 
+/// What is known of an exchange besides its answer.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Whether the server may have received a part of the request.
+    pub(super) is_sent: Rc<Cell<bool>>,
+    /// The load that the server reported with its last response.
+    pub(super) load: Cell<Option<ServerLoad>>,
+}
+
 /// Sends the request and reads the complete answer. Sets `is_sent` before the first byte.
-pub(crate) async fn exchange(
+pub(super) async fn exchange(
     pool: &Pool,
     address: SocketAddr,
     server: &str,
     request: &WorkRequest,
     remaining: Duration,
-    is_sent: &Cell<bool>,
+    progress: &Progress,
 ) -> Result<Answer, Failure> {
     // On a kept connection, nothing tells the answer to a request without an id from a late one.
     let has_id = !request.attempt.is_empty();
@@ -74,7 +84,7 @@
     let bytes = encode(request, server, remaining);
     let method = request.method.as_str();
     let mut unsent = &bytes[..];
-    is_sent.set(true);
+    progress.is_sent.set(true);
     for _ in 0..=MAX_STALE_ANSWERS {
         let exchanged = connection.exchange_head(unsent, method).await;
         let (head, written) = exchanged.map_err(Failure::Lost)?;
@@ -83,6 +93,9 @@
             continue;
         }
         let response_headers = read_response_headers(head.pairs());
+        progress
+            .load
+            .set(response_headers.load.or(progress.load.get()));
         let is_stale = response_headers
             .attempt
             .as_ref()
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -7,10 +7,12 @@
     rc::Rc,
 };
 
-use cassiashunt_adapter::parent_attempt;
-use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Usage, chain::RouteUse};
+use cassiashunt_adapter::{ServerLoad, parent_attempt};
+use cassiashunt_admit::{
+    Action, Admission, Job, Options, Priority, ServerSpeed, Usage, chain::RouteUse,
+};
 use cassiashunt_mesh::{ProbeOutcome, ReportOutcome, ServerStarts, prelude::*};
-use cassiashunt_route::{FailureRate, OwnerReport};
+use cassiashunt_route::{FailureRate, OwnerReport, Pace};
 use cassiashunt_suspect::{Decision, InFlight};
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, task::AbortHandle};
@@ -88,6 +90,7 @@
     requests: HashMap<RequestId, RequestState>,
     last_id: RequestId,
     usage: Usage,
+    speed: ServerSpeed,
     failures: FailureRate,
     pub(super) in_flight: InFlight<RequestId>,
     /// The suspect request that waits or runs, or the last one that did.
@@ -116,6 +119,7 @@
                 requests: HashMap::new(),
                 last_id: RequestId(0),
                 usage: Usage::default(),
+                speed: ServerSpeed::new(now),
                 failures: FailureRate::default(),
                 in_flight: InFlight::default(),
                 suspect: None,
@@ -164,6 +168,16 @@
         OwnerReport {
             load: inner.admission.signal(now).load,
             failure_rate: inner.failures.share(now),
+            pace: inner.stated(ServerSpeed::pace, now),
+            pace_now: inner.stated(ServerSpeed::pace_now, now),
+        }
+    }
+
+    /// Handles the load that the server reports with a response.
+    pub(super) fn on_server_load(&self, load: ServerLoad) {
+        if let Some(percent) = load.work_time_percent {
+            let speed = &mut self.inner.borrow_mut().speed;
+            speed.on_stated(clock::now(), percent);
         }
     }
 
@@ -264,6 +278,7 @@
                 } else {
                     inner.in_flight.on_not_sent(&id);
                 }
+                inner.speed.on_end(now, id, false);
                 inner.admission.done(now, id, Duration::ZERO, false)
             }
             None => return,
@@ -409,6 +424,7 @@
             let warm_up = server.warm_at.since(now);
             inner.admission = Admission::new(now, options(server.slots, warm_up));
             inner.failures = FailureRate::default();
+            inner.speed = ServerSpeed::new(now);
             inner.is_down = false;
             if server.state == ServerState::Draining {
                 inner.admission.drain();
@@ -453,6 +469,9 @@
         }
         if let Ok(route) = request.route.parse() {
             inner.usage.on_start(now, route);
+            if let Some(usual) = node.shedding.slot_time(node.service(), route) {
+                inner.speed.on_start(now, id, usual);
+            }
             let run = Run {
                 route,
                 priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
@@ -489,6 +508,7 @@
                     .usage
                     .on_end(now, run.route, end.elapsed, end.is_ok, &calls);
             }
+            inner.speed.on_end(now, id, end.is_ok);
             inner.record_delivery(node, id, end.delivery);
             if let Some(has_failed) = end.has_failed {
                 inner.failures.record(now, has_failed);
@@ -533,6 +553,15 @@
         }
     }
 
+    /// A pace to state to other nodes, where the server states how busy its machine is.
+    fn stated(&mut self, pace: fn(&mut ServerSpeed, Time) -> f64, now: Time) -> Pace {
+        if self.speed.is_stated() {
+            Pace::new(pace(&mut self.speed, now))
+        } else {
+            Pace::UNKNOWN
+        }
+    }
+
     /// Whether the server has announced that it leaves.
     pub(super) fn is_leaving(&self) -> bool {
         let server = self.server.as_ref();
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    exchange::{Failure, exchange},
+    exchange::{Failure, Progress, exchange},
     pool::is_refused,
 };
 use crate::{
@@ -81,12 +81,26 @@
     let remaining = deadline.since(began);
     let address = node.settings().addresses.server;
     let server = owner.server_id().unwrap_or_default();
+    let progress = Progress {
+        is_sent,
+        ..Progress::default()
+    };
     let ended = timeout(
         remaining,
-        exchange(&owner.pool, address, &server, &request, remaining, &is_sent),
+        exchange(
+            &owner.pool,
+            address,
+            &server,
+            &request,
+            remaining,
+            &progress,
+        ),
     )
     .await;
     let elapsed = clock::now().since(began);
+    if let Some(load) = progress.load.get() {
+        owner.on_server_load(load);
+    }
     let delivery = Delivery::of(&ended);
     let outcome = match ended {
         Ok(Ok(answer)) => Outcome::Answered(answer),
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -74,6 +74,11 @@
         self.inner.borrow_mut().chains.restore(now, summary);
     }
 
+    /// The mean time that a run of a route holds a slot at the servers of a service; `None` if not known.
+    pub(crate) fn slot_time(&self, service: Service, route: Route) -> Option<Duration> {
+        self.inner.borrow().chains.slot_time(service, route)
+    }
+
     /// The pace of an owner's server relative to the others of its service; `None` if not known.
     pub(crate) fn pace(&self, node: &str) -> Option<f64> {
         self.inner.borrow().chains.pace(node)
