Use all slots of a server that gets more done with them; log and count speeds

The last twentieth of the slots was kept free at all servers, for the sake of those that slow down when nearly full.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -19,6 +19,7 @@
 mod retry_after;
 mod server_speed;
 mod signal;
+mod slot_share;
 mod usage;
 mod workspace_demand;
 
--- a/crates/admit/src/server_speed.rs
+++ b/crates/admit/src/server_speed.rs
@@ -4,10 +4,12 @@
 
 use cassiashunt_types::prelude::*;
 
+use crate::slot_share::{LOW_SHARE, SlotShare};
+
 /// The age at which a run has half its weight: a change of speed shows within a second.
 const RUN_HALF_LIFE: Duration = Duration::from_millis(400);
 /// The slot time that counts as spent at the usual speed, so that few runs say little.
-const USUAL_SLOT_TIME_S: f64 = 0.3;
+const USUAL_SLOT_TIME_S: f64 = 0.1;
 /// The age at which the machine's stated figure no longer holds.
 const MAX_STATED_AGE: Duration = Duration::from_millis(600);
 /// The age at which a stated figure has half its weight in the machine's mean.
@@ -28,6 +30,8 @@
     work_s: f64,
     stepped: Time,
     stated: Option<Stated>,
+    slots: u32,
+    slot_share: SlotShare,
 }
 
 #[derive(Debug)]
@@ -36,6 +40,10 @@
     usual_s: f64,
     /// The part of it that counts as done.
     done_s: f64,
+    /// The time that it has held its slot, less what its machine was slow.
+    spent_s: f64,
+    /// How many runs there were with it when it started.
+    at_start: usize,
 }
 
 /// How long work takes on the server's machine, as it states with its answers.
@@ -57,24 +65,50 @@
 }
 
 impl ServerSpeed {
-    /// The speed of a server that starts at `now`, of which nothing is known.
+    /// The speed of a server with `slots` that starts at `now`, of which nothing else is known.
     #[must_use]
-    pub fn new(now: Time) -> Self {
+    pub fn new(now: Time, slots: u32) -> Self {
         Self {
             running: HashMap::new(),
             slot_time_s: 0.0,
             work_s: 0.0,
             stepped: now,
             stated: None,
+            slots,
+            slot_share: SlotShare::default(),
         }
     }
 
+    /// Sets the number of slots that the server announces.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// How many of its slots are used; at least one if the server has any. All, where it gets more
+    /// done with them and states how long work takes on its machine; otherwise fewer.
+    #[must_use]
+    pub fn usable_slots(&self) -> u32 {
+        let share = if self.is_stated() {
+            self.slot_share.get()
+        } else {
+            LOW_SHARE
+        };
+        ((f64::from(self.slots) * share) as u32).max(self.slots.min(1))
+    }
+
+    /// Records that the server rejected a run that its owner had started.
+    pub fn on_rejection(&mut self, now: Time) {
+        self.slot_share.on_rejection(now);
+    }
+
     /// Records the start of a run that holds a slot for `usual` on the service's average server.
     pub fn on_start(&mut self, now: Time, id: RequestId, usual: Duration) {
         self.step(now);
         let run = Run {
             usual_s: usual.as_secs_f64(),
             done_s: 0.0,
+            spent_s: 0.0,
+            at_start: self.running.len() + 1,
         };
         self.running.insert(id, run);
     }
@@ -82,10 +116,17 @@
     /// Records the end of a run; `is_complete` if its work was done.
     pub fn on_end(&mut self, now: Time, id: RequestId, is_complete: bool) {
         self.step(now);
+        let at_end = self.running.len();
         if let Some(run) = self.running.remove(&id)
             && is_complete
         {
             self.work_s += run.usual_s - run.done_s;
+            let share = |runs: usize| runs as f64 / f64::from(self.slots.max(1));
+            let used = (
+                share(run.at_start.min(at_end)),
+                share(run.at_start.max(at_end)),
+            );
+            self.slot_share.on_run(now, used, run.spent_s, run.usual_s);
         }
     }
 
@@ -150,6 +191,7 @@
             let done_s = (run.done_s + spent_s / pace).min(run.usual_s);
             self.work_s += done_s - run.done_s;
             self.slot_time_s += spent_s;
+            run.spent_s += spent_s;
             run.done_s = done_s;
         }
     }
--- a/crates/admit/tests/server_speed.rs
+++ b/crates/admit/tests/server_speed.rs
@@ -18,17 +18,22 @@
     /// How long the server takes for its work, and its machine.
     factors: (f64, f64),
     states: bool,
+    /// The share of the slots from which on work takes 1.3 times as long.
+    knee: f64,
 }
 
+const SLOTS: u32 = 100;
+
 impl Scene {
     fn new(states: bool) -> Self {
         Self {
-            speed: ServerSpeed::new(Time::ZERO),
+            speed: ServerSpeed::new(Time::ZERO, SLOTS),
             now: Time::ZERO,
             left: BTreeMap::new(),
             last: 0,
             factors: (1.0, 1.0),
             states,
+            knee: f64::INFINITY,
         }
     }
 
@@ -44,7 +49,9 @@
                 self.left.insert(self.last, work_s);
             }
             self.now = self.now + STEP;
-            let done_s = STEP.as_secs_f64() / self.factors.0 / self.factors.1;
+            let used = self.left.len() as f64 / f64::from(SLOTS);
+            let slowed = if used > self.knee { 1.3 } else { 1.0 };
+            let done_s = STEP.as_secs_f64() / self.factors.0 / self.factors.1 / slowed;
             self.left.values_mut().for_each(|left| *left -= done_s);
             let ended: Vec<_> = self.left.extract_if(.., |_, left| *left <= 0.0).collect();
             for (id, _) in ended {
@@ -57,6 +64,18 @@
         }
     }
 
+    /// Keeps all usable slots busy for a time, and returns how many there were on average.
+    fn saturate(&mut self, span: Duration) -> f64 {
+        let end = self.now + span;
+        let (mut sum, mut steps) = (0.0, 0.0);
+        while self.now < end {
+            let usable = self.speed.usable_slots();
+            self.run(usable as usize, STEP);
+            (sum, steps) = (sum + f64::from(usable), steps + 1.0);
+        }
+        sum / steps
+    }
+
     fn pace(&mut self) -> f64 {
         self.speed.pace(self.now)
     }
@@ -129,3 +148,47 @@
     let now = scene.speed.pace_now(scene.now);
     assert!((1.2..1.8).contains(&now), "{now}");
 }
+
+#[test]
+fn a_knee_is_found_and_all_slots_are_used_without_one() {
+    for knee in [0.95, f64::INFINITY] {
+        let mut scene = Scene::new(true);
+        scene.knee = knee;
+        scene.saturate(Duration::from_secs(5));
+        let used = scene.saturate(Duration::from_secs(60));
+        if knee < 1.0 {
+            assert!(used < 95.0, "{used}");
+        } else {
+            assert!(used > 98.0, "{used}");
+        }
+    }
+}
+
+/// A machine that is slow by turns is no knee.
+#[test]
+fn a_busy_machine_changes_no_usable_slots() {
+    let mut scene = Scene::new(true);
+    scene.saturate(Duration::from_secs(5));
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut used = 0.0;
+    for _ in 0..100 {
+        scene.factors.1 = if rng.f64() < 0.15 { 2.5 } else { 1.0 };
+        used += scene.saturate(Duration::from_millis(600)) / 100.0;
+    }
+    assert!(used > 98.0, "{used}");
+}
+
+#[test]
+fn a_rejection_gives_up_the_last_slots() {
+    let mut scene = Scene::new(true);
+    scene.saturate(Duration::from_secs(5));
+    assert_eq!(scene.speed.usable_slots(), SLOTS);
+    scene.speed.on_rejection(scene.now);
+    assert_eq!(scene.speed.usable_slots(), 94);
+}
+
+#[test]
+fn a_server_that_states_nothing_keeps_some_slots_free() {
+    let mut scene = Scene::new(false);
+    assert!(scene.saturate(Duration::from_secs(10)) <= 94.0);
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -29,6 +29,8 @@
 const PEERS_UP: &str = "cassiashunt_peers_up";
 const PROOF_AGE: &str = "cassiashunt_proof_age_seconds";
 const TABLE_VERSION: &str = "cassiashunt_table_version";
+const SERVER_PACE: &str = "cassiashunt_server_pace";
+const SERVER_SLOTS: &str = "cassiashunt_server_usable_slots";
 
 /// Installs the Prometheus recorder and describes the metrics.
 ///
@@ -80,6 +82,11 @@
         "Age of the proof that the table is the newest"
     );
     describe_gauge!(TABLE_VERSION, "Version of the table in force");
+    describe_gauge!(
+        SERVER_PACE,
+        "How long work takes at the backend server, as a multiple of its service's mean"
+    );
+    describe_gauge!(SERVER_SLOTS, "Slots of the backend server that are used");
     Ok(handle)
 }
 
@@ -135,3 +142,9 @@
     gauge!(PROOF_AGE).set(proof_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
     gauge!(TABLE_VERSION).set(table_version as f64);
 }
+
+/// Sets the gauges of the backend server's speed.
+pub(crate) fn set_server_speed(pace: f64, usable_slots: u32) {
+    gauge!(SERVER_PACE).set(pace);
+    gauge!(SERVER_SLOTS).set(f64::from(usable_slots));
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -436,6 +436,7 @@
     /// Updates cost and calls of runs, of this node's server and of all other nodes.
     pub(crate) fn update_uses(&self) {
         let now = crate::clock::now();
+        self.owner.log_speed(now);
         let uses = self.owner.usage_report(now);
         let (name, service) = (self.settings().name.clone(), self.service());
         self.aggregation
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -33,9 +33,8 @@
 /// rather than make their chain fail; requests that can't meet their deadline any more are removed.
 const QUEUE_LENGTH_SHARE: f64 = 2.0;
 
-/// Fraction of a server's slots that is used: servers whose latency rises steeply when nearly full
-/// do so from 0.95 of their slots.
-const USED_SLOT_SHARE: f64 = 0.945;
+/// The factor by which a server's pace changes before that is logged again.
+const LOGGED_PACE_CHANGE: f64 = 1.25;
 
 enum RequestState {
     Waiting(Box<WorkRequest>, Time, OutcomeSender),
@@ -91,6 +90,8 @@
     last_id: RequestId,
     usage: Usage,
     speed: ServerSpeed,
+    /// The pace and the usable slots that were logged last.
+    logged_speed: (f64, u32),
     failures: FailureRate,
     pub(super) in_flight: InFlight<RequestId>,
     /// The suspect request that waits or runs, or the last one that did.
@@ -119,7 +120,8 @@
                 requests: HashMap::new(),
                 last_id: RequestId(0),
                 usage: Usage::default(),
-                speed: ServerSpeed::new(now),
+                speed: ServerSpeed::new(now, 0),
+                logged_speed: (1.0, 0),
                 failures: FailureRate::default(),
                 in_flight: InFlight::default(),
                 suspect: None,
@@ -173,6 +175,21 @@
         }
     }
 
+    /// Logs how fast the server is, where that has changed. To be called about once a second.
+    pub(crate) fn log_speed(&self, now: Time) {
+        let mut inner = self.inner.borrow_mut();
+        let (pace, slots) = (inner.speed.pace(now), inner.speed.usable_slots());
+        metrics::set_server_speed(pace, slots);
+        let (logged, logged_slots) = inner.logged_speed;
+        let change = (pace / logged).max(logged / pace);
+        if inner.server.is_none() || (change < LOGGED_PACE_CHANGE && slots == logged_slots) {
+            return;
+        }
+        let now_pace = inner.speed.pace_now(now);
+        inner.logged_speed = (pace, slots);
+        log::info!(pace = pace, pace_now = now_pace, slots = slots; "server-speed");
+    }
+
     /// Handles the load that the server reports with a response.
     pub(super) fn on_server_load(&self, load: ServerLoad) {
         if let Some(percent) = load.work_time_percent {
@@ -396,7 +413,9 @@
             server.apply(heartbeat, now);
             let (slots, state) = (server.slots, server.state);
             inner.admission.end_warm_up(now, heartbeat.warm_up);
-            let actions = inner.admission.set_slots(now, usable_slots(slots));
+            inner.speed.set_slots(slots);
+            let usable = inner.speed.usable_slots();
+            let actions = inner.admission.set_slots(now, usable);
             let is_draining = state == ServerState::Draining;
             (was_down, is_changed, is_draining, actions)
         };
@@ -422,9 +441,10 @@
         {
             let mut inner = self.inner.borrow_mut();
             let warm_up = server.warm_at.since(now);
-            inner.admission = Admission::new(now, options(server.slots, warm_up));
+            inner.speed = ServerSpeed::new(now, server.slots);
+            let usable = inner.speed.usable_slots();
+            inner.admission = Admission::new(now, options(usable, warm_up));
             inner.failures = FailureRate::default();
-            inner.speed = ServerSpeed::new(now);
             inner.is_down = false;
             if server.state == ServerState::Draining {
                 inner.admission.drain();
@@ -509,11 +529,17 @@
                     .on_end(now, run.route, end.elapsed, end.is_ok, &calls);
             }
             inner.speed.on_end(now, id, end.is_ok);
+            if end.delivery == Delivery::Responded {
+                inner.speed.on_rejection(now);
+            }
             inner.record_delivery(node, id, end.delivery);
             if let Some(has_failed) = end.has_failed {
                 inner.failures.record(now, has_failed);
             }
-            inner.admission.done(now, id, end.elapsed, end.is_ok)
+            let usable = inner.speed.usable_slots();
+            let mut actions = inner.admission.done(now, id, end.elapsed, end.is_ok);
+            actions.append(&mut inner.admission.set_slots(now, usable));
+            actions
         };
         self.apply(node, actions);
         match end.delivery {
@@ -583,19 +609,13 @@
 
 fn options(slots: u32, warm_up: Duration) -> Options {
     Options {
-        slots: usable_slots(slots),
+        slots,
         warm_up,
         queue_share: QUEUE_LENGTH_SHARE,
         ..Options::default()
     }
 }
 
-/// The slots that are used; at least one if the server has any.
-fn usable_slots(slots: u32) -> u32 {
-    let used = f64::from(slots) * USED_SLOT_SHARE;
-    (used as u32).max(slots.min(1))
-}
-
 /// The job that admission decides on; `None` if the workspace or route is not a valid name.
 fn to_job(id: RequestId, now: Time, request: &WorkRequest) -> Option<Job> {
     let workspace = if request.workspace.is_empty() {
