--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -17,12 +17,15 @@
 mod limiter;
 mod queue;
 mod retry_after;
+mod server_speed;
 mod signal;
+mod slot_share;
 mod usage;
 mod workspace_demand;
 
 pub use admission::{Action, Admission, Options};
 pub use job::{Job, Priority};
 pub use retry_after::jittered_retry_after;
+pub use server_speed::ServerSpeed;
 pub use signal::{Level, Signal};
 pub use usage::Usage;
