Cold servers get a bounded rate of starts, and evacuated domains no requests

The owner counts the starts at its server in a sliding window and bounds them while the server is or may be cold (warmup_per_s, warmup_s of the table); a probe's X-Warmup-Ms is read. Evacuations are read with the operators' items and travel with the reports of the tree, the last change of each domain by the store's order.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -12,6 +12,7 @@
     limiter::Limiter,
     queue::Queue,
     signal::FULL_LOAD,
+    start_rate::{StartLimit, StartRate},
 };
 
 /// The shortest retry-after delay of a refusal.
@@ -26,6 +27,9 @@
     /// The slow start time in which the limit of a cold server rises to its slots; zero for a warm
     /// server.
     pub warm_up: Duration,
+    /// The rate at which requests start while the server is cold, which replaces the slow start;
+    /// `None` for no such limit.
+    pub start_limit: Option<StartLimit>,
     /// The maximum queue length, as a share of the concurrency limit.
     pub queue_share: f64,
     /// The lower bound of the maximum queue length, in requests.
@@ -39,6 +43,7 @@
         Self {
             slots: 16,
             warm_up: Duration::ZERO,
+            start_limit: None,
             queue_share: 0.5,
             min_queue: 4,
             estimate_age: Duration::from_secs(1),
@@ -63,6 +68,7 @@
 pub struct Admission {
     opts: Options,
     limiter: Limiter,
+    start_rate: StartRate,
     queue: Queue,
     running: HashMap<RequestId, Route>,
     /// Waiting and running requests that must not run concurrently with any other.
@@ -79,7 +85,8 @@
     #[must_use]
     pub fn new(now: Time, opts: Options) -> Self {
         Self {
-            limiter: Limiter::new(opts.slots, now, opts.warm_up),
+            limiter: Limiter::new(opts.slots, now, slow_start(&opts)),
+            start_rate: StartRate::new(opts.start_limit, now + opts.warm_up),
             opts,
             queue: Queue::default(),
             running: HashMap::new(),
@@ -191,6 +198,45 @@
         self.limiter.end_warm_up(now, left);
     }
 
+    /// Sets the limit on starts while the server is cold.
+    pub fn set_start_limit(&mut self, now: Time, limit: Option<StartLimit>) {
+        self.opts.start_limit = limit;
+        self.start_rate.set_limit(limit);
+        if limit.is_some() {
+            self.limiter.end_warm_up(now, Duration::ZERO);
+        }
+    }
+
+    /// Records that the server is cold for `left` from now on; zero if it is warm. Only the limit on
+    /// starts follows from it.
+    pub fn set_cold(&mut self, now: Time, left: Duration) {
+        self.start_rate.set_cold_until(now + left);
+    }
+
+    /// Takes all starts that the limit allows in the second before `now` to have happened: what was
+    /// sent to the server before is not known.
+    pub fn spend_starts(&mut self, now: Time) {
+        self.start_rate.spend(now);
+    }
+
+    /// Whether the limit on starts is in force.
+    #[must_use]
+    pub fn is_start_limited(&self, now: Time) -> bool {
+        self.start_rate.limit(now).is_some()
+    }
+
+    /// The requests that the server can run concurrently as far as it is used: the concurrency
+    /// limit, or while it is cold, what its starts come to at the mean service time.
+    #[must_use]
+    pub fn capacity(&self, now: Time) -> u32 {
+        let limit = self.limiter.limit(now);
+        let Some(starts) = self.start_rate.limit(now) else {
+            return limit;
+        };
+        let running = f64::from(starts) * self.estimates.overall().as_secs_f64();
+        limit.min((running.ceil() as u32).max(1))
+    }
+
     /// Refuses all waiting requests and all that are offered from now on.
     pub fn drain(&mut self) -> Vec<Action> {
         self.is_draining = true;
@@ -203,6 +249,11 @@
             .collect()
     }
 
+    /// Accepts requests again after [`drain`](Self::drain).
+    pub fn resume(&mut self) {
+        self.is_draining = false;
+    }
+
     /// The number of running requests.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -250,13 +301,14 @@
     }
 
     fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while self.in_flight() < self.limiter.limit(now) {
+        while self.can_start(now) {
             if self.must_wait_for_idle() {
                 return;
             }
             let Some(job) = self.queue.pop() else { return };
             if self.can_finish(now, &job) {
                 self.running.insert(job.key, job.route);
+                self.start_rate.on_start(now);
                 actions.push(Action::Start(job.key));
             } else {
                 self.level_controller.on_refusal();
@@ -265,6 +317,11 @@
         }
     }
 
+    /// Whether the limits on concurrency and on starts leave room for one more request.
+    fn can_start(&self, now: Time) -> bool {
+        self.in_flight() < self.limiter.limit(now) && self.start_rate.may_start(now)
+    }
+
     /// Whether the next request has to wait until no request runs: because it is exclusive, or
     /// because an exclusive one is running.
     fn must_wait_for_idle(&self) -> bool {
@@ -313,7 +370,7 @@
     }
 
     fn max_queue_len(&self, now: Time) -> usize {
-        let share = f64::from(self.limiter.limit(now)) * self.opts.queue_share;
+        let share = f64::from(self.capacity(now)) * self.opts.queue_share;
         (share as usize).max(self.opts.min_queue as usize)
     }
 
@@ -331,10 +388,14 @@
     /// Whether the request would meet its deadline after the requests ahead of it in the queue.
     fn can_finish_after_wait(&self, now: Time, job: &Job) -> bool {
         let ahead = self.queue.ahead_of(job.rank());
-        if self.in_flight() < self.limiter.limit(now) || ahead == 0 {
+        if self.can_start(now) {
             return self.can_finish(now, job);
         }
-        let start = now + self.wait_behind(now, ahead);
+        let next_start = self.start_rate.next_start(now);
+        if ahead == 0 && next_start <= now {
+            return self.can_finish(now, job);
+        }
+        let start = next_start.max(now + self.wait_behind(now, ahead));
         let is_too_late = self.start_by.get(&job.key).is_some_and(|by| start > *by);
         !is_too_late && self.can_finish_from(now, start, job)
     }
@@ -343,7 +404,8 @@
     fn wait_behind(&self, now: Time, ahead: usize) -> Duration {
         let limit = self.limiter.limit(now).max(1);
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.estimates.overall().saturating_mul(ahead) / limit
+        let wait = self.estimates.overall().saturating_mul(ahead) / limit;
+        wait.max(self.start_rate.time_for(now, ahead))
     }
 
     fn refuse(&self, job: &Job, reason: Reason) -> Action {
@@ -355,7 +417,17 @@
 
     fn load(&self, now: Time) -> f64 {
         let busy = self.running.len() + self.queue.len();
-        busy as f64 / f64::from(self.limiter.limit(now).max(1))
+        let busy = busy as f64 / f64::from(self.capacity(now).max(1));
+        busy.max(self.start_rate.used_share(now))
+    }
+}
+
+/// The time of the slow start by concurrency; none where starts are limited.
+fn slow_start(opts: &Options) -> Duration {
+    if opts.start_limit.is_some() {
+        Duration::ZERO
+    } else {
+        opts.warm_up
     }
 }
 
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -18,6 +18,7 @@
 mod queue;
 mod retry_after;
 mod signal;
+mod start_rate;
 mod usage;
 mod workspace_demand;
 
@@ -25,4 +26,5 @@
 pub use job::{Job, Priority};
 pub use retry_after::jittered_retry_after;
 pub use signal::{Level, Signal};
+pub use start_rate::StartLimit;
 pub use usage::Usage;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 mod allowance;
 mod announce;
 mod directory;
+mod evacuations;
 mod first_comparison;
 mod fleet_count;
 mod freshness;
@@ -23,12 +24,14 @@
 mod sums;
 mod table;
 mod tree;
+mod warmth;
 
 pub mod prelude;
 
 pub use allowance::{Allowance, DELEGATION_TTL, Options as AllowanceOptions, Take};
 pub use announce::{Announcement, Heartbeat, ServerState};
 pub use directory::{Directory, DirectoryUpdate, EntryChange};
+pub use evacuations::{EvacuationChange, Evacuations};
 pub use first_comparison::FirstComparison;
 pub use fleet_count::FleetCount;
 pub use freshness::{Freshness, ProofPace};
@@ -45,6 +48,8 @@
 pub use subset::{SUBSET_SIZE, SubsetWidth, subset};
 pub use sums::{Origin, Sum, SumReport, SumTimes, Sums, Uses};
 pub use table::{
-    ClientLimits, InvalidTable, Repeat, RouteRow, SiteTable, Target, Unmatched, WorkspaceRow,
+    ClientLimits, InvalidTable, Repeat, RouteRow, ServiceRow, SiteTable, Target, Unmatched,
+    WorkspaceRow,
 };
 pub use tree::{Tree, TreePosition};
+pub use warmth::Warmth;
--- a/crates/mesh/src/table.rs
+++ b/crates/mesh/src/table.rs
@@ -47,6 +47,29 @@
     pub is_public: bool,
 }
 
+/// A service of the table.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceRow {
+    /// The name of the service.
+    pub name: Service,
+    /// How long its servers are cold after their start; zero where none is.
+    pub warm_up: Duration,
+    /// The requests per second that a cold server tolerates; zero where they are not limited.
+    pub warm_up_rate: f64,
+}
+
+impl ServiceRow {
+    /// A service whose servers need no warm-up.
+    #[must_use]
+    pub fn new(name: Service) -> Self {
+        Self {
+            name,
+            warm_up: Duration::ZERO,
+            warm_up_rate: 0.0,
+        }
+    }
+}
+
 /// A workspace of the table.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WorkspaceRow {
@@ -146,6 +169,7 @@
     /// The version; a higher number is newer.
     pub version: u64,
     routes: Vec<RouteRow>,
+    services: Vec<ServiceRow>,
     workspaces: Vec<WorkspaceRow>,
     /// Bounds on what callers may send.
     pub limits: ClientLimits,
@@ -164,18 +188,19 @@
     pub fn new(
         version: u64,
         routes: Vec<RouteRow>,
-        services: &[Service],
+        services: Vec<ServiceRow>,
         workspaces: Vec<WorkspaceRow>,
         limits: ClientLimits,
     ) -> Result<Self, InvalidTable> {
         for route in &routes {
-            check_route(route, services)?;
+            check_route(route, &services)?;
         }
         let by_host = index_routes(&routes)?;
         let by_key = index_keys(&workspaces)?;
         Ok(Self {
             version,
             routes,
+            services,
             workspaces,
             limits,
             by_host,
@@ -208,6 +233,12 @@
         !self.workspaces.is_empty()
     }
 
+    /// Returns the row of a service.
+    #[must_use]
+    pub fn service(&self, name: Service) -> Option<&ServiceRow> {
+        self.services.iter().find(|row| row.name == name)
+    }
+
     /// Returns all workspaces.
     #[must_use]
     pub fn workspaces(&self) -> &[WorkspaceRow] {
@@ -228,7 +259,7 @@
     }
 }
 
-fn check_route(route: &RouteRow, services: &[Service]) -> Result<(), InvalidTable> {
+fn check_route(route: &RouteRow, services: &[ServiceRow]) -> Result<(), InvalidTable> {
     let prefix = &route.prefix;
     if !prefix.starts_with('/') || !prefix.ends_with('/') {
         return Err(InvalidTable::MissingSlash(route.name));
@@ -240,7 +271,7 @@
         return Err(InvalidTable::NoTarget(route.name));
     }
     let mut targets = route.targets.iter().map(|target| target.service);
-    match targets.find(|service| !services.contains(service)) {
+    match targets.find(|service| !services.iter().any(|row| row.name == *service)) {
         Some(unknown) => Err(InvalidTable::UnknownService(route.name, unknown)),
         None => Ok(()),
     }
--- a/crates/mesh/tests/table.rs
+++ b/crates/mesh/tests/table.rs
@@ -1,7 +1,7 @@
 //! Lookups in a table, and refusal of invalid tables.
 
 use cassiashunt_mesh::{
-    ClientLimits, InvalidTable, Repeat, RouteRow, SiteTable, Target, WorkspaceRow,
+    ClientLimits, InvalidTable, Repeat, RouteRow, ServiceRow, SiteTable, Target, WorkspaceRow,
 };
 use cassiashunt_types::prelude::*;
 
@@ -42,7 +42,7 @@
     SiteTable::new(
         1,
         routes,
-        &[service("shop")],
+        vec![ServiceRow::new(service("shop"))],
         workspaces,
         ClientLimits::default(),
     )
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -93,6 +93,8 @@
 /// The known live nodes and their backend servers by service.
 pub(crate) struct Fleet {
     domain: FailureDomain,
+    /// The failure domains whose servers get no requests.
+    evacuated: Vec<FailureDomain>,
     peers: HashMap<String, Peer>,
     groups: HashMap<Service, ServiceGroup>,
     local: Option<(Service, ServerKey)>,
@@ -102,6 +104,7 @@
     pub(crate) fn new(domain: FailureDomain) -> Self {
         Self {
             domain,
+            evacuated: Vec::new(),
             peers: HashMap::new(),
             groups: HashMap::new(),
             local: None,
@@ -147,6 +150,18 @@
             .collect()
     }
 
+    /// Leaves out the servers of these failure domains. Others are used again once their owners report
+    /// that they serve.
+    pub(crate) fn set_evacuated(&mut self, evacuated: Vec<FailureDomain>) {
+        self.evacuated = evacuated;
+        let peers = self.peers.values().map(|it| (&it.announcement, it.key));
+        let left_out = peers.filter(|(it, _)| self.evacuated.contains(&it.domain));
+        let left_out: Vec<_> = left_out.map(|(it, key)| (it.service, key)).collect();
+        for (service, key) in left_out {
+            self.set_presence(service, key, Presence::Draining);
+        }
+    }
+
     /// Whether a peer is connected and has read a table.
     pub(crate) fn has_table(&self, name: &str) -> bool {
         let peer = self.peers.get(name);
@@ -369,7 +384,9 @@
         if let Some(group) = self.groups.get_mut(&service) {
             group.chooser.set_slots(key, announcement.slots);
         }
-        let is_serving = announcement.state == ServerState::Ready && !announcement.is_stopping;
+        let is_serving = announcement.state == ServerState::Ready
+            && !announcement.is_stopping
+            && !self.evacuated.contains(&self.domain);
         self.set_presence(service, key, presence(is_serving));
     }
 
@@ -437,7 +454,9 @@
                 group.chooser.set_pace(key, f64::from(load.pace));
             }
         }
-        self.set_presence(service, key, presence(load.is_serving));
+        let is_evacuated = self.evacuated.contains(&peer.announcement.domain);
+        let is_serving = load.is_serving && !is_evacuated;
+        self.set_presence(service, key, presence(is_serving));
     }
 
     /// Sets the pace of this node's server relative to others of its service.
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cassiashunt_admit::chain_admission::Capacity;
-use cassiashunt_mesh::{KnownTable, StoreRevision};
+use cassiashunt_mesh::{EvacuationChange, KnownTable, StoreRevision};
 use cassiashunt_suspect::{Fingerprint, message::StrikeUpdate as Strikes};
 use cassiashunt_types::prelude::*;
 
@@ -307,6 +307,9 @@
     pub(crate) origins: Vec<OriginRow>,
     #[prost(message, optional, tag = "5")]
     pub(crate) known: Option<KnownState>,
+    /// The last known changes of evacuations.
+    #[prost(message, repeated, tag = "30")]
+    pub(crate) evacuations: Vec<EvacuationRow>,
 }
 
 /// A relayed sum of another failure domain.
@@ -331,6 +334,43 @@
     pub(crate) proof: Option<Proof>,
     #[prost(message, optional, tag = "3")]
     pub(crate) known: Option<KnownState>,
+    /// The last known changes of evacuations.
+    #[prost(message, repeated, tag = "30")]
+    pub(crate) evacuations: Vec<EvacuationRow>,
+}
+
+/// The last change of the evacuation of a failure domain.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EvacuationRow {
+    #[prost(string, tag = "1")]
+    pub(crate) domain: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) era: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) revision: u64,
+    #[prost(bool, tag = "4")]
+    pub(crate) is_evacuated: bool,
+}
+
+impl From<EvacuationChange> for EvacuationRow {
+    fn from(change: EvacuationChange) -> Self {
+        Self {
+            domain: change.domain.to_string(),
+            era: change.at.era,
+            revision: change.at.revision.0,
+            is_evacuated: change.is_evacuated,
+        }
+    }
+}
+
+impl From<&EvacuationRow> for EvacuationChange {
+    fn from(row: &EvacuationRow) -> Self {
+        Self {
+            domain: FailureDomain::of_name(&row.domain),
+            at: StoreRevision::new(row.era, Revision(row.revision)),
+            is_evacuated: row.is_evacuated,
+        }
+    }
 }
 
 /// Which state a node holds, read from the store or received from peers. Nodes compare it to find
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) use dial::{Link, keep_link};
 pub(crate) use frame::{
     Answer, AskTokens, CallCount, CapacityEntry, Delegate, DemandEntry, Down, EntryChanges,
-    EntryRow, Field, Frame, GiveTokens, Hello, Kind, KnownState, Load, OriginRow, Outcome, Proof,
-    RunUse, ServiceUses, StorePosition, SumRow, Table, Up, UsesRow, WorkRequest,
+    EntryRow, EvacuationRow, Field, Frame, GiveTokens, Hello, Kind, KnownState, Load, OriginRow,
+    Outcome, Proof, RunUse, ServiceUses, StorePosition, SumRow, Table, Up, UsesRow, WorkRequest,
 };
 pub(crate) use socket::Sender;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -24,6 +24,8 @@
 const STORE_CALLS: &str = "cassiashunt_store_calls_total";
 const STORE_SECONDS: &str = "cassiashunt_store_seconds";
 const REPORTS: &str = "cassiashunt_reports_total";
+const SERVER_COLD: &str = "cassiashunt_server_cold_total";
+const EVACUATED: &str = "cassiashunt_evacuated_domains";
 const CALLERS_REPLACED: &str = "cassiashunt_callers_replaced_total";
 const LINES_DROPPED: &str = "cassiashunt_log_lines_dropped_total";
 const PEERS_UP: &str = "cassiashunt_peers_up";
@@ -65,6 +67,14 @@
         REPORTS,
         "Status reports and leaves of backend servers and other writers, by what became of them"
     );
+    describe_counter!(
+        SERVER_COLD,
+        "Times that starts at the backend server were limited because it is or may be cold"
+    );
+    describe_gauge!(
+        EVACUATED,
+        "Failure domains that the operators have evacuated"
+    );
     describe_counter!(
         CALLERS_REPLACED,
         "Requests whose client named a caller itself, which was replaced"
@@ -124,6 +134,16 @@
     counter!(CALLERS_REPLACED).increment(1);
 }
 
+/// Counts a time that starts at the backend server are limited.
+pub(crate) fn server_cold() {
+    counter!(SERVER_COLD).increment(1);
+}
+
+/// Sets the number of evacuated failure domains.
+pub(crate) fn set_evacuated(domains: usize) {
+    gauge!(EVACUATED).set(domains as f64);
+}
+
 /// Counts dropped log lines.
 pub(crate) fn lines_dropped(lines: u64) {
     counter!(LINES_DROPPED).increment(lines);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -7,8 +7,8 @@
 };
 
 use cassiashunt_mesh::{
-    Directory, FirstComparison, FleetCount, KnownTable, LineLimit, StopSchedule, StoreRevision,
-    Sum, prelude::*,
+    Directory, EvacuationChange, Evacuations, FirstComparison, FleetCount, KnownTable, LineLimit,
+    StopSchedule, StoreRevision, Sum, prelude::*,
 };
 use cassiashunt_types::prelude::*;
 use tokio::sync::Notify;
@@ -20,6 +20,7 @@
     fleet::Fleet,
     ingress::TrafficSplits,
     link::{Frame, Hello, KnownState, Load, Proof, Table},
+    metrics,
     owner::Owner,
     peer_links::SubsetWidths,
     quota::Quotas,
@@ -43,6 +44,8 @@
     pub(crate) incarnation: NodeId,
     /// The table in force; `None` before the first.
     pub(crate) table: RefCell<Option<Rc<SiteTable>>>,
+    /// Which failure domains the operators have evacuated.
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// Which tables were received, in force or not.
     pub(crate) known_table: Cell<KnownTable>,
     /// The position of the newest table that a peer has read.
@@ -133,6 +136,7 @@
             store,
             incarnation: NodeId::random(),
             table: RefCell::new(None),
+            evacuations: RefCell::default(),
             known_table: Cell::default(),
             peer_revision: Cell::default(),
             outdated_since: Cell::new(None),
@@ -369,13 +373,49 @@
         }
     }
 
+    /// Handles changes of evacuations that were read from the store or received from a peer.
+    pub(crate) fn on_evacuation_changes(
+        self: &Rc<Self>,
+        changes: impl IntoIterator<Item = EvacuationChange>,
+    ) {
+        let changed: Vec<_> = {
+            let mut known = self.evacuations.borrow_mut();
+            let changes = changes.into_iter();
+            changes.filter(|it| known.on_change(*it)).collect()
+        };
+        self.apply_evacuations(&changed);
+    }
+
+    /// Puts evacuations that have begun or ended in force.
+    pub(crate) fn apply_evacuations(self: &Rc<Self>, changed: &[EvacuationChange]) {
+        if changed.is_empty() {
+            return;
+        }
+        for change in changed {
+            log::warn!(domain:% = change.domain, evacuated = change.is_evacuated,
+                era = change.at.era, revision = change.at.revision.0; "domain-evacuated");
+        }
+        let evacuated: Vec<_> = {
+            let known = self.evacuations.borrow();
+            let evacuated = known.changes().filter(|it| it.is_evacuated);
+            evacuated.map(|it| it.domain).collect()
+        };
+        metrics::set_evacuated(evacuated.len());
+        self.fleet.borrow_mut().set_evacuated(evacuated);
+        let own = self.settings().domain();
+        if let Some(change) = changed.iter().find(|it| it.domain == own) {
+            self.owner.set_evacuated(self, change.is_evacuated);
+        }
+        self.report_now.notify_one();
+    }
+
     /// The load report of this node's owner.
     pub(crate) fn load(&self) -> Load {
         Load {
             report: self.owner.report_state().to_bits(),
             is_serving: self.owner.is_serving() && !self.is_stopping(),
             service: self.service().as_str().into(),
-            slots: self.owner.concurrency_limit(),
+            slots: self.owner.capacity(),
             busy: self.owner.busy_slots(),
             pace: self
                 .shedding
--- a/crates/sidecar/src/owner/crash.rs
+++ b/crates/sidecar/src/owner/crash.rs
@@ -51,6 +51,7 @@
         if !was_down {
             log::warn!(server:? = self.server_id(); "server-down");
             self.pool.clear();
+            self.doubt_warmth(node);
             node.on_server_changed();
         }
     }
--- a/crates/sidecar/src/owner/identify.rs
+++ b/crates/sidecar/src/owner/identify.rs
@@ -7,7 +7,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use super::Owner;
-use crate::{http::Connection, node::Node};
+use crate::{clock, http::Connection, node::Node};
 
 /// The time between two probes of a server.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
@@ -16,6 +16,20 @@
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// A server's answer to a probe.
+pub(super) struct ProbeAnswer {
+    /// The number of the probe.
+    pub(super) number: u64,
+    /// When the probe was sent.
+    pub(super) sent: Time,
+    /// The server's id.
+    pub(super) id: String,
+    /// Its slots, if it states them.
+    pub(super) slots: Option<u32>,
+    /// How much longer it is cold; zero if it states nothing.
+    pub(super) warm_up: Duration,
+}
+
 impl Owner {
     /// Asks the server for its id as long as that is in doubt, a few times at most.
     pub(crate) fn identify(&self, node: &Rc<Node>) {
@@ -36,19 +50,29 @@
     }
 
     pub(super) fn needs_probe(&self) -> bool {
-        self.inner.borrow().starts.needs_probe()
+        let inner = self.inner.borrow();
+        inner.starts.needs_probe() || inner.is_warmth_doubted()
     }
 }
 
 async fn probe(node: &Rc<Node>) {
+    let sent = clock::now();
     let number = node.owner.inner.borrow_mut().starts.on_probe_sent();
     let address = node.settings().addresses.server;
     let Ok(Some(headers)) = timeout(PROBE_TIMEOUT, ask_health(address)).await else {
         return;
     };
     if let Some(server) = headers.server {
-        log::info!(server:% = server, slots:? = headers.slots; "server-probed");
-        node.owner.on_probed(node, number, server, headers.slots);
+        log::info!(server:% = server, slots:? = headers.slots, warm_up:? = headers.warm_up;
+            "server-probed");
+        let answer = ProbeAnswer {
+            number,
+            sent,
+            id: server,
+            slots: headers.slots,
+            warm_up: headers.warm_up.unwrap_or_default(),
+        };
+        node.owner.on_probed(node, answer);
     }
 }
 
--- a/crates/sidecar/src/owner/mod.rs
+++ b/crates/sidecar/src/owner/mod.rs
@@ -7,5 +7,6 @@
 mod requests;
 mod run;
 mod server;
+mod warmth;
 
 pub(crate) use requests::Owner;
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -8,14 +8,17 @@
 };
 
 use cassiashunt_adapter::parent_attempt;
-use cassiashunt_admit::{Action, Admission, Job, Options, Priority, Usage, chain::RouteUse};
-use cassiashunt_mesh::{ProbeOutcome, ReportOutcome, ServerStarts, prelude::*};
+use cassiashunt_admit::{
+    Action, Admission, Job, Options, Priority, StartLimit, Usage, chain::RouteUse,
+};
+use cassiashunt_mesh::{ProbeOutcome, ReportOutcome, ServerStarts, Warmth, prelude::*};
 use cassiashunt_route::{FailureRate, OwnerReport};
 use cassiashunt_suspect::{Decision, InFlight};
 use cassiashunt_types::prelude::*;
 use tokio::{sync::oneshot, task::AbortHandle};
 
 use super::{
+    identify::ProbeAnswer,
     pool::Pool,
     run::{Delivery, OutcomeSender, RunEnd, run},
     server::Server,
@@ -80,11 +83,18 @@
 }
 
 pub(super) struct Inner {
-    server: Option<Server>,
+    pub(super) server: Option<Server>,
     pub(super) starts: ServerStarts,
     /// The server refuses connections; reset by the next heartbeat.
     pub(super) is_down: bool,
-    admission: Admission,
+    pub(super) admission: Admission,
+    /// The limit on starts while the server is cold; `None` where the operators state none.
+    pub(super) start_limit: Option<StartLimit>,
+    pub(super) warmth: Warmth,
+    /// The operators have evacuated the server's failure domain.
+    pub(super) is_evacuated: bool,
+    /// When the node started. What an earlier process sent before is not known.
+    began: Time,
     requests: HashMap<RequestId, RequestState>,
     last_id: RequestId,
     usage: Usage,
@@ -112,7 +122,11 @@
                 server: None,
                 starts: ServerStarts::default(),
                 is_down: false,
-                admission: Admission::new(now, options(0, Duration::ZERO)),
+                admission: Admission::new(now, options(0, Duration::ZERO, None)),
+                start_limit: None,
+                warmth: Warmth::default(),
+                is_evacuated: false,
+                began: now,
                 requests: HashMap::new(),
                 last_id: RequestId(0),
                 usage: Usage::default(),
@@ -146,7 +160,7 @@
     }
 
     pub(crate) fn is_serving(&self) -> bool {
-        self.state() == ServerState::Ready
+        self.state() == ServerState::Ready && !self.inner.borrow().is_evacuated
     }
 
     pub(crate) fn is_cold(&self, now: Time) -> bool {
@@ -178,9 +192,9 @@
         inner.admission.in_flight() + inner.admission.queued()
     }
 
-    /// The current concurrency limit.
-    pub(crate) fn concurrency_limit(&self) -> u32 {
-        self.inner.borrow().admission.limit(clock::now())
+    /// The requests that the server can run concurrently now.
+    pub(crate) fn capacity(&self) -> u32 {
+        self.inner.borrow().admission.capacity(clock::now())
     }
 
     /// Records a call that the server makes. Returns the run that makes it, if the attempt id names
@@ -278,18 +292,28 @@
         self.pool.expire(now);
         let actions = self.inner.borrow_mut().admission.tick(now);
         self.apply(node, actions);
+        self.check_warmth(node);
     }
 
     /// Handles the id with which the server answered a probe.
-    pub(super) fn on_probed(&self, node: &Rc<Node>, probe: u64, id: String, slots: Option<u32>) {
+    pub(super) fn on_probed(&self, node: &Rc<Node>, answer: ProbeAnswer) {
         let now = clock::now();
-        let outcome = self.inner.borrow_mut().starts.on_probed(probe, &id);
+        let outcome = {
+            let mut inner = self.inner.borrow_mut();
+            inner.starts.on_probed(answer.number, &answer.id)
+        };
         match outcome {
-            ProbeOutcome::Current => {}
+            ProbeOutcome::Current => {
+                let mut inner = self.inner.borrow_mut();
+                inner.warmth.on_probe(now, answer.sent, answer.warm_up);
+                inner.apply_warmth(now);
+            }
             ProbeOutcome::Started(Some(heartbeat)) => {
-                self.replace(node, Server::from_heartbeat(&heartbeat, now));
+                let mut server = Server::from_heartbeat(&heartbeat, now);
+                server.warm_at = server.warm_at.max(now + answer.warm_up);
+                self.replace(node, server);
             }
-            ProbeOutcome::Started(None) => self.replace(node, Server::from_probe(id, slots, now)),
+            ProbeOutcome::Started(None) => self.replace(node, Server::from_probe(answer, now)),
             ProbeOutcome::Replaced => self.on_down(node, false),
         }
     }
@@ -380,6 +404,11 @@
             let is_changed = server.is_changed_by(heartbeat);
             server.apply(heartbeat, now);
             let (slots, state) = (server.slots, server.state);
+            if was_down {
+                inner.warmth.on_doubt(now);
+            }
+            inner.warmth.on_report(now, heartbeat.warm_up);
+            inner.apply_warmth(now);
             inner.admission.end_warm_up(now, heartbeat.warm_up);
             let actions = inner.admission.set_slots(now, usable_slots(slots));
             let is_draining = state == ServerState::Draining;
@@ -407,19 +436,27 @@
         {
             let mut inner = self.inner.borrow_mut();
             let warm_up = server.warm_at.since(now);
-            inner.admission = Admission::new(now, options(server.slots, warm_up));
+            let is_first = inner.server.is_none();
+            inner.admission =
+                Admission::new(now, options(server.slots, warm_up, inner.start_limit));
+            if is_first {
+                let began = inner.began;
+                inner.admission.spend_starts(began);
+            }
+            inner.warmth = Warmth::new(now, warm_up);
             inner.failures = FailureRate::default();
             inner.is_down = false;
-            if server.state == ServerState::Draining {
+            if server.state == ServerState::Draining || inner.is_evacuated {
                 inner.admission.drain();
             }
             inner.server = Some(server);
+            inner.apply_warmth(now);
         }
         node.on_server_changed();
     }
 
     /// Carries out the admission's decisions.
-    fn apply(&self, node: &Rc<Node>, actions: Vec<Action>) {
+    pub(super) fn apply(&self, node: &Rc<Node>, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Start(id) => self.start(node, id),
@@ -440,6 +477,8 @@
             return;
         };
         let now = clock::now();
+        inner.warmth.on_contact(now);
+        inner.apply_warmth(now);
         // It may have become suspect while it waited.
         if let Some(refusal) = inner.check_suspicion(node, id, &request) {
             reply_to(reply, Outcome::Refused(refusal));
@@ -490,6 +529,10 @@
                     .on_end(now, run.route, end.elapsed, end.is_ok, &calls);
             }
             inner.record_delivery(node, id, end.delivery);
+            if matches!(end.delivery, Delivery::Answered | Delivery::Responded) {
+                inner.warmth.on_contact(now);
+                inner.apply_warmth(now);
+            }
             if let Some(has_failed) = end.has_failed {
                 inner.failures.record(now, has_failed);
             }
@@ -533,6 +576,11 @@
         }
     }
 
+    /// The id of the server, for logs.
+    pub(super) fn server_name(&self) -> &str {
+        self.server.as_ref().map_or("", |it| &it.id)
+    }
+
     /// Whether the server has announced that it leaves.
     pub(super) fn is_leaving(&self) -> bool {
         let server = self.server.as_ref();
@@ -542,7 +590,9 @@
     /// The reason to refuse a request before admission; `None` to go on.
     fn refusal_reason(&self, node: &Node, request: &WorkRequest) -> Option<Reason> {
         self.server.as_ref()?;
-        if node.is_stopping() {
+        // Without a table the rate that a cold server tolerates is not known.
+        let is_unlimited = node.table().is_none() && self.is_cold(clock::now());
+        if node.is_stopping() || self.is_evacuated || is_unlimited {
             Some(Reason::Draining)
         } else if self.is_down || node.service().as_str() != request.service {
             Some(Reason::NoServer)
@@ -552,10 +602,11 @@
     }
 }
 
-fn options(slots: u32, warm_up: Duration) -> Options {
+fn options(slots: u32, warm_up: Duration, start_limit: Option<StartLimit>) -> Options {
     Options {
         slots: usable_slots(slots),
         warm_up,
+        start_limit,
         queue_share: QUEUE_LENGTH_SHARE,
         ..Options::default()
     }
--- a/crates/sidecar/src/owner/server.rs
+++ b/crates/sidecar/src/owner/server.rs
@@ -3,6 +3,8 @@
 use cassiashunt_mesh::prelude::*;
 use cassiashunt_types::prelude::*;
 
+use super::identify::ProbeAnswer;
+
 /// The slots of a server that has announced none.
 const DEFAULT_SLOTS: u32 = 8;
 
@@ -17,12 +19,12 @@
 
 impl Server {
     /// The state of a server that answered a probe.
-    pub(crate) fn from_probe(id: String, slots: Option<u32>, now: Time) -> Self {
+    pub(crate) fn from_probe(answer: ProbeAnswer, now: Time) -> Self {
         Self {
-            id,
-            slots: slots.unwrap_or(DEFAULT_SLOTS),
+            id: answer.id,
+            slots: answer.slots.unwrap_or(DEFAULT_SLOTS),
             state: ServerState::Ready,
-            warm_at: now,
+            warm_at: now + answer.warm_up,
         }
     }
 
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -68,6 +68,12 @@
     pub retry_slack: f64,
     /// The window of the retry ratio, in seconds; above zero.
     pub retry_window_s: f64,
+    /// How many times the rate that a cold backend server tolerates it may get; 1 where left out.
+    #[serde(default = "default_warm_up_excess")]
+    pub warm_up_excess: f64,
+    /// Requests per second that a cold backend server may get beyond that; none where left out.
+    #[serde(default)]
+    pub warm_up_slack: f64,
 }
 
 impl Bounds {
@@ -94,6 +100,10 @@
     1_000
 }
 
+fn default_warm_up_excess() -> f64 {
+    1.0
+}
+
 /// Why a settings file is unusable.
 #[derive(Debug)]
 pub enum SettingsError {
@@ -226,6 +236,10 @@
             let reason = "must not be negative, and the window over zero";
             return Err(SettingsError::Value("bounds.retry-*", reason));
         }
+        if bounds.warm_up_excess < 0.0 || bounds.warm_up_slack < 0.0 {
+            let reason = "must not be negative";
+            return Err(SettingsError::Value("bounds.warm-up-*", reason));
+        }
         Ok(())
     }
 }
--- a/crates/sidecar/src/store/config.rs
+++ b/crates/sidecar/src/store/config.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use cassiashunt_adapter::{
     CONFIG_PREFIX, Change, DecodeError, Item, TxnOutcome, config_key, decode_listing, decode_table,
-    decode_txn, range, txn,
+    decode_txn, evacuated_domain, range, txn,
 };
-use cassiashunt_mesh::{KnownTable, ProofPace, StoreRevision};
+use cassiashunt_mesh::{EvacuationChange, KnownTable, ProofPace, StoreRevision};
 use cassiashunt_types::prelude::*;
 
 use super::{CALL_TIMEOUT, StoreClient, backoff, client::CallError, watch::watch};
@@ -197,13 +197,50 @@
 /// table's own revision would be refused once the store has discarded that part of its history.
 async fn read_config(node: &Rc<Node>, store: &StoreClient) -> Result<StoreRevision, CallError> {
     let asked = clock::now();
-    let call = range(config_key(), None);
-    let answer = store.call(&call, CALL_TIMEOUT).await?;
-    let listing = decode_listing(answer.status, &answer.body)?;
-    on_items(node, answer.era, listing.items);
-    prove(node, asked);
-    node.table_read.notify_one();
-    Ok(StoreRevision::new(answer.era, listing.at))
+    let (mut items, mut first, mut after) = (Vec::new(), None, None);
+    loop {
+        let call = range(CONFIG_PREFIX, after.as_deref());
+        let answer = store.call(&call, CALL_TIMEOUT).await?;
+        let listing = decode_listing(answer.status, &answer.body)?;
+        // Pages are no snapshot: what changed after the first one is read again by the watch.
+        let at = *first.get_or_insert(StoreRevision::new(answer.era, listing.at));
+        if at.era != answer.era {
+            return Err(CallError::Restored);
+        }
+        items.extend(listing.items);
+        after = listing.next_after;
+        if after.is_none() {
+            on_listed_evacuations(node, at, &items);
+            on_items(node, at.era, items);
+            prove(node, asked);
+            node.table_read.notify_one();
+            return Ok(at);
+        }
+    }
+}
+
+/// Applies the evacuations among all of the operators' items.
+fn on_listed_evacuations(node: &Rc<Node>, at: StoreRevision, items: &[Item]) {
+    let listed = items.iter().filter_map(|item| {
+        let domain = evacuated_domain(&item.key)?;
+        Some((FailureDomain::of_name(domain), item.revision))
+    });
+    let listed: Vec<_> = listed.collect();
+    let changed = node.evacuations.borrow_mut().on_listing(at, &listed);
+    node.apply_evacuations(&changed);
+}
+
+/// The change of an evacuation that a change of the store makes.
+fn evacuation_change(era: u64, change: &Change) -> Option<EvacuationChange> {
+    let (key, revision, is_evacuated) = match change {
+        Change::Put(item) => (&item.key, item.revision, true),
+        Change::Deleted(key, revision) => (key, *revision, false),
+    };
+    Some(EvacuationChange {
+        domain: FailureDomain::of_name(evacuated_domain(key)?),
+        at: StoreRevision::new(era, revision),
+        is_evacuated,
+    })
 }
 
 /// Applies the table among the store's current items. A copy from which the store was restored may
@@ -226,6 +263,11 @@
     after: StoreRevision,
 ) -> Result<StoreRevision, CallError> {
     let (changes, at) = watch(node, store, CONFIG_PREFIX, after, WATCH_TIMEOUT).await?;
+    node.on_evacuation_changes(
+        changes
+            .iter()
+            .filter_map(|it| evacuation_change(at.era, it)),
+    );
     for change in changes {
         if let Change::Put(item) = change
             && item.key == config_key()
@@ -314,6 +356,7 @@
     *node.table_value.borrow_mut() = Some(in_force);
     *node.table.borrow_mut() = Some(Rc::new(table));
     node.first_comparison.borrow_mut().on_table(clock::now());
+    node.owner.on_table(node);
     if !known.is_refused {
         confirm_in_force(node);
     }
--- a/crates/sidecar/src/tree.rs
+++ b/crates/sidecar/src/tree.rs
@@ -3,14 +3,14 @@
 
 use std::rc::Rc;
 
-use cassiashunt_mesh::{Origin, SumReport, Tree, TreePosition, first_by_rank};
+use cassiashunt_mesh::{EvacuationChange, Origin, SumReport, Tree, TreePosition, first_by_rank};
 use cassiashunt_types::prelude::*;
 
 use crate::{
     aggregation::Child,
     clock,
     fleet::Fleet,
-    link::{Down, Kind, KnownState, Sender, Up},
+    link::{Down, EvacuationRow, Kind, KnownState, Sender, Up},
     node::Node,
     sum_rows::{from_row, origin_from_row, origin_to_row, to_row},
 };
@@ -113,6 +113,7 @@
             is_head,
             origins: origins.into_iter().map(origin_to_row).collect(),
             known: Some(node.known_state()),
+            evacuations: evacuation_rows(node),
         }
     };
     let fleet = node.fleet.borrow();
@@ -131,6 +132,7 @@
         others: None,
         proof: None,
         known: Some(node.known_state()),
+        evacuations: evacuation_rows(node),
     };
     for child in children.values() {
         // A child whose queue is full receives it with its next answer.
@@ -139,7 +141,7 @@
 }
 
 /// Handles the report of a child or another head, and answers it.
-pub(crate) fn on_up(node: &Node, name: &str, tx: &Sender, up: &Up) {
+pub(crate) fn on_up(node: &Rc<Node>, name: &str, tx: &Sender, up: &Up) {
     let now = clock::now();
     let aggregation = &node.aggregation;
     let uses_interval = aggregation.times().uses_interval;
@@ -183,17 +185,26 @@
         others,
         proof: node.proof(now, up.asked_us),
         known: Some(node.known_state()),
+        evacuations: evacuation_rows(node),
     };
     // A child whose queue is full gets its answer to the next report.
     let _ = tx.try_send(Kind::Down(down).into());
     drop((sums, children));
+    node.on_evacuation_changes(up.evacuations.iter().map(EvacuationChange::from));
     on_known_state(node, name, up.known, |kind| {
         tx.try_send(kind.into()).is_ok()
     });
 }
 
 /// Handles an answer or an update of a parent or another head.
-pub(crate) fn on_down(node: &Node, now: Time, name: &str, down: &Down, ask: impl Fn(Kind) -> bool) {
+pub(crate) fn on_down(
+    node: &Rc<Node>,
+    now: Time,
+    name: &str,
+    down: &Down,
+    ask: impl Fn(Kind) -> bool,
+) {
+    node.on_evacuation_changes(down.evacuations.iter().map(EvacuationChange::from));
     let aggregation = &node.aggregation;
     if let Some(proof) = &down.proof {
         node.on_proof(now, proof);
@@ -210,6 +221,12 @@
     on_known_state(node, name, down.known, ask);
 }
 
+/// The last known changes of evacuations, for peers.
+fn evacuation_rows(node: &Node) -> Vec<EvacuationRow> {
+    let known = node.evacuations.borrow();
+    known.changes().map(EvacuationRow::from).collect()
+}
+
 /// Compares the peer's known state with this node's: asks for newer tables and entries, and sends
 /// this node's strikes where the peer's differ.
 fn on_known_state(node: &Node, name: &str, known: Option<KnownState>, ask: impl Fn(Kind) -> bool) {
