--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -20,6 +20,7 @@
 mod server_speed;
 mod signal;
 mod slot_share;
+mod start_rate;
 mod usage;
 mod workspace_demand;
 
@@ -28,4 +29,5 @@
 pub use retry_after::jittered_retry_after;
 pub use server_speed::ServerSpeed;
 pub use signal::{Level, Signal};
+pub use start_rate::StartLimit;
 pub use usage::Usage;
