--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -22,6 +22,9 @@
     pub store: Store,
     /// Limits on times and retries.
     pub bounds: Bounds,
+    /// What the process may use of its machine.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// The addresses at which the node and its backend server listen.
@@ -53,6 +56,26 @@
     pub min_lease_ms: u64,
 }
 
+/// What the process may use of its machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory of the process, in MiB; 96 or more. Half of it is for bodies of requests and answers.
+    pub memory_mb: u32,
+    /// Open files of the process; 64 or more. Three quarters of them are for connections of clients.
+    pub max_fds: u32,
+}
+
+impl Default for Limits {
+    /// The machines of the users' deployments have 260 MB and 4,100 descriptors.
+    fn default() -> Self {
+        Self {
+            memory_mb: 256,
+            max_fds: 4_096,
+        }
+    }
+}
+
 /// Limits on times and retries that the operators can rely on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -153,6 +176,7 @@
             ("service", self.service != stated.service),
             ("addresses", self.addresses != stated.addresses),
             ("store", self.store != stated.store),
+            ("limits", self.limits != stated.limits),
             ("bounds.retry-ratio", own.retry_ratio != new.retry_ratio),
             (
                 "bounds.retry-window-s",
@@ -222,6 +246,15 @@
         if bounds.grace_s <= 0.0 {
             return Err(SettingsError::Value("bounds.grace-s", "must be over zero"));
         }
+        if self.limits.memory_mb < 96 {
+            return Err(SettingsError::Value(
+                "limits.memory-mb",
+                "must be 96 or more",
+            ));
+        }
+        if self.limits.max_fds < 64 {
+            return Err(SettingsError::Value("limits.max-fds", "must be 64 or more"));
+        }
         if bounds.retry_ratio < 0.0 || bounds.retry_slack < 0.0 || bounds.retry_window_s <= 0.0 {
             let reason = "must not be negative, and the window over zero";
             return Err(SettingsError::Value("bounds.retry-*", reason));
