Bound the memory of bodies and the connections of clients on the platform's node

Cause: request bodies, answers that wait for slow clients and frames between nodes were bounded one by one, and long bodies were copied on their way (frame, codec, message to the server, reply). Change: half of the process's memory (limits.memory-mb) holds all bodies; where it has no room, the connection closes whose body has been without progress longest (503, or cut while an answer is written). Long frames wait for room before they are read. Long bodies are sent behind their head without a copy.

--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -138,7 +138,7 @@
         let peers_up = node.fleet.borrow().links_up();
         let age = node.freshness.borrow().age(crate::clock::now());
         let version = node.table().map_or(0, |table| table.version);
-        metrics::set_gauges(peers_up, age, version);
+        metrics::set_gauges(peers_up, age, version, node.memory.held());
         let text = metrics_handle.render();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use super::ReadError;
+use crate::memory::Account;
 
 /// Bodies up to this length may use the reserve beyond the shared limit, so that a few long ones don't
 /// block all others.
@@ -30,6 +31,7 @@
     pub(crate) fn for_body(&self, max: usize) -> BufferLimit<'_> {
         BufferLimit {
             shared: Some(self),
+            account: None,
             held: 0,
             max,
         }
@@ -40,20 +42,42 @@
 #[derive(Debug)]
 pub(crate) struct BufferLimit<'a> {
     shared: Option<&'a SharedBufferLimit>,
+    account: Option<&'a mut Account>,
     held: usize,
     max: usize,
 }
 
-impl BufferLimit<'_> {
+impl<'a> BufferLimit<'a> {
     /// A limit for one body that is not shared.
     pub(crate) fn unshared(max: usize) -> Self {
         Self {
             shared: None,
+            account: None,
             held: 0,
             max,
         }
     }
 
+    /// The limit for one body of at most `max` bytes, which counts in an account.
+    pub(crate) fn in_account(max: usize, account: &'a mut Account) -> Self {
+        Self {
+            account: Some(account),
+            ..Self::unshared(max)
+        }
+    }
+
+    /// The maximum length of the body.
+    pub(crate) fn max(&self) -> usize {
+        self.max
+    }
+
+    /// Records that this much of the body has arrived.
+    pub(crate) fn on_read(&self, length: usize) {
+        if let Some(account) = &self.account {
+            account.on_moved(length);
+        }
+    }
+
     /// Checks that a body of `length` bytes is within the limit for one body.
     pub(crate) fn check(&self, length: usize) -> Result<(), ReadError> {
         if length > self.max {
@@ -66,6 +90,11 @@
     /// Records that `length` bytes of the body are now held, and checks both limits.
     pub(crate) fn set_held(&mut self, length: usize) -> Result<(), ReadError> {
         self.check(length)?;
+        if let Some(account) = &mut self.account {
+            return account
+                .set_held(length)
+                .map_err(|_| ReadError::BufferLimitReached);
+        }
         let Some(shared) = self.shared else {
             return Ok(());
         };
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io, time::Duration};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BufMut as _, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
@@ -12,6 +12,10 @@
 
 /// Buffer space reserved for one read.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
+/// Bodies up to this length are read within the read buffer, and sent in one write with their head.
+const SMALL_BODY_BYTES: usize = 8 * 1024;
+/// The first buffer of a longer body; it grows with what arrives, not with what is announced.
+const FIRST_BODY_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum length of a response's head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of empty lines that are skipped before a message.
@@ -72,6 +76,36 @@
     }
 }
 
+/// A message to be sent. A long body is not copied behind its head.
+#[derive(Debug)]
+pub(crate) struct OutgoingMessage {
+    head: Vec<u8>,
+    body: Bytes,
+}
+
+impl OutgoingMessage {
+    pub(crate) fn new(mut head: Vec<u8>, mut body: Bytes) -> Self {
+        if body.len() <= SMALL_BODY_BYTES {
+            head.extend_from_slice(&body);
+            body = Bytes::new();
+        }
+        Self { head, body }
+    }
+
+    /// The number of bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Bytes from this position on, up to the end of the head or of the body.
+    fn from(&self, position: usize) -> &[u8] {
+        match position.checked_sub(self.head.len()) {
+            None => &self.head[position..],
+            Some(position) => &self.body[position..],
+        }
+    }
+}
+
 /// A connection and its read buffer.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -126,14 +160,50 @@
     pub(crate) async fn read_body_within(
         &mut self,
         framing: Framing,
-        limit: BufferLimit<'_>,
+        mut limit: BufferLimit<'_>,
     ) -> Result<Bytes, ReadError> {
+        Ok(match self.read_small_body(framing).await? {
+            Some(body) => body,
+            None => self.read_long_body(framing, &mut limit).await?.into(),
+        })
+    }
+
+    /// Reads a complete body that is known to be small; `None` for others, which are to be read with
+    /// [`Connection::read_long_body`].
+    pub(crate) async fn read_small_body(
+        &mut self,
+        framing: Framing,
+    ) -> Result<Option<Bytes>, ReadError> {
+        let Framing::Length(length) = framing else {
+            return Ok(None);
+        };
+        if length > SMALL_BODY_BYTES {
+            return Ok(None);
+        }
+        while self.buf.len() < length {
+            if self.fill().await? == 0 {
+                return Err(ReadError::Truncated);
+            }
+        }
+        Ok(Some(self.buf.split_to(length).freeze()))
+    }
+
+    /// Reads a complete body into a buffer of its own.
+    pub(crate) async fn read_long_body(
+        &mut self,
+        framing: Framing,
+        limit: &mut BufferLimit<'_>,
+    ) -> Result<Vec<u8>, ReadError> {
+        let mut body = Vec::new();
         match framing {
-            Framing::Length(0) => Ok(Bytes::new()),
-            Framing::Length(length) => self.read_length(length, limit).await,
-            Framing::Chunked => self.read_chunks(limit).await,
-            Framing::UntilClose => self.read_to_end(limit).await,
+            Framing::Length(length) => {
+                limit.check(length)?;
+                self.read_into(&mut body, length, length, limit).await?;
+            }
+            Framing::Chunked => self.read_chunks(&mut body, limit).await?,
+            Framing::UntilClose => self.read_to_end(&mut body, limit).await?,
         }
+        Ok(body)
     }
 
     /// Writes all bytes.
@@ -141,17 +211,35 @@
         self.stream.write_all(bytes).await
     }
 
-    /// Writes a request while waiting for the head of its answer, since a server may answer before
-    /// it has read the complete request. Also returns how many bytes of the request were written.
+    /// Writes a message, and tells after each write how much of it is written.
+    pub(crate) async fn write_message(
+        &mut self,
+        message: &OutgoingMessage,
+        mut on_written: impl FnMut(usize),
+    ) -> io::Result<()> {
+        let mut written = 0;
+        while written < message.len() {
+            match self.stream.write(message.from(written)).await? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                count => written += count,
+            }
+            on_written(written);
+        }
+        Ok(())
+    }
+
+    /// Writes a request, from its byte at `written` on, while waiting for the head of its answer,
+    /// since a server may answer before it has read the complete request. Also returns how many bytes
+    /// of the request are written then.
     pub(crate) async fn exchange_head(
         &mut self,
-        request: &[u8],
+        request: &OutgoingMessage,
+        mut written: usize,
         method: &str,
     ) -> Result<(ResponseHead, usize), ReadError> {
-        let mut written = 0;
         while written < request.len() {
             self.stream.writable().await?;
-            match self.stream.try_write(&request[written..]) {
+            match self.stream.try_write(request.from(written)) {
                 Ok(count) => written += count,
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
                     if self.has_leftover() {
@@ -240,19 +328,39 @@
         self.stream.read_buf(&mut self.buf).await
     }
 
-    async fn read_length(
+    /// Reads on until the body has `length` bytes, of at most `max`.
+    async fn read_into(
         &mut self,
+        body: &mut Vec<u8>,
         length: usize,
-        mut limit: BufferLimit<'_>,
-    ) -> Result<Bytes, ReadError> {
-        limit.check(length)?;
-        while self.buf.len() < length {
-            limit.set_held(self.buf.len())?;
-            if self.fill().await? == 0 {
-                return Err(ReadError::Truncated);
+        max: usize,
+        limit: &mut BufferLimit<'_>,
+    ) -> Result<(), ReadError> {
+        loop {
+            let left = length - body.len();
+            if left == 0 {
+                return Ok(());
             }
+            let buffered = left.min(self.buf.len());
+            if buffered > 0 {
+                grow(body, buffered, max, limit)?;
+                body.extend_from_slice(&self.buf[..buffered]);
+                self.buf.advance(buffered);
+            } else if left <= READ_BUFFER_BYTES {
+                // A chunk's end follows in the same read.
+                if self.fill().await? == 0 {
+                    return Err(ReadError::Truncated);
+                }
+            } else {
+                self.stream.readable().await?;
+                grow(body, READ_BUFFER_BYTES, max, limit)?;
+                let mut space = (&mut *body).limit(left);
+                if self.stream.read_buf(&mut space).await? == 0 {
+                    return Err(ReadError::Truncated);
+                }
+            }
+            limit.on_read(body.len());
         }
-        Ok(self.buf.split_to(length).freeze())
     }
 
     async fn head_end(&mut self, max: usize) -> Result<usize, ReadError> {
@@ -293,28 +401,29 @@
         }
     }
 
-    async fn read_chunks(&mut self, mut limit: BufferLimit<'_>) -> Result<Bytes, ReadError> {
-        let mut body = BytesMut::new();
+    async fn read_chunks(
+        &mut self,
+        body: &mut Vec<u8>,
+        limit: &mut BufferLimit<'_>,
+    ) -> Result<(), ReadError> {
         loop {
             let line = self.read_line().await?;
             let size = chunk_size(&line)?;
             if size == 0 {
-                self.skip_trailers().await?;
-                return Ok(body.freeze());
+                return self.skip_trailers().await;
             }
-            limit.check(body.len() + size)?;
-            while self.buf.len() < size + 2 {
-                limit.set_held(body.len() + self.buf.len().min(size))?;
+            let length = body.len() + size;
+            limit.check(length)?;
+            self.read_into(body, length, limit.max(), limit).await?;
+            while self.buf.len() < 2 {
                 if self.fill().await? == 0 {
                     return Err(ReadError::Truncated);
                 }
             }
-            limit.set_held(body.len() + size)?;
-            body.extend_from_slice(&self.buf[..size]);
-            if &self.buf[size..size + 2] != b"\r\n" {
+            if !self.buf.starts_with(b"\r\n") {
                 return Err(ReadError::Malformed("end of a chunk"));
             }
-            self.buf.advance(size + 2);
+            self.buf.advance(2);
         }
     }
 
@@ -349,14 +458,42 @@
 
     /// Reads until the connection closes. A reset is an error, so that a truncated body is not
     /// taken for a complete one.
-    async fn read_to_end(&mut self, mut limit: BufferLimit<'_>) -> Result<Bytes, ReadError> {
-        while self.fill().await? > 0 {
-            limit.set_held(self.buf.len())?;
+    async fn read_to_end(
+        &mut self,
+        body: &mut Vec<u8>,
+        limit: &mut BufferLimit<'_>,
+    ) -> Result<(), ReadError> {
+        loop {
+            let length = body.len() + self.buf.len();
+            limit.check(length)?;
+            grow(body, self.buf.len(), limit.max(), limit)?;
+            body.extend_from_slice(&self.buf);
+            self.buf.clear();
+            if self.fill().await? == 0 {
+                return Ok(());
+            }
         }
-        Ok(self.buf.split().freeze())
     }
 }
 
+/// Makes space for `more` bytes of a body of at most `max`.
+fn grow(
+    body: &mut Vec<u8>,
+    more: usize,
+    max: usize,
+    limit: &mut BufferLimit<'_>,
+) -> Result<(), ReadError> {
+    let length = body.len() + more;
+    if length <= body.capacity() {
+        return Ok(());
+    }
+    let ample = (body.len() + body.len() / 2).max(FIRST_BODY_BUFFER_BYTES);
+    let capacity = ample.min(max).max(length);
+    limit.set_held(capacity)?;
+    body.reserve_exact(capacity - body.len());
+    Ok(())
+}
+
 fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
     let mut windows = haystack.windows(needle.len());
     windows.position(|window| window == needle)
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -5,7 +5,7 @@
 mod head;
 
 pub(crate) use buffer_limit::{BufferLimit, SharedBufferLimit};
-pub(crate) use connection::{Connection, ReadError};
+pub(crate) use connection::{Connection, OutgoingMessage, ReadError};
 pub(crate) use head::{Framing, RequestHead, ResponseHead, forwardable, has_token, header};
 
 /// The reason phrase of a status line.
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -8,6 +8,7 @@
 use cassiashunt_types::prelude::*;
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::Notify,
     task::JoinSet,
     time::timeout,
 };
@@ -16,12 +17,14 @@
     counted::Counted,
     open_request::OpenRequest,
     reply::Reply,
-    request::{Incoming, handle, refuse_incomplete},
+    request::{Incoming, handle, log_closed_for_memory, refuse_for_memory, refuse_incomplete},
 };
 use crate::{
     accept::accept,
+    clients::Client,
     clock,
-    http::{Connection, ReadError, RequestHead, has_token},
+    http::{BufferLimit, Connection, Framing, ReadError, RequestHead, has_token},
+    memory::{MIN_COUNTED_BYTES, Part},
     node::Node,
 };
 
@@ -36,7 +39,15 @@
         tokio::select! {
             biased;
             stream = accept(&listener) => {
-                connections.spawn_local(serve(Rc::clone(&node), stream));
+                let Some(client) = node.clients.admit() else {
+                    if let Some(suppressed) = node.admit_line("client-refused") {
+                        log::warn!(suppressed = suppressed; "client-refused");
+                    }
+                    continue;
+                };
+                connections.spawn_local(serve(Rc::clone(&node), stream, client));
+                // Lets an idle connection close that made room for this one.
+                tokio::task::yield_now().await;
             }
             Some(_) = connections.join_next() => {}
             () = node.stop_accepting.notified() => break,
@@ -47,17 +58,19 @@
     node.clients_closed.notify_one();
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream) {
+async fn serve(node: Rc<Node>, stream: TcpStream, _client: Client) {
     if let Err(err) = stream.set_nodelay(true) {
         log::info!(reason:% = err; "client-gone");
         return;
     }
     let mut connection = Connection::new(stream);
+    // Closes the connection to free a descriptor or memory.
+    let close = Rc::<Notify>::default();
     loop {
         let limits = node
             .table()
             .map_or_else(ClientLimits::default, |table| table.limits);
-        match next_event(&node, &mut connection, limits.idle_timeout).await {
+        match next_event(&node, &mut connection, limits.idle_timeout, &close).await {
             Event::Request => {}
             Event::Closed => return,
             Event::Idle => {
@@ -71,7 +84,8 @@
         let mut open = OpenRequest::new(&node);
         let read = tokio::select! {
             biased;
-            read = read_request(&mut connection, limits) => read,
+            read = read_request(&node, &mut connection, limits, &close) => read,
+            () = close.notified() => Err(Some(refuse_for_memory(&node))),
             () = node.giving_up.cancelled() => Err(Some(refuse_incomplete(&node))),
         };
         let (reply, is_head) = match read {
@@ -85,9 +99,7 @@
         };
         // What was sent behind the request has been read and is answered, too.
         let closes = reply.closes || (node.is_stopping() && !connection.has_leftover());
-        let bytes = reply.encode(is_head, closes);
-        let written = timeout(ANSWER_WRITE_TIMEOUT, connection.write(&bytes)).await;
-        if !matches!(written, Ok(Ok(()))) {
+        if !write_reply(&node, &mut connection, reply, is_head, closes, &close).await {
             open.on_unwritten();
             return;
         }
@@ -101,6 +113,41 @@
     }
 }
 
+/// Writes a reply; false if its client did not take it. A client that reads slowly loses it where the
+/// memory for bodies has no room.
+async fn write_reply(
+    node: &Node,
+    connection: &mut Connection,
+    reply: Reply,
+    is_head: bool,
+    closes: bool,
+    close: &Rc<Notify>,
+) -> bool {
+    let account = (reply.body.len() > MIN_COUNTED_BYTES).then(|| {
+        let account = node.memory.account(Part::Answer, close);
+        account.set_counted(reply.body.len());
+        account
+    });
+    let message = reply.encode(is_head, closes);
+    drop(reply);
+    let write = connection.write_message(&message, |written| {
+        if let Some(account) = &account {
+            account.on_moved(written);
+        }
+    });
+    let written = tokio::select! {
+        biased;
+        written = timeout(ANSWER_WRITE_TIMEOUT, write) => matches!(written, Ok(Ok(()))),
+        () = close.notified() => {
+            log_closed_for_memory(node, Part::Answer);
+            false
+        }
+    };
+    // Before the account, which stands for its memory.
+    drop(message);
+    written
+}
+
 /// What happens next on an idle connection.
 enum Event {
     /// A request begins to arrive.
@@ -112,7 +159,13 @@
 }
 
 /// Waits for the next request on an idle connection.
-async fn next_event(node: &Node, connection: &mut Connection, idle_timeout: Duration) -> Event {
+async fn next_event(
+    node: &Node,
+    connection: &mut Connection,
+    idle_timeout: Duration,
+    close: &Rc<Notify>,
+) -> Event {
+    let _idle = node.clients.idle(close);
     tokio::select! {
         biased;
         waited = timeout(idle_timeout, connection.wait_for_message()) => match waited {
@@ -121,6 +174,12 @@
             Err(_) => {}
         },
         () = node.closing_clients.cancelled() => {}
+        () = close.notified() => {
+            if connection.is_idle() {
+                return Event::Closed;
+            }
+            return Event::Request;
+        }
     }
     // Lets the event loop notice a request that has arrived.
     tokio::task::yield_now().await;
@@ -160,34 +219,63 @@
 /// Reads one complete request. On failure, returns the error reply to send, or `None` if the client
 /// has disconnected.
 async fn read_request(
+    node: &Node,
     connection: &mut Connection,
     limits: ClientLimits,
+    close: &Rc<Notify>,
 ) -> Result<(RequestHead, Bytes), Option<Reply>> {
     let head = timeout(
         limits.header_timeout,
         connection.read_request_head(limits.header_bytes),
     );
     let head = head.await.map_err(|_| Some(Reply::closing(408)))?;
-    let head = head.map_err(|err| reply_to(&err))?;
+    let head = head.map_err(|err| reply_to(node, &err))?;
+    if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes) {
+        return Err(Some(Reply::closing(413)));
+    }
     if has_token(&head.headers, "expect", "100-continue") {
         let written = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         written.map_err(|_| None)?;
     }
-    let body = connection.read_body(head.framing, limits.body_bytes);
+    let body = read_body(node, connection, head.framing, limits.body_bytes, close);
     let body = timeout(limits.idle_timeout, body).await;
     let body = body.map_err(|_| Some(Reply::closing(408)))?;
-    let body = body.map_err(|err| reply_to(&err))?;
+    let body = body.map_err(|err| reply_to(node, &err))?;
     Ok((head, body))
 }
 
-fn reply_to(err: &ReadError) -> Option<Reply> {
+/// Reads a body. A long one counts as long as it is used, and can be dropped until it is complete.
+async fn read_body(
+    node: &Node,
+    connection: &mut Connection,
+    framing: Framing,
+    max: usize,
+    close: &Rc<Notify>,
+) -> Result<Bytes, ReadError> {
+    if let Some(body) = connection.read_small_body(framing).await? {
+        return Ok(body);
+    }
+    let mut account = node.memory.account(Part::Request, close);
+    let body = {
+        let mut limit = BufferLimit::in_account(max, &mut account);
+        connection.read_long_body(framing, &mut limit).await?
+    };
+    if body.len() <= MIN_COUNTED_BYTES {
+        return Ok(body.into());
+    }
+    let body = account.finish(body);
+    body.map_err(|_| ReadError::BufferLimitReached)
+}
+
+fn reply_to(node: &Node, err: &ReadError) -> Option<Reply> {
     match err {
         ReadError::Malformed(what) => {
             log::warn!(what:% = what; "request-malformed");
             Some(Reply::closing(400))
         }
         ReadError::HeadTooLong => Some(Reply::closing(431)),
-        ReadError::BodyTooLong | ReadError::BufferLimitReached => Some(Reply::closing(413)),
+        ReadError::BodyTooLong => Some(Reply::closing(413)),
+        ReadError::BufferLimitReached => Some(refuse_for_memory(node)),
         ReadError::Closed | ReadError::Truncated | ReadError::Io(_) => None,
     }
 }
--- a/crates/sidecar/src/ingress/reply.rs
+++ b/crates/sidecar/src/ingress/reply.rs
@@ -4,7 +4,7 @@
 use cassiashunt_types::prelude::*;
 
 use crate::{
-    http::reason_phrase,
+    http::{OutgoingMessage, reason_phrase},
     link::{Answer, Field},
 };
 
@@ -60,8 +60,8 @@
     }
 
     /// Encodes the answer. `is_head` for an answer to a HEAD request, which has no body.
-    pub(crate) fn encode(&self, is_head: bool, closes: bool) -> Vec<u8> {
-        let mut out = Vec::with_capacity(256 + self.body.len());
+    pub(crate) fn encode(&self, is_head: bool, closes: bool) -> OutgoingMessage {
+        let mut out = Vec::with_capacity(512);
         let mut line = |parts: [&str; 3]| {
             for part in parts {
                 out.extend_from_slice(part.as_bytes());
@@ -85,10 +85,12 @@
             line(["Connection", ": ", "close"]);
         }
         line(["", "", ""]);
-        if !is_head {
-            out.extend_from_slice(&self.body);
-        }
-        out
+        let body = if is_head {
+            Bytes::new()
+        } else {
+            self.body.clone()
+        };
+        OutgoingMessage::new(out, body)
     }
 }
 
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -19,6 +19,7 @@
     clock,
     http::{RequestHead, forwardable, header},
     link::{Field, Outcome, WorkRequest},
+    memory::Part,
     metrics,
     node::Node,
     quota,
@@ -95,6 +96,24 @@
     }
 }
 
+/// The reply to a request that is not complete when the memory for bodies has no room for it.
+pub(super) fn refuse_for_memory(node: &Node) -> Reply {
+    log_closed_for_memory(node, Part::Request);
+    let refusal = refusal_with_retry_after(node, Reason::Full, None, clock::now());
+    Reply {
+        closes: true,
+        ..Reply::from_refusal(refusal)
+    }
+}
+
+/// Records that a connection is closed to free the memory of its body.
+pub(super) fn log_closed_for_memory(node: &Node, part: Part) {
+    if let Some(suppressed) = node.admit_line("body-dropped") {
+        log::warn!(part:% = part.name(), held = node.memory.held(), suppressed = suppressed;
+            "body-dropped");
+    }
+}
+
 /// Ends a request that a stop gives up.
 fn give_up(node: &Node, trace: &Trace, timeout: Option<Duration>, received: Time) -> Refusal {
     let began = node.stopping.get().map_or(received, |it| it.began());
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod aggregation;
 mod budget;
+mod clients;
 mod clock;
 mod endpoints;
 mod fleet;
@@ -14,6 +15,7 @@
 mod ingress;
 mod link;
 mod logs;
+mod memory;
 mod metrics;
 mod node;
 mod owner;
@@ -30,4 +32,4 @@
 mod tree;
 
 pub use run::run;
-pub use settings::{Reload, Settings, SettingsError};
+pub use settings::{Limits, Reload, Settings, SettingsError};
--- a/crates/sidecar/src/link/accept.rs
+++ b/crates/sidecar/src/link/accept.rs
@@ -56,7 +56,7 @@
         log::warn!(reason:% = err; "peer-socket");
         return;
     }
-    let (mut reader, tx) = socket::split(stream);
+    let (mut reader, tx) = socket::split(stream, &node.memory);
     let jobs = Jobs::default();
     let mut outcomes = JoinSet::new();
     node.load_recipients.borrow_mut().push(tx.clone());
--- a/crates/sidecar/src/link/dial.rs
+++ b/crates/sidecar/src/link/dial.rs
@@ -135,7 +135,7 @@
     loop {
         match socket::connect(address).await {
             Ok(stream) => {
-                let (reader, tx) = socket::split(stream);
+                let (reader, tx) = socket::split(stream, &node.memory);
                 // The queue is new and therefore not full.
                 let _ = tx.try_send(Kind::Hello(node.hello()).into());
                 let connection = Rc::new(PeerConnection::new(tx));
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod connection;
 mod dial;
+mod encode;
 mod frame;
 mod socket;
 mod state_sync;
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -1,8 +1,8 @@
 //! A connection between two nodes, split into a reader and a writer of length-delimited frames.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use prost::Message as _;
 use socket2::SockRef;
 use tokio::{
@@ -15,12 +15,14 @@
     task::JoinHandle,
     time::timeout,
 };
-use tokio_util::codec::{Decoder as _, Encoder as _, LengthDelimitedCodec};
 
 use super::{Frame, Kind};
+use crate::memory::{BodyMemory, Lease, MIN_COUNTED_BYTES};
 
 /// The longest frame: a body at the operators' limit plus its headers.
 const MAX_FRAME_BYTES: usize = 65 << 20;
+/// The length of a frame's length.
+const LENGTH_BYTES: usize = 4;
 /// How long opening a connection may take; the one-way delay between the platform's sites is at
 /// most 20 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,10 +38,16 @@
 /// The bounded queue of frames for a peer.
 pub(crate) type Sender = mpsc::Sender<Frame>;
 
-fn codec() -> LengthDelimitedCodec {
-    let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME_BYTES);
-    codec
+/// The length of the frame that begins in the buffer; `None` before its length has arrived.
+fn frame_length(buf: &[u8]) -> io::Result<Option<usize>> {
+    let Some(bytes) = buf.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(u32::from_be_bytes(*bytes)).unwrap_or(usize::MAX);
+    if length > MAX_FRAME_BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+    }
+    Ok(Some(length))
 }
 
 /// Opens a connection to a peer.
@@ -57,7 +65,7 @@
 }
 
 /// Splits a connection into a reader and a queue whose frames a task writes.
-pub(crate) fn split(stream: TcpStream) -> (Reader, Sender) {
+pub(crate) fn split(stream: TcpStream, memory: &Rc<BodyMemory>) -> (Reader, Sender) {
     let (read, write) = stream.into_split();
     let (tx, rx) = mpsc::channel(MAX_QUEUED_FRAMES);
     let writer = tokio::task::spawn_local(write_frames(write, rx));
@@ -65,7 +73,8 @@
         read,
         writer,
         buf: BytesMut::new(),
-        codec: codec(),
+        memory: Rc::clone(memory),
+        lease: None,
     };
     (reader, tx)
 }
@@ -76,7 +85,9 @@
     read: OwnedReadHalf,
     writer: JoinHandle<()>,
     buf: BytesMut,
-    codec: LengthDelimitedCodec,
+    memory: Rc<BodyMemory>,
+    /// The memory of the long frame that is being read.
+    lease: Option<Lease>,
 }
 
 impl Drop for Reader {
@@ -97,10 +108,16 @@
     /// buffered when the future is dropped.
     pub(crate) async fn read_frame(&mut self) -> io::Result<Option<Frame>> {
         loop {
-            if let Some(bytes) = self.codec.decode(&mut self.buf)? {
-                let bytes: Bytes = bytes.freeze();
-                let frame = Frame::decode(bytes);
-                return frame.map(Some).map_err(io::Error::other);
+            if let Some(length) = frame_length(&self.buf)? {
+                let end = LENGTH_BYTES + length;
+                if self.buf.len() >= end {
+                    let frame = Frame::decode(self.take_frame(length));
+                    return frame.map(Some).map_err(io::Error::other);
+                }
+                if length > MIN_COUNTED_BYTES && self.lease.is_none() {
+                    self.lease = Some(self.memory.wait_for(length).await);
+                }
+                self.buf.reserve(end - self.buf.len());
             }
             if self.buf.is_empty() && self.buf.capacity() > MAX_IDLE_BUFFER_BYTES {
                 self.buf = BytesMut::new();
@@ -112,6 +129,22 @@
         }
     }
 
+    /// The next frame, which is in the buffer. The memory of a long one stays counted while it is used.
+    fn take_frame(&mut self, length: usize) -> Bytes {
+        let end = LENGTH_BYTES + length;
+        let Some(lease) = self.lease.take() else {
+            let mut frame = self.buf.split_to(end);
+            frame.advance(LENGTH_BYTES);
+            return frame.freeze();
+        };
+        // The buffer would keep the frame's memory.
+        let rest = BytesMut::from(&self.buf[end..]);
+        let mut frame = std::mem::replace(&mut self.buf, rest);
+        frame.truncate(end);
+        frame.advance(LENGTH_BYTES);
+        lease.attach(frame.freeze())
+    }
+
     /// Waits until the peer has read the last frame and closed the connection; what it sends until
     /// then is discarded. What it sends to a closed socket resets the connection, and frames that it
     /// has not read yet would be lost.
@@ -128,22 +161,20 @@
 /// Writes frames until the queue is closed, `GoAway` is written or the connection fails, and closes
 /// this side of the connection. Queued frames are batched into one write.
 async fn write_frames(mut write: OwnedWriteHalf, mut rx: mpsc::Receiver<Frame>) {
-    let mut codec = codec();
     let mut buf = BytesMut::new();
     let mut is_last = false;
     while !is_last && let Some(frame) = rx.recv().await {
         let mut next = Some(frame);
+        let mut body = Bytes::new();
         while let Some(frame) = next {
             is_last = matches!(frame.kind, Some(Kind::GoAway(_)));
-            if let Err(err) = codec.encode(Bytes::from(frame.encode_to_vec()), &mut buf) {
-                log::warn!(reason:% = err; "frame-too-long");
-            }
-            next = (!is_last && buf.len() < WRITE_BATCH_BYTES)
+            body = frame.encode_delimited(MAX_FRAME_BYTES, &mut buf);
+            next = (!is_last && body.is_empty() && buf.len() < WRITE_BATCH_BYTES)
                 .then(|| rx.try_recv().ok())
                 .flatten();
         }
         // The reader of the same connection detects and logs the failure.
-        if write.write_all_buf(&mut buf).await.is_err() {
+        if write.write_all_buf(&mut buf).await.is_err() || write.write_all(&body).await.is_err() {
             return;
         }
         if buf.capacity() > MAX_IDLE_BUFFER_BYTES {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -25,6 +25,9 @@
 const STORE_SECONDS: &str = "cassiashunt_store_seconds";
 const REPORTS: &str = "cassiashunt_reports_total";
 const CALLERS_REPLACED: &str = "cassiashunt_callers_replaced_total";
+const BODIES_CLOSED: &str = "cassiashunt_bodies_closed_total";
+const CLIENTS_CLOSED: &str = "cassiashunt_client_connections_closed_total";
+const BODY_BYTES: &str = "cassiashunt_body_bytes";
 const LINES_DROPPED: &str = "cassiashunt_log_lines_dropped_total";
 const PEERS_UP: &str = "cassiashunt_peers_up";
 const PROOF_AGE: &str = "cassiashunt_proof_age_seconds";
@@ -69,6 +72,19 @@
         CALLERS_REPLACED,
         "Requests whose client named a caller itself, which was replaced"
     );
+    describe_counter!(
+        BODIES_CLOSED,
+        "Connections of clients that were closed to free the memory of their bodies, by part"
+    );
+    describe_counter!(
+        CLIENTS_CLOSED,
+        "Connections of clients that were closed because there were too many, by state"
+    );
+    describe_gauge!(
+        BODY_BYTES,
+        Unit::Bytes,
+        "Bytes held for bodies of requests and answers"
+    );
     describe_counter!(
         LINES_DROPPED,
         "Log lines that were dropped to bound their volume"
@@ -101,6 +117,16 @@
     histogram!(SERVER_SECONDS).record(spent.as_secs_f64());
 }
 
+/// Counts a client's connection that was closed to free its body.
+pub(crate) fn body_closed(part: &'static str) {
+    counter!(BODIES_CLOSED, "part" => part).increment(1);
+}
+
+/// Counts a client's connection that was closed because there were too many.
+pub(crate) fn client_closed(state: &'static str) {
+    counter!(CLIENTS_CLOSED, "state" => state).increment(1);
+}
+
 /// Counts a retry.
 pub(crate) fn retried(kind: &'static str) {
     counter!(RETRIES, "kind" => kind).increment(1);
@@ -130,7 +156,13 @@
 }
 
 /// Sets the gauges. A missing proof is shown as an infinite age.
-pub(crate) fn set_gauges(peers_up: usize, proof_age: Option<Duration>, table_version: u64) {
+pub(crate) fn set_gauges(
+    peers_up: usize,
+    proof_age: Option<Duration>,
+    table_version: u64,
+    body_bytes: usize,
+) {
+    gauge!(BODY_BYTES).set(body_bytes as f64);
     gauge!(PEERS_UP).set(peers_up as f64);
     gauge!(PROOF_AGE).set(proof_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
     gauge!(TABLE_VERSION).set(table_version as f64);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -17,9 +17,11 @@
 use crate::{
     aggregation::Aggregation,
     budget::RetryBudgets,
+    clients::Clients,
     fleet::Fleet,
     ingress::TrafficSplits,
     link::{Frame, Hello, KnownState, Load, Proof, Table},
+    memory::BodyMemory,
     owner::Owner,
     peer_links::SubsetWidths,
     quota::Quotas,
@@ -35,6 +37,9 @@
 /// asked.
 const PEER_TABLE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Bodies may take this fraction of the process's memory.
+const BODY_MEMORY_DIVISOR: usize = 2;
+
 /// One node. All tasks run on one thread; the cells are never borrowed across an `await`.
 pub(crate) struct Node {
     settings: RefCell<Rc<Settings>>,
@@ -75,6 +80,10 @@
     pub(crate) aggregation: Aggregation,
     pub(crate) subset_widths: SubsetWidths,
     pub(crate) owner: Owner,
+    /// Bodies of requests and answers on all connections.
+    pub(crate) memory: Rc<BodyMemory>,
+    /// Connections of clients.
+    pub(crate) clients: Rc<Clients>,
     pub(crate) suspicion: Suspicion,
     pub(crate) quotas: Quotas,
     pub(crate) budgets: RetryBudgets,
@@ -126,6 +135,7 @@
     pub(crate) fn new(settings: Settings, store: Rc<StoreClient>) -> Self {
         let bound = settings.bounds.key_withdrawal();
         let domain = settings.domain();
+        let (memory_bytes, max_fds) = (settings.memory_bytes(), settings.max_fds());
         let ratio = settings.bounds.retry_ratio;
         let window = Duration::from_secs_f64(settings.bounds.retry_window_s);
         Self {
@@ -152,6 +162,8 @@
             aggregation: Aggregation::default(),
             subset_widths: SubsetWidths::default(),
             owner: Owner::new(crate::clock::now()),
+            memory: BodyMemory::new(memory_bytes / BODY_MEMORY_DIVISOR),
+            clients: Rc::new(Clients::new(max_fds, memory_bytes)),
             suspicion: Suspicion::default(),
             quotas: Quotas::default(),
             budgets: RetryBudgets::new(ratio, window),
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -10,8 +10,9 @@
 
 use super::pool::{self, Pool};
 use crate::{
-    http::{Connection, Framing, ReadError, ResponseHead, forwardable, header},
+    http::{Connection, Framing, OutgoingMessage, ReadError, ResponseHead, forwardable, header},
     link::{Answer, Field, WorkRequest},
+    memory::{BodyMemory, MIN_COUNTED_BYTES},
 };
 
 /// Maximum body of an answer. It is buffered completely, so that a truncated answer is never passed
@@ -58,6 +59,7 @@
 /// Sends the request and reads the complete answer. Sets `is_sent` before the first byte.
 pub(crate) async fn exchange(
     pool: &Pool,
+    memory: &BodyMemory,
     address: SocketAddr,
     server: &str,
     request: &WorkRequest,
@@ -71,14 +73,14 @@
         Some(connection) => connection,
         None => pool::connect(address).await.map_err(Failure::Unreachable)?,
     };
-    let bytes = encode(request, server, remaining);
+    let message = encode(request, server, remaining);
     let method = request.method.as_str();
-    let mut unsent = &bytes[..];
+    let mut written = 0;
     is_sent.set(true);
     for _ in 0..=MAX_STALE_ANSWERS {
-        let exchanged = connection.exchange_head(unsent, method).await;
-        let (head, written) = exchanged.map_err(Failure::Lost)?;
-        unsent = &unsent[written..];
+        let exchanged = connection.exchange_head(&message, written, method).await;
+        let head;
+        (head, written) = exchanged.map_err(Failure::Lost)?;
         if (100..200).contains(&head.status) {
             continue;
         }
@@ -89,8 +91,9 @@
             .is_some_and(|it| *it != request.attempt);
         if !is_stale {
             check_refusal(&head, &response_headers, has_id)?;
-            let is_sent = unsent.is_empty();
-            return finish(pool, connection, head, &response_headers, is_sent).await;
+            let is_sent = written == message.len();
+            let answer = finish(pool, connection, head, &response_headers, is_sent).await?;
+            return count(memory, answer);
         }
         if head.framing == Framing::UntilClose {
             return Err(Failure::InvalidAnswer("answer to another request"));
@@ -102,6 +105,19 @@
     ))
 }
 
+/// Counts a complete answer, which may wait for a slow reader.
+fn count(memory: &BodyMemory, answer: Answer) -> Result<Answer, Failure> {
+    if answer.body.len() <= MIN_COUNTED_BYTES {
+        return Ok(answer);
+    }
+    let lease = memory.lease(answer.body.len());
+    let lease = lease.map_err(|_| Failure::Lost(ReadError::BufferLimitReached))?;
+    Ok(Answer {
+        body: lease.attach(answer.body),
+        ..answer
+    })
+}
+
 async fn read_body(
     pool: &Pool,
     connection: &mut Connection,
@@ -175,8 +191,8 @@
     kept.map(|(name, value)| Field { name, value }).collect()
 }
 
-fn encode(request: &WorkRequest, server: &str, remaining: Duration) -> Vec<u8> {
-    let mut out = Vec::with_capacity(512 + request.body.len());
+fn encode(request: &WorkRequest, server: &str, remaining: Duration) -> OutgoingMessage {
+    let mut out = Vec::with_capacity(1_024);
     let mut line = |parts: [&str; 4]| {
         for part in parts {
             out.extend_from_slice(part.as_bytes());
@@ -195,6 +211,5 @@
         line(["Content-Length: ", &request.body.len().to_string(), "", ""]);
     }
     line(["", "", "", ""]);
-    out.extend_from_slice(&request.body);
-    out
+    OutgoingMessage::new(out, request.body.clone())
 }
--- a/crates/sidecar/src/owner/identify.rs
+++ b/crates/sidecar/src/owner/identify.rs
@@ -7,7 +7,10 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use super::Owner;
-use crate::{http::Connection, node::Node};
+use crate::{
+    http::{Connection, OutgoingMessage},
+    node::Node,
+};
 
 /// The time between two probes of a server.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
@@ -58,7 +61,8 @@
     let mut connection = Connection::new(stream);
     let request =
         format!("GET {HEALTH_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    let exchanged = connection.exchange_head(request.as_bytes(), "GET").await;
+    let request = OutgoingMessage::new(request.into(), bytes::Bytes::new());
+    let exchanged = connection.exchange_head(&request, 0, "GET").await;
     let (head, _) = exchanged.ok()?;
     (head.status == 200).then(|| read_response_headers(head.pairs()))
 }
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -83,7 +83,15 @@
     let server = owner.server_id().unwrap_or_default();
     let ended = timeout(
         remaining,
-        exchange(&owner.pool, address, &server, &request, remaining, &is_sent),
+        exchange(
+            &owner.pool,
+            &node.memory,
+            address,
+            &server,
+            &request,
+            remaining,
+            &is_sent,
+        ),
     )
     .await;
     let elapsed = clock::now().since(began);
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -215,6 +215,22 @@
         Ok(rx)
     }
 
+    /// The memory that the process may use, in bytes: what the settings say, or the machine's if it
+    /// has less.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let stated = usize::try_from(self.limits.memory_mb).unwrap_or(usize::MAX) << 20;
+        let of_machine = proc_number("/proc/meminfo", "MemTotal:").map(|kib| kib << 10);
+        of_machine.map_or(stated, |it| it.min(stated))
+    }
+
+    /// The descriptors that the process may have open: what the settings say, or its limit if that is
+    /// less.
+    pub(crate) fn max_fds(&self) -> usize {
+        let stated = usize::try_from(self.limits.max_fds).unwrap_or(usize::MAX);
+        let of_process = proc_number("/proc/self/limits", "Max open files");
+        of_process.map_or(stated, |it| it.min(stated))
+    }
+
     /// The node's failure domain.
     #[must_use]
     pub fn domain(&self) -> FailureDomain {
@@ -262,3 +278,10 @@
         Ok(())
     }
 }
+
+/// The first number behind a label in a file of the kernel; `None` where there is none.
+fn proc_number(file: &str, label: &str) -> Option<usize> {
+    let text = std::fs::read_to_string(file).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix(label))?;
+    line.split_whitespace().next()?.parse().ok()
+}
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -14,7 +14,7 @@
 
 use super::CALL_TIMEOUT;
 use crate::{
-    http::{Connection, ReadError},
+    http::{Connection, OutgoingMessage, ReadError},
     metrics,
 };
 
@@ -146,8 +146,8 @@
 
     async fn exchange(&self, call: &Call) -> Result<Answer, CallError> {
         let mut connection = self.connection().await?;
-        let request = self.encode(call);
-        let exchanged = connection.exchange_head(&request, call.method).await;
+        let request = OutgoingMessage::new(self.encode(call), Bytes::new());
+        let exchanged = connection.exchange_head(&request, 0, call.method).await;
         let (head, _) = exchanged.map_err(CallError::Lost)?;
         let era = decode_era(head.pairs());
         self.on_era(era);
