Bodies that grow leave no gaps in the heap; crowded descriptors close the longest idle

Cause: bodies that grew step by step, interleaved, left gaps: 106 MiB (pieces) and 222 MiB (large chunks) of 96 while 42 MiB were counted. All places for connections taken by bodies that stand still refused everybody else for the table's idle time. Where no connection is idle, the one that has been reading its request longest is refused with 503, then the one that has been writing its answer longest is closed. Clients get two thirds of the descriptors, and an eighth more while others are being closed.

--- a/crates/sidecar/src/clients.rs
+++ b/crates/sidecar/src/clients.rs
@@ -12,50 +12,74 @@
 
 /// The memory that a connection may take beside bodies: a head and what is read ahead.
 const CONNECTION_BYTES: usize = 32 * 1024;
+/// Connections that are being closed may exceed the maximum by this fraction.
+const CLOSING_DIVISOR: usize = 8;
 
-/// The open connections of clients, and those among them that are idle.
+/// What a connection that can be closed does; one that is closed for room is idle rather than anything
+/// else, then reads a request, then writes an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    Idle,
+    Reading,
+    Writing,
+}
+
+impl Phase {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Reading => "reading",
+            Self::Writing => "writing",
+        }
+    }
+}
+
+/// The open connections of clients, and those among them that can be closed.
 #[derive(Debug)]
 pub(crate) struct Clients {
     open: Cell<usize>,
     max: usize,
-    /// By when they became idle.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// By phase, and by when it began.
+    closable: RefCell<BTreeMap<(Phase, u64), Rc<Notify>>>,
     last_key: Cell<u64>,
 }
 
 impl Clients {
-    /// At most three quarters of the process's descriptors, and no more than fit a third of its memory.
+    /// At most two thirds of the process's descriptors, and no more than fit a third of its memory.
     pub(crate) fn new(max_fds: usize, memory_bytes: usize) -> Self {
         Self {
             open: Cell::new(0),
-            max: (max_fds / 4 * 3).min(memory_bytes / 3 / CONNECTION_BYTES),
-            idle: RefCell::default(),
+            max: (max_fds / 3 * 2).min(memory_bytes / 3 / CONNECTION_BYTES),
+            closable: RefCell::default(),
             last_key: Cell::new(0),
         }
     }
 
-    /// Takes a place for a new connection, for which the connection that was idle longest is closed
-    /// where necessary; `None` if all are in use.
+    /// Takes a place for a new connection, for which another one is closed where necessary; `None` if all
+    /// run requests, or too many are still being closed.
     pub(crate) fn admit(self: &Rc<Self>) -> Option<Client> {
-        if self.open.get() >= self.max {
-            let Some((_, close)) = self.idle.borrow_mut().pop_first() else {
+        let open = self.open.get();
+        if open >= self.max {
+            let has_slack = open < self.max + self.max / CLOSING_DIVISOR;
+            let first = has_slack.then(|| self.closable.borrow_mut().pop_first());
+            let Some(((phase, _), close)) = first.flatten() else {
                 metrics::client_closed("new");
                 return None;
             };
             close.notify_one();
-            metrics::client_closed("idle");
+            metrics::client_closed(phase.name());
         }
-        self.open.set(self.open.get() + 1);
+        self.open.set(open + 1);
         Some(Client(Rc::clone(self)))
     }
 
-    /// Records that a connection is idle, until the result is dropped; `close` is notified if it is to
-    /// be closed.
-    pub(crate) fn idle(self: &Rc<Self>, close: &Rc<Notify>) -> Idle {
+    /// Records that a connection can be closed until the result is dropped; `close` is notified then.
+    pub(crate) fn enter(self: &Rc<Self>, phase: Phase, close: &Rc<Notify>) -> InPhase {
         let key = self.last_key.get() + 1;
         self.last_key.set(key);
-        self.idle.borrow_mut().insert(key, Rc::clone(close));
-        Idle {
+        let key = (phase, key);
+        self.closable.borrow_mut().insert(key, Rc::clone(close));
+        InPhase {
             clients: Rc::clone(self),
             key,
         }
@@ -72,15 +96,15 @@
     }
 }
 
-/// A connection that is idle.
+/// A connection that can be closed.
 #[derive(Debug)]
-pub(crate) struct Idle {
+pub(crate) struct InPhase {
     clients: Rc<Clients>,
-    key: u64,
+    key: (Phase, u64),
 }
 
-impl Drop for Idle {
+impl Drop for InPhase {
     fn drop(&mut self) {
-        self.clients.idle.borrow_mut().remove(&self.key);
+        self.clients.closable.borrow_mut().remove(&self.key);
     }
 }
--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -91,9 +91,8 @@
     pub(crate) fn set_held(&mut self, length: usize) -> Result<(), ReadError> {
         self.check(length)?;
         if let Some(account) = &mut self.account {
-            return account
-                .set_held(length)
-                .map_err(|_| ReadError::BufferLimitReached);
+            let counted = account.set_held(length);
+            counted.map_err(|_| ReadError::BufferLimitReached)?;
         }
         let Some(shared) = self.shared else {
             return Ok(());
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -2,20 +2,21 @@
 
 use std::{fmt, io, time::Duration};
 
-use bytes::{Buf, BufMut as _, Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
 };
 
-use super::{Framing, RequestHead, ResponseHead, buffer_limit::BufferLimit, head::Malformed};
+use super::{
+    Framing, RequestHead, ResponseHead, body_buffer::BodyBuffer, buffer_limit::BufferLimit,
+    head::Malformed,
+};
 
 /// Buffer space reserved for one read.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 /// Bodies up to this length are read within the read buffer, and sent in one write with their head.
 const SMALL_BODY_BYTES: usize = 8 * 1024;
-/// The first buffer of a longer body; it grows with what arrives, not with what is announced.
-const FIRST_BODY_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum length of a response's head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of empty lines that are skipped before a message.
@@ -194,16 +195,20 @@
         framing: Framing,
         limit: &mut BufferLimit<'_>,
     ) -> Result<Vec<u8>, ReadError> {
-        let mut body = Vec::new();
+        let expected = match framing {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked | Framing::UntilClose => None,
+        };
+        let mut body = BodyBuffer::new(expected);
         match framing {
             Framing::Length(length) => {
                 limit.check(length)?;
-                self.read_into(&mut body, length, length, limit).await?;
+                self.read_into(&mut body, length, limit).await?;
             }
             Framing::Chunked => self.read_chunks(&mut body, limit).await?,
             Framing::UntilClose => self.read_to_end(&mut body, limit).await?,
         }
-        Ok(body)
+        Ok(body.finish())
     }
 
     /// Writes all bytes.
@@ -328,23 +333,18 @@
         self.stream.read_buf(&mut self.buf).await
     }
 
-    /// Reads on until the body has `length` bytes, of at most `max`.
+    /// Reads on until the body has `length` bytes.
     async fn read_into(
         &mut self,
-        body: &mut Vec<u8>,
+        body: &mut BodyBuffer,
         length: usize,
-        max: usize,
         limit: &mut BufferLimit<'_>,
     ) -> Result<(), ReadError> {
-        loop {
+        while body.len() < length {
             let left = length - body.len();
-            if left == 0 {
-                return Ok(());
-            }
             let buffered = left.min(self.buf.len());
             if buffered > 0 {
-                grow(body, buffered, max, limit)?;
-                body.extend_from_slice(&self.buf[..buffered]);
+                body.extend(&self.buf[..buffered], limit)?;
                 self.buf.advance(buffered);
             } else if left <= READ_BUFFER_BYTES {
                 // A chunk's end follows in the same read.
@@ -353,14 +353,14 @@
                 }
             } else {
                 self.stream.readable().await?;
-                grow(body, READ_BUFFER_BYTES, max, limit)?;
-                let mut space = (&mut *body).limit(left);
+                let mut space = body.space(left, limit)?;
                 if self.stream.read_buf(&mut space).await? == 0 {
                     return Err(ReadError::Truncated);
                 }
             }
             limit.on_read(body.len());
         }
+        Ok(())
     }
 
     async fn head_end(&mut self, max: usize) -> Result<usize, ReadError> {
@@ -403,7 +403,7 @@
 
     async fn read_chunks(
         &mut self,
-        body: &mut Vec<u8>,
+        body: &mut BodyBuffer,
         limit: &mut BufferLimit<'_>,
     ) -> Result<(), ReadError> {
         loop {
@@ -414,7 +414,7 @@
             }
             let length = body.len() + size;
             limit.check(length)?;
-            self.read_into(body, length, limit.max(), limit).await?;
+            self.read_into(body, length, limit).await?;
             while self.buf.len() < 2 {
                 if self.fill().await? == 0 {
                     return Err(ReadError::Truncated);
@@ -460,14 +460,11 @@
     /// taken for a complete one.
     async fn read_to_end(
         &mut self,
-        body: &mut Vec<u8>,
+        body: &mut BodyBuffer,
         limit: &mut BufferLimit<'_>,
     ) -> Result<(), ReadError> {
         loop {
-            let length = body.len() + self.buf.len();
-            limit.check(length)?;
-            grow(body, self.buf.len(), limit.max(), limit)?;
-            body.extend_from_slice(&self.buf);
+            body.extend(&self.buf, limit)?;
             self.buf.clear();
             if self.fill().await? == 0 {
                 return Ok(());
@@ -476,24 +473,6 @@
     }
 }
 
-/// Makes space for `more` bytes of a body of at most `max`.
-fn grow(
-    body: &mut Vec<u8>,
-    more: usize,
-    max: usize,
-    limit: &mut BufferLimit<'_>,
-) -> Result<(), ReadError> {
-    let length = body.len() + more;
-    if length <= body.capacity() {
-        return Ok(());
-    }
-    let ample = (body.len() + body.len() / 2).max(FIRST_BODY_BUFFER_BYTES);
-    let capacity = ample.min(max).max(length);
-    limit.set_held(capacity)?;
-    body.reserve_exact(capacity - body.len());
-    Ok(())
-}
-
 fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
     let mut windows = haystack.windows(needle.len());
     windows.position(|window| window == needle)
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1: a strict parser for heads and bodies, and connections on the event loop.
 
+mod body_buffer;
 mod buffer_limit;
 mod connection;
 mod head;
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     accept::accept,
-    clients::Client,
+    clients::{Client, Phase},
     clock,
     http::{BufferLimit, Connection, Framing, ReadError, RequestHead, has_token},
     memory::{MIN_COUNTED_BYTES, Part},
@@ -128,6 +128,7 @@
         account.set_counted(reply.body.len());
         account
     });
+    let _writing = node.clients.enter(Phase::Writing, close);
     let message = reply.encode(is_head, closes);
     drop(reply);
     let write = connection.write_message(&message, |written| {
@@ -165,7 +166,7 @@
     idle_timeout: Duration,
     close: &Rc<Notify>,
 ) -> Event {
-    let _idle = node.clients.idle(close);
+    let _idle = node.clients.enter(Phase::Idle, close);
     tokio::select! {
         biased;
         waited = timeout(idle_timeout, connection.wait_for_message()) => match waited {
@@ -224,6 +225,7 @@
     limits: ClientLimits,
     close: &Rc<Notify>,
 ) -> Result<(RequestHead, Bytes), Option<Reply>> {
+    let _reading = node.clients.enter(Phase::Reading, close);
     let head = timeout(
         limits.header_timeout,
         connection.read_request_head(limits.header_bytes),
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -260,7 +260,7 @@
             return Err(NoRoom);
         }
         let mut lease = self.memory.empty_lease();
-        lease.set(body.capacity());
+        lease.set(body.len());
         self.lease.set(0);
         Ok(lease.attach(body.into()))
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -62,7 +62,7 @@
 pub struct Limits {
     /// Memory of the process, in MiB; 96 or more. Half of it is for bodies of requests and answers.
     pub memory_mb: u32,
-    /// Open files of the process; 64 or more. Three quarters of them are for connections of clients.
+    /// Open files of the process; 64 or more. Two thirds of them are for connections of clients.
     pub max_fds: u32,
 }
 
