--- a/cassiashunt/tests/site_odd_answers.rs
+++ b/cassiashunt/tests/site_odd_answers.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use cassiashunt_standin::site::{Behaviour, Request, ask, open, refusal};
+use cassiashunt_standin::site::{ATTEMPT, Behaviour, Request, ask, open, refusal};
 use support::{
     eventually,
     site::{self, Site, WORKSPACE_KEY, read, write},
@@ -330,3 +330,32 @@
         ..write("shop")
     }
 }
+
+/// Codes that are no status, and interim ones after which nothing comes.
+const ODD_STATUSES: [&str; 9] = [
+    "000", "001", "099", "100", "101", "103", "199", "600", "999",
+];
+
+#[test]
+fn an_answer_whose_status_is_no_final_one_never_reaches_a_client() {
+    let site = Site::start("odd-status", &["shop", "desk"]);
+    let body = "Content-Length: 2\r\n\r\nok";
+    for status in ODD_STATUSES {
+        for service in ["shop", "desk"] {
+            let server = &site.members[usize::from(service == "desk")].server;
+            let sent = format!(
+                "HTTP/1.1 {status} Odd\r\nX-Attempt-Id: {ATTEMPT}\r\nX-Response-Signature: s\r\n{body}"
+            );
+            server.do_next(Behaviour::Cut {
+                sent: sent.into(),
+                is_slow: false,
+                is_reset: false,
+            });
+            let request = write(service);
+            let answer = site.members[0].ask(&request).expect("no answer");
+            assert_eq!(answer.status, 502, "{status} of {service}");
+            assert!(answer.body.is_empty(), "{status} of {service}");
+            assert_eq!(site.runs_of(&request), 1, "{status} of {service}");
+        }
+    }
+}
