--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -1,11 +1,12 @@
 //! HTTP/1.1: a strict parser for heads and bodies, and connections on the event loop.
 
+mod body_buffer;
 mod buffer_limit;
 mod connection;
 mod head;
 
 pub(crate) use buffer_limit::{BufferLimit, SharedBufferLimit};
-pub(crate) use connection::{Connection, ReadError};
+pub(crate) use connection::{Connection, OutgoingMessage, ReadError};
 pub(crate) use head::{Framing, RequestHead, ResponseHead, forwardable, has_token, header};
 
 /// The reason phrase of a status line.
--- a/crates/sidecar/src/owner/run.rs
+++ b/crates/sidecar/src/owner/run.rs
@@ -89,6 +89,7 @@
         remaining,
         exchange(
             &owner.pool,
+            &node.memory,
             address,
             &server,
             &request,
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -22,6 +22,9 @@
     pub store: Store,
     /// Limits on times and retries.
     pub bounds: Bounds,
+    /// What the process may use of its machine.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// The addresses at which the node and its backend server listen.
@@ -53,6 +56,26 @@
     pub min_lease_ms: u64,
 }
 
+/// What the process may use of its machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory of the process, in MiB; 96 or more. Half of it is for bodies of requests and answers.
+    pub memory_mb: u32,
+    /// Open files of the process; 64 or more. Two thirds of them are for connections of clients.
+    pub max_fds: u32,
+}
+
+impl Default for Limits {
+    /// The machines of the users' deployments have 260 MB and 4,100 descriptors.
+    fn default() -> Self {
+        Self {
+            memory_mb: 256,
+            max_fds: 4_096,
+        }
+    }
+}
+
 /// Limits on times and retries that the operators can rely on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -163,6 +186,7 @@
             ("service", self.service != stated.service),
             ("addresses", self.addresses != stated.addresses),
             ("store", self.store != stated.store),
+            ("limits", self.limits != stated.limits),
             ("bounds.retry-ratio", own.retry_ratio != new.retry_ratio),
             (
                 "bounds.retry-window-s",
@@ -201,6 +225,22 @@
         Ok(rx)
     }
 
+    /// The memory that the process may use, in bytes: what the settings say, or the machine's if it
+    /// has less.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let stated = usize::try_from(self.limits.memory_mb).unwrap_or(usize::MAX) << 20;
+        let of_machine = proc_number("/proc/meminfo", "MemTotal:").map(|kib| kib << 10);
+        of_machine.map_or(stated, |it| it.min(stated))
+    }
+
+    /// The descriptors that the process may have open: what the settings say, or its limit if that is
+    /// less.
+    pub(crate) fn max_fds(&self) -> usize {
+        let stated = usize::try_from(self.limits.max_fds).unwrap_or(usize::MAX);
+        let of_process = proc_number("/proc/self/limits", "Max open files");
+        of_process.map_or(stated, |it| it.min(stated))
+    }
+
     /// The node's failure domain.
     #[must_use]
     pub fn domain(&self) -> FailureDomain {
@@ -232,6 +272,15 @@
         if bounds.grace_s <= 0.0 {
             return Err(SettingsError::Value("bounds.grace-s", "must be over zero"));
         }
+        if self.limits.memory_mb < 96 {
+            return Err(SettingsError::Value(
+                "limits.memory-mb",
+                "must be 96 or more",
+            ));
+        }
+        if self.limits.max_fds < 64 {
+            return Err(SettingsError::Value("limits.max-fds", "must be 64 or more"));
+        }
         if bounds.retry_ratio < 0.0 || bounds.retry_slack < 0.0 || bounds.retry_window_s <= 0.0 {
             let reason = "must not be negative, and the window over zero";
             return Err(SettingsError::Value("bounds.retry-*", reason));
@@ -243,3 +292,10 @@
         Ok(())
     }
 }
+
+/// The first number behind a label in a file of the kernel; `None` where there is none.
+fn proc_number(file: &str, label: &str) -> Option<usize> {
+    let text = std::fs::read_to_string(file).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix(label))?;
+    line.split_whitespace().next()?.parse().ok()
+}
