--- a/cassiashunt/tests/support/site.rs
+++ b/cassiashunt/tests/support/site.rs
@@ -206,6 +206,11 @@
     }
 
     pub fn add(&mut self, service: &str) {
+        self.add_in(service, "east");
+    }
+
+    /// Like [`Site::add`], in another failure domain than the others.
+    pub fn add_in(&mut self, service: &str, domain: &str) {
         let addresses = Addresses::free().expect("cannot bind a port on loopback");
         let Addresses {
             requests,
@@ -223,7 +228,7 @@
         let name = format!("node-{at}");
         let text = NodeSettings {
             name: &name,
-            domain: "east",
+            domain,
             service,
             addresses,
             server: server.address(),
--- a/crates/sidecar/tests/settings.rs
+++ b/crates/sidecar/tests/settings.rs
@@ -44,6 +44,8 @@
     {
         let value = match placeholder {
             "ip" => "10.0.0.1",
+            // The ends of a section that is rendered once.
+            it if it.starts_with(['#', '/']) => "",
             it if it.starts_with("listen.") || it.contains("addr") => "\"10.0.0.1:8080\"",
             it if it.ends_with("|json") => "\"text\"",
             _ => "4711",
--- a/crates/standin/src/site/server.rs
+++ b/crates/standin/src/site/server.rs
@@ -144,6 +144,8 @@
     usual: Behaviour,
     /// Probes of its health get no answer.
     is_silent: bool,
+    /// It says that it is cold until then.
+    cold_until: Option<Instant>,
     /// Calls made through the node for each request: host and path.
     calls: Vec<(String, String)>,
     crash: Option<Crash>,
@@ -288,6 +290,20 @@
         self.lock().is_silent = is_silent;
     }
 
+    /// It says from now on that it is cold for so long.
+    pub fn set_cold_for(&self, span: Duration) {
+        self.lock().cold_until = Some(Instant::now() + span);
+    }
+
+    /// How many milliseconds longer it is cold.
+    fn cold_ms(&self) -> u64 {
+        let until = self.lock().cold_until;
+        let left = until.map_or(Duration::ZERO, |it| {
+            it.saturating_duration_since(Instant::now())
+        });
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// What it calls for each request.
     pub fn set_calls(&self, calls: &[(&str, &str)]) {
         let calls = calls
@@ -323,7 +339,7 @@
             "address": self.address.to_string(),
             "born": 1 + self.lock().restarts,
             "details": {"service": service, "version": "v1", "zone": "east", "slots": 8},
-            "status": {"state": state, "sequence": sequence, "warmup_left_ms": 0},
+            "status": {"state": state, "sequence": sequence, "warmup_left_ms": self.cold_ms()},
         });
         self.call_node(control, "instances.heartbeat", body.to_string().as_bytes())
     }
@@ -409,8 +425,9 @@
         }
         if message.word(1) == "/health" {
             let text = format!(
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n",
-                self.id
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,8\r\nX-Warmup-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id,
+                self.cold_ms()
             );
             return stream.write_all(text.as_bytes()).is_ok();
         }
