Count the repeats that are left at each service as a capacity of the fleet

Change: nodes sum the tries that pass and fail by service, and what their budgets of repeats allow; repeats go to priorities in order, chains that they do not suffice for are refused at the root. The budget counts calls in the best of the three windows of the rule, per node, scaled so that the sum over nodes bases on one window for all, and is checked for all windows that contain a repeat. A rejected try may go again to a server that was tried. Calls of repeated runs are charged as repeats.

--- a/crates/admit/src/chain.rs
+++ b/crates/admit/src/chain.rs
@@ -41,6 +41,8 @@
 pub struct ChainCosts {
     reports: HashMap<String, Report>,
     costs: HashMap<Route, Cost>,
+    run_counts: HashMap<Route, Vec<(Service, f64)>>,
+    mean_slot_s: BTreeMap<Service, f64>,
     paces: HashMap<String, f64>,
 }
 
@@ -59,6 +61,13 @@
     calls: BTreeMap<Route, f64>,
 }
 
+/// What a request needs at one service.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceCost {
+    slot_s: f64,
+    runs: f64,
+}
+
 impl ChainCosts {
     /// Records an owner's report under its node's name, in place of its earlier one.
     pub fn on_report(&mut self, now: Time, owner: &str, service: Service, uses: Vec<RouteUse>) {
@@ -94,12 +103,27 @@
             .retain(|_, report| now.since(report.received) <= MAX_REPORT_AGE);
         let runs = mean_runs(self.uses_by_service());
         let routes: Vec<_> = runs.keys().copied().collect();
-        let costs = routes.into_iter().map(|route| {
+        let mut by_service: BTreeMap<Service, (f64, f64)> = BTreeMap::new();
+        for (service, service_runs) in runs.values().flatten() {
+            let (rate, slot_s) = by_service.entry(*service).or_default();
+            *rate += service_runs.rate;
+            *slot_s += service_runs.rate * service_runs.slot_s;
+        }
+        let mean = |(rate, slot_s): (f64, f64)| slot_s / rate.max(f64::MIN_POSITIVE);
+        let by_service = by_service.into_iter();
+        self.mean_slot_s = by_service
+            .map(|(service, it)| (service, mean(it)))
+            .collect();
+        self.costs.clear();
+        self.run_counts.clear();
+        for route in routes {
             let mut cost = BTreeMap::new();
             add_cost(&runs, route, 1.0, 0, &mut cost);
-            (route, cost.into_iter().collect())
-        });
-        self.costs = costs.collect();
+            let slot_s = cost.iter().map(|(service, it)| (*service, it.slot_s));
+            self.costs.insert(route, slot_s.collect());
+            let run_counts = cost.iter().map(|(service, it)| (*service, it.runs));
+            self.run_counts.insert(route, run_counts.collect());
+        }
         let reports = self.reports.iter();
         let paces = reports.filter_map(|(owner, report)| {
             let pace = pace(report, &runs)?;
@@ -114,6 +138,19 @@
         self.costs.get(&route).map_or(&[], Vec::as_slice)
     }
 
+    /// The mean slot time of all runs at a service, in seconds; none if none has been reported yet.
+    #[must_use]
+    pub fn mean_slot_s(&self, service: Service) -> Option<f64> {
+        self.mean_slot_s.get(&service).copied()
+    }
+
+    /// The number of runs of a request of this route at each service, its own and those of its calls;
+    /// empty if no run of it has been reported yet.
+    #[must_use]
+    pub fn run_counts(&self, route: Route) -> &[(Service, f64)] {
+        self.run_counts.get(&route).map_or(&[], Vec::as_slice)
+    }
+
     /// The slot time of an owner's runs divided by the mean of its service for the same routes;
     /// none if too few runs have been reported.
     #[must_use]
@@ -185,7 +222,7 @@
     route: Route,
     runs_per_request: f64,
     depth: usize,
-    cost: &mut BTreeMap<Service, f64>,
+    cost: &mut BTreeMap<Service, ServiceCost>,
 ) {
     let Some(services) = runs.get(&route).filter(|_| depth < MAX_CHAIN_DEPTH) else {
         return;
@@ -193,7 +230,9 @@
     let total: f64 = services.values().map(|runs| runs.rate).sum();
     for (service, service_runs) in services {
         let runs_per_request = runs_per_request * service_runs.rate / total.max(f64::MIN_POSITIVE);
-        *cost.entry(*service).or_default() += runs_per_request * service_runs.slot_s;
+        let at_service = cost.entry(*service).or_default();
+        at_service.slot_s += runs_per_request * service_runs.slot_s;
+        at_service.runs += runs_per_request;
         for (call, count) in &service_runs.calls {
             add_cost(runs, *call, runs_per_request * count, depth + 1, cost);
         }
--- a/crates/admit/src/chain_admission.rs
+++ b/crates/admit/src/chain_admission.rs
@@ -170,14 +170,21 @@
         self.allocate(now, capacities);
     }
 
-    /// Returns whether a request is admitted. It counts as demand in either case.
-    pub fn admit(&mut self, route: Route, priority: Priority, cost: &[(Service, f64)]) -> bool {
-        let mut fraction: f64 = 1.0;
+    /// Counts a request as demand, without a decision.
+    pub fn count(&mut self, priority: Priority, cost: &[(Service, f64)]) {
         for (service, slot_s) in cost {
             *self
                 .requested_slot_s
                 .entry((priority, *service))
                 .or_default() += slot_s;
+        }
+    }
+
+    /// Returns whether a request is admitted. It counts as demand in either case.
+    pub fn admit(&mut self, route: Route, priority: Priority, cost: &[(Service, f64)]) -> bool {
+        self.count(priority, cost);
+        let mut fraction: f64 = 1.0;
+        for (service, slot_s) in cost {
             if *slot_s >= NEGLIGIBLE_COST_S {
                 let fraction_at_service =
                     self.admitted_fractions.get(&(priority, *service)).copied();
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -16,6 +16,7 @@
 mod level_controller;
 mod limiter;
 mod queue;
+pub mod repeats;
 mod retry_after;
 mod signal;
 mod usage;
--- a/crates/mesh/src/sums.rs
+++ b/crates/mesh/src/sums.rs
@@ -11,6 +11,7 @@
     Priority,
     chain::{RouteUse, merge},
     chain_admission::{Capacity, Demand},
+    repeats::Tries,
 };
 use cassiashunt_types::prelude::*;
 
@@ -28,6 +29,8 @@
     pub capacities: BTreeMap<Service, Capacity>,
     /// The demand of their clients, in slots.
     pub demand: BTreeMap<(Priority, Service), f64>,
+    /// The tries at each service, and the repeats that the nodes' budgets allow there.
+    pub tries: BTreeMap<Service, Tries>,
 }
 
 impl Sum {
@@ -40,6 +43,9 @@
         for (key, slots) in &other.demand {
             *self.demand.entry(*key).or_default() += slots;
         }
+        for (service, tries) in &other.tries {
+            *self.tries.entry(*service).or_default() += *tries;
+        }
     }
 
     /// Returns the demand as a list.
--- a/crates/mesh/tests/simulation/mod.rs
+++ b/crates/mesh/tests/simulation/mod.rs
@@ -90,6 +90,7 @@
         nodes: 1,
         capacities,
         demand: demand.collect(),
+        ..Sum::default()
     }
 }
 
--- a/crates/route/src/retry/mod.rs
+++ b/crates/route/src/retry/mod.rs
@@ -7,7 +7,9 @@
 mod allowance;
 pub mod budget;
 mod decision;
+mod window_budget;
 
 pub use allowance::{Allowance, Lending, Loan, LoanKey};
 pub use budget::Budget;
 pub use decision::{FailedAttempt, Retry, may_retry};
+pub use window_budget::{FirstTries, WindowBudget};
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -1,20 +1,26 @@
-//! Retry budgets per service: this node's retries as a fraction of its first tries.
+//! Retry budgets per service: this node's repeats as a fraction of its first tries.
 
-use std::{cell::RefCell, collections::HashMap};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+};
 
-use cassiashunt_route::retry::{Budget, budget::Options as BudgetOptions};
+use cassiashunt_admit::repeats::Tries;
+use cassiashunt_route::retry::WindowBudget;
 use cassiashunt_types::prelude::*;
 
-/// Fraction of the configured retry ratio for requests whose servers call others: all calls of a
-/// retried run count as retries at the services that they reach.
+/// Fraction of the configured ratio that is used. The remainder covers repeats that arrive in a later
+/// window than the one that they were counted in.
+const USED_RATIO_SHARE: f64 = 0.85;
+/// The same for calls of a run that was itself repeated: refusing them would waste that run.
+const REPEATED_CALL_RATIO_SHARE: f64 = 0.95;
+/// Fraction of the configured ratio for requests whose servers call others: all calls of a
+/// repeated run count as repeats at the services that they reach.
 const CHAIN_RATIO_SHARE: f64 = 0.25;
-/// Fraction of the configured retry ratio for other requests.
-const LEAF_RATIO_SHARE: f64 = 0.6;
-/// Fraction of the leaf budget that calls within chains may use; the remainder is left to clients'
-/// own requests, since a chain of several calls succeeds only if all of its calls do.
-const LEAF_CALL_BUDGET_SHARE: f64 = 0.5;
+/// Fraction of the configured slack that is spent, divided among the nodes.
+const USED_SLACK_SHARE: f64 = 0.5;
 
-/// What a retry repeats; each kind has its own budget.
+/// What a retry repeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum RetryKind {
     /// A request whose server calls other services.
@@ -34,37 +40,30 @@
             Self::LeafCall => "leaf-call",
         }
     }
+}
 
-    /// The budgets that a retry is charged to: calls are also charged to the clients' budget.
-    fn budgets(self) -> &'static [Self] {
-        match self {
-            Self::Chain => &[Self::Chain],
-            Self::Leaf => &[Self::Leaf],
-            Self::LeafCall => &[Self::LeafCall, Self::Leaf],
-        }
-    }
-
-    fn ratio_share(self) -> f64 {
-        match self {
-            Self::Chain => CHAIN_RATIO_SHARE,
-            Self::Leaf => LEAF_RATIO_SHARE,
-            Self::LeafCall => LEAF_RATIO_SHARE * LEAF_CALL_BUDGET_SHARE,
-        }
-    }
+struct ServiceBudget {
+    all: WindowBudget,
+    chains: WindowBudget,
+    /// The part of the node's best window that counts.
+    window_share: f64,
 }
 
-/// Retry budgets by service and kind.
+/// Retry budgets by service.
 pub(crate) struct RetryBudgets {
     ratio: f64,
+    slack: f64,
     window: Duration,
-    by_service: RefCell<HashMap<(Service, RetryKind), Budget>>,
+    by_service: RefCell<HashMap<Service, ServiceBudget>>,
 }
 
 impl RetryBudgets {
-    /// Budgets with the configured ratio of retries to first tries, counted over `window`.
-    pub(crate) fn new(ratio: f64, window: Duration) -> Self {
+    /// Budgets with the configured ratio of repeats to first tries in a `window`, and the repeats that
+    /// all nodes may make regardless of it.
+    pub(crate) fn new(ratio: f64, slack: f64, window: Duration) -> Self {
         Self {
             ratio,
+            slack,
             window,
             by_service: RefCell::new(HashMap::new()),
         }
@@ -72,37 +71,82 @@
 
     /// Records a first try.
     pub(crate) fn on_first_try(&self, now: Time, service: Service, kind: RetryKind) {
-        for kind in kind.budgets() {
-            self.with_budget(service, *kind, |budget| budget.on_first_try(now));
+        self.with_budget(service, |budget| {
+            budget.all.on_first_try(now);
+            if kind == RetryKind::Chain {
+                budget.chains.on_first_try(now);
+            }
+        });
+    }
+
+    /// Charges one retry and returns true, if the budget allows one more. `nodes` is the number of
+    /// nodes that share the slack.
+    pub(crate) fn take_retry(
+        &self,
+        now: Time,
+        service: Service,
+        kind: RetryKind,
+        nodes: usize,
+    ) -> bool {
+        let floor = (self.slack * USED_SLACK_SHARE / nodes.max(1) as f64).min(1.0);
+        self.with_budget(service, |budget| {
+            let ratio = self.ratio * budget.window_share;
+            let is_chain = kind == RetryKind::Chain;
+            let is_allowed = budget.all.left(now, ratio * USED_RATIO_SHARE) + floor >= 1.0
+                && (!is_chain || budget.chains.left(now, ratio * CHAIN_RATIO_SHARE) + floor >= 1.0);
+            if is_allowed {
+                budget.all.on_repeats(now, 1);
+                if is_chain {
+                    budget.chains.on_repeats(now, 1);
+                }
+            }
+            is_allowed
+        })
+    }
+
+    /// Charges a call of a run that was itself a repeat and returns true, if the budget allows it.
+    pub(crate) fn take_repeated_call(&self, now: Time, service: Service) -> bool {
+        self.with_budget(service, |budget| {
+            let ratio = self.ratio * budget.window_share * REPEATED_CALL_RATIO_SHARE;
+            let is_allowed = budget.all.left(now, ratio) >= 1.0;
+            if is_allowed {
+                budget.all.on_repeats(now, 1);
+            }
+            is_allowed
+        })
+    }
+
+    /// Adds to the tries at each service what this node's budgets allow.
+    pub(crate) fn add_to(&self, now: Time, tries: &mut BTreeMap<Service, Tries>) {
+        for (service, budget) in &*self.by_service.borrow() {
+            let first_tries = budget.all.first_tries(now);
+            if first_tries.most() == 0.0 {
+                continue;
+            }
+            let ratio = self.ratio * budget.window_share * USED_RATIO_SHARE;
+            let tries = tries.entry(*service).or_default();
+            tries.repeats_limit = ratio * first_tries.most();
+            tries.repeats_left = budget.all.left(now, ratio).max(0.0);
+            tries.first_tries = [first_tries.current, first_tries.half, first_tries.previous];
+            tries.most_first_tries = first_tries.most();
         }
     }
 
-    /// Charges one retry and returns true, if all of its budgets allow one more.
-    pub(crate) fn take_retry(&self, now: Time, service: Service, kind: RetryKind) -> bool {
-        let mut kinds = kind.budgets().iter();
-        let is_allowed =
-            kinds.all(|kind| self.with_budget(service, *kind, |budget| budget.allows_retry(now)));
-        if is_allowed {
-            for kind in kind.budgets() {
-                self.with_budget(service, *kind, |budget| budget.on_retry(now));
+    /// Takes in the tries of all nodes.
+    pub(crate) fn on_total(&self, tries: &BTreeMap<Service, Tries>) {
+        for (service, budget) in &mut *self.by_service.borrow_mut() {
+            if let Some(tries) = tries.get(service) {
+                budget.window_share = tries.window_share();
             }
         }
-        is_allowed
     }
 
-    fn with_budget<T>(
-        &self,
-        service: Service,
-        kind: RetryKind,
-        f: impl FnOnce(&mut Budget) -> T,
-    ) -> T {
+    fn with_budget<T>(&self, service: Service, f: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let mut budgets = self.by_service.borrow_mut();
-        let budget = budgets.entry((service, kind)).or_insert_with(|| {
-            Budget::new(BudgetOptions {
-                ratio: self.ratio * kind.ratio_share(),
-                floor: 1,
-                window: self.window,
-            })
+        let budget = budgets.entry(service).or_insert_with(|| ServiceBudget {
+            all: WindowBudget::new(self.window),
+            chains: WindowBudget::new(self.window),
+            window_share: 1.0,
         });
         f(budget)
     }
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -490,12 +490,19 @@
     ) -> Option<ChosenServer> {
         let group = self.groups.get(&service)?;
         let server = group.server_for_suspect(fingerprint, own)?;
-        let others: Vec<_> = group
-            .paths
-            .keys()
-            .copied()
-            .filter(|it| *it != server)
-            .collect();
+        self.choose_among(now, service, &[server], rng)
+    }
+
+    /// Chooses one of these servers.
+    pub(crate) fn choose_among(
+        &mut self,
+        now: Time,
+        service: Service,
+        servers: &[ServerKey],
+        rng: &mut fastrand::Rng,
+    ) -> Option<ChosenServer> {
+        let keys = self.groups.get(&service)?.paths.keys().copied();
+        let others: Vec<_> = keys.filter(|it| !servers.contains(it)).collect();
         self.choose(now, service, &others, rng)
     }
 
--- a/crates/sidecar/src/ingress/forward.rs
+++ b/crates/sidecar/src/ingress/forward.rs
@@ -23,8 +23,13 @@
 /// How long after the deadline to wait for the owner's outcome: only the owner knows whether a
 /// queued request ran.
 const OUTCOME_GRACE: Duration = Duration::from_millis(60);
-/// Maximum number of owners that a request is sent to before it is refused to the client.
+/// Maximum number of tries that end otherwise than with a server's rejection.
 const MAX_TRIES: usize = 3;
+/// Maximum number of a request's tries in all.
+const MAX_TRIES_WITH_REJECTIONS: usize = 12;
+/// The longest wait before the first try at a server that has rejected the request; it doubles with
+/// each further one, up to 16 times.
+const MAX_RESEND_WAIT: Duration = Duration::from_millis(2);
 
 /// A request to forward, with its route and time bounds.
 #[derive(Debug)]
@@ -60,34 +65,47 @@
         };
     };
     req.message.service = service.as_str().into();
-    node.budgets
-        .on_first_try(clock::now(), service, req.retry_kind);
-    let mut tried: Vec<ServerKey> = Vec::new();
+    let now = clock::now();
+    if !req.message.is_repeat {
+        node.budgets.on_first_try(now, service, req.retry_kind);
+    } else if !node.budgets.take_repeated_call(now, service) {
+        return Forwarded {
+            outcome: Outcome::Refused(Refusal::not_run(Reason::Shed)),
+            service: Some(service),
+            owner: String::new(),
+            tries: 0,
+        };
+    }
+    let mut tries = Tries::default();
     let mut owner = String::new();
-    let mut sent_to_servers = 0;
     let mut may_have_run = false;
     let mut last = Refusal::not_run(Reason::NoServer);
     let outcome = loop {
         let now = clock::now();
         let remaining = req.deadline.since(now);
-        let is_late = req.start_by.is_some_and(|by| now >= by) && !tried.is_empty();
+        let is_late = req.start_by.is_some_and(|by| now >= by) && tries.count > 0;
         if remaining.is_zero() || is_late || node.giving_up.is_cancelled() {
             break Outcome::Refused(last);
         }
-        let chosen = match choose(node, &req, service, &tried) {
+        if tries.is_resend(&req) {
+            let doubled = MAX_RESEND_WAIT * 2_u32.pow(tries.rejected.min(4) as u32);
+            let wait = doubled.mul_f64(node.rng.borrow_mut().f64());
+            tokio::time::sleep(wait.min(remaining / 8)).await;
+        }
+        let chosen = match choose(node, &req, service, &tries) {
             Ok(Some(chosen)) => chosen,
             Ok(None) => break Outcome::Refused(last),
             Err(refusal) => break Outcome::Refused(refusal),
         };
-        tried.push(chosen.key);
         owner.clone_from(&chosen.owner);
+        let remaining = req.deadline.since(clock::now());
         let outcome = try_once(node, &req, &chosen, remaining).await;
+        tries.on_end(node, &chosen, &outcome);
         let refusal = match outcome {
             Outcome::Answered(_) => break outcome,
             Outcome::Refused(refusal) => refusal,
         };
         may_have_run |= refusal.verdict == Verdict::MayHaveRun;
-        sent_to_servers += usize::from(has_reached_server(&refusal));
         last = refusal;
         if node.giving_up.is_cancelled() {
             break Outcome::Refused(Refusal {
@@ -95,12 +113,14 @@
                 ..refusal
             });
         }
-        if !may_retry(node, &req, service, &refusal, tried.len(), sent_to_servers) {
+        if !may_retry(node, &req, service, &refusal, &tries) {
             break Outcome::Refused(refusal);
         }
+        // Calls of a run that is a repeat count as repeats at the services that they reach.
+        req.message.is_repeat |= has_reached_server(&refusal);
         log::info!(request:% = req.message.attempt, service:% = service, owner:% = owner,
-            reason:% = refusal.reason, verdict:? = refusal.verdict, tries = tried.len(),
-            sent_to_servers = sent_to_servers, kind:% = req.retry_kind.name(),
+            reason:% = refusal.reason, verdict:? = refusal.verdict, tries = tries.count,
+            sent_to_servers = tries.reached.len(), kind:% = req.retry_kind.name(),
             left_ms = clock::millis(req.deadline.since(clock::now())); "request-retried");
     };
     Forwarded {
@@ -111,17 +131,69 @@
         },
         service: Some(service),
         owner,
-        tries: tried.len(),
+        tries: tries.count,
     }
 }
 
-/// Chooses a server that has not been tried. A suspect request is only ever sent to one designated
+/// The tries of one request.
+#[derive(Debug, Default)]
+struct Tries {
+    count: usize,
+    /// Those that a server rejected without running the request.
+    rejected: usize,
+    /// All servers that were chosen.
+    chosen: Vec<ServerKey>,
+    /// The servers that the request may have been sent to.
+    reached: Vec<ServerKey>,
+}
+
+impl Tries {
+    fn on_end(&mut self, node: &Node, chosen: &ChosenServer, outcome: &Outcome) {
+        self.count += 1;
+        if !self.chosen.contains(&chosen.key) {
+            self.chosen.push(chosen.key);
+        }
+        let refusal = match outcome {
+            Outcome::Answered(_) => return node.shedding.on_try(chosen.service, true),
+            Outcome::Refused(refusal) => refusal,
+        };
+        if !has_reached_server(refusal) {
+            return;
+        }
+        if !self.reached.contains(&chosen.key) {
+            self.reached.push(chosen.key);
+        }
+        self.rejected += usize::from(is_rejection(refusal));
+        // A missed deadline depends more on the load than on the server.
+        if refusal.reason != Reason::Deadline {
+            node.shedding.on_try(chosen.service, false);
+        }
+    }
+
+    /// Whether the next try goes to a server that was tried already, because the request may be sent
+    /// to no further one.
+    fn is_resend(&self, req: &ForwardRequest<'_>) -> bool {
+        self.rejected > 0 && self.reached.len() >= max_attempts(req)
+    }
+}
+
+fn max_attempts(req: &ForwardRequest<'_>) -> usize {
+    usize::try_from(req.route.max_attempts).unwrap_or(usize::MAX)
+}
+
+/// Whether the server stated that it did not run the request.
+fn is_rejection(refusal: &Refusal) -> bool {
+    refusal.verdict == Verdict::NotRun && refusal.reason == Reason::ServerRefused
+}
+
+/// Chooses a server that has not been tried, or among those tried if the request may be sent to no
+/// other. A suspect request is only ever sent to one designated
 /// server, so that it never runs at two servers at once.
 fn choose(
     node: &Node,
     req: &ForwardRequest<'_>,
     service: Service,
-    tried: &[ServerKey],
+    tries: &Tries,
 ) -> Result<Option<ChosenServer>, Refusal> {
     let now = clock::now();
     let mut rng = node.rng.borrow_mut();
@@ -130,11 +202,14 @@
     let decision = fingerprint.map_or(Decision::Run, |it| node.suspicion.check(now, it));
     match (decision, fingerprint) {
         (Decision::Refuse(refusal), _) => Err(refusal),
-        (Decision::RunAlone, Some(fingerprint)) if tried.is_empty() => Ok(
+        (Decision::RunAlone, Some(fingerprint)) if tries.count == 0 => Ok(
             fleet.choose_for_suspect(now, service, fingerprint, &node.settings().name, &mut rng)
         ),
         (Decision::RunAlone, _) => Ok(None),
-        (Decision::Run, _) => Ok(fleet.choose(now, service, tried, &mut rng)),
+        (Decision::Run, _) if tries.is_resend(req) => {
+            Ok(fleet.choose_among(now, service, &tries.reached, &mut rng))
+        }
+        (Decision::Run, _) => Ok(fleet.choose(now, service, &tries.chosen, &mut rng)),
     }
 }
 
@@ -157,22 +232,29 @@
     req: &ForwardRequest<'_>,
     service: Service,
     refusal: &Refusal,
-    tries: usize,
-    sent_to_servers: usize,
+    tries: &Tries,
 ) -> bool {
     let is_repeatable =
         refusal.verdict == Verdict::NotRun || req.route.repeat == Repeat::Idempotent;
-    if !is_repeatable || tries >= MAX_TRIES {
+    let other_tries = tries.count - tries.rejected;
+    if !is_repeatable || other_tries >= MAX_TRIES || tries.count >= MAX_TRIES_WITH_REJECTIONS {
         return false;
     }
     if !has_reached_server(refusal) {
         return true;
     }
-    let max_attempts = usize::try_from(req.route.max_attempts).unwrap_or(usize::MAX);
-    let is_allowed = sent_to_servers < max_attempts
+    let max_attempts = max_attempts(req);
+    let may_reach_server =
+        tries.reached.len() < max_attempts || (max_attempts > 1 && is_rejection(refusal));
+    let priority = u8::try_from(req.message.priority).unwrap_or(u8::MAX);
+    // What clients' own requests do not use is of no use to the calls of other nodes.
+    let is_preferred = req.message.depth == 0 || node.shedding.may_repeat(priority, service);
+    let nodes = node.fleet.borrow().size();
+    let is_allowed = may_reach_server
+        && is_preferred
         && node
             .budgets
-            .take_retry(clock::now(), service, req.retry_kind);
+            .take_retry(clock::now(), service, req.retry_kind, nodes);
     if is_allowed {
         metrics::retried(req.retry_kind.name());
     }
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -179,6 +179,7 @@
     };
     let mut depth = 0;
     let mut is_chain_call = false;
+    let mut is_repeat = false;
     if is_call {
         depth = 1;
         // A call inherits the priority of the request that makes it.
@@ -186,6 +187,7 @@
             priority = run.priority;
             depth = run.depth.saturating_add(1);
             is_chain_call = true;
+            is_repeat = run.is_repeat;
         }
     }
     let timeout = stated_timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
@@ -231,6 +233,7 @@
         service: String::new(),
         start_within_us: 0,
         fingerprint: fingerprint.0,
+        is_repeat,
     };
     let req = ForwardRequest {
         message,
--- a/crates/sidecar/src/link/frame.rs
+++ b/crates/sidecar/src/link/frame.rs
@@ -162,6 +162,9 @@
     /// Equal for all attempts of one request; zero where the sender does not give it.
     #[prost(fixed64, tag = "14")]
     pub(crate) fingerprint: u64,
+    /// The run is a repeat, or a call of one: its calls count as repeats too.
+    #[prost(bool, tag = "20")]
+    pub(crate) is_repeat: bool,
 }
 
 impl WorkRequest {
@@ -261,6 +264,28 @@
     /// Cost and calls of runs; sent less often than the other fields.
     #[prost(message, optional, tag = "4")]
     pub(crate) uses: Option<UsesRow>,
+    #[prost(message, repeated, tag = "20")]
+    pub(crate) tries: Vec<TriesEntry>,
+}
+
+/// The tries at a service, and the repeats that the budgets of some nodes allow there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct TriesEntry {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    #[prost(float, tag = "2")]
+    pub(crate) passed: f32,
+    #[prost(float, tag = "3")]
+    pub(crate) failed: f32,
+    #[prost(float, tag = "4")]
+    pub(crate) repeats_limit: f32,
+    #[prost(float, tag = "5")]
+    pub(crate) repeats_left: f32,
+    /// In the window, half a window earlier and a window earlier.
+    #[prost(float, repeated, tag = "6")]
+    pub(crate) first_tries: Vec<f32>,
+    #[prost(float, tag = "7")]
+    pub(crate) most_first_tries: f32,
 }
 
 /// The slots of a service's owners, and how many are busy.
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -13,6 +13,6 @@
 pub(crate) use frame::{
     Answer, AskTokens, CallCount, CapacityEntry, Delegate, DemandEntry, Down, EntryChanges,
     EntryRow, Field, Frame, GiveTokens, Hello, Kind, KnownState, Load, OriginRow, Outcome, Proof,
-    RunUse, ServiceUses, StorePosition, SumRow, Table, Up, UsesRow, WorkRequest,
+    RunUse, ServiceUses, StorePosition, SumRow, Table, TriesEntry, Up, UsesRow, WorkRequest,
 };
 pub(crate) use socket::Sender;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -127,6 +127,7 @@
         let bound = settings.bounds.key_withdrawal();
         let domain = settings.domain();
         let ratio = settings.bounds.retry_ratio;
+        let slack = settings.bounds.retry_slack;
         let window = Duration::from_secs_f64(settings.bounds.retry_window_s);
         Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -154,9 +155,9 @@
             owner: Owner::new(crate::clock::now()),
             suspicion: Suspicion::default(),
             quotas: Quotas::default(),
-            budgets: RetryBudgets::new(ratio, window),
+            budgets: RetryBudgets::new(ratio, slack, window),
             splits: TrafficSplits::default(),
-            shedding: Shedding::default(),
+            shedding: Shedding::new(window),
             rng: RefCell::new(fastrand::Rng::new()),
             load_recipients: RefCell::new(Vec::new()),
             closing_links: CancellationToken::new(),
@@ -405,12 +406,15 @@
         let capacity = self.load().capacity();
         let capacities = capacity.map(|capacity| (self.service(), capacity));
         let demand = self.shedding.demand().into_iter();
+        let mut tries = self.shedding.tries();
+        self.budgets.add_to(crate::clock::now(), &mut tries);
         Sum {
             nodes: 1,
             capacities: capacities.into_iter().collect(),
             demand: demand
                 .map(|it| ((it.priority, it.service), it.slots))
                 .collect(),
+            tries,
         }
     }
 
@@ -421,6 +425,8 @@
         let now = crate::clock::now();
         let nodes = self.fleet.borrow().size();
         if let Some((total, others)) = self.aggregation.sums(now, nodes) {
+            self.budgets.on_total(&total.tries);
+            self.shedding.step_repeats(now, total.tries, &total.demand);
             let mut capacities = total.capacities;
             self.fleet.borrow().subtract_outliers(&mut capacities);
             self.shedding.on_others_demand(now, others.demand_list());
--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -103,6 +103,8 @@
     pub(crate) route: Route,
     pub(crate) priority: u8,
     pub(crate) depth: u8,
+    /// It is a repeat, or a call of one.
+    pub(crate) is_repeat: bool,
 }
 
 impl Owner {
@@ -457,6 +459,7 @@
                 route,
                 priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
                 depth: u8::try_from(request.depth).unwrap_or(u8::MAX),
+                is_repeat: request.is_repeat,
             };
             inner
                 .running
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -7,6 +7,7 @@
     Priority,
     chain::{ChainCosts, RouteUse},
     chain_admission::{Capacity, ChainAdmission, Demand, Options},
+    repeats::{Options as RepeatOptions, RepeatAdmission, Tries},
 };
 use cassiashunt_types::prelude::*;
 
@@ -15,6 +16,7 @@
 
 struct Inner {
     admission: ChainAdmission,
+    repeats: RepeatAdmission,
     chains: ChainCosts,
     updated: Time,
     /// The capacities that the last decision was based on.
@@ -26,27 +28,74 @@
     inner: RefCell<Inner>,
 }
 
-impl Default for Shedding {
-    fn default() -> Self {
+impl Shedding {
+    /// Sheds nothing yet; repeats are counted over `window`.
+    pub(crate) fn new(window: Duration) -> Self {
         Self {
             inner: RefCell::new(Inner {
                 admission: ChainAdmission::new(Options::default()),
+                repeats: RepeatAdmission::new(RepeatOptions {
+                    window,
+                    ..RepeatOptions::default()
+                }),
                 chains: ChainCosts::default(),
                 updated: Time::ZERO,
                 capacities: BTreeMap::new(),
             }),
         }
     }
-}
 
-impl Shedding {
     /// Whether a client's request is admitted.
     pub(crate) fn admit(&self, route: Route, priority: u8) -> bool {
         let mut inner = self.inner.borrow_mut();
         let Inner {
-            admission, chains, ..
+            admission,
+            repeats,
+            chains,
+            ..
+        } = &mut *inner;
+        let priority = Priority(priority);
+        let cost = chains.cost(route);
+        if !repeats.admit(route, priority, chains.run_counts(route)) {
+            admission.count(priority, cost);
+            return false;
+        }
+        admission.admit(route, priority, cost)
+    }
+
+    /// Records a try that reached a server.
+    pub(crate) fn on_try(&self, service: Service, has_passed: bool) {
+        self.inner.borrow_mut().repeats.on_try(service, has_passed);
+    }
+
+    /// Whether calls of this priority may be repeated at a service, as far as other priorities need
+    /// its repeats.
+    pub(crate) fn may_repeat(&self, priority: u8, service: Service) -> bool {
+        let inner = self.inner.borrow();
+        inner.repeats.may_repeat(Priority(priority), service)
+    }
+
+    /// This node's tries by service.
+    pub(crate) fn tries(&self) -> BTreeMap<Service, Tries> {
+        self.inner.borrow().repeats.tries().clone()
+    }
+
+    /// Recomputes the allocation of repeats from the tries and the demand of all nodes, in slots.
+    pub(crate) fn step_repeats(
+        &self,
+        now: Time,
+        tries: BTreeMap<Service, Tries>,
+        demand: &BTreeMap<(Priority, Service), f64>,
+    ) {
+        let mut inner = self.inner.borrow_mut();
+        let Inner {
+            repeats, chains, ..
         } = &mut *inner;
-        admission.admit(route, Priority(priority), chains.cost(route))
+        let calls = demand.iter().filter_map(|((priority, service), slots)| {
+            let slot_s = chains.mean_slot_s(*service).filter(|it| *it > 0.0)?;
+            Some(((*priority, *service), slots / slot_s))
+        });
+        repeats.step(now, tries, calls.collect());
     }
 
     /// Records the demand at all other nodes.
@@ -104,8 +153,10 @@
     /// there, for the log line of a refusal.
     pub(crate) fn bottleneck(&self, route: Route, priority: u8) -> Option<(Service, f64)> {
         let inner = self.inner.borrow();
-        let cost = inner.chains.cost(route);
-        inner.admission.bottleneck(Priority(priority), cost)
+        let (cost, calls) = (inner.chains.cost(route), inner.chains.run_counts(route));
+        let priority = Priority(priority);
+        let repeats = inner.repeats.bottleneck(priority, calls);
+        repeats.or_else(|| inner.admission.bottleneck(priority, cost))
     }
 
     /// Logs the services that can't serve all of their demand, with the inputs of that decision; to
@@ -122,6 +173,11 @@
                 part = shortage.admitted_fraction, correction = shortage.correction, slots = capacity.slots,
                 busy = capacity.busy; "shedding");
         }
+        for shortage in inner.repeats.shortages() {
+            log::info!(service:% = shortage.service, priority = shortage.priority.0,
+                part = shortage.fraction, passing = shortage.yielded,
+                repeats_left = shortage.repeats_left; "repeats-short");
+        }
     }
 
     /// Whether requests of a route call other services, or may do so (if their cost is not known).
--- a/crates/sidecar/src/sum_rows.rs
+++ b/crates/sidecar/src/sum_rows.rs
@@ -1,13 +1,14 @@
 //! Conversion of sums to and from messages.
 
-use cassiashunt_admit::{Priority, chain::RouteUse, chain_admission::Capacity};
+use cassiashunt_admit::{Priority, chain::RouteUse, chain_admission::Capacity, repeats::Tries};
 use cassiashunt_mesh::{Origin, Sum, SumReport, Uses};
 use cassiashunt_types::prelude::*;
 
 use crate::{
     clock,
     link::{
-        CallCount, CapacityEntry, DemandEntry, OriginRow, RunUse, ServiceUses, SumRow, UsesRow,
+        CallCount, CapacityEntry, DemandEntry, OriginRow, RunUse, ServiceUses, SumRow, TriesEntry,
+        UsesRow,
     },
 };
 
@@ -33,6 +34,7 @@
                 slots: *slots as f32,
             })
             .collect(),
+        tries: report.sum.tries.iter().map(tries_to_entry).collect(),
         uses: report.uses.map(uses_to_row),
     }
 }
@@ -53,16 +55,46 @@
             f64::from(entry.slots),
         ))
     });
+    let tries = row.tries.iter().filter_map(tries_from_entry);
     SumReport {
         sum: Sum {
             nodes: row.nodes,
             capacities: capacities.collect(),
             demand: demand.collect(),
+            tries: tries.collect(),
         },
         uses: row.uses.as_ref().map(uses_from_row),
     }
 }
 
+fn tries_to_entry((service, tries): (&Service, &Tries)) -> TriesEntry {
+    TriesEntry {
+        service: service.as_str().into(),
+        passed: tries.passed as f32,
+        failed: tries.failed as f32,
+        repeats_limit: tries.repeats_limit as f32,
+        repeats_left: tries.repeats_left as f32,
+        first_tries: tries.first_tries.iter().map(|it| *it as f32).collect(),
+        most_first_tries: tries.most_first_tries as f32,
+    }
+}
+
+fn tries_from_entry(entry: &TriesEntry) -> Option<(Service, Tries)> {
+    let mut first_tries = [0.0; 3];
+    for (to, from) in first_tries.iter_mut().zip(&entry.first_tries) {
+        *to = f64::from(*from);
+    }
+    let tries = Tries {
+        passed: f64::from(entry.passed),
+        failed: f64::from(entry.failed),
+        repeats_limit: f64::from(entry.repeats_limit),
+        repeats_left: f64::from(entry.repeats_left),
+        first_tries,
+        most_first_tries: f64::from(entry.most_first_tries),
+    };
+    Some((entry.service.parse().ok()?, tries))
+}
+
 /// Converts a relayed sum to its message.
 pub(crate) fn origin_to_row(origin: Origin) -> OriginRow {
     OriginRow {
