Own interface: no odd status reaches a caller; one budget for bodies of callers

Cause (MIXED): ureq gives 1xx and 6xx to 9xx as answers, and the node passed them on. Cause (memory): each connection's body was bounded, their sum wasn't. http::Budget bounds requests that are read or run and answers that callers read (bounds.waiting-bytes, 64 MiB by default); the connection without progress longest is closed. A failed accept waits 50 ms; more than twice bounds.connections are closed unanswered. The tests' settings get waiting-bytes = 32 MiB. Supposed, not shown: gaps in the heaps of threads. ureq keeps a connection after a 1xx without a body: a late final answer there is not covered.

--- a/cassiashunt/tests/hostile.rs
+++ b/cassiashunt/tests/hostile.rs
@@ -25,7 +25,8 @@
 /// How long a caller of the crowd tries to send or to read on.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// The bounds in the settings of the nodes; the longest time of a request exceeds a test's.
-const BOUNDS: &str = "receive-ms = 60000\n[bounds]\nbody-bytes = 4194304\nheld-bytes = 16777216\n";
+const BOUNDS: &str = "receive-ms = 60000\n[bounds]\nbody-bytes = 4194304\nheld-bytes = 16777216\n\
+                      waiting-bytes = 33554432\n";
 
 /// Held by the one test that runs.
 static CROWD_LOCK: Mutex<()> = Mutex::new(());
--- /dev/null
+++ b/crates/http/src/budget.rs
@@ -0,0 +1,171 @@
+//! Bounds the bytes of bodies that all connections hold.
+
+use std::{
+    collections::BTreeMap,
+    net::{Shutdown, TcpStream},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use bytes::Bytes;
+
+/// Bytes of requests that are read or run and of answers that are written, on all connections.
+///
+/// Where it has no room, the connection is closed that has been without progress longest.
+#[derive(Debug)]
+pub struct Budget {
+    most: usize,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    held: usize,
+    last_key: u64,
+    /// Those that can be closed.
+    shares: BTreeMap<u64, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    bytes: usize,
+    progressed: Instant,
+    is_closed: bool,
+    stream: Arc<TcpStream>,
+    /// The side that is closed: a reader still gets its refusal.
+    side: Shutdown,
+}
+
+impl Budget {
+    /// A budget of `most` bytes.
+    #[must_use]
+    pub fn new(most: usize) -> Arc<Self> {
+        Arc::new(Self {
+            most,
+            inner: Mutex::default(),
+        })
+    }
+
+    /// Bytes that are held now.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.lock().held
+    }
+
+    /// The share of a connection, of which `side` is closed where room is short.
+    pub(crate) fn share(self: &Arc<Self>, stream: &Arc<TcpStream>, side: Shutdown) -> Share {
+        let mut inner = self.lock();
+        inner.last_key += 1;
+        let key = inner.last_key;
+        let entry = Entry {
+            bytes: 0,
+            progressed: Instant::now(),
+            is_closed: false,
+            stream: Arc::clone(stream),
+            side,
+        };
+        inner.shares.insert(key, entry);
+        Share {
+            budget: Arc::clone(self),
+            key,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Closes the connection that has been without progress longest, if that is not `own`.
+    fn close_stalest(&mut self, own: u64) -> bool {
+        let open = self.shares.iter_mut();
+        let open = open.filter(|(_, it)| !it.is_closed && it.bytes > 0);
+        let Some((key, entry)) = open.min_by_key(|(_, it)| it.progressed) else {
+            return false;
+        };
+        if *key == own {
+            return false;
+        }
+        entry.is_closed = true;
+        self.held -= entry.bytes;
+        // One that is closed already holds nothing for long.
+        let _ = entry.stream.shutdown(entry.side);
+        true
+    }
+}
+
+/// What one connection holds.
+#[derive(Debug)]
+pub(crate) struct Share {
+    budget: Arc<Budget>,
+    key: u64,
+}
+
+impl Share {
+    /// Holds this many bytes from now on, which is progress; false if the connection is to be closed.
+    pub(crate) fn hold(&self, bytes: usize) -> bool {
+        let mut inner = self.budget.lock();
+        let own = match inner.shares.get(&self.key) {
+            Some(entry) if !entry.is_closed => entry.bytes,
+            _ => return false,
+        };
+        while inner.held - own + bytes > self.budget.most {
+            if !inner.close_stalest(self.key) {
+                return false;
+            }
+        }
+        inner.held = inner.held - own + bytes;
+        if let Some(entry) = inner.shares.get_mut(&self.key) {
+            entry.bytes = bytes;
+            entry.progressed = Instant::now();
+        }
+        true
+    }
+
+    /// Whether the connection was closed for others.
+    pub(crate) fn is_closed(&self) -> bool {
+        let inner = self.budget.lock();
+        inner.shares.get(&self.key).is_some_and(|it| it.is_closed)
+    }
+
+    /// Bytes that stay held until their last copy is dropped, and whose connection isn't closed.
+    pub(crate) fn keep(self, bytes: Bytes) -> Option<Bytes> {
+        let length = bytes.len();
+        if !self.hold(length) {
+            return None;
+        }
+        let budget = Arc::clone(&self.budget);
+        let mut inner = budget.lock();
+        inner.shares.remove(&self.key);
+        drop(inner);
+        let kept = Kept { bytes, budget };
+        Some(Bytes::from_owner(kept))
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        let mut inner = self.budget.lock();
+        if let Some(entry) = inner.shares.remove(&self.key).filter(|it| !it.is_closed) {
+            inner.held -= entry.bytes;
+        }
+    }
+}
+
+struct Kept {
+    bytes: Bytes,
+    budget: Arc<Budget>,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.budget.lock().held -= self.bytes.len();
+    }
+}
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -3,18 +3,24 @@
 use std::{
     io::{self, ErrorKind, Read, Write},
     net::{Shutdown, TcpStream},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::{Buf, BytesMut};
 
 use crate::{
-    Answer, ReadError, Request,
+    Answer, Budget, ReadError, Request,
+    budget::Share,
     request::{self, Framing, Head},
 };
 
 /// Bytes read from the socket at a time.
 const READ_BYTES: usize = 16 * 1024;
+/// Bytes that are written at a time; each such write is progress.
+const WRITE_BYTES: usize = 64 * 1024;
+/// A body counts in steps of this many bytes.
+const COUNTED_STEP_BYTES: usize = 64 * 1024;
 /// Bytes that are read and dropped after the last answer.
 const LINGER_BYTES: usize = 1 << 20;
 /// The longest chunk-size line, in bytes.
@@ -67,10 +73,13 @@
 /// A caller's connection.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     buf: BytesMut,
     limits: Limits,
     started: Option<Instant>,
+    budget: Arc<Budget>,
+    /// What the request that is being read holds.
+    share: Option<Share>,
 }
 
 impl Connection {
@@ -80,14 +89,29 @@
     ///
     /// Where the socket's options cannot be set.
     pub fn new(stream: TcpStream, limits: Limits) -> io::Result<Self> {
+        Self::with_budget(stream, limits, &Budget::new(usize::MAX))
+    }
+
+    /// Like [`Connection::new`], with a budget that connections share.
+    ///
+    /// # Errors
+    ///
+    /// Where the socket's options cannot be set.
+    pub fn with_budget(
+        stream: TcpStream,
+        limits: Limits,
+        budget: &Arc<Budget>,
+    ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(limits.poll))?;
         stream.set_write_timeout(Some(limits.send))?;
         Ok(Self {
-            stream,
+            stream: Arc::new(stream),
             buf: BytesMut::new(),
             limits,
             started: None,
+            budget: Arc::clone(budget),
+            share: None,
         })
     }
 
@@ -112,16 +136,22 @@
         };
         self.buf.advance(head.len);
         if head.expect_continue {
-            self.stream
+            (&*self.stream)
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                 .map_err(ReadError::Io)?;
         }
         let body = match head.framing {
-            Framing::Length(len) => self.read_sized(len)?,
-            Framing::Chunked => self.read_chunked()?,
+            Framing::Length(len) => self.read_sized(len),
+            Framing::Chunked => self.read_chunked(),
+        };
+        let body = body.inspect_err(|_| self.drop_body())?;
+        let body = body.freeze();
+        let body = match self.share.take() {
+            Some(share) => share.keep(body).ok_or(ReadError::NoRoom)?,
+            None => body,
         };
         Ok(Incoming::Request(Request {
-            body: body.freeze(),
+            body,
             ..head.request
         }))
     }
@@ -132,7 +162,38 @@
     ///
     /// Where the caller is gone or reads too slowly; the connection is of no more use then.
     pub fn write(&mut self, answer: &Answer, keep_alive: bool, with_body: bool) -> io::Result<()> {
-        self.stream.write_all(&answer.encode(keep_alive, with_body))
+        let share = self.budget.share(&self.stream, Shutdown::Both);
+        // The answer and its encoded copy.
+        if !share.hold(2 * answer.body.len()) {
+            return Err(ErrorKind::OutOfMemory.into());
+        }
+        let bytes = answer.encode(keep_alive, with_body);
+        for piece in bytes.chunks(WRITE_BYTES) {
+            (&*self.stream).write_all(piece)?;
+            share.hold(2 * answer.body.len());
+        }
+        Ok(())
+    }
+
+    /// Gives up a request that can't be read.
+    fn drop_body(&mut self) {
+        self.share = None;
+        self.buf = BytesMut::new();
+    }
+
+    /// Counts that this many bytes of a body are held.
+    fn count(&mut self, bytes: usize) -> Result<(), ReadError> {
+        if bytes < COUNTED_STEP_BYTES {
+            return Ok(());
+        }
+        let (budget, stream) = (&self.budget, &self.stream);
+        let share = self
+            .share
+            .get_or_insert_with(|| budget.share(stream, Shutdown::Read));
+        match share.hold(bytes) {
+            true => Ok(()),
+            false => Err(ReadError::NoRoom),
+        }
     }
 
     /// Whether the caller has closed its side, as far as can be seen without reading on.
@@ -152,7 +213,7 @@
 
     /// Closes without cutting off an answer on its way: tells the end, then waits for the
     /// caller's end or [`Limits::linger`].
-    pub fn close(mut self) {
+    pub fn close(self) {
         if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
@@ -160,7 +221,7 @@
         let mut dropped = 0;
         let mut buf = [0; READ_BYTES];
         while Instant::now() < until && dropped < LINGER_BYTES {
-            match self.stream.read(&mut buf) {
+            match (&*self.stream).read(&mut buf) {
                 Ok(0) => return,
                 Ok(len) => dropped += len,
                 Err(err) if is_timeout(&err) => {}
@@ -182,8 +243,9 @@
         if len > self.limits.body_bytes {
             return Err(ReadError::BodyTooLarge);
         }
-        self.need(len)?;
-        Ok(self.buf.split_to(len))
+        let mut body = BytesMut::new();
+        self.read_into(&mut body, len)?;
+        Ok(body)
     }
 
     fn read_chunked(&mut self) -> Result<BytesMut, ReadError> {
@@ -198,8 +260,9 @@
                 self.read_trailer()?;
                 return Ok(body);
             }
-            self.need(len + 2)?;
-            body.extend_from_slice(&self.buf.split_to(len));
+            let end = body.len() + len;
+            self.read_into(&mut body, end)?;
+            self.need(2)?;
             if self.buf.split_to(2) != b"\r\n"[..] {
                 return Err(ReadError::Malformed("chunk"));
             }
@@ -244,11 +307,37 @@
         }
     }
 
+    /// Reads until the body has `len` bytes.
+    fn read_into(&mut self, body: &mut BytesMut, len: usize) -> Result<(), ReadError> {
+        while body.len() < len {
+            if self.buf.is_empty() {
+                self.need(1)?;
+            }
+            let more = (len - body.len()).min(self.buf.len());
+            if body.len() + more > body.capacity() {
+                let ample = match body.len() {
+                    0 => more,
+                    held if held < COUNTED_STEP_BYTES => 2 * held,
+                    held => held + held / 2,
+                };
+                let capacity = ample.min(self.limits.body_bytes).max(body.len() + more);
+                self.count(capacity)?;
+                body.reserve(capacity - body.len());
+            }
+            body.extend_from_slice(&self.buf[..more]);
+            self.buf.advance(more);
+        }
+        Ok(())
+    }
+
     /// Reads until `len` bytes are buffered.
     fn need(&mut self, len: usize) -> Result<(), ReadError> {
         while self.buf.len() < len {
             match self.fill()? {
                 Fill::Bytes | Fill::Nothing => self.check_pace()?,
+                Fill::End if self.share.as_ref().is_some_and(Share::is_closed) => {
+                    return Err(ReadError::NoRoom);
+                }
                 Fill::End => return Err(ReadError::CutOff),
             }
         }
@@ -264,7 +353,7 @@
 
     fn fill(&mut self) -> Result<Fill, ReadError> {
         let mut buf = [0; READ_BYTES];
-        match self.stream.read(&mut buf) {
+        match (&*self.stream).read(&mut buf) {
             Ok(0) => Ok(Fill::End),
             Ok(len) => {
                 self.started.get_or_insert_with(Instant::now);
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -11,6 +11,8 @@
     HeadTooLarge,
     /// The body is longer than the limits allow.
     BodyTooLarge,
+    /// The bodies of all connections leave no room for this one.
+    NoRoom,
     /// The sender took longer than the limits allow.
     Slow,
     /// The connection ended within a request.
@@ -33,6 +35,7 @@
             Self::Malformed(what) => write!(f, "malformed request: {what}"),
             Self::HeadTooLarge => f.write_str("the request's head is too large"),
             Self::BodyTooLarge => f.write_str("the request's body is too large"),
+            Self::NoRoom => f.write_str("the bodies of all connections leave no room"),
             Self::Slow => f.write_str("the request did not arrive in time"),
             Self::CutOff => f.write_str("the connection ended within a request"),
             Self::Io(err) => write!(f, "socket: {err}"),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,12 +5,14 @@
 //! that cuts off neither side; and whether the caller is still there.
 
 mod answer;
+mod budget;
 mod connection;
 mod error;
 mod headers;
 mod request;
 
 pub use answer::Answer;
+pub use budget::Budget;
 pub use connection::{Connection, Incoming, Limits};
 pub use error::ReadError;
 pub use headers::{Header, Headers};
--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -10,7 +10,7 @@
     thread,
 };
 
-use cassiashunt_http::{Connection, Limits};
+use cassiashunt_http::{Budget, Connection, Limits};
 use cassiashunt_types::prelude::*;
 
 use super::{answer, serve};
@@ -19,17 +19,23 @@
 /// Stack of a connection's thread, in bytes.
 const CONNECTION_STACK: usize = 512 * 1024;
 
+/// The delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// How callers' connections are accepted.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Options {
     pub connections: usize,
     pub limits: Limits,
+    /// Bytes of requests and of answers that callers read, at a time.
+    pub body_memory: usize,
 }
 
 /// Accepts callers' connections.
 pub(crate) struct Acceptor {
     opts: Options,
     shared: Arc<Shared>,
+    budget: Arc<Budget>,
     open: AtomicUsize,
     busy: AtomicUsize,
     has_ended: AtomicBool,
@@ -40,6 +46,7 @@
 impl Acceptor {
     pub(crate) fn new(opts: Options, shared: Arc<Shared>) -> Arc<Self> {
         Arc::new(Self {
+            budget: Budget::new(opts.body_memory),
             opts,
             shared,
             open: AtomicUsize::new(0),
@@ -75,7 +82,10 @@
         if self.is_killed() {
             return;
         }
-        let Ok(stream) = stream else { return };
+        let Ok(stream) = stream else {
+            // Descriptors may have run out.
+            return thread::sleep(ACCEPT_RETRY_DELAY);
+        };
         if let Err(err) = self.accept(stream) {
             log::warn!(event = "caller-refused"; "{err}");
         }
@@ -125,7 +135,11 @@
     }
 
     fn accept(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
-        let mut connection = Connection::new(stream, self.opts.limits)?;
+        if self.open() >= 2 * self.opts.connections {
+            // Too many are still being refused.
+            return Ok(());
+        }
+        let mut connection = Connection::with_budget(stream, self.opts.limits, &self.budget)?;
         let place = Place::take(self);
         let acceptor = Arc::clone(self);
         let is_full = self.open() > self.opts.connections;
--- a/crates/node/src/ingress/serve.rs
+++ b/crates/node/src/ingress/serve.rs
@@ -51,6 +51,10 @@
     }
     let answer = match err {
         ReadError::BodyTooLarge => answer::refusal(Refusal::not_run(Reason::BodyTooLarge)),
+        ReadError::NoRoom => {
+            let refusal = Refusal::not_run(Reason::Full).retry_after(Duration::from_secs(1));
+            answer::refusal(refusal)
+        }
         ReadError::HeadTooLarge => Answer {
             status: 431,
             ..bad_request()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -270,6 +270,7 @@
     ingress::Options {
         connections: bounds.connections,
         limits,
+        body_memory: bounds.waiting_bytes,
     }
 }
 
--- a/crates/node/src/owner/backend.rs
+++ b/crates/node/src/owner/backend.rs
@@ -22,6 +22,9 @@
 /// How long an unused connection to the server is kept.
 const IDLE_AGE: Duration = Duration::from_secs(60);
 
+/// The statuses of final answers (RFC 9110, section 15); after others, nobody knows what the server did.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// The backend server's HTTP side.
 pub(crate) struct Backend {
     addr: SocketAddr,
@@ -97,6 +100,12 @@
             .allow_non_standard_methods(true)
             .build();
         let answer = self.agent.run(req).map_err(|err| failure(&err))?;
+        if !FINAL_STATUSES.contains(&answer.status().as_u16()) {
+            return Err(Failure {
+                refusal: Refusal::may_have_run(Reason::Lost),
+                is_broken: false,
+            });
+        }
         match own_refusal(&answer) {
             Some(refusal) => Err(Failure {
                 refusal,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -99,6 +99,8 @@
     pub body_bytes: usize,
     /// The largest answer body, in bytes.
     pub answer_bytes: usize,
+    /// Bytes of all requests that the node reads or runs, and of answers that callers read, at a time.
+    pub waiting_bytes: usize,
     /// Bytes of all answers that the node holds at a time.
     pub held_bytes: usize,
     /// Frames that wait for one peer's connection.
@@ -112,6 +114,7 @@
             head_bytes: 16 * 1024,
             body_bytes: 1 << 20,
             answer_bytes: 8 << 20,
+            waiting_bytes: 64 << 20,
             held_bytes: 64 << 20,
             link_frames: 1_024,
         }
@@ -340,6 +343,11 @@
             "bounds.connections",
             "must be at least 1",
         )?;
+        ensure(
+            bounds.waiting_bytes / 2 >= bounds.body_bytes.max(bounds.answer_bytes),
+            "bounds.waiting-bytes",
+            "must be at least twice the largest body",
+        )?;
         ensure(
             bounds.head_bytes >= 1024,
             "bounds.head-bytes",
