--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -29,9 +29,18 @@
         }
     }
 
-    /// The bytes of the answer. The length is always told, so that a cut shows.
-    pub(crate) fn encode(&self, keep_alive: bool, with_body: bool) -> BytesMut {
-        let mut buf = BytesMut::with_capacity(HEAD_BYTES + self.body.len());
+    /// The body that is sent with this status.
+    pub(crate) fn sent_body(&self) -> &[u8] {
+        if is_bodiless(self.status) {
+            &[]
+        } else {
+            &self.body
+        }
+    }
+
+    /// The bytes of the head. The length is always told, so that a cut shows.
+    pub(crate) fn encode_head(&self, keep_alive: bool) -> BytesMut {
+        let mut buf = BytesMut::with_capacity(HEAD_BYTES);
         buf.put_slice(format!("HTTP/1.1 {} {}\r\n", self.status, phrase(self.status)).as_bytes());
         for line in &self.headers {
             buf.put_slice(line.name.as_bytes());
@@ -46,9 +55,6 @@
         buf.put_slice(b"Connection: ");
         buf.put_slice(connection);
         buf.put_slice(b"\r\n\r\n");
-        if with_body && !is_bodiless(self.status) {
-            buf.put_slice(&self.body);
-        }
         buf
     }
 }
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -9,6 +9,9 @@
 
 use bytes::Bytes;
 
+/// The size of a part of a body.
+pub(crate) const PART_BYTES: usize = 64 * 1024;
+
 /// Bytes of requests that are read or run and of answers that are written, on all connections.
 ///
 /// Where it has no room, the connection is closed that has been without progress longest.
@@ -22,6 +25,8 @@
 struct Inner {
     held: usize,
     last_key: u64,
+    /// Parts to be used again.
+    spare: Vec<Vec<u8>>,
     /// Those that can be closed.
     shares: BTreeMap<u64, Entry>,
 }
@@ -71,6 +76,24 @@
         }
     }
 
+    /// An empty part.
+    pub(crate) fn take_part(&self) -> Vec<u8> {
+        let spare = self.lock().spare.pop();
+        spare.unwrap_or_else(|| Vec::with_capacity(PART_BYTES))
+    }
+
+    /// Takes parts back.
+    pub(crate) fn return_parts(&self, parts: &mut Vec<Vec<u8>>) {
+        let most = self.most / PART_BYTES;
+        let mut inner = self.lock();
+        for mut part in parts.drain(..) {
+            if part.capacity() == PART_BYTES && inner.spare.len() < most {
+                part.clear();
+                inner.spare.push(part);
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     Answer, Budget, ReadError, Request,
-    budget::Share,
+    parts::Parts,
     request::{self, Framing, Head},
 };
 
@@ -19,8 +19,6 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Bytes that are written at a time; each such write is progress.
 const WRITE_BYTES: usize = 64 * 1024;
-/// A body counts in steps of this many bytes.
-const COUNTED_STEP_BYTES: usize = 64 * 1024;
 /// Bytes that are read and dropped after the last answer.
 const LINGER_BYTES: usize = 1 << 20;
 /// The longest chunk-size line, in bytes.
@@ -78,8 +76,6 @@
     limits: Limits,
     started: Option<Instant>,
     budget: Arc<Budget>,
-    /// What the request that is being read holds.
-    share: Option<Share>,
 }
 
 impl Connection {
@@ -111,7 +107,6 @@
             limits,
             started: None,
             budget: Arc::clone(budget),
-            share: None,
         })
     }
 
@@ -145,13 +140,8 @@
             Framing::Chunked => self.read_chunked(),
         };
         let body = body.inspect_err(|_| self.drop_body())?;
-        let body = body.freeze();
-        let body = match self.share.take() {
-            Some(share) => share.keep(body).ok_or(ReadError::NoRoom)?,
-            None => body,
-        };
         Ok(Incoming::Request(Request {
-            body,
+            body: body.finish()?,
             ..head.request
         }))
     }
@@ -163,39 +153,27 @@
     /// Where the caller is gone or reads too slowly; the connection is of no more use then.
     pub fn write(&mut self, answer: &Answer, keep_alive: bool, with_body: bool) -> io::Result<()> {
         let share = self.budget.share(&self.stream, Shutdown::Both);
-        // The answer and its encoded copy.
-        if !share.hold(2 * answer.body.len()) {
+        if !share.hold(answer.body.len()) {
             return Err(ErrorKind::OutOfMemory.into());
         }
-        let bytes = answer.encode(keep_alive, with_body);
-        for piece in bytes.chunks(WRITE_BYTES) {
+        let head = answer.encode_head(keep_alive);
+        let body: &[u8] = if with_body { answer.sent_body() } else { &[] };
+        if body.len() <= WRITE_BYTES {
+            return (&*self.stream).write_all(&[&head, body].concat());
+        }
+        (&*self.stream).write_all(&head)?;
+        for piece in body.chunks(WRITE_BYTES) {
             (&*self.stream).write_all(piece)?;
-            share.hold(2 * answer.body.len());
+            share.hold(answer.body.len());
         }
         Ok(())
     }
 
     /// Gives up a request that can't be read.
     fn drop_body(&mut self) {
-        self.share = None;
         self.buf = BytesMut::new();
     }
 
-    /// Counts that this many bytes of a body are held.
-    fn count(&mut self, bytes: usize) -> Result<(), ReadError> {
-        if bytes < COUNTED_STEP_BYTES {
-            return Ok(());
-        }
-        let (budget, stream) = (&self.budget, &self.stream);
-        let share = self
-            .share
-            .get_or_insert_with(|| budget.share(stream, Shutdown::Read));
-        match share.hold(bytes) {
-            true => Ok(()),
-            false => Err(ReadError::NoRoom),
-        }
-    }
-
     /// Whether the caller has closed its side, as far as can be seen without reading on.
     #[must_use]
     pub fn is_closed_by_caller(&self) -> bool {
@@ -239,17 +217,17 @@
         Ok(head)
     }
 
-    fn read_sized(&mut self, len: usize) -> Result<BytesMut, ReadError> {
+    fn read_sized(&mut self, len: usize) -> Result<Parts, ReadError> {
         if len > self.limits.body_bytes {
             return Err(ReadError::BodyTooLarge);
         }
-        let mut body = BytesMut::new();
+        let mut body = Parts::new(&self.budget);
         self.read_into(&mut body, len)?;
         Ok(body)
     }
 
-    fn read_chunked(&mut self) -> Result<BytesMut, ReadError> {
-        let mut body = BytesMut::new();
+    fn read_chunked(&mut self) -> Result<Parts, ReadError> {
+        let mut body = Parts::new(&self.budget);
         loop {
             let (line, len) = self.read_chunk_size()?;
             if len > self.limits.body_bytes - body.len() {
@@ -308,23 +286,17 @@
     }
 
     /// Reads until the body has `len` bytes.
-    fn read_into(&mut self, body: &mut BytesMut, len: usize) -> Result<(), ReadError> {
+    fn read_into(&mut self, body: &mut Parts, len: usize) -> Result<(), ReadError> {
         while body.len() < len {
             if self.buf.is_empty() {
-                self.need(1)?;
+                match self.need(1) {
+                    Err(ReadError::CutOff) if body.is_closed() => return Err(ReadError::NoRoom),
+                    read => read?,
+                }
             }
             let more = (len - body.len()).min(self.buf.len());
-            if body.len() + more > body.capacity() {
-                let ample = match body.len() {
-                    0 => more,
-                    held if held < COUNTED_STEP_BYTES => 2 * held,
-                    held => held + held / 2,
-                };
-                let capacity = ample.min(self.limits.body_bytes).max(body.len() + more);
-                self.count(capacity)?;
-                body.reserve(capacity - body.len());
-            }
-            body.extend_from_slice(&self.buf[..more]);
+            let share = || self.budget.share(&self.stream, Shutdown::Read);
+            body.extend(&self.buf[..more], share)?;
             self.buf.advance(more);
         }
         Ok(())
@@ -335,9 +307,6 @@
         while self.buf.len() < len {
             match self.fill()? {
                 Fill::Bytes | Fill::Nothing => self.check_pace()?,
-                Fill::End if self.share.as_ref().is_some_and(Share::is_closed) => {
-                    return Err(ReadError::NoRoom);
-                }
                 Fill::End => return Err(ReadError::CutOff),
             }
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod error;
 mod headers;
+mod parts;
 mod request;
 
 pub use answer::Answer;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -344,7 +344,7 @@
             "must be at least 1",
         )?;
         ensure(
-            bounds.waiting_bytes / 2 >= bounds.body_bytes.max(bounds.answer_bytes),
+            bounds.waiting_bytes >= 2 * bounds.body_bytes.max(bounds.answer_bytes),
             "bounds.waiting-bytes",
             "must be at least twice the largest body",
         )?;
