--- a/crates/admit/src/workspace_demand.rs
+++ b/crates/admit/src/workspace_demand.rs
@@ -4,7 +4,10 @@
 
 use cassiashunt_types::prelude::*;
 
-use crate::Priority;
+use crate::{
+    Priority,
+    max_min::{Demanded, fair_level},
+};
 
 /// The half-life of the request counts.
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(1);
@@ -102,31 +105,19 @@
         if let Some(rate) = self.fair_rate.filter(|rate| rate.share == share) {
             return rate.per_weight;
         }
-        let per_weight = self.fill_progressively(1.0 - f64::from(share) / 256.0);
+        let demands: Vec<_> = self.by_workspace.values().map(Count::demanded).collect();
+        let total: f64 = demands.iter().map(|it| it.demand).sum();
+        let per_weight = fair_level(demands, total * (1.0 - f64::from(share) / 256.0));
         self.fair_rate = Some(FairRate { share, per_weight });
         per_weight
     }
-
-    /// Progressive filling, from the workspace with the smallest demand for its weight.
-    fn fill_progressively(&self, admitted_fraction: f64) -> f64 {
-        let mut counts: Vec<_> = self.by_workspace.values().copied().collect();
-        counts.sort_unstable_by(|a, b| a.per_weight().total_cmp(&b.per_weight()));
-        let mut remaining: f64 =
-            counts.iter().map(|count| count.requests).sum::<f64>() * admitted_fraction;
-        let mut weight: f64 = counts.iter().map(|count| count.weight).sum();
-        for count in &counts {
-            if count.per_weight() * weight > remaining {
-                return remaining / weight;
-            }
-            remaining -= count.requests;
-            weight -= count.weight;
-        }
-        f64::INFINITY
-    }
 }
 
 impl Count {
-    fn per_weight(&self) -> f64 {
-        self.requests / self.weight
+    fn demanded(&self) -> Demanded {
+        Demanded {
+            weight: self.weight,
+            demand: self.requests,
+        }
     }
 }
--- /dev/null
+++ b/crates/admit/src/workspace_shares.rs
@@ -0,0 +1,145 @@
+//! Divides the room of one priority among workspaces, so that a burst is paid by who sends it.
+//!
+//! A workspace's weight is what it usually sends. Those that send their usual are at the same level;
+//! one that sends several times its usual is cut first (weighted max-min fairness).
+
+use std::collections::{BTreeMap, HashMap};
+
+use cassiashunt_types::prelude::*;
+
+use crate::{
+    Priority,
+    max_min::{Demanded, fair_level},
+};
+
+/// The time constant of a workspace's present demand.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
+/// The time constant of its usual demand.
+const USUAL_TIME: Duration = Duration::from_secs(60);
+/// The speed at which what is usual is learned in a shortage, relative to other times: a burst that
+/// causes a shortage does not soon count as usual.
+const LEARNING_IN_SHORTAGE: f64 = 0.125;
+/// How often counts decay and fair levels are recalculated.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// The least weight, in requests per second: below it, chance outweighs what is usual.
+const MIN_WEIGHT_PER_S: f64 = 0.5;
+/// Workspaces that are counted at one priority; others are admitted at the overall fraction.
+const MAX_WORKSPACES: usize = 2_048;
+/// The steps in which fair levels are cached by the overall fraction.
+const CACHE_STEPS: f64 = 100.0;
+
+/// The demand of workspaces at one node, by priority.
+#[derive(Debug, Default)]
+pub struct WorkspaceShares {
+    priorities: BTreeMap<Priority, Counts>,
+}
+
+#[derive(Debug)]
+struct Counts {
+    /// The time for which usual counts were learned.
+    learned: Duration,
+    refreshed: Time,
+    by_workspace: HashMap<Workspace, Count>,
+    /// Fair levels by the overall fraction, in steps; emptied by a refresh.
+    levels: BTreeMap<u8, f64>,
+}
+
+/// Decaying numbers of requests.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    present: f64,
+    usual: f64,
+}
+
+impl WorkspaceShares {
+    /// Counts a request. `is_short` tells whether its priority fits only partly now.
+    pub fn on_request(
+        &mut self,
+        now: Time,
+        priority: Priority,
+        workspace: Workspace,
+        is_short: bool,
+    ) {
+        let speed = if is_short { LEARNING_IN_SHORTAGE } else { 1.0 };
+        let counts = self.priorities.entry(priority).or_insert_with(|| Counts {
+            learned: Duration::ZERO,
+            refreshed: now,
+            by_workspace: HashMap::new(),
+            levels: BTreeMap::new(),
+        });
+        counts.refresh(now, speed);
+        if counts.by_workspace.len() < MAX_WORKSPACES
+            || counts.by_workspace.contains_key(&workspace)
+        {
+            let count = counts.by_workspace.entry(workspace).or_default();
+            count.present += 1.0;
+            count.usual += speed;
+        }
+    }
+
+    /// The fraction of a workspace's requests to admit, if `fraction` of all requests of the priority
+    /// is admitted.
+    pub fn fraction(&mut self, priority: Priority, workspace: Workspace, fraction: f64) -> f64 {
+        let Some(counts) = self.priorities.get_mut(&priority) else {
+            return fraction;
+        };
+        let Some(count) = counts.by_workspace.get(&workspace).copied() else {
+            return fraction;
+        };
+        let level = counts.level(fraction);
+        let demanded = count.demanded(counts.usual_span());
+        (level * demanded.weight / demanded.demand).min(1.0)
+    }
+}
+
+impl Counts {
+    fn refresh(&mut self, now: Time, speed: f64) {
+        let elapsed = now.since(self.refreshed);
+        if elapsed < REFRESH_INTERVAL {
+            return;
+        }
+        let learned = elapsed.mul_f64(speed);
+        self.learned += learned;
+        let present = (-elapsed.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp();
+        let usual = (-learned.as_secs_f64() / USUAL_TIME.as_secs_f64()).exp();
+        for count in self.by_workspace.values_mut() {
+            count.present *= present;
+            count.usual *= usual;
+        }
+        self.by_workspace.retain(|_, count| count.usual > 0.01);
+        self.refreshed = now;
+        self.levels.clear();
+    }
+
+    /// The seconds over which the usual counts are collected, which are fewer after a start.
+    fn usual_span(&self) -> f64 {
+        let time = USUAL_TIME.as_secs_f64();
+        let learned = self.learned.as_secs_f64();
+        (time * (1.0 - (-learned / time).exp())).max(DEMAND_TIME.as_secs_f64())
+    }
+
+    fn level(&mut self, fraction: f64) -> f64 {
+        // In 0..=100, so that nothing is cut off.
+        let step = (fraction.clamp(0.0, 1.0) * CACHE_STEPS).round() as u8;
+        if let Some(level) = self.levels.get(&step) {
+            return *level;
+        }
+        let span = self.usual_span();
+        let counts = self.by_workspace.values();
+        let demands: Vec<_> = counts.map(|count| count.demanded(span)).collect();
+        let total: f64 = demands.iter().map(|it| it.demand).sum();
+        let level = fair_level(demands, total * fraction);
+        self.levels.insert(step, level);
+        level
+    }
+}
+
+impl Count {
+    /// Both in requests per second.
+    fn demanded(&self, usual_span: f64) -> Demanded {
+        Demanded {
+            weight: (self.usual / usual_span).max(MIN_WEIGHT_PER_S),
+            demand: (self.present / DEMAND_TIME.as_secs_f64()).max(f64::MIN_POSITIVE),
+        }
+    }
+}
