--- a/crates/admit/src/fair_admission.rs
+++ b/crates/admit/src/fair_admission.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     Priority,
-    retry_after::{RetryAfter, TimeLeft, Why, retry_after},
+    retry_after::{RetryAfter, TimeLeft, Why, jittered_retry_after, retry_after},
     returns::Returns,
     room_forecast::RoomForecast,
     workspace_shares::WorkspaceShares,
@@ -217,20 +217,46 @@
         urgency: f64,
     ) -> RetryAfter {
         let pool = self.pools.get_mut(&arrival.pool());
-        let turn = pool.as_ref().map_or(now, |it| it.turn(now));
-        let room_in = pool
-            .as_ref()
-            .map_or(Duration::ZERO, |it| it.forecast.room_in(now));
-        let after = retry_after(left, turn.since(now), room_in, urgency, &mut self.rng);
-        if let Some(pool) = pool
-            && after.why == Why::Turn
-        {
-            pool.last_turn = turn;
-        }
+        let after = if let Some(pool) = pool.filter(|it| it.forecast.is_short()) {
+            let turn = pool.turn(now);
+            let room_in = pool.forecast.room_in(now);
+            let after = retry_after(left, turn.since(now), room_in, urgency, &mut self.rng);
+            if after.why == Why::Turn {
+                pool.last_turn = turn;
+            }
+            after
+        } else {
+            RetryAfter {
+                delay: jittered_retry_after(left.limit, &mut self.rng),
+                why: Why::Chance,
+            }
+        };
         if !is_return {
             self.returns
                 .on_refusal(now, arrival.fingerprint, after.delay, left.limit);
         }
         after
     }
+
+    /// The fraction of a workspace's requests that would be admitted, if `overall` of all of its priority
+    /// is. Changes nothing.
+    #[must_use]
+    pub fn fraction_of(
+        &self,
+        priority: Priority,
+        workspace: Option<Workspace>,
+        overall: f64,
+    ) -> f64 {
+        workspace
+            .filter(|_| self.opts.by_workspace)
+            .and_then(|it| self.shares.fraction_now(priority, it, overall))
+            .unwrap_or(overall)
+    }
+
+    /// When room for all is expected on a route at a priority; zero without a shortage.
+    #[must_use]
+    pub fn room_in(&self, now: Time, route: Route, priority: Priority) -> Duration {
+        let pool = self.pools.get(&(route, priority));
+        pool.map_or(Duration::ZERO, |it| it.forecast.room_in(now))
+    }
 }
--- a/crates/admit/src/retry_after.rs
+++ b/crates/admit/src/retry_after.rs
@@ -63,6 +63,8 @@
     Room,
     /// The longest delay of use, since no room is expected before.
     Longest,
+    /// Chance, since nothing is known of the room.
+    Chance,
 }
 
 impl Why {
@@ -73,6 +75,7 @@
             Self::Turn => "turn",
             Self::Room => "room",
             Self::Longest => "longest",
+            Self::Chance => "chance",
         }
     }
 }
--- a/crates/admit/src/room_forecast.rs
+++ b/crates/admit/src/room_forecast.rs
@@ -63,6 +63,12 @@
         self.slow += weight(SLOW_TIME) * (fraction - self.slow);
     }
 
+    /// Whether there is a shortage, or was a moment ago.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.began.is_some()
+    }
+
     /// The expected time until all is admitted again; zero without a shortage. Without a trend, a
     /// shortage that has outlasted the usual one is expected to last as long again.
     #[must_use]
--- a/crates/admit/src/workspace_shares.rs
+++ b/crates/admit/src/workspace_shares.rs
@@ -87,8 +87,20 @@
             return fraction;
         };
         let level = counts.level(fraction);
-        let demanded = count.demanded(counts.usual_span());
-        (level * demanded.weight / demanded.demand).min(1.0)
+        counts.fraction(count, level)
+    }
+
+    /// The same, without a change; `None` if the workspace isn't counted.
+    #[must_use]
+    pub fn fraction_now(
+        &self,
+        priority: Priority,
+        workspace: Workspace,
+        fraction: f64,
+    ) -> Option<f64> {
+        let counts = self.priorities.get(&priority)?;
+        let count = counts.by_workspace.get(&workspace).copied()?;
+        Some(counts.fraction(count, counts.fair_level(fraction)))
     }
 }
 
@@ -124,13 +136,22 @@
         if let Some(level) = self.levels.get(&step) {
             return *level;
         }
+        let level = self.fair_level(fraction);
+        self.levels.insert(step, level);
+        level
+    }
+
+    fn fair_level(&self, fraction: f64) -> f64 {
         let span = self.usual_span();
         let counts = self.by_workspace.values();
         let demands: Vec<_> = counts.map(|count| count.demanded(span)).collect();
         let total: f64 = demands.iter().map(|it| it.demand).sum();
-        let level = fair_level(demands, total * fraction);
-        self.levels.insert(step, level);
-        level
+        fair_level(demands, total * fraction)
+    }
+
+    fn fraction(&self, count: Count, level: f64) -> f64 {
+        let demanded = count.demanded(self.usual_span());
+        (level * demanded.weight / demanded.demand).min(1.0)
     }
 }
 
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -70,6 +70,19 @@
     }
 }
 
+/// How a server stands in the choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// The server.
+    pub key: ServerKey,
+    /// The share of its slots that is in use.
+    pub utilisation: f64,
+    /// What [`Policy::Least`] minimizes.
+    pub cost: f64,
+    /// Why it is not chosen; `None` if it may be.
+    pub left_out: Option<&'static str>,
+}
+
 /// The candidate servers of one service.
 #[derive(Debug)]
 pub struct Chooser {
@@ -211,6 +224,28 @@
             .count()
     }
 
+    /// How each server stands in the choice. Changes nothing.
+    #[must_use]
+    pub fn standings(&self, now: Time) -> Vec<Standing> {
+        let eligible = self.eligible(now, &[]);
+        let servers = self.servers.iter();
+        let standings = servers.map(|(key, server)| Standing {
+            key,
+            utilisation: server.utilisation(now, self.opts.report_half_life),
+            cost: self.cost(now, key),
+            left_out: (!eligible.contains(&key)).then(|| match server.presence {
+                Presence::Draining => "it takes no more work",
+                Presence::Unreachable => "its node can't be reached",
+                Presence::Serving if server.is_outlier => "it fails more than its peers",
+                Presence::Serving if is_ejected(now, server) => {
+                    "it failed several requests in a row"
+                }
+                Presence::Serving => "it is tried with one request at a time",
+            }),
+        });
+        standings.collect()
+    }
+
     fn update_outliers(&mut self) -> Vec<ServerKey> {
         let serving = self.servers.iter();
         let serving = serving.filter(|(_, server)| server.presence == Presence::Serving);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod retry;
 mod server;
 
-pub use chooser::{Chooser, Options, Policy};
+pub use chooser::{Chooser, Options, Policy, Standing};
 pub use failure_rate::FailureRate;
 pub use report::OwnerReport;
 pub use server::{Candidate, Outcome, Presence, ServerKey};
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     accept::accept,
+    explain::{self, Query},
     http::{Connection, ReadError, RequestHead, reason_phrase},
     metrics,
     node::Node,
@@ -121,7 +122,7 @@
     }
 }
 
-/// Serves the metrics as text, one answer per connection.
+/// Serves the metrics as text, and the page that explains a request, one answer per connection.
 pub(crate) async fn serve_metrics(
     node: Rc<Node>,
     listener: TcpListener,
@@ -129,19 +130,16 @@
 ) {
     loop {
         let mut connection = Connection::new(accept(&listener).await);
-        if !matches!(
-            timeout(IDLE_TIMEOUT, read(&mut connection)).await,
-            Ok(Ok(_))
-        ) {
+        let Ok(Ok((head, _))) = timeout(IDLE_TIMEOUT, read(&mut connection)).await else {
             continue;
-        }
-        let peers_up = node.fleet.borrow().links_up();
-        let age = node.freshness.borrow().age(crate::clock::now());
-        let version = node.table().map_or(0, |table| table.version);
-        metrics::set_gauges(peers_up, age, version);
-        let text = metrics_handle.render();
+        };
+        let (status, text) = match head.target.split('?').next() {
+            Some(explain::PATH) => explained(&node, &head),
+            _ => (200, metrics_text(&node, &metrics_handle)),
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            "HTTP/1.1 {status} {}\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            reason_phrase(status),
             text.len()
         );
         // A scraper that has disconnected tries again.
@@ -149,3 +147,19 @@
         connection.finish().await;
     }
 }
+
+fn metrics_text(node: &Node, metrics_handle: &PrometheusHandle) -> String {
+    let peers_up = node.fleet.borrow().links_up();
+    let age = node.freshness.borrow().age(crate::clock::now());
+    let version = node.table().map_or(0, |table| table.version);
+    metrics::set_gauges(peers_up, age, version);
+    metrics_handle.render()
+}
+
+/// What would become of a request; nothing is sent, and no state changes.
+fn explained(node: &Node, head: &RequestHead) -> (u16, String) {
+    match Query::from_head(head) {
+        Ok(query) => (200, explain::explain(node, &query).to_string()),
+        Err(what) => (400, format!("{what}\n")),
+    }
+}
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The live nodes as this one sees them, and load balancing over their backend servers.
 
 mod group;
+mod views;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
--- a/crates/sidecar/src/ingress/mod.rs
+++ b/crates/sidecar/src/ingress/mod.rs
@@ -9,6 +9,8 @@
 mod request;
 mod split;
 mod trace;
+mod turn;
 
 pub(crate) use connection::accept_clients;
+pub(crate) use request::{fingerprint, out_of_touch_priority, priority};
 pub(crate) use split::TrafficSplits;
--- a/crates/sidecar/src/ingress/request.rs
+++ b/crates/sidecar/src/ingress/request.rs
@@ -13,6 +13,7 @@
     forward::{ForwardRequest, forward},
     reply::Reply,
     trace::Trace,
+    turn::{Turn, arrival, is_for_want_of_room},
 };
 use crate::{
     budget::RetryKind,
@@ -165,7 +166,7 @@
         Err(reason) => return Outcome::Refused(Refusal::not_run(reason)),
     };
     trace.workspace = workspace.map(|row| row.name);
-    let fingerprint = fingerprint(host, &head, &body, trace.workspace);
+    let fingerprint = fingerprint(host, &head.method, &head.target, &body, trace.workspace);
     trace.fingerprint = Some(fingerprint);
     let now = clock::now();
     if let Decision::Refuse(refusal) = node.suspicion.check(now, fingerprint) {
@@ -199,13 +200,28 @@
         return refuse(Reason::OverLimit);
     }
     // Requests over a limit put no load on the services, so limits are checked before shedding.
-    if !is_call && !node.shedding.admit(route.name, priority) {
+    let turn = (!is_call).then(|| Turn {
+        route,
+        arrival: arrival(route, priority, trace.workspace, fingerprint.0),
+        received,
+        limit: received + stated_timeout.unwrap_or(DEFAULT_TIMEOUT),
+    });
+    let decision = turn.map(|it| it.ask(node));
+    trace.is_return = decision.is_some_and(|it| it.is_return);
+    if trace.is_return {
+        metrics::returned(decision.is_some_and(|it| it.is_admitted));
+    }
+    if let Some(turn) = &turn
+        && decision.is_some_and(|it| !it.is_admitted)
+    {
         trace.bottleneck = node.shedding.bottleneck(route.name, priority);
         trace.cost = node.shedding.cost_text(route.name);
         if let Some(row) = workspace {
             node.quotas.refund(clock::now(), row.name);
         }
-        return refuse(Reason::Shed);
+        let after = turn.retry_after(node, trace.is_return);
+        trace.retry_after = Some(after);
+        return Outcome::Refused(Refusal::not_run(Reason::Shed).retry_after(after.delay));
     }
     let settings = node.settings();
     let source = RequestSource {
@@ -250,7 +266,16 @@
     {
         node.quotas.refund(clock::now(), row.name);
     }
-    let outcome = with_retry_after(node, forwarded.outcome.clone(), stated_timeout, received);
+    let outcome = match (turn, &forwarded.outcome) {
+        (Some(turn), Outcome::Refused(refusal))
+            if refusal.verdict == Verdict::NotRun && is_for_want_of_room(refusal.reason) =>
+        {
+            let after = turn.retry_after(node, trace.is_return);
+            trace.retry_after = Some(after);
+            Outcome::Refused(refusal.retry_after(after.delay))
+        }
+        (_, outcome) => with_retry_after(node, outcome.clone(), stated_timeout, received),
+    };
     trace.forwarded = Some(forwarded);
     outcome
 }
@@ -276,15 +301,16 @@
 }
 
 /// The fingerprint that all attempts of one request share, whichever node receives them.
-fn fingerprint(
+pub(crate) fn fingerprint(
     host: &str,
-    head: &RequestHead,
-    body: &Bytes,
+    method: &str,
+    target: &str,
+    body: &[u8],
     workspace: Option<Workspace>,
 ) -> Fingerprint {
     let workspace = workspace.as_ref().map_or("", Workspace::as_str);
-    let texts = [workspace, host, &head.method, &head.target];
-    Fingerprint::of_parts(texts.into_iter().map(str::as_bytes).chain([&body[..]]))
+    let texts = [workspace, host, method, target];
+    Fingerprint::of_parts(texts.into_iter().map(str::as_bytes).chain([body]))
 }
 
 /// The workspace whose API key came with the request; `None` on public routes, for calls of the
@@ -325,7 +351,11 @@
 
 /// The priority by which requests are served and shed: by the workspace's rank, then the route's. A
 /// call carries no workspace, and counts as one of the most urgent workspace.
-fn priority(table: &SiteTable, route: &RouteRow, workspace: Option<&WorkspaceRow>) -> u8 {
+pub(crate) fn priority(
+    table: &SiteTable,
+    route: &RouteRow,
+    workspace: Option<&WorkspaceRow>,
+) -> u8 {
     let urgency = |rank: u8| MAX_RANK - rank.min(MAX_RANK);
     let rank = workspace.map_or_else(|| table.most_urgent_rank(), |row| row.rank);
     let workspace_urgency = urgency(rank);
@@ -334,7 +364,7 @@
 
 /// The priority of requests at a node that the store does not answer. It is below that of all
 /// requests at nodes in touch, so that they use spare capacity only.
-fn out_of_touch_priority(route: &RouteRow) -> u8 {
+pub(crate) fn out_of_touch_priority(route: &RouteRow) -> u8 {
     1 + MAX_RANK - route.rank.min(MAX_RANK)
 }
 
--- a/crates/sidecar/src/ingress/trace.rs
+++ b/crates/sidecar/src/ingress/trace.rs
@@ -1,5 +1,6 @@
 //! Collects what explains the end of a request, for its one log line and its metrics.
 
+use cassiashunt_admit::RetryAfter;
 use cassiashunt_suspect::Fingerprint;
 use cassiashunt_types::prelude::*;
 
@@ -25,6 +26,10 @@
     pub(crate) bottleneck: Option<(Service, f64)>,
     /// If it was shed: its expected cost at each service, as text.
     pub(crate) cost: String,
+    /// Whether it was refused before, and came back when told.
+    pub(crate) is_return: bool,
+    /// If it was refused for want of room: when its client may come back, and why then.
+    pub(crate) retry_after: Option<RetryAfter>,
 }
 
 impl Trace {
@@ -42,11 +47,15 @@
         let table_version = node.table().map_or(0, |table| table.version);
         let spent_ms = clock::millis(elapsed);
         let fingerprint = self.fingerprint.unwrap_or(Fingerprint(0));
+        let retry_after_ms = self.retry_after.map_or(0, |it| clock::millis(it.delay));
+        let retry_why = self.retry_after.map_or("", |it| it.why.name());
+        let returned = self.is_return;
         if let Some(forwarded) = &self.forwarded {
             let service = forwarded.service.as_ref().map_or("", Service::as_str);
             log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
                 workspace:% = workspace, fingerprint:% = fingerprint, caller:% = self.caller, service:% = service,
-                owner:% = forwarded.owner, tries = forwarded.tries, spent_ms = spent_ms, table_version = table_version;
+                owner:% = forwarded.owner, tries = forwarded.tries, returned = returned,
+                retry_after_ms = retry_after_ms, retry_why:% = retry_why, spent_ms = spent_ms, table_version = table_version;
                 "request-ended");
             return;
         }
@@ -59,6 +68,7 @@
         if let Some((service, admitted_fraction)) = self.bottleneck {
             log::info!(request:% = request, status = status, reason:% = reason, route:% = route,
                 workspace:% = workspace, scarcest:% = service, part = admitted_fraction, cost:% = self.cost,
+                fingerprint:% = fingerprint, returned = returned, retry_after_ms = retry_after_ms, retry_why:% = retry_why,
                 spent_ms = spent_ms, table_version = table_version; "request-ended");
             return;
         }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod clock;
 mod endpoints;
+pub mod explain;
 mod fleet;
 mod http;
 mod ingress;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -25,6 +25,8 @@
 const STORE_SECONDS: &str = "cassiashunt_store_seconds";
 const REPORTS: &str = "cassiashunt_reports_total";
 const CALLERS_REPLACED: &str = "cassiashunt_callers_replaced_total";
+const RETURNS: &str = "cassiashunt_returns_total";
+const RETRY_AFTERS: &str = "cassiashunt_retry_after_total";
 const LINES_DROPPED: &str = "cassiashunt_log_lines_dropped_total";
 const PEERS_UP: &str = "cassiashunt_peers_up";
 const PROOF_AGE: &str = "cassiashunt_proof_age_seconds";
@@ -69,6 +71,14 @@
         CALLERS_REPLACED,
         "Requests whose client named a caller itself, which was replaced"
     );
+    describe_counter!(
+        RETURNS,
+        "Requests that came back when told, by whether they were admitted before their chain or refused twice"
+    );
+    describe_counter!(
+        RETRY_AFTERS,
+        "Retry-after delays given for want of room, by what they rest on"
+    );
     describe_counter!(
         LINES_DROPPED,
         "Log lines that were dropped to bound their volume"
@@ -124,6 +134,21 @@
     counter!(CALLERS_REPLACED).increment(1);
 }
 
+/// Counts a request that came back.
+pub(crate) fn returned(is_admitted: bool) {
+    let end = if is_admitted {
+        "admitted"
+    } else {
+        "refused-twice"
+    };
+    counter!(RETURNS, "end" => end).increment(1);
+}
+
+/// Counts a retry-after delay given for want of room.
+pub(crate) fn retry_after_given(why: &'static str) {
+    counter!(RETRY_AFTERS, "why" => why).increment(1);
+}
+
 /// Counts dropped log lines.
 pub(crate) fn lines_dropped(lines: u64) {
     counter!(LINES_DROPPED).increment(lines);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,6 +6,7 @@
     rc::Rc,
 };
 
+use cassiashunt_admit::fair_admission::FairAdmission;
 use cassiashunt_mesh::{
     Directory, FirstComparison, FleetCount, KnownTable, LineLimit, StopSchedule, StoreRevision,
     Sum, prelude::*,
@@ -80,6 +81,7 @@
     pub(crate) budgets: RetryBudgets,
     pub(crate) splits: TrafficSplits,
     pub(crate) shedding: Shedding,
+    pub(crate) fair_admission: RefCell<FairAdmission>,
     pub(crate) rng: RefCell<fastrand::Rng>,
     /// The queues of the peers that receive this node's load reports.
     pub(crate) load_recipients: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
@@ -157,6 +159,10 @@
             budgets: RetryBudgets::new(ratio, window),
             splits: TrafficSplits::default(),
             shedding: Shedding::default(),
+            fair_admission: RefCell::new(FairAdmission::new(
+                Default::default(),
+                fastrand::Rng::new(),
+            )),
             rng: RefCell::new(fastrand::Rng::new()),
             load_recipients: RefCell::new(Vec::new()),
             closing_links: CancellationToken::new(),
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// The tokens of a workspace that this node holds; none are taken.
+    pub(crate) fn tokens(&self, workspace: Workspace) -> f64 {
+        let entries = self.entries.borrow();
+        let entry = entries.get(&workspace);
+        entry.map_or(0.0, |it| it.allowance.tokens())
+    }
+
     /// Renews the delegation of this node's shares, and updates the average demand; to be called
     /// several times a second.
     pub(crate) fn delegate(&self, node: &Node) {
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -10,6 +10,8 @@
 };
 use cassiashunt_types::prelude::*;
 
+use crate::explain::Price;
+
 /// Interval between updates of the costs of chains.
 const COST_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -108,6 +110,30 @@
         inner.admission.bottleneck(Priority(priority), cost)
     }
 
+    /// The price of a request at each service that its chain uses. Counts no demand.
+    pub(crate) fn prices(&self, route: Route, priority: u8) -> Vec<Price> {
+        let inner = self.inner.borrow();
+        let prices = inner.chains.cost(route).iter().map(|cost| {
+            let capacity = inner.capacities.get(&cost.0).copied().unwrap_or_default();
+            let bottleneck = inner.admission.bottleneck(Priority(priority), &[*cost]);
+            Price {
+                service: cost.0.as_str().into(),
+                slot_time: Duration::from_secs_f64(cost.1),
+                slots: capacity.slots,
+                busy: capacity.busy,
+                admitted: bottleneck.map_or(1.0, |(_, fraction)| fraction),
+            }
+        });
+        prices.collect()
+    }
+
+    /// The expected time of a run of a route, its calls included.
+    pub(crate) fn run_time(&self, route: Route) -> Duration {
+        let inner = self.inner.borrow();
+        let slot_s = inner.chains.cost(route).iter().map(|(_, slot_s)| *slot_s);
+        Duration::from_secs_f64(slot_s.fold(0.0, f64::max))
+    }
+
     /// Logs the services that can't serve all of their demand, with the inputs of that decision; to
     /// be called about once a second.
     pub(crate) fn log_shortages(&self) {
