--- a/cassiashunt/src/cmd/mod.rs
+++ b/cassiashunt/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod drain;
 mod edit;
+mod explain;
 mod key;
 mod load;
 mod node;
@@ -30,6 +31,7 @@
         CassiashuntCmd::Key(flags) => key::run(flags),
         CassiashuntCmd::Audit(flags) => audit::run(&flags),
         CassiashuntCmd::Status(flags) => status::run(&flags),
+        CassiashuntCmd::Explain(flags) => explain::run(flags),
         CassiashuntCmd::Drain(flags) => drain::run(&flags),
         CassiashuntCmd::Load(flags) => load::run(flags),
         CassiashuntCmd::Demo(_) => demo::run(),
--- a/cassiashunt/src/flags.rs
+++ b/cassiashunt/src/flags.rs
@@ -137,6 +137,20 @@
             optional --json
         }
 
+        /// Prints where a request would go now, and why, at a node of the users' platform. Sends no request.
+        cmd explain {
+            /// The metrics address of the node.
+            required node: SocketAddr
+            /// The host of the request.
+            required --host host: String
+            /// Its path, with its query if it has one.
+            required --path path: String
+            /// Its method; GET where not given.
+            optional --method method: String
+            /// A file with the key that it would carry.
+            optional --key-file key_file: PathBuf
+        }
+
         /// Asks a node for a graceful stop.
         cmd drain {
             /// An operators' address of the node (or CASSIASHUNT_NODE).
