--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod retry;
 mod server;
 
-pub use chooser::{Chooser, Options, Policy};
+pub use chooser::{Chooser, Options, Policy, Standing};
 pub use failure_rate::FailureRate;
 pub use pace::Pace;
 pub use report::OwnerReport;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod clock;
 mod endpoints;
+pub mod explain;
 mod fleet;
 mod http;
 mod ingress;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -30,6 +30,8 @@
 const BODIES_CLOSED: &str = "cassiashunt_bodies_closed_total";
 const CLIENTS_CLOSED: &str = "cassiashunt_client_connections_closed_total";
 const BODY_BYTES: &str = "cassiashunt_body_bytes";
+const RETURNS: &str = "cassiashunt_returns_total";
+const RETRY_AFTERS: &str = "cassiashunt_retry_after_total";
 const LINES_DROPPED: &str = "cassiashunt_log_lines_dropped_total";
 const PEERS_UP: &str = "cassiashunt_peers_up";
 const PROOF_AGE: &str = "cassiashunt_proof_age_seconds";
@@ -97,6 +99,14 @@
         Unit::Bytes,
         "Bytes held for bodies of requests and answers"
     );
+    describe_counter!(
+        RETURNS,
+        "Requests that came back when told, by whether they were admitted before their chain or refused twice"
+    );
+    describe_counter!(
+        RETRY_AFTERS,
+        "Retry-after delays given for want of room, by what they rest on"
+    );
     describe_counter!(
         LINES_DROPPED,
         "Log lines that were dropped to bound their volume"
@@ -177,6 +187,21 @@
     gauge!(EVACUATED).set(domains as f64);
 }
 
+/// Counts a request that came back.
+pub(crate) fn returned(is_admitted: bool) {
+    let end = if is_admitted {
+        "admitted"
+    } else {
+        "refused-twice"
+    };
+    counter!(RETURNS, "end" => end).increment(1);
+}
+
+/// Counts a retry-after delay given for want of room.
+pub(crate) fn retry_after_given(why: &'static str) {
+    counter!(RETRY_AFTERS, "why" => why).increment(1);
+}
+
 /// Counts dropped log lines.
 pub(crate) fn lines_dropped(lines: u64) {
     counter!(LINES_DROPPED).increment(lines);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,6 +6,7 @@
     rc::Rc,
 };
 
+use cassiashunt_admit::fair_admission::FairAdmission;
 use cassiashunt_mesh::{
     Directory, EvacuationChange, Evacuations, FirstComparison, FleetCount, KnownTable, LineLimit,
     StopSchedule, StoreRevision, Sum, prelude::*,
@@ -92,6 +93,7 @@
     pub(crate) budgets: RetryBudgets,
     pub(crate) splits: TrafficSplits,
     pub(crate) shedding: Shedding,
+    pub(crate) fair_admission: RefCell<FairAdmission>,
     pub(crate) rng: RefCell<fastrand::Rng>,
     /// The queues of the peers that receive this node's load reports.
     pub(crate) load_recipients: RefCell<Vec<tokio::sync::mpsc::Sender<Frame>>>,
@@ -174,6 +176,10 @@
             budgets: RetryBudgets::new(ratio, slack, window),
             splits: TrafficSplits::default(),
             shedding: Shedding::new(window),
+            fair_admission: RefCell::new(FairAdmission::new(
+                Default::default(),
+                fastrand::Rng::new(),
+            )),
             rng: RefCell::new(fastrand::Rng::new()),
             load_recipients: RefCell::new(Vec::new()),
             closing_links: CancellationToken::new(),
