Connections: no limit that ordinary clients meet; the scarcest capacity bounds a chain

A connection holds a head of 16 KiB at the usual limit; the descriptors bound it then (2,730). The bottleneck is the lesser of slots and repeats, not the first found.

--- a/crates/sidecar/src/clients.rs
+++ b/crates/sidecar/src/clients.rs
@@ -10,8 +10,8 @@
 
 use crate::metrics;
 
-/// The memory that a connection may take beside bodies: a head and what is read ahead.
-const CONNECTION_BYTES: usize = 32 * 1024;
+/// The memory that a connection may take beside bodies: a head of the usual limit, or what is read ahead.
+const CONNECTION_BYTES: usize = 16 * 1024;
 /// Connections that are being closed may exceed the maximum by this fraction.
 const CLOSING_DIVISOR: usize = 8;
 
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -163,7 +163,9 @@
         let (cost, calls) = (inner.chains.cost(route), inner.chains.run_counts(route));
         let priority = Priority(priority);
         let repeats = inner.repeats.bottleneck(priority, calls);
-        repeats.or_else(|| inner.admission.bottleneck(priority, cost))
+        let slots = inner.admission.bottleneck(priority, cost);
+        let bottlenecks = repeats.into_iter().chain(slots);
+        bottlenecks.min_by(|(_, a), (_, b)| a.total_cmp(b))
     }
 
     /// The price of a request at each service that its chain uses. Counts no demand.
