--- a/crates/sidecar/src/owner/requests.rs
+++ b/crates/sidecar/src/owner/requests.rs
@@ -90,6 +90,8 @@
     last_id: RequestId,
     usage: Usage,
     speed: ServerSpeed,
+    /// Whether the server reports its load.
+    states_load: bool,
     /// The pace and the usable slots that were logged last.
     logged_speed: (f64, u32),
     failures: FailureRate,
@@ -121,6 +123,7 @@
                 last_id: RequestId(0),
                 usage: Usage::default(),
                 speed: ServerSpeed::new(now, 0),
+                states_load: false,
                 logged_speed: (1.0, 0),
                 failures: FailureRate::default(),
                 in_flight: InFlight::default(),
@@ -192,9 +195,10 @@
 
     /// Handles the load that the server reports with a response.
     pub(super) fn on_server_load(&self, load: ServerLoad) {
+        let mut inner = self.inner.borrow_mut();
+        inner.states_load = true;
         if let Some(percent) = load.work_time_percent {
-            let speed = &mut self.inner.borrow_mut().speed;
-            speed.on_stated(clock::now(), percent);
+            inner.speed.on_stated(clock::now(), percent);
         }
     }
 
@@ -442,6 +446,7 @@
             let mut inner = self.inner.borrow_mut();
             let warm_up = server.warm_at.since(now);
             inner.speed = ServerSpeed::new(now, server.slots);
+            inner.states_load = false;
             let usable = inner.speed.usable_slots();
             inner.admission = Admission::new(now, options(usable, warm_up));
             inner.failures = FailureRate::default();
@@ -579,9 +584,9 @@
         }
     }
 
-    /// A pace to state to other nodes, where the server states how busy its machine is.
+    /// A pace to state to other nodes, where the server reports its load.
     fn stated(&mut self, pace: fn(&mut ServerSpeed, Time) -> f64, now: Time) -> Pace {
-        if self.speed.is_stated() {
+        if self.states_load {
             Pace::new(pace(&mut self.speed, now))
         } else {
             Pace::UNKNOWN
