Mend what the reviews found; settings on the command line

Reviewers (two, who had not written the parts) found by trial, each mended here: - An owner acted on the first of several changes of an evacuation in one answer of the store: five put+delete in a row left it evacuated for good. Repeats are paced at twice the even rate, and a node uses 0.15 of the ratio in its first window. - Workspaces with few requests at a node looked over their share in every shortage (0.205 admitted where 0.5 fits). - Refused requests with huge time limits filled the set of expected returns for good. - Without sums of the fleet the last allocation of repeats stayed in force.

A refused chain came back within a third of its time and was refused again; a failed one was at times served by its repeat.

--- a/cassiashunt/src/cmd/sidecar.rs
+++ b/cassiashunt/src/cmd/sidecar.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use cassiashunt_sidecar::SettingsSource;
 use eyre::{Result, WrapErr as _};
 
 use crate::{exit::Exit, flags};
@@ -12,7 +13,11 @@
         Some(path) => path,
         None => from_environment().map_err(|err| Exit::Usage.err(err.to_string()))?,
     };
-    cassiashunt_sidecar::run(&path).wrap_err("the node did not run")?;
+    let source = SettingsSource {
+        path,
+        values: flags.set,
+    };
+    cassiashunt_sidecar::run(&source).wrap_err("the node did not run")?;
     Ok(Exit::Done)
 }
 
--- a/cassiashunt/src/flags.rs
+++ b/cassiashunt/src/flags.rs
@@ -15,6 +15,8 @@
         cmd sidecar {
             /// The settings file (or the one that the platform names in the environment).
             optional settings: PathBuf
+            /// A value in place of the file's, as TABLE.KEY=VALUE; one without a value is not given.
+            repeated --set set: String
         }
 
         /// Checks a settings file and prints the settings in effect.
--- a/cassiashunt/tests/site_cold.rs
+++ b/cassiashunt/tests/site_cold.rs
@@ -165,3 +165,19 @@
     flood(&site, SECOND / 2);
     assert!(site.members[0].server.runs().is_empty());
 }
+
+/// Guards against an owner that acts on the first of several changes that one answer of the store holds.
+#[test]
+fn an_evacuation_that_is_taken_back_at_once_does_not_last() {
+    let site = Site::start_with_table("evacuated-shortly", &["shop"], &cold_table());
+    site.wait_until_serving();
+    for _ in 0..5 {
+        site.store.put("op/evacuate/east", "{}");
+        site.store.delete("op/evacuate/east");
+    }
+    eventually("the server is used again", || {
+        flood(&site, SECOND / 10).contains(&200)
+    });
+    thread::sleep(EVACUATE);
+    assert!(flood(&site, SECOND).contains(&200));
+}
--- a/crates/admit/src/repeats.rs
+++ b/crates/admit/src/repeats.rs
@@ -97,7 +97,7 @@
     /// more while more is left, and so much less near its end that chains under way do not use it up.
     #[must_use]
     pub fn repeats_per_s(&self, window: Duration) -> f64 {
-        let left = self.repeats_left.clamp(0.0, self.repeats_limit);
+        let left = self.repeats_left.min(self.repeats_limit).max(0.0);
         (self.repeats_limit / 2.0 + left).min(4.0 * left) / window.as_secs_f64()
     }
 
--- a/crates/admit/src/returns.rs
+++ b/crates/admit/src/returns.rs
@@ -4,6 +4,8 @@
 
 use cassiashunt_types::prelude::*;
 
+/// How long a refused request is expected back at the longest, whatever time limit its client states.
+const MAX_STAY: Duration = Duration::from_secs(10);
 /// A place is kept for callers that wait for this part of the delay at least.
 const MIN_OBEYED: f64 = 0.5;
 
@@ -40,7 +42,7 @@
     pub fn on_refusal(&mut self, now: Time, fingerprint: u64, delay: Duration, left: Duration) {
         self.expire(now);
         let earliest = now + delay.mul_f64(MIN_OBEYED);
-        let expires = now + left;
+        let expires = now + left.min(MAX_STAY);
         if let Some(expected) = self.expected.get_mut(&fingerprint) {
             expected.callers = expected.callers.saturating_add(1);
             expected.earliest = expected.earliest.min(earliest);
@@ -84,8 +86,13 @@
         self.order.is_empty()
     }
 
-    /// Drops what has expired or was taken, from the oldest on.
+    /// Drops what has expired or was taken, from the oldest on; all of it where the set is full.
     fn expire(&mut self, now: Time) {
+        if self.order.len() >= self.max_len {
+            let expected = &mut self.expected;
+            expected.retain(|_, it| now < it.expires);
+            self.order.retain(|it| expected.contains_key(it));
+        }
         while let Some(oldest) = self.order.front() {
             match self.expected.get(oldest) {
                 Some(expected) if now < expected.expires => return,
--- a/crates/admit/src/workspace_shares.rs
+++ b/crates/admit/src/workspace_shares.rs
@@ -21,6 +21,8 @@
 const LEARNING_IN_SHORTAGE: f64 = 0.125;
 /// How often counts decay and fair levels are recalculated.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// The standard deviations by which a usual demand varies by chance.
+const CHANCE_DEVIATIONS: f64 = 2.0;
 /// The least weight, in requests per second: below it, chance outweighs what is usual.
 const MIN_WEIGHT_PER_S: f64 = 0.5;
 /// Workspaces that are counted in all pools together; others are admitted at the overall fraction.
@@ -181,9 +183,14 @@
 impl Count {
     /// Both in requests per second.
     fn demanded(&self, usual_span: f64) -> Demanded {
+        let usual = self.usual / usual_span;
+        let weight = usual.max(MIN_WEIGHT_PER_S);
+        let present = self.present / DEMAND_TIME.as_secs_f64();
+        // The request that is decided on is counted, and few requests come unevenly.
+        let is_usual = present <= usual + 1.0 + CHANCE_DEVIATIONS * usual.sqrt();
         Demanded {
-            weight: (self.usual / usual_span).max(MIN_WEIGHT_PER_S),
-            demand: (self.present / DEMAND_TIME.as_secs_f64()).max(f64::MIN_POSITIVE),
+            weight,
+            demand: if is_usual { weight } else { present },
         }
     }
 }
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -100,22 +100,46 @@
 }
 
 impl Inner {
-    /// Closes the connection that has been without progress longest, if that is not `own`.
-    fn close_stalest(&mut self, own: u64) -> bool {
-        let open = self.shares.iter_mut();
-        let open = open.filter(|(_, it)| !it.is_closed && it.bytes > 0);
-        let Some((key, entry)) = open.min_by_key(|(_, it)| it.progressed) else {
-            return false;
+    /// Sets what a share holds, of `most` bytes in all; false if it is to be closed. Where there is no
+    /// room, connections are closed that have been without progress for longer, unless that is not enough.
+    fn hold(&mut self, key: u64, bytes: usize, most: usize) -> bool {
+        let own = match self.shares.get(&key) {
+            Some(entry) if !entry.is_closed => entry.bytes,
+            _ => return false,
         };
-        if *key == own {
+        let needed = (self.held - own + bytes).saturating_sub(most);
+        let open = self.shares.iter().filter(|(_, it)| !it.is_closed);
+        let mut open: Vec<_> = open.filter(|(_, it)| it.bytes > 0).collect();
+        open.sort_by_key(|(_, it)| it.progressed);
+        let mut freed = 0;
+        let mut victims = Vec::new();
+        for (other, entry) in open {
+            if freed >= needed || *other == key {
+                break;
+            }
+            freed += entry.bytes;
+            victims.push(*other);
+        }
+        if freed < needed {
             return false;
         }
-        entry.is_closed = true;
-        self.held -= entry.bytes;
-        // One that is closed already holds nothing for long.
-        let _ = entry.stream.shutdown(entry.side);
+        victims.into_iter().for_each(|it| self.close(it));
+        self.held = self.held - own + bytes;
+        if let Some(entry) = self.shares.get_mut(&key) {
+            entry.bytes = bytes;
+            entry.progressed = Instant::now();
+        }
         true
     }
+
+    fn close(&mut self, key: u64) {
+        if let Some(entry) = self.shares.get_mut(&key) {
+            entry.is_closed = true;
+            self.held -= entry.bytes;
+            // One that is closed already holds nothing for long.
+            let _ = entry.stream.shutdown(entry.side);
+        }
+    }
 }
 
 /// What one connection holds.
@@ -128,22 +152,8 @@
 impl Share {
     /// Holds this many bytes from now on, which is progress; false if the connection is to be closed.
     pub(crate) fn hold(&self, bytes: usize) -> bool {
-        let mut inner = self.budget.lock();
-        let own = match inner.shares.get(&self.key) {
-            Some(entry) if !entry.is_closed => entry.bytes,
-            _ => return false,
-        };
-        while inner.held - own + bytes > self.budget.most {
-            if !inner.close_stalest(self.key) {
-                return false;
-            }
-        }
-        inner.held = inner.held - own + bytes;
-        if let Some(entry) = inner.shares.get_mut(&self.key) {
-            entry.bytes = bytes;
-            entry.progressed = Instant::now();
-        }
-        true
+        let most = self.budget.most;
+        self.budget.lock().hold(self.key, bytes, most)
     }
 
     /// Whether the connection was closed for others.
@@ -154,12 +164,12 @@
 
     /// Bytes that stay held until their last copy is dropped, and whose connection isn't closed.
     pub(crate) fn keep(self, bytes: Bytes) -> Option<Bytes> {
-        let length = bytes.len();
-        if !self.hold(length) {
-            return None;
-        }
         let budget = Arc::clone(&self.budget);
         let mut inner = budget.lock();
+        // Under one lock, so that the share can't be closed in between.
+        if !inner.hold(self.key, bytes.len(), budget.most) {
+            return None;
+        }
         inner.shares.remove(&self.key);
         drop(inner);
         let kept = Kept { bytes, budget };
--- a/crates/route/src/retry/window_budget.rs
+++ b/crates/route/src/retry/window_budget.rs
@@ -6,6 +6,11 @@
 
 /// Buckets in a window.
 const WINDOW_BUCKETS: u64 = 40;
+/// Buckets over which repeats are paced: repeats that arrive late by less than this leave the sum of a
+/// window within its limit.
+const PACED_BUCKETS: u64 = 4;
+/// The fraction of a window's repeats that may be made in those buckets, twice the even rate.
+const PACED_FRACTION: f64 = 0.2;
 
 /// One node's repeats and first tries at one service.
 ///
@@ -78,6 +83,16 @@
         left.fold(f64::INFINITY, f64::min)
     }
 
+    /// How many more repeats may be made now: those that are left, at no more than twice the even rate.
+    #[must_use]
+    pub fn left_now(&self, now: Time, ratio: f64) -> f64 {
+        let totals = self.totals(now);
+        let most = ratio * totals.first_tries(totals.current).most();
+        let recent = totals.repeats(totals.current + 1 - PACED_BUCKETS, totals.current);
+        let paced = (PACED_FRACTION * most).max(1.0) - recent;
+        self.left(now, ratio).min(paced)
+    }
+
     /// The first tries in the windows that the limit is based on.
     #[must_use]
     pub fn first_tries(&self, now: Time) -> FirstTries {
--- a/crates/sidecar/src/budget.rs
+++ b/crates/sidecar/src/budget.rs
@@ -17,6 +17,9 @@
 /// Fraction of the configured ratio for requests whose servers call others: all calls of a
 /// repeated run count as repeats at the services that they reach.
 const CHAIN_RATIO_SHARE: f64 = 0.25;
+/// Fraction of the configured ratio that a node uses in the first window after its start: what its
+/// predecessor sent on in that window is not known.
+const FIRST_WINDOW_RATIO_SHARE: f64 = 0.15;
 /// Fraction of the configured slack that is spent, divided among the nodes.
 const USED_SLACK_SHARE: f64 = 0.5;
 
@@ -51,6 +54,7 @@
 
 /// Retry budgets by service.
 pub(crate) struct RetryBudgets {
+    began: Time,
     ratio: f64,
     slack: f64,
     window: Duration,
@@ -60,8 +64,9 @@
 impl RetryBudgets {
     /// Budgets with the configured ratio of repeats to first tries in a `window`, and the repeats that
     /// all nodes may make regardless of it.
-    pub(crate) fn new(ratio: f64, slack: f64, window: Duration) -> Self {
+    pub(crate) fn new(now: Time, ratio: f64, slack: f64, window: Duration) -> Self {
         Self {
+            began: now,
             ratio,
             slack,
             window,
@@ -89,10 +94,11 @@
         nodes: usize,
     ) -> bool {
         let floor = (self.slack * USED_SLACK_SHARE / nodes.max(1) as f64).min(1.0);
+        let base = self.ratio_at(now);
         self.with_budget(service, |budget| {
-            let ratio = self.ratio * budget.window_share;
+            let ratio = base * budget.window_share;
             let is_chain = kind == RetryKind::Chain;
-            let is_allowed = budget.all.left(now, ratio * USED_RATIO_SHARE) + floor >= 1.0
+            let is_allowed = budget.all.left_now(now, ratio * USED_RATIO_SHARE) + floor >= 1.0
                 && (!is_chain || budget.chains.left(now, ratio * CHAIN_RATIO_SHARE) + floor >= 1.0);
             if is_allowed {
                 budget.all.on_repeats(now, 1);
@@ -106,9 +112,10 @@
 
     /// Charges a call of a run that was itself a repeat and returns true, if the budget allows it.
     pub(crate) fn take_repeated_call(&self, now: Time, service: Service) -> bool {
+        let base = self.ratio_at(now);
         self.with_budget(service, |budget| {
-            let ratio = self.ratio * budget.window_share * REPEATED_CALL_RATIO_SHARE;
-            let is_allowed = budget.all.left(now, ratio) >= 1.0;
+            let ratio = base * budget.window_share * REPEATED_CALL_RATIO_SHARE;
+            let is_allowed = budget.all.left_now(now, ratio) >= 1.0;
             if is_allowed {
                 budget.all.on_repeats(now, 1);
             }
@@ -123,7 +130,7 @@
             if first_tries.most() == 0.0 {
                 continue;
             }
-            let ratio = self.ratio * budget.window_share * USED_RATIO_SHARE;
+            let ratio = self.ratio_at(now) * budget.window_share * USED_RATIO_SHARE;
             let tries = tries.entry(*service).or_default();
             tries.repeats_limit = ratio * first_tries.most();
             tries.repeats_left = budget.all.left(now, ratio).max(0.0);
@@ -141,6 +148,15 @@
         }
     }
 
+    /// The ratio in force, which is smaller while what was sent before the start may count.
+    fn ratio_at(&self, now: Time) -> f64 {
+        if now.since(self.began) < self.window {
+            self.ratio * FIRST_WINDOW_RATIO_SHARE
+        } else {
+            self.ratio
+        }
+    }
+
     fn with_budget<T>(&self, service: Service, f: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let mut budgets = self.by_service.borrow_mut();
         let budget = budgets.entry(service).or_insert_with(|| ServiceBudget {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 mod quota;
 mod run;
 mod settings;
+mod settings_source;
 mod shed;
 mod signals;
 mod stop;
@@ -34,3 +35,4 @@
 
 pub use run::run;
 pub use settings::{Limits, Reload, Settings, SettingsError};
+pub use settings_source::SettingsSource;
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -137,6 +137,13 @@
         Ok(lease)
     }
 
+    /// Counts bytes that are held already, whether there is room or not.
+    pub(crate) fn count(&self, bytes: usize) -> Lease {
+        let mut lease = self.empty_lease();
+        lease.set(bytes);
+        lease
+    }
+
     /// Like [`BodyMemory::lease`]; waits until there is room.
     pub(crate) async fn wait_for(&self, bytes: usize) -> Lease {
         loop {
@@ -183,28 +190,36 @@
         } else {
             self.max
         };
-        while self.held().saturating_sub(self.closing.get()) + more > max {
-            let key = self.stalest(true).or_else(|| {
-                let any = (!is_long).then(|| self.stalest(false));
-                any.flatten()
-            });
-            match key {
-                Some(key) if Some(key) != own => self.close(key),
-                _ => return Err(NoRoom),
+        let held = self.held().saturating_sub(self.closing.get());
+        let needed = (held + more).saturating_sub(max);
+        let mut freed = 0;
+        let mut victims = Vec::new();
+        for (key, bytes) in self.displaceable(is_long) {
+            if freed >= needed || Some(key) == own {
+                break;
             }
+            freed += bytes;
+            victims.push(key);
         }
+        if freed < needed {
+            // None is closed in vain.
+            return Err(NoRoom);
+        }
+        victims.into_iter().for_each(|key| self.close(key));
         Ok(())
     }
 
-    /// The connection that has been without progress longest.
-    fn stalest(&self, is_long: bool) -> Option<u64> {
+    /// The connections that may lose their bodies to a long or a short one, with the bytes that they
+    /// hold: the long ones first, and of these the one that has been without progress longest.
+    fn displaceable(&self, by_long: bool) -> Vec<(u64, usize)> {
         let closable = self.closable.borrow();
-        let least = if is_long { SHORT_BODY_BYTES } else { 0 };
-        let open = closable
-            .iter()
-            .filter(|(_, it)| !it.is_closing && it.held > least);
-        open.min_by_key(|(_, it)| it.progressed_at)
-            .map(|(key, _)| *key)
+        let open = closable.iter().filter(|(_, it)| {
+            let least = if by_long { SHORT_BODY_BYTES } else { 0 };
+            !it.is_closing && it.held > least
+        });
+        let mut open: Vec<_> = open.collect();
+        open.sort_by_key(|(_, it)| (it.held <= SHORT_BODY_BYTES, it.progressed_at));
+        open.into_iter().map(|(key, it)| (*key, it.held)).collect()
     }
 
     fn close(&self, key: u64) {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -173,7 +173,7 @@
             clients: Rc::new(Clients::new(max_fds, memory_bytes)),
             suspicion: Suspicion::default(),
             quotas: Quotas::default(),
-            budgets: RetryBudgets::new(ratio, slack, window),
+            budgets: RetryBudgets::new(crate::clock::now(), ratio, slack, window),
             splits: TrafficSplits::default(),
             shedding: Shedding::new(window),
             fair_admission: RefCell::new(FairAdmission::new(
@@ -220,6 +220,8 @@
             .borrow_mut()
             .set_bound(settings.bounds.key_withdrawal());
         *self.settings.borrow_mut() = Rc::new(settings);
+        // The bounds on starts at a cold server may have changed.
+        self.owner.on_table(self);
     }
 
     pub(crate) fn table(&self) -> Option<Rc<SiteTable>> {
@@ -420,11 +422,12 @@
             evacuated.map(|it| it.domain).collect()
         };
         metrics::set_evacuated(evacuated.len());
-        self.fleet.borrow_mut().set_evacuated(evacuated);
         let own = self.settings().domain();
-        if let Some(change) = changed.iter().find(|it| it.domain == own) {
-            self.owner.set_evacuated(self, change.is_evacuated);
+        if changed.iter().any(|it| it.domain == own) {
+            // Of several changes at once, the last one counts.
+            self.owner.set_evacuated(self, evacuated.contains(&own));
         }
+        self.fleet.borrow_mut().set_evacuated(evacuated);
         self.report_now.notify_one();
     }
 
@@ -489,6 +492,9 @@
             self.fleet.borrow().subtract_outliers(&mut capacities);
             self.shedding.on_others_demand(now, others.demand_list());
             self.shedding.step(now, capacities);
+        } else {
+            let own = self.shedding.tries();
+            self.shedding.step_repeats(now, own, &Default::default());
         }
     }
 
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -106,7 +106,7 @@
             check_refusal(&head, &response_headers, has_id)?;
             let is_sent = written == message.len();
             let answer = finish(pool, connection, head, &response_headers, is_sent).await?;
-            return count(memory, answer);
+            return Ok(count(memory, answer));
         }
         if head.framing == Framing::UntilClose {
             return Err(Failure::InvalidAnswer("answer to another request"));
@@ -118,17 +118,17 @@
     ))
 }
 
-/// Counts a complete answer, which may wait for a slow reader.
-fn count(memory: &BodyMemory, answer: Answer) -> Result<Answer, Failure> {
+/// Counts a complete answer, which may wait for a slow reader. It is delivered whether there is room or
+/// not: it is held already, and what is read of the server at once is bounded.
+fn count(memory: &BodyMemory, answer: Answer) -> Answer {
     if answer.body.len() <= MIN_COUNTED_BYTES {
-        return Ok(answer);
+        return answer;
     }
-    let lease = memory.lease(answer.body.len());
-    let lease = lease.map_err(|_| Failure::Lost(ReadError::BufferLimitReached))?;
-    Ok(Answer {
+    let lease = memory.count(answer.body.len());
+    Answer {
         body: lease.attach(answer.body),
         ..answer
-    })
+    }
 }
 
 async fn read_body(
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts the tasks of a node and waits for its end.
 
-use std::{path::Path, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use eyre::WrapErr as _;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -14,6 +14,7 @@
     node::Node,
     peer_links,
     settings::Settings,
+    settings_source::SettingsSource,
     signals::Signals,
     stop,
     store::{self, StoreClient},
@@ -39,7 +40,7 @@
 /// # Errors
 ///
 /// Fails if the settings are unusable or if it can't listen on an address.
-pub fn run(path: &Path) -> eyre::Result<()> {
+pub fn run(source: &SettingsSource) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -48,15 +49,15 @@
         let _runtime = runtime.enter();
         Signals::install()?
     };
-    let settings = Settings::read(path)?;
+    let settings = source.read()?;
     logs::init(&settings.name)?;
-    log::info!(target: logs::LIFECYCLE, settings:% = path.display(),
+    log::info!(target: logs::LIFECYCLE, settings:% = source.path.display(),
         service:% = settings.service, domain:% = settings.domain,
         server_address:% = settings.addresses.server,
         version:% = env!("CARGO_PKG_VERSION"); "node-start");
     let metrics_handle = metrics::install()?;
     let tasks = LocalSet::new();
-    let result = tasks.block_on(&runtime, serve(settings, path, metrics_handle, signals));
+    let result = tasks.block_on(&runtime, serve(settings, source, metrics_handle, signals));
     match &result {
         Ok(()) => log::info!(target: logs::LIFECYCLE, "node-stop"),
         Err(err) => log::error!(reason:% = format!("{err:#}"); "node-failed"),
@@ -71,7 +72,7 @@
 
 async fn serve(
     settings: Settings,
-    path: &Path,
+    source: &SettingsSource,
     metrics_handle: PrometheusHandle,
     signals: Signals,
 ) -> eyre::Result<()> {
@@ -124,7 +125,7 @@
             metrics_handle,
         )));
     }
-    stop::wait_and_drain(&node, &store, path, signals).await;
+    stop::wait_and_drain(&node, &store, source, signals).await;
     Ok(())
 }
 
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use crate::settings_source::SettingsSource;
+
 /// Settings of one node. Unknown keys are refused, since only this program reads the file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -56,14 +58,18 @@
     pub min_lease_ms: u64,
 }
 
+/// The descriptors of the users' machines.
+const USUAL_FDS: usize = 4_096;
+
 /// What the process may use of its machine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct Limits {
     /// Memory of the process, in MiB; 96 or more. Half of it is for bodies of requests and answers.
     pub memory_mb: u32,
-    /// Open files of the process; 64 or more. Two thirds of them are for connections of clients.
-    pub max_fds: u32,
+    /// Open files of the process; 64 or more. Two thirds of them are for connections of clients. Where
+    /// left out, 4096, or the limit that the process has if that is less.
+    pub max_fds: Option<u32>,
 }
 
 impl Default for Limits {
@@ -71,7 +77,7 @@
     fn default() -> Self {
         Self {
             memory_mb: 256,
-            max_fds: 4_096,
+            max_fds: None,
         }
     }
 }
@@ -162,12 +168,7 @@
     ///
     /// Fails if the file can't be read or parsed, or if a value is out of range.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|err| SettingsError::Unreadable(path.into(), err))?;
-        let settings: Self =
-            toml::from_str(&text).map_err(|err| SettingsError::Invalid(path.into(), err))?;
-        settings.check()?;
-        Ok(settings)
+        SettingsSource::file(path).read()
     }
 
     /// Handles settings that were read again while the node runs. Its server, its peers and its store
@@ -207,24 +208,6 @@
         })
     }
 
-    /// Reads and checks a settings file on a thread of its own, since the file may be slow. The result
-    /// is dropped where nobody waits for it any more.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the thread can't be started.
-    pub(crate) fn read_in_background(path: &Path) -> std::io::Result<Reading> {
-        let (tx, rx) = oneshot::channel();
-        let path = path.to_owned();
-        std::thread::Builder::new()
-            .name("settings".into())
-            .spawn(move || {
-                // The node may have been asked to stop or to read once more.
-                let _ = tx.send(Self::read(&path));
-            })?;
-        Ok(rx)
-    }
-
     /// The memory that the process may use, in bytes: what the settings say, or the machine's if it
     /// has less.
     pub(crate) fn memory_bytes(&self) -> usize {
@@ -233,12 +216,11 @@
         of_machine.map_or(stated, |it| it.min(stated))
     }
 
-    /// The descriptors that the process may have open: what the settings say, or its limit if that is
-    /// less.
+    /// The descriptors that the process may have open.
     pub(crate) fn max_fds(&self) -> usize {
-        let stated = usize::try_from(self.limits.max_fds).unwrap_or(usize::MAX);
-        let of_process = proc_number("/proc/self/limits", "Max open files");
-        of_process.map_or(stated, |it| it.min(stated))
+        let of_process = || proc_number("/proc/self/limits", "Max open files");
+        let stated = self.limits.max_fds.and_then(|it| usize::try_from(it).ok());
+        stated.unwrap_or_else(|| of_process().map_or(USUAL_FDS, |it| it.min(USUAL_FDS)))
     }
 
     /// The node's failure domain.
@@ -253,7 +235,7 @@
         Service::of_name(&self.service)
     }
 
-    fn check(&self) -> Result<(), SettingsError> {
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
         let bounds = &self.bounds;
         for (key, name) in [
             ("name", &self.name),
@@ -278,7 +260,7 @@
                 "must be 96 or more",
             ));
         }
-        if self.limits.max_fds < 64 {
+        if self.limits.max_fds.is_some_and(|it| it < 64) {
             return Err(SettingsError::Value("limits.max-fds", "must be 64 or more"));
         }
         if bounds.retry_ratio < 0.0 || bounds.retry_slack < 0.0 || bounds.retry_window_s <= 0.0 {
--- a/crates/sidecar/src/shed.rs
+++ b/crates/sidecar/src/shed.rs
@@ -38,6 +38,9 @@
                 admission: ChainAdmission::new(Options::default()),
                 repeats: RepeatAdmission::new(RepeatOptions {
                     window,
+                    // A chain that is refused comes back and is refused again; one that fails may still be
+                    // served by its repeat (`docs/design/repeats.md`).
+                    good_chance: 0.0,
                     ..RepeatOptions::default()
                 }),
                 chains: ChainCosts::default(),
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -1,6 +1,6 @@
 //! What signals ask for: a graceful stop that interrupts no request, and reloaded settings.
 
-use std::{path::Path, rc::Rc};
+use std::rc::Rc;
 
 use cassiashunt_mesh::{PauseWatch, StopSchedule};
 use cassiashunt_types::prelude::*;
@@ -10,6 +10,7 @@
     clock, link, logs,
     node::Node,
     settings::{Reading, Settings, SettingsError},
+    settings_source::SettingsSource,
     signals::{SignalRequest, Signals},
     store::{StoreClient, withdraw},
 };
@@ -21,7 +22,7 @@
 pub(crate) async fn wait_and_drain(
     node: &Rc<Node>,
     store: &Rc<StoreClient>,
-    path: &Path,
+    source: &SettingsSource,
     mut signals: Signals,
 ) {
     let mut watch = PauseWatch::new(clock::now());
@@ -34,7 +35,7 @@
             request = signals.next() => match request {
                 SignalRequest::Stop => break,
                 // Takes the place of a reload that is still under way.
-                SignalRequest::Reload => reading = start_reload(path),
+                SignalRequest::Reload => reading = start_reload(source),
             },
             settings = read_settings(&mut reading) => apply(node, settings),
             _ = ticks.tick() => watch.on_tick(clock::now()),
@@ -127,8 +128,8 @@
     }
 }
 
-fn start_reload(path: &Path) -> Option<Reading> {
-    let reading = Settings::read_in_background(path);
+fn start_reload(source: &SettingsSource) -> Option<Reading> {
+    let reading = source.read_in_background();
     let log_failure = |err| log::error!(reason:% = err; "settings-refused");
     reading.map_err(log_failure).ok()
 }
