--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -201,6 +201,7 @@
             .borrow_mut()
             .set_bound(settings.bounds.key_withdrawal());
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.owner.on_table(self);
     }
 
     pub(crate) fn table(&self) -> Option<Rc<SiteTable>> {
