Bodies wait while connections that are closed for them still hold memory

Where all sockets have input at once, bodies grew before the first connection that was told to close had run, and what it held counted as free.

--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Waits while connections that were told to close still hold much of the memory.
+    pub(crate) async fn wait_for_closing(&self) {
+        if let Some(account) = &self.account {
+            account.wait_for_closing().await;
+        }
+    }
+
     /// Checks that a body of `length` bytes is within the limit for one body.
     pub(crate) fn check(&self, length: usize) -> Result<(), ReadError> {
         if length > self.max {
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -341,6 +341,7 @@
         limit: &mut BufferLimit<'_>,
     ) -> Result<(), ReadError> {
         while body.len() < length {
+            limit.wait_for_closing().await;
             let left = length - body.len();
             let buffered = left.min(self.buf.len());
             if buffered > 0 {
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -24,6 +24,9 @@
 const PROGRESS_BYTES: usize = 64 * 1024;
 /// The time between two looks for room.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Bodies grow only while connections that are being closed hold less than this fraction of the memory:
+/// all sockets may have input at once, before the first of them has closed.
+const CLOSING_DIVISOR: usize = 16;
 /// Bodies up to this length are not counted: connections are few enough for them.
 pub(crate) const MIN_COUNTED_BYTES: usize = 8 * 1024;
 
@@ -242,6 +245,13 @@
 }
 
 impl Account {
+    /// Waits while connections that were told to close still hold much of the memory.
+    pub(crate) async fn wait_for_closing(&self) {
+        while self.memory.closing.get() > self.memory.max / CLOSING_DIVISOR {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Counts `bytes` for the body.
     pub(crate) fn set_held(&mut self, bytes: usize) -> Result<(), NoRoom> {
         let more = bytes.saturating_sub(self.lease.bytes);
