--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -423,11 +423,12 @@
         };
         metrics::set_evacuated(evacuated.len());
         let own = self.settings().domain();
+        // Of several changes at once, the last one counts.
+        let is_evacuated = evacuated.contains(&own);
+        self.fleet.borrow_mut().set_evacuated(evacuated);
         if changed.iter().any(|it| it.domain == own) {
-            // Of several changes at once, the last one counts.
-            self.owner.set_evacuated(self, evacuated.contains(&own));
+            self.owner.set_evacuated(self, is_evacuated);
         }
-        self.fleet.borrow_mut().set_evacuated(evacuated);
         self.report_now.notify_one();
     }
 
