--- a/review/kit-2/src/bin/quota.rs
+++ b/review/kit-2/src/bin/quota.rs
@@ -34,6 +34,9 @@
 const EXCESS: f64 = 0.1;
 const SLACK: f64 = 20.0;
 
+/// The zones of the nodes.
+const ZONES: [&str; 6] = ["ikeja", "apapa", "lekki", "ikeja", "apapa", "lekki"];
+
 type Sent = Arc<Mutex<Vec<(String, Instant, u16)>>>;
 
 fn main() -> ExitCode {
@@ -56,10 +59,7 @@
 }
 
 fn play(record: &Record) -> std::io::Result<bool> {
-    let site = Site::start(
-        &["ikeja", "apapa", "lekki", "ikeja", "apapa", "lekki"],
-        RATE,
-    )?;
+    let site = Site::start(&ZONES.map(|zone| (zone, "shop")), RATE)?;
     let names = site.members.iter().map(|it| it.name.clone());
     let homes = homes(names);
     let home = home_of(&homes, Workspace::of_name("first-shop")).unwrap_or_default();
@@ -144,7 +144,7 @@
             it.server
                 .runs()
                 .into_iter()
-                .map(move |run| (run.attempt, (run.at, at)))
+                .map(move |run| (run.0, (run.1, at)))
         })
         .collect();
     let mut ran: Vec<(Instant, Instant)> = Vec::new();
--- a/review/kit-2/src/lib.rs
+++ b/review/kit-2/src/lib.rs
@@ -15,7 +15,11 @@
     time::{Duration, Instant},
 };
 
-use cassiashunt_standin::site::{Addresses, Request, Server, Store, ask, open, table};
+use cassiashunt_standin::site::{Addresses, Request, Store, ask, open, table};
+
+pub mod backend;
+
+use backend::Backend;
 
 /// The platform's usual time between two heartbeats of a server.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
@@ -46,7 +50,7 @@
     /// Where it listens.
     pub addresses: Addresses,
     /// Its server.
-    pub server: Server,
+    pub server: Backend,
     settings: PathBuf,
     log: PathBuf,
     process: Child,
@@ -90,9 +94,9 @@
 }
 
 impl Site {
-    /// Starts nodes in these failure domains, each with a server of the service `shop`, with one
+    /// Starts nodes in these failure domains, each with a server of the service beside it, with one
     /// workspace of this rate and burst, and waits until all serve.
-    pub fn start(domains: &[&str], rate: u32) -> io::Result<Self> {
+    pub fn start(machines: &[(&str, &'static str)], rate: u32) -> io::Result<Self> {
         let store = Store::start()?;
         store.put("op/config", &table(1, &[KEY], rate).to_string());
         let folder = std::env::temp_dir().join(format!("review-kit-2-{}", std::process::id()));
@@ -103,8 +107,8 @@
             folder,
             is_over: Arc::default(),
         };
-        for (at, domain) in domains.iter().enumerate() {
-            let member = site.start_member(at, domain)?;
+        for (at, (domain, service)) in machines.iter().enumerate() {
+            let member = site.start_member(at, domain, service)?;
             site.members.push(member);
         }
         let until = Instant::now() + STARTUP;
@@ -117,10 +121,10 @@
         Ok(site)
     }
 
-    fn start_member(&self, at: usize, domain: &str) -> io::Result<Member> {
+    fn start_member(&self, at: usize, domain: &str, service: &'static str) -> io::Result<Member> {
         let name = format!("app_node-{domain}-{}", at + 1);
         let addresses = Addresses::free()?;
-        let server = Server::start(&format!("i-{at:08x}"), addresses.requests)?;
+        let server = Backend::start(&format!("i-{at:08x}"), service)?;
         let settings = self.folder.join(format!("{name}.toml"));
         fs::write(
             &settings,
@@ -185,7 +189,7 @@
     name: &str,
     domain: &str,
     addresses: Addresses,
-    server: &Server,
+    server: &Backend,
     store: SocketAddr,
 ) -> String {
     let Addresses {
@@ -194,11 +198,11 @@
         ready,
         heartbeats,
     } = addresses;
-    let server = server.address();
+    let (service, server) = (server.service(), server.address());
     format!(
         r#"name = "{name}"
 domain = "{domain}"
-service = "shop"
+service = "{service}"
 
 [addresses]
 requests = "{requests}"
@@ -221,12 +225,10 @@
     )
 }
 
-fn beat(server: &Server, control: SocketAddr, is_over: &AtomicBool) {
-    let mut sequence = 0;
-    while !is_over.load(Ordering::Relaxed) {
-        sequence += 1;
+fn beat(server: &Backend, control: SocketAddr, is_over: &AtomicBool) {
+    while !is_over.load(Ordering::Relaxed) && server.is_reporting() {
         // A node that does not answer is told again by the next one.
-        let _ = server.beat(control, "shop", "ready", sequence);
+        let _ = server.send(control, &server.report());
         thread::sleep(HEARTBEAT);
     }
 }
