--- a/review/kit-2/src/backend.rs
+++ b/review/kit-2/src/backend.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -17,6 +17,11 @@
 /// How long a call to the node may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a server that crashed is away; "the backend is back after some seconds".
+const AWAY: Duration = Duration::from_secs(2);
+/// The part of the path of requests that crash each server that begins to run them.
+pub const CRASHING: &str = "/crashing-";
+
 /// A run: the id of the attempt, and when it began.
 pub type Run = (String, Instant);
 
@@ -26,11 +31,14 @@
     id: String,
     service: &'static str,
     address: SocketAddr,
-    born: u64,
+    born: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
     is_leaving: Arc<AtomicBool>,
     is_paused: Arc<AtomicBool>,
     is_gone: Arc<AtomicBool>,
+    is_away: Arc<AtomicBool>,
+    /// Connections that are open.
+    open: Arc<Mutex<Vec<TcpStream>>>,
     runs: Arc<Mutex<Vec<Run>>>,
 }
 
@@ -38,30 +46,70 @@
     /// Starts one of a service on a free port.
     pub fn start(id: &str, service: &'static str) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        let born = since.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
         let backend = Self {
             id: id.to_owned(),
             service,
             address: listener.local_addr()?,
-            born,
+            born: Arc::new(AtomicU64::new(unix_ms())),
             sequence: Arc::default(),
             is_leaving: Arc::default(),
             is_paused: Arc::default(),
             is_gone: Arc::default(),
+            is_away: Arc::default(),
+            open: Arc::default(),
             runs: Arc::default(),
         };
         let accepting = backend.clone();
-        thread::spawn(move || {
+        thread::spawn(move || accepting.accept(listener));
+        Ok(backend)
+    }
+
+    /// Takes connections in, over crashes.
+    fn accept(&self, mut listener: TcpListener) {
+        loop {
             for stream in listener.incoming().flatten() {
-                if accepting.is_gone() {
+                if self.is_gone() {
                     return;
                 }
-                let serving = accepting.clone();
+                if self.is_away() {
+                    break;
+                }
+                if let (Ok(clone), Ok(mut open)) = (stream.try_clone(), self.open.lock()) {
+                    open.push(clone);
+                }
+                let serving = self.clone();
                 thread::spawn(move || serving.serve(&stream));
             }
-        });
-        Ok(backend)
+            drop(listener);
+            thread::sleep(AWAY);
+            listener = loop {
+                match TcpListener::bind(self.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => thread::sleep(Duration::from_millis(20)),
+                }
+            };
+            // A new start under its id: its counts begin anew.
+            self.born.store(unix_ms(), Ordering::Relaxed);
+            self.sequence.store(0, Ordering::Relaxed);
+            self.is_away.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Crashes: its connections end, new ones are refused, and it is back after some time.
+    fn crash(&self) {
+        self.is_away.store(true, Ordering::Relaxed);
+        let open = self.open.lock().map(|mut it| std::mem::take(&mut *it));
+        for stream in open.unwrap_or_default() {
+            // One that is closed already needs no end.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts, so that it drops the listener.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Whether it has crashed and is not back.
+    pub fn is_away(&self) -> bool {
+        self.is_away.load(Ordering::Relaxed)
     }
 
     /// Where it listens.
@@ -97,7 +145,8 @@
     /// Makes the next status report: its body.
     pub fn report(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let (address, born, service) = (self.address, self.born, self.service);
+        let (address, service) = (self.address, self.service);
+        let born = self.born.load(Ordering::Relaxed);
         format!(
             r#"{{"address":"{address}","born":{born},"details":{{"service":"{service}","version":"v1","zone":"ikeja","slots":72}},"status":{{"state":"ready","sequence":{sequence},"warmup_left_ms":0}}}}"#
         )
@@ -147,7 +196,13 @@
             if self.is_gone() {
                 return;
             }
+            if self.is_away() {
+                return;
+            }
             let answer = self.answer(&head);
+            if head[0].contains(CRASHING) {
+                return self.crash();
+            }
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -179,6 +234,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// The lines of a request's head; `None` at the end of the connection.
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
     let mut head = Vec::new();
--- a/review/kit-2/src/lib.rs
+++ b/review/kit-2/src/lib.rs
@@ -149,6 +149,21 @@
         })
     }
 
+    /// Kills all nodes' processes, and starts them again after this time.
+    pub fn restart_all(&mut self, away: Duration) -> io::Result<()> {
+        for member in &mut self.members {
+            let _ = member.process.kill();
+        }
+        for member in &mut self.members {
+            let _ = member.process.wait();
+        }
+        thread::sleep(away);
+        for member in &mut self.members {
+            member.process = start(&member.settings, &member.log)?;
+        }
+        Ok(())
+    }
+
     /// Kills a node's process, and starts it again after this time.
     pub fn restart(&mut self, at: usize, away: Duration) -> io::Result<()> {
         let member = &mut self.members[at];
@@ -227,8 +242,10 @@
 
 fn beat(server: &Backend, control: SocketAddr, is_over: &AtomicBool) {
     while !is_over.load(Ordering::Relaxed) && server.is_reporting() {
-        // A node that does not answer is told again by the next one.
-        let _ = server.send(control, &server.report());
+        if !server.is_away() {
+            // A node that does not answer is told again by the next one.
+            let _ = server.send(control, &server.report());
+        }
         thread::sleep(HEARTBEAT);
     }
 }
