--- a/review/kit-2/src/backend.rs
+++ b/review/kit-2/src/backend.rs
@@ -33,6 +33,8 @@
     address: SocketAddr,
     born: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
+    /// How long it works on a request, in milliseconds.
+    work_ms: Arc<AtomicU64>,
     is_leaving: Arc<AtomicBool>,
     is_paused: Arc<AtomicBool>,
     is_gone: Arc<AtomicBool>,
@@ -52,6 +54,7 @@
             address: listener.local_addr()?,
             born: Arc::new(AtomicU64::new(unix_ms())),
             sequence: Arc::default(),
+            work_ms: Arc::default(),
             is_leaving: Arc::default(),
             is_paused: Arc::default(),
             is_gone: Arc::default(),
@@ -122,6 +125,12 @@
         self.service
     }
 
+    /// It works so long on each request from now on.
+    pub fn set_work(&self, work: Duration) {
+        let millis = u64::try_from(work.as_millis()).unwrap_or(u64::MAX);
+        self.work_ms.store(millis, Ordering::Relaxed);
+    }
+
     /// What it began to run.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().map(|it| it.clone()).unwrap_or_default()
@@ -228,6 +237,7 @@
         if let Ok(mut runs) = self.runs.lock() {
             runs.push((attempt.to_owned(), Instant::now()));
         }
+        thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::Relaxed)));
         format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Signature: s.{attempt}\r\nX-Server-Load: 1,0,72\r\nContent-Length: 2\r\n\r\nok"
         )
--- a/review/kit-2/src/bin/late_reports.rs
+++ b/review/kit-2/src/bin/late_reports.rs
@@ -34,9 +34,11 @@
 const DRAIN: Duration = Duration::from_millis(2_000);
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// Clients.
-const CLIENTS: usize = 2;
+const CLIENTS: usize = 8;
 /// The pause of each client between two requests.
-const PAUSE: Duration = Duration::from_millis(25);
+const PAUSE: Duration = Duration::from_millis(60);
+/// How long a server works on a request.
+const WORK: Duration = Duration::from_millis(60);
 
 type Sent = Arc<Mutex<Vec<(String, usize, Instant, u16)>>>;
 
@@ -62,6 +64,9 @@
         &[("ikeja", "desk"), ("apapa", "shop"), ("lekki", "shop")],
         RATE,
     )?;
+    for member in &site.members {
+        member.server.set_work(WORK);
+    }
     let (sent, is_over) = (Sent::default(), Arc::new(AtomicBool::new(false)));
     let mut clients = Vec::new();
     // All requests come to a machine that nothing happens to, for the service of the two others.
