Clients' input that waits in sockets is bounded

What callers saw: a crowd on all connections that a node takes ended its process, or could: the platform counts bytes that were received and not yet read, and a process over its memory is killed.

Cause: the receive buffer of each client's socket was left to the kernel, which takes in 128 KiB at once and megabytes later, for each of the 1,640 connections of a node of 96 MB, and for each that waits to be accepted.

Change: the listener has a receive buffer of 4 KiB, which accepted connections inherit, so that the kernel takes in 8 KiB. It grows with the part of a body that has arrived, up to 256 KiB, covered by what is counted for the body, and shrinks after it. What was taken in behind a long body is counted until its answer.

--- a/cassiashunt/tests/support/mod.rs
+++ b/cassiashunt/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts processes of the real binary on loopback addresses.
 #![allow(dead_code)]
 
+pub mod crowd;
+pub mod footprint;
 pub mod site;
 pub mod stop;
 
--- a/crates/sidecar/src/http/body_buffer.rs
+++ b/crates/sidecar/src/http/body_buffer.rs
@@ -35,6 +35,15 @@
         self.full_bytes + self.last_part.len()
     }
 
+    /// How many bytes the kernel may hold for the body besides: they are covered by what is counted, since
+    /// the space for an announced body is, and one further part for others.
+    pub(super) fn max_unread(&self) -> usize {
+        match self.expected {
+            Some(expected) => expected - self.len(),
+            None => PART_BYTES,
+        }
+    }
+
     /// Space for at least one and at most `max` further bytes, which are counted.
     pub(super) fn space(
         &mut self,
@@ -86,7 +95,11 @@
             None => length + PART_BYTES,
         };
         let capacity = capacity.min(longest);
-        limit.set_held(capacity)?;
+        let unread = match self.expected {
+            None if length >= PART_BYTES => PART_BYTES,
+            _ => 0,
+        };
+        limit.set_held(capacity, unread)?;
         if self.expected.is_none() && length >= PART_BYTES {
             self.full_parts.push(std::mem::take(&mut self.last_part));
             self.full_bytes = length;
--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -94,11 +94,12 @@
         }
     }
 
-    /// Records that `length` bytes of the body are now held, and checks both limits.
-    pub(crate) fn set_held(&mut self, length: usize) -> Result<(), ReadError> {
+    /// Records that `length` bytes of the body are now held, and that so many others of it may wait in the
+    /// kernel; checks both limits.
+    pub(crate) fn set_held(&mut self, length: usize, unread: usize) -> Result<(), ReadError> {
         self.check(length)?;
         if let Some(account) = &mut self.account {
-            let counted = account.set_held(length);
+            let counted = account.set_held(length + unread);
             counted.map_err(|_| ReadError::BufferLimitReached)?;
         }
         let Some(shared) = self.shared else {
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Framing, RequestHead, ResponseHead, body_buffer::BodyBuffer, buffer_limit::BufferLimit,
-    head::Malformed,
+    head::Malformed, receive_window::ReceiveWindow,
 };
 
 /// Buffer space reserved for one read.
@@ -112,6 +112,8 @@
 pub(crate) struct Connection {
     stream: TcpStream,
     buf: BytesMut,
+    /// `None` leaves the receive buffer to the kernel.
+    window: Option<ReceiveWindow>,
 }
 
 impl Connection {
@@ -119,6 +121,15 @@
         Self {
             stream,
             buf: BytesMut::new(),
+            window: None,
+        }
+    }
+
+    /// A connection of a client, whose listener has the receive buffer of [`ReceiveWindow::LISTENER_BYTES`].
+    pub(crate) fn from_client(stream: TcpStream) -> Self {
+        Self {
+            window: Some(ReceiveWindow::default()),
+            ..Self::new(stream)
         }
     }
 
@@ -211,6 +222,14 @@
         Ok(body.finish())
     }
 
+    /// Ends the growth of the receive buffer after a body. Returns how many bytes wait in it.
+    pub(crate) fn narrow(&mut self) -> usize {
+        match &mut self.window {
+            Some(window) => window.narrow(&self.stream),
+            None => 0,
+        }
+    }
+
     /// Writes all bytes.
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
@@ -360,6 +379,9 @@
                 }
             }
             limit.on_read(body.len());
+            if let Some(window) = &mut self.window {
+                window.widen(&self.stream, body.len(), body.max_unread());
+            }
         }
         Ok(())
     }
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -23,7 +23,7 @@
     accept::accept,
     clients::{Client, Phase},
     clock,
-    http::{BufferLimit, Connection, Framing, ReadError, RequestHead, has_token},
+    http::{BufferLimit, Connection, Framing, MIN_UNREAD_BYTES, ReadError, RequestHead, has_token},
     memory::{MIN_COUNTED_BYTES, Part},
     node::Node,
 };
@@ -63,7 +63,7 @@
         log::info!(reason:% = err; "client-gone");
         return;
     }
-    let mut connection = Connection::new(stream);
+    let mut connection = Connection::from_client(stream);
     // Closes the connection to free a descriptor or memory.
     let close = Rc::<Notify>::default();
     loop {
@@ -90,6 +90,9 @@
         };
         let (reply, is_head) = match read {
             Ok((head, body)) => {
+                let unread = connection.narrow();
+                // What waits behind a long body can't be refused any more.
+                let _unread = (unread > MIN_UNREAD_BYTES).then(|| node.memory.count(unread));
                 let is_head = head.method == "HEAD";
                 let reply = answer(&node, &mut connection, &mut open, head, body).await;
                 (reply, is_head)
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,13 +1,17 @@
 //! Starts the tasks of a node and waits for its end.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use eyre::WrapErr as _;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::{net::TcpListener, task::LocalSet};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    task::LocalSet,
+};
 
 use crate::{
     endpoints::{self, Endpoint},
+    http::ReceiveWindow,
     ingress::accept_clients,
     link::accept_peers,
     logs, metrics,
@@ -79,7 +83,7 @@
     let addresses = settings.addresses.clone();
     let store = Rc::new(StoreClient::new(settings.store.address));
     let node = Rc::new(Node::new(settings, Rc::clone(&store)));
-    let requests = listen(addresses.requests).await?;
+    let requests = listen_small(addresses.requests).await?;
     let peers = listen(addresses.peers).await?;
     let ready = listen(addresses.ready).await?;
     let heartbeats = listen(addresses.heartbeats).await?;
@@ -129,8 +133,18 @@
     Ok(())
 }
 
-async fn listen(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
+async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
+    listen_on(TcpSocket::new_v4()?, address)
+}
+
+/// Listens for connections whose receive buffers begin small, also those that wait to be accepted.
+async fn listen_small(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(u32::try_from(ReceiveWindow::LISTENER_BYTES)?)?;
+    listen_on(socket, address)
+}
+
+fn listen_on(socket: TcpSocket, address: SocketAddr) -> eyre::Result<TcpListener> {
     socket.set_reuseaddr(true)?;
     let bound = socket
         .bind(address)
