Bodies take no more memory than is counted for them

What callers saw: a crowd ended its process, or could, although the counted bytes stayed within half of the memory. One chunked body of 64 MiB took 135 MiB of 160.

Cause: three things were not counted. A buffer that grew by doubling left a gap in the heap at each step, on each of a thousand connections; freeing a long body also raised the size up to which the allocator keeps freed memory. A chunked body was copied while all of its parts were there. Input that the kernel took in while a body grew came on top of its space.

The parts of a chunked body go back one after the other while they are joined. What the kernel may take in is counted with the body.

--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -176,7 +176,7 @@
     ) -> Result<Bytes, ReadError> {
         Ok(match self.read_small_body(framing).await? {
             Some(body) => body,
-            None => self.read_long_body(framing, &mut limit).await?.into(),
+            None => self.read_long_body(framing, &mut limit).await?,
         })
     }
 
@@ -205,7 +205,7 @@
         &mut self,
         framing: Framing,
         limit: &mut BufferLimit<'_>,
-    ) -> Result<Vec<u8>, ReadError> {
+    ) -> Result<Bytes, ReadError> {
         let expected = match framing {
             Framing::Length(length) => Some(length),
             Framing::Chunked | Framing::UntilClose => None,
@@ -219,7 +219,7 @@
             Framing::Chunked => self.read_chunks(&mut body, limit).await?,
             Framing::UntilClose => self.read_to_end(&mut body, limit).await?,
         }
-        Ok(body.finish())
+        body.finish()
     }
 
     /// Ends the growth of the receive buffer after a body. Returns how many bytes wait in it.
@@ -373,9 +373,10 @@
                 }
             } else {
                 self.stream.readable().await?;
-                let mut space = body.space(left, limit)?;
-                if self.stream.read_buf(&mut space).await? == 0 {
-                    return Err(ReadError::Truncated);
+                let space = body.space(left, limit)?;
+                match self.stream.read(space).await? {
+                    0 => return Err(ReadError::Truncated),
+                    count => body.advance(count),
                 }
             }
             limit.on_read(body.len());
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -266,7 +266,7 @@
         connection.read_long_body(framing, &mut limit).await?
     };
     if body.len() <= MIN_COUNTED_BYTES {
-        return Ok(body.into());
+        return Ok(body);
     }
     let body = account.finish(body);
     body.map_err(|_| ReadError::BufferLimitReached)
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -27,6 +27,7 @@
 mod settings_source;
 mod shed;
 mod signals;
+mod space;
 mod stop;
 mod store;
 mod sum_rows;
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -17,10 +17,15 @@
 };
 
 use super::{Frame, Kind};
-use crate::memory::{BodyMemory, Lease, MIN_COUNTED_BYTES};
+use crate::{
+    memory::{BodyMemory, Lease, MIN_COUNTED_BYTES},
+    space::Space,
+};
 
 /// The longest frame: a body at the operators' limit plus its headers.
 const MAX_FRAME_BYTES: usize = 65 << 20;
+/// Frames of this length are not read into the read buffer, which would keep their memory.
+const LONG_FRAME_BYTES: usize = 64 * 1024;
 /// The length of a frame's length.
 const LENGTH_BYTES: usize = 4;
 /// How long opening a connection may take; the one-way delay between the platform's sites is at
@@ -75,6 +80,7 @@
         buf: BytesMut::new(),
         memory: Rc::clone(memory),
         lease: None,
+        long: None,
     };
     (reader, tx)
 }
@@ -86,8 +92,10 @@
     writer: JoinHandle<()>,
     buf: BytesMut,
     memory: Rc<BodyMemory>,
-    /// The memory of the long frame that is being read.
+    /// The memory of the counted frame that is being read.
     lease: Option<Lease>,
+    /// What has arrived of a frame that is too long for the read buffer, and its memory.
+    long: Option<(Space, Lease)>,
 }
 
 impl Drop for Reader {
@@ -108,6 +116,17 @@
     /// buffered when the future is dropped.
     pub(crate) async fn read_frame(&mut self) -> io::Result<Option<Frame>> {
         loop {
+            if let Some((frame, lease)) = self.long.take_if(|(frame, _)| frame.is_full()) {
+                let frame = Frame::decode(lease.attach(frame.into_bytes()));
+                return frame.map(Some).map_err(io::Error::other);
+            }
+            if let Some((frame, _)) = &mut self.long {
+                match self.read.read(frame.spare()).await? {
+                    0 => return Ok(None),
+                    count => frame.advance(count),
+                }
+                continue;
+            }
             if let Some(length) = frame_length(&self.buf)? {
                 let end = LENGTH_BYTES + length;
                 if self.buf.len() >= end {
@@ -117,6 +136,15 @@
                 if length > MIN_COUNTED_BYTES && self.lease.is_none() {
                     self.lease = Some(self.memory.wait_for(length).await);
                 }
+                if length >= LONG_FRAME_BYTES
+                    && let Some(lease) = self.lease.take()
+                {
+                    let mut frame = Space::with_capacity(length)?;
+                    frame.extend(&self.buf[LENGTH_BYTES..]);
+                    self.buf = BytesMut::new();
+                    self.long = Some((frame, lease));
+                    continue;
+                }
                 self.buf.reserve(end - self.buf.len());
             }
             if self.buf.is_empty() && self.buf.capacity() > MAX_IDLE_BUFFER_BYTES {
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -280,14 +280,14 @@
     }
 
     /// The complete body, which can't be dropped any more.
-    pub(crate) fn finish(mut self, body: Vec<u8>) -> Result<Bytes, NoRoom> {
+    pub(crate) fn finish(mut self, body: Bytes) -> Result<Bytes, NoRoom> {
         if self.is_closing() {
             return Err(NoRoom);
         }
         let mut lease = self.memory.empty_lease();
         lease.set(body.len());
         self.lease.set(0);
-        Ok(lease.attach(body.into()))
+        Ok(lease.attach(body))
     }
 
     fn is_closing(&self) -> bool {
