Long heads, and input read ahead, count as memory

What callers saw: a crowd whose heads stop short ended its process, or could, where the table allows long heads: 142 MiB of 96 with heads of 128 KiB.

Cause: the sum of a connection was not what it may take. It was taken as 16 KiB, but a head up to the table's limit was held in a buffer that doubles, 16 KiB were read ahead, bodies up to 8 KiB were not counted, and the parsed fields, the task and unread input were left out.

Change: a head of more than 2 KiB counts like a body, fourfold for its copies, until its request ends; until it is complete it can be displaced. Read ahead are 4 KiB, and bodies count from 4 KiB on.

--- a/cassiashunt/tests/site_hostile_many.rs
+++ b/cassiashunt/tests/site_hostile_many.rs
@@ -270,6 +270,23 @@
     stage.check(&[crowd]);
 }
 
+#[test]
+fn heads_up_to_a_larger_limit_on_all_connections_stay_within_the_memory() {
+    const LARGER_HEADER_BYTES: usize = 128 * 1024;
+    let stage = Stage::new("many-larger-heads");
+    let mut table = table(2, &[WORKSPACE_KEY], 0);
+    for (field, value) in [
+        ("header_bytes", LARGER_HEADER_BYTES),
+        ("header_timeout_ms", 60_000),
+    ] {
+        set_field(&mut table, "limits", field, value as u64);
+    }
+    stage.site.put_table_in_force(&table);
+    let mut crowd = stage.crowd();
+    crowd.send(&unfinished_head(LARGER_HEADER_BYTES - 1), usize::MAX);
+    stage.check(&[crowd]);
+}
+
 #[test]
 fn a_crowd_whose_input_comes_while_the_process_stands_still_stays_within_the_memory() {
     let stage = Stage::new("many-stall");
--- a/crates/sidecar/src/clients.rs
+++ b/crates/sidecar/src/clients.rs
@@ -8,10 +8,11 @@
 
 use tokio::sync::Notify;
 
-use crate::metrics;
+use crate::{http::MIN_UNREAD_BYTES, metrics};
 
-/// The memory that a connection may take beside bodies: a head of the usual limit, or what is read ahead.
-const CONNECTION_BYTES: usize = 16 * 1024;
+/// The memory that a connection may take beside what is counted: its task and parsed fields, the read buffer
+/// (a head or body that is too short to be counted, and as much read ahead), and unread input.
+const CONNECTION_BYTES: usize = 8 * 1024 + 8 * 1024 + MIN_UNREAD_BYTES;
 /// Connections that are being closed may exceed the maximum by this fraction.
 const CLOSING_DIVISOR: usize = 8;
 
@@ -45,11 +46,13 @@
 }
 
 impl Clients {
-    /// At most two thirds of the process's descriptors, and no more than fit a third of its memory.
+    /// At most two thirds of the process's descriptors, and no more than fit a third of its memory together
+    /// with those that are being closed.
     pub(crate) fn new(max_fds: usize, memory_bytes: usize) -> Self {
+        let fitting = memory_bytes / 3 / CONNECTION_BYTES;
         Self {
             open: Cell::new(0),
-            max: (max_fds / 3 * 2).min(memory_bytes / 3 / CONNECTION_BYTES),
+            max: (max_fds / 3 * 2).min(fitting - fitting / (CLOSING_DIVISOR + 1)),
             closable: RefCell::default(),
             last_key: Cell::new(0),
         }
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -12,11 +12,19 @@
     Framing, RequestHead, ResponseHead, body_buffer::BodyBuffer, buffer_limit::BufferLimit,
     head::Malformed, receive_window::ReceiveWindow,
 };
+use crate::memory::Account;
 
 /// Buffer space reserved for one read.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
-/// Bodies up to this length are read within the read buffer, and sent in one write with their head.
+/// Bodies up to this length are sent in one write with their head.
 const SMALL_BODY_BYTES: usize = 8 * 1024;
+/// Heads of requests up to this length are read without being counted.
+const SMALL_HEAD_BYTES: usize = 2 * 1024;
+/// Bodies up to this length are read within the read buffer.
+const READ_BODY_BYTES: usize = 4 * 1024;
+/// The memory for each byte of a long head: the read buffer, which grows by doubling, and the copies of the
+/// parsed fields.
+const HEAD_COPIES: usize = 4;
 /// Maximum length of a response's head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of empty lines that are skipped before a message.
@@ -24,7 +32,7 @@
 /// Maximum length of a chunk-size or trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Maximum number of bytes of pipelined requests that are read while one is being answered.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = 4 * 1024;
 /// How long to wait for the peer to close the connection after the last answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same after an idle time: only a message that crosses the close can follow.
@@ -141,6 +149,38 @@
         Ok(())
     }
 
+    /// Reads the head of a request that is small; `None` for others, which are to be read with
+    /// [`Connection::read_long_request_head`].
+    pub(crate) async fn read_small_request_head(
+        &mut self,
+        max: usize,
+    ) -> Result<Option<RequestHead>, ReadError> {
+        let small = max.min(SMALL_HEAD_BYTES);
+        match self.read_request_head(small).await {
+            Err(ReadError::HeadTooLong) if small < max => Ok(None),
+            read => read.map(Some),
+        }
+    }
+
+    /// Reads the head of a request, which counts in an account. Returns the bytes that it counts for.
+    pub(crate) async fn read_long_request_head(
+        &mut self,
+        max: usize,
+        account: &mut Account,
+    ) -> Result<(RequestHead, usize), ReadError> {
+        let mut allowed = SMALL_HEAD_BYTES;
+        loop {
+            allowed = max.min(2 * allowed);
+            let held = HEAD_COPIES * allowed;
+            let counted = account.set_held(held);
+            counted.map_err(|_| ReadError::BufferLimitReached)?;
+            match self.read_request_head(allowed).await {
+                Err(ReadError::HeadTooLong) if allowed < max => {}
+                read => return read.map(|head| (head, held)),
+            }
+        }
+    }
+
     /// Reads the head of a request.
     pub(crate) async fn read_request_head(&mut self, max: usize) -> Result<RequestHead, ReadError> {
         let end = self.head_end(max).await?;
@@ -189,7 +229,7 @@
         let Framing::Length(length) = framing else {
             return Ok(None);
         };
-        if length > SMALL_BODY_BYTES {
+        if length > READ_BODY_BYTES {
             return Ok(None);
         }
         while self.buf.len() < length {
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -24,7 +24,7 @@
     clients::{Client, Phase},
     clock,
     http::{BufferLimit, Connection, Framing, MIN_UNREAD_BYTES, ReadError, RequestHead, has_token},
-    memory::{MIN_COUNTED_BYTES, Part},
+    memory::{Lease, MIN_COUNTED_BYTES, Part},
     node::Node,
 };
 
@@ -89,7 +89,12 @@
             () = node.giving_up.cancelled() => Err(Some(refuse_incomplete(&node))),
         };
         let (reply, is_head) = match read {
-            Ok((head, body)) => {
+            Ok(read) => {
+                let ReadRequest {
+                    head,
+                    body,
+                    _held_head,
+                } = read;
                 let unread = connection.narrow();
                 // What waits behind a long body can't be refused any more.
                 let _unread = (unread > MIN_UNREAD_BYTES).then(|| node.memory.count(unread));
@@ -220,6 +225,14 @@
     Reply { closes, ..reply }
 }
 
+/// A complete request.
+struct ReadRequest {
+    head: RequestHead,
+    body: Bytes,
+    /// The memory of a long head, which stays counted until the request is answered.
+    _held_head: Option<Lease>,
+}
+
 /// Reads one complete request. On failure, returns the error reply to send, or `None` if the client
 /// has disconnected.
 async fn read_request(
@@ -227,14 +240,12 @@
     connection: &mut Connection,
     limits: ClientLimits,
     close: &Rc<Notify>,
-) -> Result<(RequestHead, Bytes), Option<Reply>> {
+) -> Result<ReadRequest, Option<Reply>> {
     let _reading = node.clients.enter(Phase::Reading, close);
-    let head = timeout(
-        limits.header_timeout,
-        connection.read_request_head(limits.header_bytes),
-    );
-    let head = head.await.map_err(|_| Some(Reply::closing(408)))?;
-    let head = head.map_err(|err| reply_to(node, &err))?;
+    let head = read_head(node, connection, limits.header_bytes, close);
+    let head = timeout(limits.header_timeout, head).await;
+    let head = head.map_err(|_| Some(Reply::closing(408)))?;
+    let (head, _held_head) = head.map_err(|err| reply_to(node, &err))?;
     if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes) {
         return Err(Some(Reply::closing(413)));
     }
@@ -246,7 +257,28 @@
     let body = timeout(limits.idle_timeout, body).await;
     let body = body.map_err(|_| Some(Reply::closing(408)))?;
     let body = body.map_err(|err| reply_to(node, &err))?;
-    Ok((head, body))
+    Ok(ReadRequest {
+        head,
+        body,
+        _held_head,
+    })
+}
+
+/// Reads a head. A long one counts until the request ends, and can be dropped until it is complete.
+async fn read_head(
+    node: &Node,
+    connection: &mut Connection,
+    max: usize,
+    close: &Rc<Notify>,
+) -> Result<(RequestHead, Option<Lease>), ReadError> {
+    if let Some(head) = connection.read_small_request_head(max).await? {
+        return Ok((head, None));
+    }
+    let mut account = node.memory.account(Part::Request, close);
+    let (head, held) = connection.read_long_request_head(max, &mut account).await?;
+    let lease = account.keep(held);
+    let lease = lease.map_err(|_| ReadError::BufferLimitReached)?;
+    Ok((head, Some(lease)))
 }
 
 /// Reads a body. A long one counts as long as it is used, and can be dropped until it is complete.
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -28,7 +28,7 @@
 /// all sockets may have input at once, before the first of them has closed.
 const CLOSING_DIVISOR: usize = 16;
 /// Bodies up to this length are not counted: connections are few enough for them.
-pub(crate) const MIN_COUNTED_BYTES: usize = 8 * 1024;
+pub(crate) const MIN_COUNTED_BYTES: usize = 4 * 1024;
 
 /// Which end of a body's way a connection is closed at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -280,14 +280,20 @@
     }
 
     /// The complete body, which can't be dropped any more.
-    pub(crate) fn finish(mut self, body: Bytes) -> Result<Bytes, NoRoom> {
+    pub(crate) fn finish(self, body: Bytes) -> Result<Bytes, NoRoom> {
+        let lease = self.keep(body.len())?;
+        Ok(lease.attach(body))
+    }
+
+    /// Counts `bytes` from now on, which can't be dropped any more.
+    pub(crate) fn keep(mut self, bytes: usize) -> Result<Lease, NoRoom> {
         if self.is_closing() {
             return Err(NoRoom);
         }
         let mut lease = self.memory.empty_lease();
-        lease.set(body.len());
+        lease.set(bytes);
         self.lease.set(0);
-        Ok(lease.attach(body))
+        Ok(lease)
     }
 
     fn is_closing(&self) -> bool {
