Answers that are read count as memory, and wait for what is closed for them

What callers saw: clients that do not read their answers, on many connections, ended a node's process, or could: 138 MiB of 96.

Cause: an answer was counted once it was complete, whether there was room or not, on top of up to 24 MiB that were being read. Frames and answers also went on while connections that were closed for them still held their memory: up to 48 MiB at once (a trial with a log of what was held).

Change: an answer counts while it is read, may exceed the memory for bodies by an eighth, so that complete requests do not shut it out, and closes stalled readers. Frames and answers wait until closed connections have let go, as bodies do.

--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -2,8 +2,10 @@
 
 use std::cell::Cell;
 
+use bytes::Bytes;
+
 use super::ReadError;
-use crate::memory::Account;
+use crate::memory::{Account, BodyMemory, Lease};
 
 /// Bodies up to this length may use the reserve beyond the shared limit, so that a few long ones don't
 /// block all others.
@@ -27,14 +29,12 @@
         }
     }
 
-    /// The limit for one body of at most `max` bytes, which counts against the shared limit.
-    pub(crate) fn for_body(&self, max: usize) -> BufferLimit<'_> {
-        BufferLimit {
-            shared: Some(self),
-            account: None,
-            held: 0,
-            max,
-        }
+    /// The limit for one body of at most `max` bytes, which counts against the shared limit and in `memory`.
+    pub(crate) fn for_body<'a>(&'a self, max: usize, memory: &'a BodyMemory) -> BufferLimit<'a> {
+        let mut limit = BufferLimit::unshared(max);
+        limit.shared = Some(self);
+        limit.lease = Some((memory, memory.count(0)));
+        limit
     }
 }
 
@@ -43,6 +43,8 @@
 pub(crate) struct BufferLimit<'a> {
     shared: Option<&'a SharedBufferLimit>,
     account: Option<&'a mut Account>,
+    /// The memory that the body counts in, and its part of it.
+    lease: Option<(&'a BodyMemory, Lease)>,
     held: usize,
     max: usize,
 }
@@ -53,6 +55,7 @@
         Self {
             shared: None,
             account: None,
+            lease: None,
             held: 0,
             max,
         }
@@ -60,10 +63,9 @@
 
     /// The limit for one body of at most `max` bytes, which counts in an account.
     pub(crate) fn in_account(max: usize, account: &'a mut Account) -> Self {
-        Self {
-            account: Some(account),
-            ..Self::unshared(max)
-        }
+        let mut limit = Self::unshared(max);
+        limit.account = Some(account);
+        limit
     }
 
     /// The maximum length of the body.
@@ -81,7 +83,9 @@
     /// Waits while connections that were told to close still hold much of the memory.
     pub(crate) async fn wait_for_closing(&self) {
         if let Some(account) = &self.account {
-            account.wait_for_closing().await;
+            account.memory().wait_for_closing().await;
+        } else if let Some((memory, _)) = &self.lease {
+            memory.wait_for_closing().await;
         }
     }
 
@@ -102,6 +106,10 @@
             let counted = account.set_held(length + unread);
             counted.map_err(|_| ReadError::BufferLimitReached)?;
         }
+        if let Some((memory, lease)) = &mut self.lease {
+            let grown = memory.grow_answer(lease, length);
+            grown.map_err(|_| ReadError::BufferLimitReached)?;
+        }
         let Some(shared) = self.shared else {
             return Ok(());
         };
@@ -118,6 +126,14 @@
         self.held = self.held.max(length);
         Ok(())
     }
+
+    /// The complete body, which stays counted until its last copy is dropped.
+    pub(crate) fn keep(mut self, body: Bytes) -> Bytes {
+        match self.lease.take().filter(|_| self.held > 0) {
+            Some((_, lease)) => lease.attach(body),
+            None => body,
+        }
+    }
 }
 
 impl Drop for BufferLimit<'_> {
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -214,10 +214,11 @@
         framing: Framing,
         mut limit: BufferLimit<'_>,
     ) -> Result<Bytes, ReadError> {
-        Ok(match self.read_small_body(framing).await? {
-            Some(body) => body,
-            None => self.read_long_body(framing, &mut limit).await?,
-        })
+        if let Some(body) = self.read_small_body(framing).await? {
+            return Ok(body);
+        }
+        let body = self.read_long_body(framing, &mut limit).await?;
+        Ok(limit.keep(body))
     }
 
     /// Reads a complete body that is known to be small; `None` for others, which are to be read with
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -22,6 +22,8 @@
 const RESERVE_DIVISOR: usize = 8;
 /// A body makes progress with each further piece of this length: one that trickles in makes none.
 const PROGRESS_BYTES: usize = 64 * 1024;
+/// Answers may exceed the maximum by this fraction, so that one can be read where complete requests hold all.
+const ANSWERS_DIVISOR: usize = 8;
 /// The time between two looks for room.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Bodies grow only while connections that are being closed hold less than this fraction of the memory:
@@ -147,9 +149,27 @@
         lease
     }
 
+    /// Counts `bytes` in all for an answer that is being read, for which stalled connections are closed where
+    /// necessary.
+    pub(crate) fn grow_answer(&self, lease: &mut Lease, bytes: usize) -> Result<(), NoRoom> {
+        let more = bytes.saturating_sub(lease.bytes);
+        let max = self.max + self.max / ANSWERS_DIVISOR;
+        self.make_room_within(max, more, bytes, None)?;
+        lease.set(bytes);
+        Ok(())
+    }
+
+    /// Waits while connections that were told to close still hold much of the memory.
+    pub(crate) async fn wait_for_closing(&self) {
+        while self.closing.get() > self.max / CLOSING_DIVISOR {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Like [`BodyMemory::lease`]; waits until there is room.
     pub(crate) async fn wait_for(&self, bytes: usize) -> Lease {
         loop {
+            self.wait_for_closing().await;
             match self.lease(bytes) {
                 Ok(lease) => return lease,
                 Err(NoRoom) => tokio::time::sleep(ROOM_POLL_INTERVAL).await,
@@ -187,12 +207,23 @@
     /// Closes the connections that have been without progress longest until `more` bytes fit, which
     /// belong to a body of `length`.
     fn make_room(&self, more: usize, length: usize, own: Option<u64>) -> Result<(), NoRoom> {
-        let is_long = length > SHORT_BODY_BYTES;
-        let max = if is_long {
+        let max = if length > SHORT_BODY_BYTES {
             self.max - self.max / RESERVE_DIVISOR
         } else {
             self.max
         };
+        self.make_room_within(max, more, length, own)
+    }
+
+    /// The same, with all bodies taking at most `max` bytes.
+    fn make_room_within(
+        &self,
+        max: usize,
+        more: usize,
+        length: usize,
+        own: Option<u64>,
+    ) -> Result<(), NoRoom> {
+        let is_long = length > SHORT_BODY_BYTES;
         let held = self.held().saturating_sub(self.closing.get());
         let needed = (held + more).saturating_sub(max);
         let mut freed = 0;
@@ -245,11 +276,9 @@
 }
 
 impl Account {
-    /// Waits while connections that were told to close still hold much of the memory.
-    pub(crate) async fn wait_for_closing(&self) {
-        while self.memory.closing.get() > self.memory.max / CLOSING_DIVISOR {
-            tokio::task::yield_now().await;
-        }
+    /// The memory that it counts in.
+    pub(crate) fn memory(&self) -> &BodyMemory {
+        &self.memory
     }
 
     /// Counts `bytes` for the body.
--- a/crates/sidecar/src/owner/exchange.rs
+++ b/crates/sidecar/src/owner/exchange.rs
@@ -13,7 +13,7 @@
 use crate::{
     http::{Connection, Framing, OutgoingMessage, ReadError, ResponseHead, forwardable, header},
     link::{Answer, Field, WorkRequest},
-    memory::{BodyMemory, MIN_COUNTED_BYTES},
+    memory::BodyMemory,
 };
 
 /// Maximum body of an answer. It is buffered completely, so that a truncated answer is never passed
@@ -105,51 +105,39 @@
         if !is_stale {
             check_refusal(&head, &response_headers, has_id)?;
             let is_sent = written == message.len();
-            let answer = finish(pool, connection, head, &response_headers, is_sent).await?;
-            return Ok(count(memory, answer));
+            return finish(pool, memory, connection, head, &response_headers, is_sent).await;
         }
         if head.framing == Framing::UntilClose {
             return Err(Failure::InvalidAnswer("answer to another request"));
         }
-        read_body(pool, &mut connection, head.framing).await?;
+        read_body(pool, memory, &mut connection, head.framing).await?;
     }
     Err(Failure::InvalidAnswer(
         "too many interim answers or answers to other requests",
     ))
 }
 
-/// Counts a complete answer, which may wait for a slow reader. It is delivered whether there is room or
-/// not: it is held already, and what is read of the server at once is bounded.
-fn count(memory: &BodyMemory, answer: Answer) -> Answer {
-    if answer.body.len() <= MIN_COUNTED_BYTES {
-        return answer;
-    }
-    let lease = memory.count(answer.body.len());
-    Answer {
-        body: lease.attach(answer.body),
-        ..answer
-    }
-}
-
 async fn read_body(
     pool: &Pool,
+    memory: &BodyMemory,
     connection: &mut Connection,
     framing: Framing,
 ) -> Result<Bytes, Failure> {
-    let buffer_limit = pool.buffer_limit(MAX_ANSWER_BYTES);
+    let buffer_limit = pool.buffer_limit(MAX_ANSWER_BYTES, memory);
     let body = connection.read_body_within(framing, buffer_limit).await;
     body.map_err(Failure::Lost)
 }
 
 async fn finish(
     pool: &Pool,
+    memory: &BodyMemory,
     mut connection: Connection,
     head: ResponseHead,
     response_headers: &ResponseHeaders,
     is_sent: bool,
 ) -> Result<Answer, Failure> {
     check_head(&head, response_headers)?;
-    let body = read_body(pool, &mut connection, head.framing).await?;
+    let body = read_body(pool, memory, &mut connection, head.framing).await?;
     let is_reusable = head.keep_alive && is_sent && !connection.has_leftover();
     if is_reusable {
         pool.put(crate::clock::now(), connection, &head);
--- a/crates/sidecar/src/owner/pool.rs
+++ b/crates/sidecar/src/owner/pool.rs
@@ -5,7 +5,10 @@
 use cassiashunt_types::prelude::*;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::http::{BufferLimit, Connection, ResponseHead, SharedBufferLimit, header};
+use crate::{
+    http::{BufferLimit, Connection, ResponseHead, SharedBufferLimit, header},
+    memory::BodyMemory,
+};
 
 /// Timeout for connecting to the server, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -65,8 +68,12 @@
     }
 
     /// The buffer limit for one answer of at most `max` bytes.
-    pub(crate) fn buffer_limit(&self, max: usize) -> BufferLimit<'_> {
-        self.buffer_limit.for_body(max)
+    pub(crate) fn buffer_limit<'a>(
+        &'a self,
+        max: usize,
+        memory: &'a BodyMemory,
+    ) -> BufferLimit<'a> {
+        self.buffer_limit.for_body(max, memory)
     }
 
     /// Drops the connections that have been idle too long or on which unexpected bytes have
