Unread input of links, of the server and of all listeners is bounded

Cause: where a node waits for room it leaves its links unread, and their receive buffers were left to the kernel, which lets each grow to megabytes. The same holds for connections to the server, and to the ready, heartbeat and metrics listeners.

Change: links have a receive buffer of 64 KiB, connections to the server of 32 KiB; the kernel takes in twice as much. All other listeners begin with 4 KiB, as for clients.

--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    /// A connection of a client, whose listener has the receive buffer of [`ReceiveWindow::LISTENER_BYTES`].
+    /// A connection of a client, whose listener has the receive buffer of [`super::CLIENT_RECEIVE_BYTES`].
     pub(crate) fn from_client(stream: TcpStream) -> Self {
         Self {
             window: Some(ReceiveWindow::default()),
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) use buffer_limit::{BufferLimit, SharedBufferLimit};
 pub(crate) use connection::{Connection, OutgoingMessage, ReadError};
 pub(crate) use head::{Framing, RequestHead, ResponseHead, forwardable, has_token, header};
-pub(crate) use receive_window::{MIN_UNREAD_BYTES, ReceiveWindow};
+pub(crate) use receive_window::{CLIENT_RECEIVE_BYTES, MIN_UNREAD_BYTES};
 
 /// The reason phrase of a status line.
 pub(crate) fn reason_phrase(status: u16) -> &'static str {
--- a/crates/sidecar/src/http/receive_window.rs
+++ b/crates/sidecar/src/http/receive_window.rs
@@ -11,10 +11,13 @@
 /// The kernel doubles the size that is asked for, and takes in no more than that.
 const KERNEL_FACTOR: usize = 2;
 
+/// The receive buffer of a listener whose connections begin with [`MIN_UNREAD_BYTES`].
+pub(crate) const CLIENT_RECEIVE_BYTES: u32 = (MIN_UNREAD_BYTES / KERNEL_FACTOR) as u32;
+
 /// The receive buffer of one connection. It grows with the part of a body that has arrived, as TCP's own
 /// window does, so that a client that sends nothing takes nothing.
 #[derive(Debug)]
-pub(crate) struct ReceiveWindow {
+pub(super) struct ReceiveWindow {
     unread: usize,
 }
 
@@ -27,9 +30,6 @@
 }
 
 impl ReceiveWindow {
-    /// The receive buffer of a listener whose connections begin with [`MIN_UNREAD_BYTES`].
-    pub(crate) const LISTENER_BYTES: usize = MIN_UNREAD_BYTES / KERNEL_FACTOR;
-
     /// Lets the kernel take in as many bytes as the body has already, up to `max`.
     pub(super) fn widen(&mut self, stream: &TcpStream, read: usize, max: usize) {
         let wanted = read.min(max).min(MAX_UNREAD_BYTES);
--- a/crates/sidecar/src/link/mod.rs
+++ b/crates/sidecar/src/link/mod.rs
@@ -17,4 +17,5 @@
     Outcome, Proof, RunUse, ServiceUses, StorePosition, SumRow, Table, TriesEntry, Up, UsesRow,
     WorkRequest,
 };
+pub(crate) use socket::RECEIVE_BYTES as LINK_RECEIVE_BYTES;
 pub(crate) use socket::Sender;
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -8,7 +8,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{
-        TcpStream,
+        TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::mpsc,
@@ -33,6 +33,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long sent bytes may stay unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The receive buffer of a link. The kernel takes in twice as much at most, which the platform counts as the
+/// process's memory; covers 200 Mbit/s at a round trip of 5 ms.
+pub(crate) const RECEIVE_BYTES: u32 = 64 * 1024;
 /// The most frames that may wait to be written.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 /// No further frames are added to a write of this size.
@@ -57,7 +60,9 @@
 
 /// Opens a connection to a peer.
 pub(crate) async fn connect(peer: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+    let stream = timeout(CONNECT_TIMEOUT, socket.connect(peer)).await;
     let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     prepare(&stream)?;
     Ok(stream)
--- a/crates/sidecar/src/owner/pool.rs
+++ b/crates/sidecar/src/owner/pool.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, io, net::SocketAddr};
 
 use cassiashunt_types::prelude::*;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpSocket, time::timeout};
 
 use crate::{
     http::{BufferLimit, Connection, ResponseHead, SharedBufferLimit, header},
@@ -12,6 +12,9 @@
 
 /// Timeout for connecting to the server, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The receive buffer of a connection to the server, which is on the same machine. The kernel takes in twice as
+/// much at most, which the platform counts as the process's memory.
+const RECEIVE_BYTES: u32 = 32 * 1024;
 /// Idle timeout of the server if it announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of the server's idle timeout for which a connection is reused, so that a request is not
@@ -91,7 +94,9 @@
 
 /// Opens a connection to the server.
 pub(crate) async fn connect(server: SocketAddr) -> io::Result<Connection> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(server)).await;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+    let stream = timeout(CONNECT_TIMEOUT, socket.connect(server)).await;
     let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     Ok(Connection::new(stream))
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     endpoints::{self, Endpoint},
-    http::ReceiveWindow,
+    http::CLIENT_RECEIVE_BYTES,
     ingress::accept_clients,
-    link::accept_peers,
+    link::{LINK_RECEIVE_BYTES, accept_peers},
     logs, metrics,
     node::Node,
     peer_links,
@@ -83,10 +83,10 @@
     let addresses = settings.addresses.clone();
     let store = Rc::new(StoreClient::new(settings.store.address));
     let node = Rc::new(Node::new(settings, Rc::clone(&store)));
-    let requests = listen_small(addresses.requests).await?;
-    let peers = listen(addresses.peers).await?;
-    let ready = listen(addresses.ready).await?;
-    let heartbeats = listen(addresses.heartbeats).await?;
+    let requests = listen(addresses.requests, CLIENT_RECEIVE_BYTES).await?;
+    let peers = listen(addresses.peers, LINK_RECEIVE_BYTES).await?;
+    let ready = listen(addresses.ready, CLIENT_RECEIVE_BYTES).await?;
+    let heartbeats = listen(addresses.heartbeats, CLIENT_RECEIVE_BYTES).await?;
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     let tasks: Vec<std::pin::Pin<Box<dyn Future<Output = ()>>>> = vec![
         Box::pin(accept_clients(Rc::clone(&node), requests)),
@@ -122,7 +122,7 @@
     node.owner.identify(&node);
     spawn(Box::pin(keep_metrics(metrics_handle.clone())));
     if let Some(address) = addresses.metrics {
-        let listener = listen(address).await?;
+        let listener = listen(address, CLIENT_RECEIVE_BYTES).await?;
         spawn(Box::pin(endpoints::serve_metrics(
             Rc::clone(&node),
             listener,
@@ -133,18 +133,10 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
-    listen_on(TcpSocket::new_v4()?, address)
-}
-
-/// Listens for connections whose receive buffers begin small, also those that wait to be accepted.
-async fn listen_small(address: SocketAddr) -> eyre::Result<TcpListener> {
+/// Listens for connections that begin with this receive buffer, also while they wait to be accepted.
+async fn listen(address: SocketAddr, receive_bytes: u32) -> eyre::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
-    socket.set_recv_buffer_size(u32::try_from(ReceiveWindow::LISTENER_BYTES)?)?;
-    listen_on(socket, address)
-}
-
-fn listen_on(socket: TcpSocket, address: SocketAddr) -> eyre::Result<TcpListener> {
+    socket.set_recv_buffer_size(receive_bytes)?;
     socket.set_reuseaddr(true)?;
     let bound = socket
         .bind(address)
