The ready and the heartbeat listener take 64 connections each

What callers saw: connections to a node's other listeners used up its descriptors, after which it took no client: 3,422 of 2,460 with two crowds of 1,700, and 81 MiB of 96.

Cause: their connections were not bounded in number, and each could hold a call of 32 KiB for 15 s.

Change: each listener takes 64, more than the platform and the backend server need; the one that has been open longest makes room for a new one.

--- a/crates/sidecar/src/clients.rs
+++ b/crates/sidecar/src/clients.rs
@@ -50,9 +50,15 @@
     /// with those that are being closed.
     pub(crate) fn new(max_fds: usize, memory_bytes: usize) -> Self {
         let fitting = memory_bytes / 3 / CONNECTION_BYTES;
+        let fitting = fitting - fitting / (CLOSING_DIVISOR + 1);
+        Self::with_max((max_fds / 3 * 2).min(fitting))
+    }
+
+    /// At most `max` connections.
+    pub(crate) fn with_max(max: usize) -> Self {
         Self {
             open: Cell::new(0),
-            max: (max_fds / 3 * 2).min(fitting - fitting / (CLOSING_DIVISOR + 1)),
+            max,
             closable: RefCell::default(),
             last_key: Cell::new(0),
         }
--- a/crates/sidecar/src/endpoints.rs
+++ b/crates/sidecar/src/endpoints.rs
@@ -8,11 +8,13 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::Notify,
     time::timeout,
 };
 
 use crate::{
     accept::accept,
+    clients::{Clients, Phase},
     explain::{self, Query},
     http::{Connection, ReadError, RequestHead, reason_phrase},
     metrics,
@@ -23,6 +25,9 @@
 const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// How long a connection may be idle or a call incomplete.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The most connections of one listener; the platform and the backend server need few.
+const MAX_CONNECTIONS: usize = 64;
+
 /// What a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Endpoint {
@@ -32,9 +37,24 @@
 
 /// Accepts connections and serves one endpoint on them.
 pub(crate) async fn serve_endpoint(node: Rc<Node>, listener: TcpListener, endpoint: Endpoint) {
+    let clients = Rc::new(Clients::with_max(MAX_CONNECTIONS));
     loop {
         let stream = accept(&listener).await;
-        tokio::task::spawn_local(serve(Rc::clone(&node), stream, endpoint));
+        let Some(client) = clients.admit() else {
+            continue;
+        };
+        let (node, close) = (Rc::clone(&node), Rc::<Notify>::default());
+        // The one that has been open longest makes room.
+        let open = clients.enter(Phase::Idle, &close);
+        tokio::task::spawn_local(async move {
+            let _place = (client, open);
+            tokio::select! {
+                () = serve(node, stream, endpoint) => {}
+                () = close.notified() => {}
+            }
+        });
+        // Lets a connection close that made room for this one.
+        tokio::task::yield_now().await;
     }
 }
 
