Own interface: answers are collected in memory that goes back at once

Cause: an answer grew in a heap buffer by doubling, in the heap of its connection's thread; its freed memory stayed resident there, and freeing one raised the size up to which each heap keeps memory. Up to 64 pieces of 64 KiB waited for each call.

Change: answers over 64 KiB are collected in a mapping that is resident as far as it is filled; complete bodies of requests are joined in one. The space that the platform's node reads bodies into is a crate of its own for that. Eight pieces wait for a call.

--- a/crates/http/src/parts.rs
+++ b/crates/http/src/parts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cassiashunt_space::Space;
 
 use crate::{
     ReadError,
@@ -73,13 +74,13 @@
         if !share.hold(2 * length) {
             return Err(ReadError::NoRoom);
         }
-        let mut body = Vec::with_capacity(length);
+        let mut body = Space::with_capacity(length).map_err(|_| ReadError::NoRoom)?;
         for part in &self.full {
-            body.extend_from_slice(part);
+            body.extend(part);
         }
-        body.extend_from_slice(&self.last);
+        body.extend(&self.last);
         drop(self);
-        share.keep(body.into()).ok_or(ReadError::NoRoom)
+        share.keep(body.into_bytes()).ok_or(ReadError::NoRoom)
     }
 }
 
--- a/crates/node/src/ingress/collect.rs
+++ b/crates/node/src/ingress/collect.rs
@@ -2,19 +2,25 @@
 //!
 //! The caller thus gets a whole answer or a clean failure, and a slow caller holds up nobody.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
-use bytes::BytesMut;
+use bytes::Bytes;
 use cassiashunt_ring::{PopError, Ring};
+use cassiashunt_space::Space;
 use cassiashunt_timer::Clock;
 use cassiashunt_types::prelude::*;
 use cassiashunt_wire::{Body, End, Head};
 
 use crate::{link::Call, owner::Reply};
 
+/// Answers up to this length are collected in the heap.
+const SHORT_ANSWER_BYTES: usize = 64 * 1024;
 /// How often a waiting thread looks whether the answer is still wanted.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -83,7 +89,7 @@
 #[derive(Debug)]
 pub(super) struct Whole {
     pub head: Head,
-    pub body: BytesMut,
+    pub body: Bytes,
     pub end: End,
 }
 
@@ -135,10 +141,56 @@
     pub most: usize,
 }
 
+/// The bytes of an answer so far.
+#[derive(Debug)]
+enum Collected {
+    Short(Vec<u8>),
+    Long(Space),
+}
+
+impl Default for Collected {
+    fn default() -> Self {
+        Self::Short(Vec::new())
+    }
+}
+
+impl Collected {
+    fn len(&self) -> usize {
+        match self {
+            Self::Short(bytes) => bytes.len(),
+            Self::Long(space) => space.len(),
+        }
+    }
+
+    /// Appends bytes; a long answer is resident only as far as it is filled, up to `most` bytes.
+    fn extend(&mut self, bytes: &[u8], most: usize) -> io::Result<()> {
+        match self {
+            Self::Short(short) if short.len() + bytes.len() <= SHORT_ANSWER_BYTES => {
+                short.extend_from_slice(bytes);
+            }
+            Self::Short(short) => {
+                let mut space = Space::with_capacity(most)?;
+                space.extend(short);
+                space.extend(bytes);
+                *self = Self::Long(space);
+            }
+            Self::Long(space) => space.extend(bytes),
+        }
+        Ok(())
+    }
+
+    fn into_bytes(self) -> Bytes {
+        match self {
+            Self::Short(bytes) => bytes.into(),
+            Self::Long(space) => space.into_bytes(),
+        }
+    }
+}
+
 /// Collects the answer that comes out of `source`.
 pub(super) fn whole(source: &mut Source, patience: &Patience<'_>) -> Result<Whole, Failure> {
     let mut head = None;
-    let mut body = BytesMut::new();
+    let mut body = Collected::default();
     let mut part = Part {
         held: patience.held,
         bytes: 0,
@@ -151,11 +203,12 @@
                 if !fits || !part.grow(chunk.data.len()) {
                     return Err(Failure::lost(Refusal::may_have_run(Reason::Full)));
                 }
-                body.extend_from_slice(&chunk.data);
+                body.extend(&chunk.data, patience.most)
+                    .map_err(|_| Failure::lost(Refusal::may_have_run(Reason::Full)))?;
             }
             Body::End(end) => {
                 source.finish();
-                return assemble(head, body, end);
+                return assemble(head, body.into_bytes(), end);
             }
             Body::Refused(refused) => {
                 source.finish();
@@ -173,7 +226,7 @@
 }
 
 /// An answer is whole only when its parts add up.
-fn assemble(head: Option<Head>, body: BytesMut, end: End) -> Result<Whole, Failure> {
+fn assemble(head: Option<Head>, body: Bytes, end: End) -> Result<Whole, Failure> {
     match head {
         Some(head) if body.len() as u64 == end.body_len => Ok(Whole { head, body, end }),
         _ => Err(Failure::lost(Refusal::may_have_run(Reason::Lost))),
--- a/crates/node/src/ingress/forward.rs
+++ b/crates/node/src/ingress/forward.rs
@@ -20,13 +20,12 @@
 use crate::{
     fleet::{Chosen, Pool},
     headers,
+    link::ANSWER_PIECES,
     owner::{Reply, nobody},
     shared::Shared,
     ticket::Parent,
 };
 
-/// Pieces of a local answer that may wait for their reader.
-const LOCAL_PIECES: usize = 64;
 /// How much earlier the owner's deadline is, so that its honest refusal arrives in time.
 const HOP_MARGIN: Duration = Duration::from_millis(2);
 
@@ -179,7 +178,7 @@
             .owner
             .get()
             .ok_or(Refusal::not_run(Reason::NoServer))?;
-        let ring = Ring::new(LOCAL_PIECES);
+        let ring = Ring::new(ANSWER_PIECES);
         let reply = Arc::new(Reply::local(ring.clone()));
         owner.start(begin, self.plan.body.clone(), &reply);
         Ok(Source::Local { ring, reply })
@@ -367,6 +366,6 @@
             answer.headers.push(line.name, line.value);
         }
     }
-    answer.body = whole.body.freeze();
+    answer.body = whole.body;
     answer
 }
--- a/crates/node/src/link/dialer.rs
+++ b/crates/node/src/link/dialer.rs
@@ -21,8 +21,8 @@
     stream::{Path, Queued, Reader, Writer},
 };
 
-/// Pieces of one answer that may wait for their reader.
-const ANSWER_PIECES: usize = 64;
+/// Pieces of one answer that may wait for their reader: 512 KiB.
+pub(crate) const ANSWER_PIECES: usize = 8;
 /// How long one answer may hold up the others of its connection.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
 /// Bytes of a body in one frame.
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -10,7 +10,7 @@
 mod stream;
 mod submit;
 
-pub(crate) use dialer::{CHUNK_BYTES, Call, Link, chunks};
+pub(crate) use dialer::{ANSWER_PIECES, CHUNK_BYTES, Call, Link, chunks};
 pub(crate) use listener::{Acceptor, Options as AcceptorOptions};
 pub(crate) use pool::{Links, Options, Peer};
 pub(crate) use stream::{Path, Queued};
--- a/crates/sidecar/src/http/body_buffer.rs
+++ b/crates/sidecar/src/http/body_buffer.rs
@@ -1,9 +1,9 @@
 //! The buffer of a body that is being read.
 
 use bytes::Bytes;
+use cassiashunt_space::Space;
 
 use super::{ReadError, buffer_limit::BufferLimit};
-use crate::space::Space;
 
 /// The first space.
 const FIRST_SPACE_BYTES: usize = 8 * 1024;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -27,7 +27,6 @@
 mod settings_source;
 mod shed;
 mod signals;
-mod space;
 mod stop;
 mod store;
 mod sum_rows;
--- a/crates/sidecar/src/link/socket.rs
+++ b/crates/sidecar/src/link/socket.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Buf as _, Bytes, BytesMut};
+use cassiashunt_space::Space;
 use prost::Message as _;
 use socket2::SockRef;
 use tokio::{
@@ -17,10 +18,7 @@
 };
 
 use super::{Frame, Kind};
-use crate::{
-    memory::{BodyMemory, Lease, MIN_COUNTED_BYTES},
-    space::Space,
-};
+use crate::memory::{BodyMemory, Lease, MIN_COUNTED_BYTES};
 
 /// The longest frame: a body at the operators' limit plus its headers.
 const MAX_FRAME_BYTES: usize = 65 << 20;
--- a/crates/sidecar/src/space.rs
+++ b/crates/space/src/space.rs
@@ -9,13 +9,13 @@
 use memmap2::MmapMut;
 
 /// Spaces of this size and more are mapped. Freed in the heap, they would leave gaps that stay resident,
-/// and raise the size up to which the allocator keeps freed memory.
+/// and raise the size up to which the allocator keeps freed memory, in the heap of each thread.
 const MIN_MAPPED_BYTES: usize = 16 * 1024;
 
 /// A fixed capacity that is filled from its start. A large one goes back to the machine when it drops, and
 /// is resident only as far as it is filled.
 #[derive(Debug)]
-pub(crate) struct Space {
+pub struct Space {
     region: Region,
     len: usize,
 }
@@ -32,7 +32,7 @@
     /// # Errors
     ///
     /// Fails where the machine has no memory.
-    pub(crate) fn with_capacity(capacity: usize) -> io::Result<Self> {
+    pub fn with_capacity(capacity: usize) -> io::Result<Self> {
         let region = if capacity >= MIN_MAPPED_BYTES {
             Region::Mapped(MmapMut::map_anon(capacity)?)
         } else {
@@ -42,34 +42,47 @@
     }
 
     /// The number of bytes so far.
-    pub(crate) fn len(&self) -> usize {
+    #[must_use]
+    pub fn len(&self) -> usize {
         self.len
     }
 
+    /// Whether it has no bytes yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
     /// The bytes that are not filled yet.
-    pub(crate) fn spare(&mut self) -> &mut [u8] {
+    pub fn spare(&mut self) -> &mut [u8] {
         let len = self.len;
         &mut self.region[len..]
     }
 
     /// Whether all of it is filled.
-    pub(crate) fn is_full(&self) -> bool {
+    #[must_use]
+    pub fn is_full(&self) -> bool {
         self.len == self.region.len()
     }
 
     /// Records that the first `count` spare bytes are filled.
-    pub(crate) fn advance(&mut self, count: usize) {
+    pub fn advance(&mut self, count: usize) {
         self.len += count;
     }
 
-    /// Appends bytes, for which there is room.
-    pub(crate) fn extend(&mut self, bytes: &[u8]) {
+    /// Appends bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no room for them.
+    pub fn extend(&mut self, bytes: &[u8]) {
         self.spare()[..bytes.len()].copy_from_slice(bytes);
         self.advance(bytes.len());
     }
 
     /// The bytes so far, without a copy.
-    pub(crate) fn into_bytes(self) -> Bytes {
+    #[must_use]
+    pub fn into_bytes(self) -> Bytes {
         match self.region {
             Region::Heap(mut bytes) => {
                 bytes.truncate(self.len);
