Clients' receive buffers never shrink

Cause: on loopback a sender's segments are half of the largest window that it has seen (ss: mss 32767, window 31745), and it sends shorter ones only on its timer for closed windows. The receive buffer shrank after each long body.

What it may hold stays counted; an idle connection with a large one is the first to be closed where there is no room. An announced body gets all of its space and window at once while three quarters of the memory for bodies are free.

--- a/cassiashunt/tests/site_hostile_many.rs
+++ b/cassiashunt/tests/site_hostile_many.rs
@@ -427,6 +427,18 @@
     stage.check(&[]);
 }
 
+#[test]
+fn long_bodies_in_a_row_on_one_connection_are_served_in_calm() {
+    let stage = Stage::with_memory("many-row", LEAST_MEMORY_MB, LONGEST_BODY_BYTES);
+    let mut stream = open(stage.site.members[0].requests).expect("cannot connect");
+    for _ in 0..3 {
+        let body = [unfinished("shop", LONGEST_BODY_BYTES), b"x".to_vec()].concat();
+        let answer = ask(&mut stream, &body).expect("no answer from the node");
+        assert_eq!(answer.status, 200);
+    }
+    stage.check(&[]);
+}
+
 #[test]
 fn chunked_bodies_at_the_platforms_limit_beside_a_crowd_stay_within_the_least_memory() {
     let stage = Stage::with_memory("many-long", LEAST_MEMORY_MB, LONGEST_BODY_BYTES);
--- a/crates/sidecar/src/http/body_buffer.rs
+++ b/crates/sidecar/src/http/body_buffer.rs
@@ -116,6 +116,7 @@
         let longest = self.expected.unwrap_or(limit.max()).max(length + 1);
         let is_short = length < MIN_PART_BYTES;
         let counted = match self.expected {
+            Some(expected) if length == 0 && limit.is_ample(expected) => expected,
             _ if is_short => (2 * length).max(FIRST_SPACE_BYTES),
             Some(expected) => expected,
             None => length + (length / PART_DIVISOR).clamp(MIN_PART_BYTES, MAX_PART_BYTES),
--- a/crates/sidecar/src/http/buffer_limit.rs
+++ b/crates/sidecar/src/http/buffer_limit.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Whether a body of `length` bytes leaves most of the memory for bodies free.
+    pub(crate) fn is_ample(&self, length: usize) -> bool {
+        let account = self.account.as_ref().map(|it| it.memory());
+        let memory = account.or(self.lease.as_ref().map(|(memory, _)| *memory));
+        memory.is_some_and(|it| it.is_ample(length))
+    }
+
     /// Checks that a body of `length` bytes is within the limit for one body.
     pub(crate) fn check(&self, length: usize) -> Result<(), ReadError> {
         if length > self.max {
--- a/crates/sidecar/src/http/connection.rs
+++ b/crates/sidecar/src/http/connection.rs
@@ -263,12 +263,9 @@
         body.finish()
     }
 
-    /// Ends the growth of the receive buffer after a body. Returns how many bytes wait in it.
-    pub(crate) fn narrow(&mut self) -> usize {
-        match &mut self.window {
-            Some(window) => window.narrow(&self.stream),
-            None => 0,
-        }
+    /// How many bytes the kernel may take in for a client beyond the usual.
+    pub(crate) fn widened(&self) -> usize {
+        self.window.as_ref().map_or(0, ReceiveWindow::widened)
     }
 
     /// Writes all bytes.
@@ -422,7 +419,7 @@
             }
             limit.on_read(body.len());
             if let Some(window) = &mut self.window {
-                window.widen(&self.stream, body.len(), body.max_unread());
+                window.widen(&self.stream, body.max_unread());
             }
         }
         Ok(())
--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -23,7 +23,7 @@
     accept::accept,
     clients::{Client, Phase},
     clock,
-    http::{BufferLimit, Connection, Framing, MIN_UNREAD_BYTES, ReadError, RequestHead, has_token},
+    http::{BufferLimit, Connection, Framing, ReadError, RequestHead, has_token},
     memory::{Lease, MIN_COUNTED_BYTES, Part},
     node::Node,
 };
@@ -66,11 +66,14 @@
     let mut connection = Connection::from_client(stream);
     // Closes the connection to free a descriptor or memory.
     let close = Rc::<Notify>::default();
+    // What may wait behind a long body; it stays counted, since the receive buffer does not shrink.
+    let mut widened: Option<Lease> = None;
     loop {
         let limits = node
             .table()
             .map_or_else(ClientLimits::default, |table| table.limits);
-        match next_event(&node, &mut connection, limits.idle_timeout, &close).await {
+        let held = widened.as_ref().map_or(0, Lease::bytes);
+        match next_event(&node, &mut connection, limits.idle_timeout, held, &close).await {
             Event::Request => {}
             Event::Closed => return,
             Event::Idle => {
@@ -95,9 +98,8 @@
                     body,
                     _held_head,
                 } = read;
-                let unread = connection.narrow();
-                // What waits behind a long body can't be refused any more.
-                let _unread = (unread > MIN_UNREAD_BYTES).then(|| node.memory.count(unread));
+                let unread = connection.widened();
+                widened = (unread > 0).then(|| node.memory.count(unread));
                 let is_head = head.method == "HEAD";
                 let reply = answer(&node, &mut connection, &mut open, head, body).await;
                 (reply, is_head)
@@ -167,14 +169,20 @@
     Idle,
 }
 
-/// Waits for the next request on an idle connection.
+/// Waits for the next request on an idle connection, which loses its `held` bytes where there is no room.
 async fn next_event(
     node: &Node,
     connection: &mut Connection,
     idle_timeout: Duration,
+    held: usize,
     close: &Rc<Notify>,
 ) -> Event {
     let _idle = node.clients.enter(Phase::Idle, close);
+    let _account = (held > 0).then(|| {
+        let account = node.memory.account(Part::Idle, close);
+        account.set_counted(held);
+        account
+    });
     tokio::select! {
         biased;
         waited = timeout(idle_timeout, connection.wait_for_message()) => match waited {
--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -22,6 +22,8 @@
 const RESERVE_DIVISOR: usize = 8;
 /// A body makes progress with each further piece of this length: one that trickles in makes none.
 const PROGRESS_BYTES: usize = 64 * 1024;
+/// Up to this fraction of the memory, an announced body is counted in full from its first bytes.
+const AMPLE_DIVISOR: usize = 4;
 /// Answers may exceed the maximum by this fraction, so that one can be read where complete requests hold all.
 const ANSWERS_DIVISOR: usize = 8;
 /// The time between two looks for room.
@@ -35,6 +37,8 @@
 /// Which end of a body's way a connection is closed at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Part {
+    /// Between two requests.
+    Idle,
     /// A request that is being read.
     Request,
     /// An answer that is being written.
@@ -44,6 +48,7 @@
 impl Part {
     pub(crate) fn name(self) -> &'static str {
         match self {
+            Self::Idle => "idle",
             Self::Request => "request",
             Self::Answer => "answer",
         }
@@ -85,6 +90,11 @@
 }
 
 impl Lease {
+    /// The bytes that it counts.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     fn set(&mut self, bytes: usize) {
         self.total.fetch_add(bytes, Ordering::Relaxed);
         self.total.fetch_sub(self.bytes, Ordering::Relaxed);
@@ -159,6 +169,11 @@
         Ok(())
     }
 
+    /// Whether bodies with `more` bytes leave most of the memory free.
+    pub(crate) fn is_ample(&self, more: usize) -> bool {
+        self.held() + more <= self.max / AMPLE_DIVISOR
+    }
+
     /// Waits while connections that were told to close still hold much of the memory.
     pub(crate) async fn wait_for_closing(&self) {
         while self.closing.get() > self.max / CLOSING_DIVISOR {
@@ -244,15 +259,18 @@
     }
 
     /// The connections that may lose their bodies to a long or a short one, with the bytes that they
-    /// hold: the long ones first, and of these the one that has been without progress longest.
+    /// hold: idle ones first, then the long ones, and of these the one that has been without progress longest.
     fn displaceable(&self, by_long: bool) -> Vec<(u64, usize)> {
         let closable = self.closable.borrow();
         let open = closable.iter().filter(|(_, it)| {
             let least = if by_long { SHORT_BODY_BYTES } else { 0 };
-            !it.is_closing && it.held > least
+            !it.is_closing && (it.part == Part::Idle || it.held > least)
         });
         let mut open: Vec<_> = open.collect();
-        open.sort_by_key(|(_, it)| (it.held <= SHORT_BODY_BYTES, it.progressed_at));
+        open.sort_by_key(|(_, it)| {
+            let is_short = it.held <= SHORT_BODY_BYTES;
+            (it.part != Part::Idle, is_short, it.progressed_at)
+        });
         open.into_iter().map(|(key, it)| (*key, it.held)).collect()
     }
 
