--- a/crates/sidecar/src/ingress/connection.rs
+++ b/crates/sidecar/src/ingress/connection.rs
@@ -96,7 +96,7 @@
                 let ReadRequest {
                     head,
                     body,
-                    _held_head,
+                    head_lease: _head_lease,
                 } = read;
                 let unread = connection.widened();
                 widened = (unread > 0).then(|| node.memory.count(unread));
@@ -238,7 +238,7 @@
     head: RequestHead,
     body: Bytes,
     /// The memory of a long head, which stays counted until the request is answered.
-    _held_head: Option<Lease>,
+    head_lease: Option<Lease>,
 }
 
 /// Reads one complete request. On failure, returns the error reply to send, or `None` if the client
@@ -253,7 +253,7 @@
     let head = read_head(node, connection, limits.header_bytes, close);
     let head = timeout(limits.header_timeout, head).await;
     let head = head.map_err(|_| Some(Reply::closing(408)))?;
-    let (head, _held_head) = head.map_err(|err| reply_to(node, &err))?;
+    let (head, head_lease) = head.map_err(|err| reply_to(node, &err))?;
     if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes) {
         return Err(Some(Reply::closing(413)));
     }
@@ -268,7 +268,7 @@
     Ok(ReadRequest {
         head,
         body,
-        _held_head,
+        head_lease,
     })
 }
 
